build: allow designated initialisers to omit members

Cause: -Wextra warns about each member that a designated initialiser leaves to its default, which the house style relies on. Change: -Wno-missing-field-initializers for all targets.

--- a/cmake/flamingogauge.cmake
+++ b/cmake/flamingogauge.cmake
@@ -1,6 +1,8 @@
 # Functions that declare the project's libraries, plugins, programs and tests.
 
-set(FLAMINGOGAUGE_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor)
+# Designated initialisers leave out members on purpose.
+set(FLAMINGOGAUGE_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor
+                           -Wno-missing-field-initializers)
 if(FLAMINGOGAUGE_WERROR)
   list(APPEND FLAMINGOGAUGE_WARNINGS -Werror)
 endif()
