--- a/src/libs/kernel/error.h
+++ b/src/libs/kernel/error.h
@@ -20,6 +20,9 @@
   kTimeout,
   // The change may or may not have taken effect, because its answer was lost.
   kUnknownOutcome,
+  // The peer's process ended during the call: the connection broke and nobody
+  // listens on its address any more.
+  kPeerCrashed,
   kUnauthenticated,
   kCancelled,
   kInternal,
--- /dev/null
+++ b/src/plugins/upstreams/service_call.h
@@ -0,0 +1,49 @@
+#ifndef FLAMINGOGAUGE_PLUGINS_UPSTREAMS_SERVICE_CALL_H_
+#define FLAMINGOGAUGE_PLUGINS_UPSTREAMS_SERVICE_CALL_H_
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "plugins/upstreams/upstream_call_base.h"
+
+namespace flamingogauge {
+
+// One call to a plain service, which is sent at most once and never repeated.
+// After a broken connection the service's address is probed without a request,
+// to tell a crash from a lost connection.
+class ServiceCall : public UpstreamCallBase {
+ public:
+  ServiceCall(CallHost& host,
+              UpstreamCall call,
+              std::shared_ptr<UpstreamCallObserver> observer);
+
+  bool OnBeforeSend() override;
+  void OnHead(int status, std::vector<HttpHeader> headers) override;
+  bool OnBody(std::string_view bytes) override;
+  void OnFinished(TransferEnd end, const std::string& message) override;
+
+ protected:
+  MonotonicTime SilenceDeadline() const override;
+  void OnSilent() override;
+  void OnFailedAfterSending(const Error& error) override;
+  const char* StepName() const override;
+
+ private:
+  enum class State { kConnecting, kWaiting, kReceiving, kProbing };
+
+  void OnProbeFinished(TransferEnd end);
+
+  State state_ = State::kConnecting;
+  bool refused_ = false;
+  // The head states where the body ends.
+  bool has_length_ = false;
+  std::size_t received_bytes_ = 0;
+  bool too_large_ = false;
+  std::string break_message_;
+};
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_PLUGINS_UPSTREAMS_SERVICE_CALL_H_
