upstreams: test faults and fix the fakes' refusal header

Cause: Pistache does not write raw headers in responses, so a refusal of the fakes lacked X-Not-Executed and was taken for an answer.

--- a/src/plugins/upstreams/http_transfer.cc
+++ b/src/plugins/upstreams/http_transfer.cc
@@ -105,6 +105,8 @@
     curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, options.method.c_str());
   }
   header_list_ = curl_slist_append(header_list_, "Expect:");
+  // Implied by HTTP/1.1, but Pistache closes connections that do not say it.
+  header_list_ = curl_slist_append(header_list_, "Connection: keep-alive");
   for (const HttpHeader& it : options.headers) {
     // A header with an empty value is written with a semicolon in libcurl.
     const std::string line =
--- /dev/null
+++ b/tests/auto/upstreams/scripted_server.h
@@ -0,0 +1,65 @@
+#ifndef FLAMINGOGAUGE_TESTS_AUTO_UPSTREAMS_SCRIPTED_SERVER_H_
+#define FLAMINGOGAUGE_TESTS_AUTO_UPSTREAMS_SCRIPTED_SERVER_H_
+
+#include <functional>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+namespace flamingogauge {
+
+// One accepted connection of a ScriptedServer.
+class ScriptedConnection {
+ public:
+  explicit ScriptedConnection(int fd) : fd_(fd) {}
+
+  // Reads one request with its body; returns its first line, or "" at the end.
+  std::string ReadRequest();
+  void Write(std::string_view bytes) const;
+  // Waits until the client closes the connection or the server stops.
+  void HoldOpen() const;
+  // Makes the close that follows the script a reset.
+  void ResetOnClose() const;
+
+ private:
+  int fd_;
+  std::string buffer_;
+};
+
+// A TCP server on a loopback port that the kernel chose. The n-th connection
+// runs the n-th script and is then closed; further connections are answered
+// with 404.
+class ScriptedServer {
+ public:
+  using Script = std::function<void(ScriptedConnection&)>;
+
+  explicit ScriptedServer(std::vector<Script> scripts);
+  ~ScriptedServer();
+  ScriptedServer(const ScriptedServer&) = delete;
+  ScriptedServer& operator=(const ScriptedServer&) = delete;
+
+  const std::string& address() const { return address_; }
+  // Stops listening; new connections are refused.
+  void StopListening();
+  // The first lines of all requests, in order of arrival.
+  std::vector<std::string> Requests() const;
+  void RecordRequest(const std::string& line);
+
+ private:
+  void Accept();
+
+  const std::vector<Script> scripts_;
+  int listen_fd_ = -1;
+  std::string address_;
+  mutable std::mutex mutex_;
+  std::vector<std::string> requests_;
+  std::vector<int> open_fds_;
+  std::vector<std::thread> threads_;
+  std::thread accept_thread_;
+};
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_TESTS_AUTO_UPSTREAMS_SCRIPTED_SERVER_H_
--- a/tests/fakes/fake_engine/fake_engine_handler.cc
+++ b/tests/fakes/fake_engine/fake_engine_handler.cc
@@ -9,6 +9,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "tests/fakes/fake_engine/not_executed_header.h"
+
 namespace flamingogauge {
 namespace {
 
@@ -86,7 +88,7 @@
 }
 
 void Refuse(Http::ResponseWriter& response) {
-  response.headers().addRaw(Http::Header::Raw("X-Not-Executed", "1"));
+  response.headers().add<NotExecutedHeader>();
   response.send(Http::Code::Service_Unavailable,
                 R"({"error":{"message":"the engine is full"}})");
 }
@@ -119,7 +121,6 @@
   const auto id = request.headers().tryGetRaw("X-Request-Id");
   const auto admission = state_->Admit(request.body());
   if (!id || admission == FakeEngineState::Admission::kInvalid) {
-    response.headers().addRaw(Http::Header::Raw("X-Not-Executed", "1"));
     response.send(Http::Code::Bad_Request,
                   "not a chat completion with an id\n");
   } else if (admission == FakeEngineState::Admission::kCrash) {
--- a/tests/fakes/fake_service/fake_service.cc
+++ b/tests/fakes/fake_service/fake_service.cc
@@ -8,6 +8,8 @@
 #include <thread>
 #include <utility>
 
+#include "tests/fakes/fake_engine/not_executed_header.h"
+
 namespace flamingogauge {
 
 namespace Http = Pistache::Http;
@@ -48,7 +50,7 @@
       }
     }
     if (faults.refuse) {
-      response.headers().addRaw(Http::Header::Raw("X-Not-Executed", "1"));
+      response.headers().add<NotExecutedHeader>();
       response.send(Http::Code::Service_Unavailable, R"({"error":"full"})");
       return;
     }
