claims: run non-idempotent requests at most once

Cause: a booking that is resent to another host must not run twice, also when store answers are lost and hosts pause or die.

--- /dev/null
+++ b/src/plugins/claims/claims_plugin.h
@@ -0,0 +1,42 @@
+#ifndef FLAMINGOGAUGE_PLUGINS_CLAIMS_CLAIMS_PLUGIN_H_
+#define FLAMINGOGAUGE_PLUGINS_CLAIMS_CLAIMS_PLUGIN_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "libs/kernel/plugin.h"
+#include "libs/services/claim_service.h"
+#include "plugins/claims/claims_settings.h"
+
+namespace flamingogauge {
+
+// Makes non-idempotent requests run at most once, by claims in the platform's
+// store. Needs "platform.store"; uses "peers.membership" if it is registered to
+// tell dead owners from live ones.
+class ClaimsPlugin : public Plugin, public ClaimService {
+ public:
+  explicit ClaimsPlugin(ClaimsSettings settings);
+  ~ClaimsPlugin() override;
+
+  std::string_view Name() const override;
+  Result<void> Initialize(ServiceRegistry& registry) override;
+  Result<void> ExtensionsInitialized(ServiceRegistry& registry) override;
+  void AboutToShutdown(std::function<void()> done) override;
+  std::string DumpState() const override;
+
+  void Acquire(ClaimRequest request, AcquireCallback callback) override;
+  void Abandon(RequestId id) override;
+  void Release(RequestId id, ReleaseCallback callback) override;
+  void Record(RequestId id, RecordedOutcome outcome) override;
+  void LeaveUnresolved(RequestId id) override;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_PLUGINS_CLAIMS_CLAIMS_PLUGIN_H_
--- /dev/null
+++ b/src/plugins/claims/claims_settings.cc
@@ -0,0 +1,74 @@
+#include "plugins/claims/claims_settings.h"
+
+#include <gflags/gflags.h>
+
+#include <string>
+
+DEFINE_uint64(claims_max_attempts,
+              4096,
+              "non-idempotent requests in progress on this host, 1 to 65536");
+DEFINE_int32(claims_acquire_time_limit_ms,
+             2000,
+             "how long the store may take to decide a claim, 50 to 60000 ms");
+DEFINE_int32(claims_epoch_length_min,
+             60,
+             "length of a retention epoch, 1 to 1440 minutes");
+DEFINE_uint64(claims_retention_epochs,
+              24,
+              "epochs for which a claim is kept, 2 to 1000");
+
+namespace flamingogauge {
+namespace {
+
+Result<void> CheckRange(const std::string& flag,
+                        std::int64_t value,
+                        std::int64_t lowest,
+                        std::int64_t highest) {
+  if (value >= lowest && value <= highest) {
+    return boost::outcome_v2::success();
+  }
+  return Error{.code = ErrorCode::kInvalidArgument,
+               .step = "check settings",
+               .message = "--" + flag + "=" + std::to_string(value) +
+                          " is not between " + std::to_string(lowest) +
+                          " and " + std::to_string(highest)};
+}
+
+}  // namespace
+
+Result<void> CheckClaimsSettings(const ClaimsSettings& settings) {
+  struct Range {
+    const char* flag;
+    std::int64_t value;
+    std::int64_t lowest;
+    std::int64_t highest;
+  };
+  const Range ranges[] = {
+      {"claims_max_attempts", static_cast<std::int64_t>(settings.max_attempts),
+       1, 65536},
+      {"claims_acquire_time_limit_ms", settings.acquire_time_limit.count(), 50,
+       60000},
+      {"claims_epoch_length_min", settings.epoch_length.count(), 1, 1440},
+      {"claims_retention_epochs",
+       static_cast<std::int64_t>(settings.retention_epochs), 2, 1000},
+  };
+  for (const Range& it : ranges) {
+    Result<void> checked = CheckRange(it.flag, it.value, it.lowest, it.highest);
+    if (!checked) {
+      return checked.error();
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
+ClaimsSettings ClaimsSettingsFromFlags() {
+  return {
+      .max_attempts = FLAGS_claims_max_attempts,
+      .acquire_time_limit =
+          std::chrono::milliseconds(FLAGS_claims_acquire_time_limit_ms),
+      .epoch_length = std::chrono::minutes(FLAGS_claims_epoch_length_min),
+      .retention_epochs = FLAGS_claims_retention_epochs,
+  };
+}
+
+}  // namespace flamingogauge
