--- /dev/null
+++ b/src/plugins/scheduler/scheduler_plugin.cc
@@ -0,0 +1,228 @@
+#include "plugins/scheduler/scheduler_plugin.h"
+
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <random>
+#include <thread>
+#include <utility>
+#include <variant>
+
+#include "libs/kernel/bounded_ring.h"
+#include "libs/kernel/log.h"
+#include "libs/services/document_source.h"
+#include "libs/services/membership_view.h"
+#include "libs/services/upstream_client.h"
+#include "plugins/scheduler/scheduler_core.h"
+
+namespace flamingogauge {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// How long a dump waits for the scheduler thread.
+constexpr std::chrono::milliseconds kDumpWait{500};
+
+struct ListenerMessage {
+  PermitBroker::Listener listener;
+};
+struct CancelMessage {
+  RequestId id;
+};
+struct DumpMessage {
+  std::shared_ptr<std::promise<std::string>> result;
+};
+struct DrainMessage {
+  std::function<void()> done;
+};
+
+using Message = std::variant<ListenerMessage,
+                             PermitRequest,
+                             CancelMessage,
+                             PermitOutcome,
+                             std::shared_ptr<const Document>,
+                             LoadReport,
+                             CacheEvent,
+                             DumpMessage,
+                             DrainMessage>;
+
+std::chrono::seconds SinceEpoch() {
+  return std::chrono::duration_cast<std::chrono::seconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
+Incarnation RandomIncarnation() {
+  std::random_device device;
+  const auto next = [&device] {
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+  };
+  return {.high = next(), .low = next()};
+}
+
+}  // namespace
+
+struct SchedulerPlugin::Private {
+  explicit Private(SchedulerSettings plugin_settings)
+      : settings(std::move(plugin_settings)), ring(settings.ring_capacity) {}
+
+  void Run();
+  void Handle(MonotonicTime now, Message message);
+  // Drops the message when the ring is full. A lost outcome keeps its slot
+  // occupied until the permit expires.
+  void Push(Message message, const char* what);
+
+  SchedulerSettings settings;
+  Logger log{"scheduler"};
+  BoundedRing<Message> ring;
+  std::unique_ptr<SchedulerCore> core;
+  PermitBroker::Listener listener;
+  std::function<void()> drained;
+  std::atomic<bool> draining{false};
+  std::atomic<std::uint64_t> dropped{0};
+  std::thread thread;
+};
+
+void SchedulerPlugin::Private::Push(Message message, const char* what) {
+  if (!ring.TryPush(std::move(message))) {
+    if (dropped.fetch_add(1) == 0) {
+      log.Warning(std::string("the ring is full, dropped a ") + what);
+    }
+  }
+}
+
+void SchedulerPlugin::Private::Run() {
+  MonotonicTime next_tick = Clock::now();
+  while (!ring.IsClosed()) {
+    std::optional<Message> message = ring.PopUntil(next_tick);
+    const MonotonicTime now = Clock::now();
+    if (message.has_value()) {
+      Handle(now, std::move(*message));
+    }
+    if (now >= next_tick) {
+      core->Advance(now);
+      next_tick = now + settings.tick;
+    }
+    if (drained && core->IsIdle()) {
+      std::exchange(drained, nullptr)();
+    }
+  }
+}
+
+void SchedulerPlugin::Private::Handle(MonotonicTime now, Message message) {
+  if (auto* request = std::get_if<PermitRequest>(&message)) {
+    core->Request(now, std::move(*request));
+  } else if (auto* outcome = std::get_if<PermitOutcome>(&message)) {
+    core->Report(now, *outcome);
+  } else if (auto* cancel = std::get_if<CancelMessage>(&message)) {
+    core->Cancel(now, cancel->id);
+  } else if (auto* load = std::get_if<LoadReport>(&message)) {
+    core->OnLoad(now, *load);
+  } else if (auto* event = std::get_if<CacheEvent>(&message)) {
+    core->OnCache(now, *event);
+  } else if (auto* document =
+                 std::get_if<std::shared_ptr<const Document>>(&message)) {
+    core->OnDocument(now, SinceEpoch(), **document);
+  } else if (auto* set = std::get_if<ListenerMessage>(&message)) {
+    core->SetListener(std::move(set->listener));
+  } else if (auto* dump = std::get_if<DumpMessage>(&message)) {
+    dump->result->set_value(core->Dump(now));
+  } else if (auto* drain = std::get_if<DrainMessage>(&message)) {
+    drained = std::move(drain->done);
+  }
+}
+
+SchedulerPlugin::SchedulerPlugin(SchedulerSettings settings)
+    : d_(std::make_unique<Private>(std::move(settings))) {}
+
+SchedulerPlugin::~SchedulerPlugin() {
+  d_->ring.Close();
+  if (d_->thread.joinable()) {
+    d_->thread.join();
+  }
+}
+
+Result<void> SchedulerPlugin::Initialize(ServiceRegistry& registry) {
+  Result<void> checked = CheckSchedulerSettings(d_->settings);
+  if (!checked) {
+    return checked;
+  }
+  return registry.Register<PermitBroker>(PermitBroker::kServiceName, this);
+}
+
+Result<void> SchedulerPlugin::ExtensionsInitialized(ServiceRegistry& registry) {
+  Result<DocumentSource*> documents =
+      registry.Find<DocumentSource>(DocumentSource::kServiceName);
+  if (!documents) {
+    return documents.error();
+  }
+  Incarnation incarnation = RandomIncarnation();
+  if (Result<MembershipView*> membership =
+          registry.Find<MembershipView>(MembershipView::kServiceName)) {
+    const Member& self = membership.value()->Self();
+    d_->settings.host = self.host;
+    d_->settings.data_centre = self.data_centre;
+    incarnation = self.incarnation;
+  }
+  d_->core = std::make_unique<SchedulerCore>(d_->settings, incarnation);
+  d_->core->SetListener(d_->listener);
+  d_->thread = std::thread([this] { d_->Run(); });
+  documents.value()->Subscribe([this](std::shared_ptr<const Document> it) {
+    d_->Push(std::move(it), "document");
+  });
+  if (Result<UpstreamClient*> client =
+          registry.Find<UpstreamClient>(UpstreamClient::kServiceName)) {
+    client.value()->SubscribeLoad(
+        [this](LoadReport it) { d_->Push(std::move(it), "load report"); });
+    client.value()->SubscribeCache(
+        [this](CacheEvent it) { d_->Push(std::move(it), "cache event"); });
+  }
+  return boost::outcome_v2::success();
+}
+
+void SchedulerPlugin::AboutToShutdown(std::function<void()> done) {
+  d_->draining = true;
+  if (!d_->thread.joinable() || !d_->ring.TryPush(DrainMessage{done})) {
+    done();
+  }
+}
+
+std::string SchedulerPlugin::DumpState() const {
+  auto result = std::make_shared<std::promise<std::string>>();
+  std::future<std::string> text = result->get_future();
+  if (!d_->ring.TryPush(DumpMessage{result}) ||
+      text.wait_for(kDumpWait) != std::future_status::ready) {
+    return R"({"error":"the scheduler thread is busy"})";
+  }
+  return text.get();
+}
+
+void SchedulerPlugin::SetListener(Listener listener) {
+  d_->listener = listener;
+  if (d_->thread.joinable()) {
+    d_->Push(ListenerMessage{std::move(listener)}, "listener");
+  }
+}
+
+void SchedulerPlugin::Request(PermitRequest request) {
+  const RequestId id = request.id;
+  const bool draining = d_->draining;
+  if (draining || !d_->ring.TryPush(std::move(request))) {
+    d_->listener.on_refused(
+        id,
+        {.kind = draining ? RefusalKind::kDraining : RefusalKind::kUnavailable,
+         .run_status = RunStatus::kAttemptNotRun,
+         .message = draining ? "schedule: this host is draining"
+                             : "schedule: the scheduler's ring is full",
+         .retry_after = std::chrono::milliseconds(1000)});
+  }
+}
+
+void SchedulerPlugin::Cancel(RequestId id) {
+  d_->Push(CancelMessage{id}, "cancellation");
+}
+
+void SchedulerPlugin::Report(PermitOutcome outcome) {
+  d_->Push(std::move(outcome), "permit outcome");
+}
+
+}  // namespace flamingogauge
