peers: add transport between hosts over Cap'n Proto RPC

Cause: plugins need calls between hosts and a list of members. Conclusion: other plugins can register channels and call peers.

--- /dev/null
+++ b/src/plugins/peers/peer_connection.h
@@ -0,0 +1,66 @@
+#ifndef FLAMINGOGAUGE_PLUGINS_PEERS_PEER_CONNECTION_H_
+#define FLAMINGOGAUGE_PLUGINS_PEERS_PEER_CONNECTION_H_
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+
+#include <string>
+
+#include "libs/kernel/error.h"
+#include "libs/model/member.h"
+#include "protocol/peer.capnp.h"
+
+namespace flamingogauge {
+
+// The largest payload of a call. Larger than a document chunk (256 KB), and
+// small enough that a peer cannot exhaust the memory of this host.
+inline constexpr std::size_t kMaxPayloadBytes = 1U << 20;
+
+// Limits what one received message may make this host read.
+capnp::ReaderOptions PeerReaderOptions();
+
+// Disables Nagle's algorithm, which would delay small calls.
+void DisableNagle(kj::AsyncIoStream& stream);
+
+// Fills `builder` from `self`, and reads a Member back.
+void WriteHostInfo(const Member& self, wire::HostInfo::Builder builder);
+Member ReadHostInfo(wire::HostInfo::Reader reader);
+
+// What the host that handled a call answered.
+using CallResult = Result<std::string>;
+
+// One outgoing, authenticated connection. Lives on the peers thread. Its
+// promises are rejected with a kj exception when the connection breaks.
+class PeerConnection : public kj::Refcounted {
+ public:
+  explicit PeerConnection(kj::Own<kj::AsyncIoStream> stream);
+
+  // Connects to `address` and presents the token.
+  static kj::Promise<kj::Own<PeerConnection>> Open(kj::Network& network,
+                                                   const std::string& address,
+                                                   const std::string& token,
+                                                   const Member& self);
+
+  kj::Own<PeerConnection> addRef() { return kj::addRef(*this); }
+
+  kj::Promise<CallResult> Call(const std::string& channel,
+                               const std::string& payload);
+
+  kj::Promise<void> OnDisconnect() { return network_.onDisconnect(); }
+
+  // The callee's own description, from its answer to hello.
+  const Member& peer() const { return peer_; }
+
+ private:
+  kj::Promise<void> SayHello(const std::string& token, const Member& self);
+
+  kj::Own<kj::AsyncIoStream> stream_;
+  capnp::TwoPartyVatNetwork network_;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc_;
+  wire::Peer::Client client_;
+  Member peer_;
+};
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_PLUGINS_PEERS_PEER_CONNECTION_H_
--- /dev/null
+++ b/src/plugins/peers/peer_server.cc
@@ -0,0 +1,95 @@
+#include "plugins/peers/peer_server.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <openssl/crypto.h>
+
+#include <utility>
+
+namespace flamingogauge {
+namespace {
+
+wire::CallStatus ToCallStatus(ErrorCode code) {
+  switch (code) {
+    case ErrorCode::kNotFound:
+      return wire::CallStatus::NOT_FOUND;
+    case ErrorCode::kUnavailable:
+      return wire::CallStatus::UNAVAILABLE;
+    case ErrorCode::kResourceExhausted:
+      return wire::CallStatus::RESOURCE_EXHAUSTED;
+    case ErrorCode::kInvalidArgument:
+      return wire::CallStatus::INVALID_ARGUMENT;
+    default:
+      return wire::CallStatus::INTERNAL;
+  }
+}
+
+// Compares in a time that does not depend on the contents.
+bool IsSameToken(kj::StringPtr presented, const std::string& token) {
+  return presented.size() == token.size() &&
+         CRYPTO_memcmp(presented.begin(), token.data(), token.size()) == 0;
+}
+
+// Owns what one accepted connection needs; the stream is destroyed last.
+class AcceptedConnection {
+ public:
+  AcceptedConnection(kj::Own<kj::AsyncIoStream> stream,
+                     kj::Own<PeerServer> server)
+      : stream_(kj::mv(stream)),
+        network_(*stream_,
+                 capnp::rpc::twoparty::Side::SERVER,
+                 PeerReaderOptions()),
+        rpc_(capnp::makeRpcServer(network_,
+                                  wire::Peer::Client(kj::mv(server)))) {
+    DisableNagle(*stream_);
+  }
+
+  kj::Promise<void> OnDisconnect() { return network_.onDisconnect(); }
+
+ private:
+  kj::Own<kj::AsyncIoStream> stream_;
+  capnp::TwoPartyVatNetwork network_;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc_;
+};
+
+}  // namespace
+
+kj::Promise<void> PeerServer::hello(HelloContext context) {
+  if (!IsSameToken(context.getParams().getToken(), token_)) {
+    KJ_FAIL_REQUIRE("the token is not the one of this host");
+  }
+  caller_ = ReadHostInfo(context.getParams().getCaller());
+  is_authenticated_ = true;
+  WriteHostInfo(self_, context.getResults().initCallee());
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerServer::call(CallContext context) {
+  KJ_REQUIRE(is_authenticated_, "hello must come before any call");
+  const auto params = context.getParams();
+  const auto bytes = params.getPayload().asChars();
+  std::string channel = params.getChannel().cStr();
+  std::string payload(bytes.begin(), bytes.size());
+  context.releaseParams();
+  return dispatch_(caller_, std::move(channel), std::move(payload))
+      .then([context](CallResult result) mutable {
+        auto results = context.getResults();
+        if (result) {
+          const std::string& reply = result.value();
+          results.setPayload(
+              kj::StringPtr(reply.c_str(), reply.size()).asBytes());
+          return;
+        }
+        results.setStatus(ToCallStatus(result.error().code));
+        results.setMessage(ToString(result.error()));
+      });
+}
+
+kj::Promise<void> ServeConnection(kj::Own<kj::AsyncIoStream> stream,
+                                  kj::Own<PeerServer> server) {
+  auto connection =
+      kj::heap<AcceptedConnection>(kj::mv(stream), kj::mv(server));
+  auto broken = connection->OnDisconnect();
+  return broken.attach(kj::mv(connection));
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/plugins/peers/peer_server.h
@@ -0,0 +1,46 @@
+#ifndef FLAMINGOGAUGE_PLUGINS_PEERS_PEER_SERVER_H_
+#define FLAMINGOGAUGE_PLUGINS_PEERS_PEER_SERVER_H_
+
+#include <kj/async-io.h>
+
+#include <functional>
+#include <string>
+
+#include "libs/kernel/error.h"
+#include "libs/model/member.h"
+#include "plugins/peers/peer_connection.h"
+#include "protocol/peer.capnp.h"
+
+namespace flamingogauge {
+
+// Serves the Peer interface on one accepted connection. Lives on the peers
+// thread.
+class PeerServer final : public wire::Peer::Server {
+ public:
+  using Dispatch = std::function<kj::Promise<CallResult>(const Member& from,
+                                                         std::string channel,
+                                                         std::string payload)>;
+
+  // `self` and `dispatch` must outlive the server.
+  PeerServer(const Member& self, std::string token, const Dispatch& dispatch)
+      : self_(self), token_(std::move(token)), dispatch_(dispatch) {}
+
+ protected:
+  kj::Promise<void> hello(HelloContext context) override;
+  kj::Promise<void> call(CallContext context) override;
+
+ private:
+  const Member& self_;
+  std::string token_;
+  const Dispatch& dispatch_;
+  Member caller_;
+  bool is_authenticated_ = false;
+};
+
+// Serves one accepted connection until it breaks.
+kj::Promise<void> ServeConnection(kj::Own<kj::AsyncIoStream> stream,
+                                  kj::Own<PeerServer> server);
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_PLUGINS_PEERS_PEER_SERVER_H_
--- /dev/null
+++ b/src/plugins/peers/peers_plugin.cc
@@ -0,0 +1,200 @@
+#include "plugins/peers/peers_plugin.h"
+
+#include <sys/random.h>
+#include <unistd.h>
+
+#include <utility>
+
+#include "libs/kernel/log.h"
+#include "plugins/peers/event_loop.h"
+#include "plugins/peers/listen_socket.h"
+#include "plugins/peers/peer_node.h"
+#include "plugins/peers/peers_shared.h"
+
+namespace flamingogauge {
+namespace {
+
+Result<Incarnation> DrawIncarnation() {
+  Incarnation incarnation;
+  if (getrandom(&incarnation, sizeof(incarnation), 0) !=
+      static_cast<ssize_t>(sizeof(incarnation))) {
+    return Error{.code = ErrorCode::kInternal,
+                 .step = "draw incarnation",
+                 .peer = {},
+                 .message = "the system has no random bits"};
+  }
+  return incarnation;
+}
+
+}  // namespace
+
+class PeersPlugin::Private {
+ public:
+  explicit Private(PeersSettings s)
+      : settings(std::move(s)),
+        shared(std::make_shared<PeersShared>()),
+        loop(std::make_shared<EventLoop>(settings.queue_capacity)) {}
+
+  ~Private() {
+    loop->Stop();
+    if (listen_fd >= 0) {
+      close(listen_fd);
+    }
+  }
+
+  Result<void> Listen();
+
+  PeersSettings settings;
+  Member self;
+  int listen_fd = -1;
+  std::shared_ptr<PeersShared> shared;
+  std::shared_ptr<EventLoop> loop;
+  // Lives on the loop's thread.
+  PeerNode* node = nullptr;
+  Logger log{"peers"};
+};
+
+Result<void> PeersPlugin::Private::Listen() {
+  const Result<SocketAddress> address =
+      ParseSocketAddress(settings.listen_address);
+  if (!address) {
+    return address.error();
+  }
+  const Result<ListenSocket> socket = OpenListenSocket(address.value());
+  if (!socket) {
+    return socket.error();
+  }
+  listen_fd = socket.value().fd;
+  SocketAddress advertised = socket.value().address;
+  if (!settings.advertised_address.empty()) {
+    const Result<SocketAddress> given =
+        ParseSocketAddress(settings.advertised_address);
+    if (!given) {
+      return given.error();
+    }
+    advertised = given.value();
+    if (advertised.port == 0) {
+      advertised.port = socket.value().address.port;
+    }
+  }
+  self.peer_address = ToString(advertised);
+  return boost::outcome_v2::success();
+}
+
+PeersPlugin::PeersPlugin(PeersSettings settings)
+    : d_(std::make_unique<Private>(std::move(settings))) {}
+
+PeersPlugin::~PeersPlugin() = default;
+
+Result<void> PeersPlugin::Initialize(ServiceRegistry& registry) {
+  Result<void> checked = CheckPeersSettings(d_->settings);
+  if (!checked) {
+    return checked.error();
+  }
+  Result<Incarnation> incarnation = DrawIncarnation();
+  if (!incarnation) {
+    return incarnation.error();
+  }
+  d_->self.host = d_->settings.host;
+  d_->self.data_centre = d_->settings.data_centre;
+  d_->self.region = d_->settings.region;
+  d_->self.incarnation = incarnation.value();
+  Result<void> listening = d_->Listen();
+  if (!listening) {
+    return listening.error();
+  }
+  d_->shared->Publish(std::make_shared<MemberList>(MemberList{d_->self}));
+  Result<void> registered =
+      registry.Register<PeerTransport>(PeerTransport::kServiceName, this);
+  if (!registered) {
+    return registered.error();
+  }
+  return registry.Register<MembershipView>(MembershipView::kServiceName, this);
+}
+
+Result<void> PeersPlugin::ExtensionsInitialized(ServiceRegistry& /*registry*/) {
+  d_->loop->Start([this](kj::AsyncIoContext& io) {
+    auto node = std::make_shared<PeerNode>(io, d_->settings, d_->self,
+                                           std::exchange(d_->listen_fd, -1),
+                                           d_->loop, d_->shared);
+    d_->node = node.get();
+    return std::shared_ptr<void>(node);
+  });
+  d_->log.Info("host " + d_->self.host + " listens for peers on " +
+               d_->self.peer_address + ", incarnation " +
+               ToString(d_->self.incarnation));
+  return boost::outcome_v2::success();
+}
+
+void PeersPlugin::AboutToShutdown(std::function<void()> done) {
+  done();
+}
+
+std::string PeersPlugin::DumpState() const {
+  const auto members = d_->shared->Current();
+  const PeersShared& shared = *d_->shared;
+  return "{\"host\":\"" + d_->self.host + "\",\"address\":\"" +
+         d_->self.peer_address + "\",\"incarnation\":\"" +
+         ToString(d_->self.incarnation) +
+         "\",\"members\":" + std::to_string(members->size()) +
+         ",\"calls_sent\":" + std::to_string(shared.calls_sent) +
+         ",\"calls_failed\":" + std::to_string(shared.calls_failed) +
+         ",\"calls_received\":" + std::to_string(shared.calls_received) +
+         ",\"replies_lost\":" + std::to_string(shared.replies_lost) +
+         ",\"connections_opened\":" +
+         std::to_string(shared.connections_opened) +
+         ",\"connections_accepted\":" +
+         std::to_string(shared.connections_accepted) +
+         ",\"queue\":" + std::to_string(d_->loop->QueueSize()) + "}";
+}
+
+void PeersPlugin::Handle(std::string channel, Handler handler) {
+  d_->shared->SetHandler(std::move(channel), std::move(handler));
+}
+
+void PeersPlugin::Call(HostId host,
+                       std::string channel,
+                       std::string payload,
+                       std::chrono::milliseconds time_limit,
+                       ReplyCallback callback) {
+  // The callback is shared, because the task consumes it even when the ring
+  // has no room for the task.
+  const auto shared_callback =
+      std::make_shared<ReplyCallback>(std::move(callback));
+  Private* d = d_.get();
+  const bool is_queued = d->loop->Post([d, host, channel = std::move(channel),
+                                        payload = std::move(payload),
+                                        time_limit, shared_callback] {
+    d->node->Call(host, channel, payload, time_limit,
+                  std::move(*shared_callback));
+  });
+  if (!is_queued) {
+    (*shared_callback)(Error{.code = ErrorCode::kResourceExhausted,
+                             .step = "call peer",
+                             .peer = std::move(host),
+                             .message = "the queue of the peers thread is full "
+                                        "or closed"});
+  }
+}
+
+const Member& PeersPlugin::Self() const {
+  return d_->self;
+}
+
+std::shared_ptr<const MemberList> PeersPlugin::Current() const {
+  return d_->shared->Current();
+}
+
+void PeersPlugin::Subscribe(Listener listener) {
+  d_->shared->AddListener(std::move(listener));
+  Private* d = d_.get();
+  if (!d->loop->Post([d] { d->node->CallNewListeners(); })) {
+    d->log.Error("the queue is full; a listener waits for the next change");
+  }
+}
+
+void PeersPlugin::SetDocumentRevision(std::uint64_t revision) {
+  d_->shared->document_revision = revision;
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/plugins/peers/peers_shared.h
@@ -0,0 +1,54 @@
+#ifndef FLAMINGOGAUGE_PLUGINS_PEERS_PEERS_SHARED_H_
+#define FLAMINGOGAUGE_PLUGINS_PEERS_PEERS_SHARED_H_
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "libs/model/member.h"
+#include "libs/services/membership_view.h"
+#include "libs/services/peer_transport.h"
+
+namespace flamingogauge {
+
+// What the plugin's callers on other threads share with the peers thread.
+class PeersShared {
+ public:
+  void SetHandler(std::string channel, PeerTransport::Handler handler);
+  // Returns the handler of a channel, empty when there is none.
+  PeerTransport::Handler FindHandler(const std::string& channel) const;
+
+  void AddListener(MembershipView::Listener listener);
+
+  // Publishes a new list; called on the peers thread.
+  void Publish(std::shared_ptr<const MemberList> members);
+  std::shared_ptr<const MemberList> Current() const;
+
+  // Listeners that were added since the last call, and all listeners.
+  std::vector<MembershipView::Listener> TakeNewListeners();
+  std::vector<MembershipView::Listener> Listeners() const;
+
+  std::atomic<std::uint64_t> document_revision{0};
+  // Counters for the state dump.
+  std::atomic<std::uint64_t> calls_sent{0};
+  std::atomic<std::uint64_t> calls_failed{0};
+  std::atomic<std::uint64_t> calls_received{0};
+  std::atomic<std::uint64_t> replies_lost{0};
+  std::atomic<std::uint64_t> connections_opened{0};
+  std::atomic<std::uint64_t> connections_accepted{0};
+
+ private:
+  mutable std::mutex mutex_;
+  std::map<std::string, PeerTransport::Handler> handlers_;
+  std::vector<MembershipView::Listener> listeners_;
+  std::size_t called_listeners_ = 0;
+  std::shared_ptr<const MemberList> members_ =
+      std::make_shared<const MemberList>();
+};
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_PLUGINS_PEERS_PEERS_SHARED_H_
