platform: add object store in memory, over HTTP, and its fake

Claims and configuration need the platform's conditional updates and watches, and tests need its faults.

--- /dev/null
+++ b/tests/fakes/fake_platform/load_objects.h
@@ -0,0 +1,18 @@
+#ifndef FLAMINGOGAUGE_TESTS_FAKES_FAKE_PLATFORM_LOAD_OBJECTS_H_
+#define FLAMINGOGAUGE_TESTS_FAKES_FAKE_PLATFORM_LOAD_OBJECTS_H_
+
+#include <string>
+#include <vector>
+
+#include "libs/kernel/error.h"
+#include "libs/services/object_store.h"
+
+namespace flamingogauge {
+
+// Reads objects from a directory, where each file's relative path is its key,
+// or from a JSON file that maps keys to values.
+Result<std::vector<StoredObject>> LoadObjects(const std::string& path);
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_TESTS_FAKES_FAKE_PLATFORM_LOAD_OBJECTS_H_
