--- a/src/libs/document/document.h
+++ b/src/libs/document/document.h
@@ -107,6 +107,15 @@
   std::chrono::seconds quarantine{3600};
 };
 
+// Limits of the whole deployment, sums over all hosts.
+struct LimitsSpec {
+  // Claims for non-idempotent requests, of which each takes two writes to the
+  // platform's store.
+  double claims_per_second = 100;
+  // How long the record of a non-idempotent request is kept.
+  std::chrono::milliseconds claim_retention{86'400'000};
+};
+
 // One accepted revision of the operators' document, immutable once published.
 struct Document {
   // 1 for the first accepted revision; 0 means none.
@@ -120,6 +129,7 @@
   std::vector<LinkSpec> links;
   std::vector<RetirementSpec> retirements;
   PolicySpec policy;
+  LimitsSpec limits;
   // Finds a workspace's position by the SHA-256 of a bearer key.
   std::unordered_map<std::string, std::size_t> workspace_by_key_hash;
 };
--- /dev/null
+++ b/src/libs/document/document_json.h
@@ -0,0 +1,71 @@
+#ifndef FLAMINGOGAUGE_LIBS_DOCUMENT_DOCUMENT_JSON_H_
+#define FLAMINGOGAUGE_LIBS_DOCUMENT_DOCUMENT_JSON_H_
+
+#include <array>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libs/document/document.h"
+#include "libs/document/document_fault.h"
+
+namespace flamingogauge {
+
+// The sections, in the order in which they are written.
+inline constexpr std::array<std::string_view, 9> kSectionNames{
+    "tiers",   "workspaces",  "models", "upstreams", "services",
+    "regions", "retirements", "policy", "limits"};
+
+bool IsSectionName(std::string_view name);
+
+// True for sections that are arrays; the others are objects.
+bool IsArraySection(std::string_view name);
+
+// The JSON text of each section.
+using SectionTexts = std::map<std::string, std::string, std::less<>>;
+
+// Edits are refused when they hold unknown fields. Accepted revisions are read
+// without them, because a newer program may have accepted them.
+enum class UnknownFields { kRefuse, kIgnore };
+
+struct ReadOutcome {
+  // Meaningful only without faults. Its revision is 0.
+  Document document;
+  DocumentFaults faults;
+};
+
+// Reads and validates a document, which is one JSON object of sections; absent
+// sections are empty. Reports all faults, those of references between sections
+// included.
+ReadOutcome ReadDocument(std::string_view text,
+                         UnknownFields unknown_fields = UnknownFields::kRefuse);
+ReadOutcome ReadSections(const SectionTexts& sections,
+                         UnknownFields unknown_fields = UnknownFields::kRefuse);
+
+// One element of an array section, or the whole of an object section.
+struct SectionElement {
+  std::string key;
+  std::string text;
+};
+
+// Writes a section in the canonical form, in which all fields are present.
+std::vector<SectionElement> WriteElements(const Document& document,
+                                          std::string_view section);
+
+// Joins elements to the JSON text of the section.
+std::string JoinElements(std::string_view section,
+                         const std::vector<SectionElement>& elements);
+
+// Writes all sections in the canonical form.
+SectionTexts WriteSections(const Document& document);
+
+// Joins sections to the JSON text of a document.
+std::string JoinSections(const SectionTexts& sections);
+
+// Indents JSON text by two spaces; malformed text is returned unchanged.
+std::string IndentJson(std::string_view text);
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_LIBS_DOCUMENT_DOCUMENT_JSON_H_
--- /dev/null
+++ b/src/libs/document/nearest_name.h
@@ -0,0 +1,17 @@
+#ifndef FLAMINGOGAUGE_LIBS_DOCUMENT_NEAREST_NAME_H_
+#define FLAMINGOGAUGE_LIBS_DOCUMENT_NEAREST_NAME_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace flamingogauge {
+
+// Returns the name with the smallest edit distance to `name`, or an empty
+// string when none is close enough to be a misspelling of it.
+std::string NearestName(std::string_view name,
+                        const std::vector<std::string>& names);
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_LIBS_DOCUMENT_NEAREST_NAME_H_
--- a/src/libs/services/document_editor.h
+++ b/src/libs/services/document_editor.h
@@ -7,20 +7,11 @@
 #include <string_view>
 #include <vector>
 
+#include "libs/document/document_fault.h"
 #include "libs/kernel/error.h"
 
 namespace flamingogauge {
 
-// One fault found by validation.
-struct DocumentFault {
-  std::string section;
-  // A JSON pointer inside the section, for example "/3/address".
-  std::string path;
-  std::string value;
-  // What is allowed instead.
-  std::string allowed;
-};
-
 // An operator's change of one section.
 struct SectionEdit {
   std::string section;
