--- a/src/plugins/upstreams/curl_loop.cc
+++ b/src/plugins/upstreams/curl_loop.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr int kMaxEpollEvents = 128;
+constexpr std::int64_t kNanosecondsPerSecond = 1000000000;
 
 void InitializeCurlOnce() {
   static std::once_flag once;
@@ -132,8 +133,16 @@
 
 void CurlLoop::WaitForEvents() {
   std::array<epoll_event, kMaxEpollEvents> events{};
-  const int n =
-      epoll_wait(epoll_fd_, events.data(), kMaxEpollEvents, TimeToWait());
+  // epoll_wait counts in milliseconds, which is too coarse for a latency of
+  // well below one.
+  timespec limit{};
+  const auto wait = TimeToWait();
+  if (wait) {
+    limit.tv_sec = wait->count() / kNanosecondsPerSecond;
+    limit.tv_nsec = wait->count() % kNanosecondsPerSecond;
+  }
+  const int n = epoll_pwait2(epoll_fd_, events.data(), kMaxEpollEvents,
+                             wait ? &limit : nullptr, nullptr);
   for (int i = 0; i < n; ++i) {
     const epoll_event& event = events[static_cast<std::size_t>(i)];
     if (event.data.fd == wake_fd_) {
@@ -159,20 +168,20 @@
   }
 }
 
-int CurlLoop::TimeToWait() const {
+std::optional<std::chrono::nanoseconds> CurlLoop::TimeToWait() const {
   std::optional<MonotonicTime> first = curl_deadline_;
   if (!timers_.empty()) {
     const MonotonicTime timer = timers_.begin()->first.first;
     first = first ? std::min(*first, timer) : timer;
   }
   if (!first) {
-    return -1;
+    return std::nullopt;
   }
-  const auto left = std::chrono::ceil<std::chrono::milliseconds>(
-      *first - std::chrono::steady_clock::now());
-  constexpr std::chrono::milliseconds kLongestWait{60000};
-  return static_cast<int>(
-      std::clamp(left, std::chrono::milliseconds(0), kLongestWait).count());
+  const auto now = std::chrono::steady_clock::now();
+  constexpr std::chrono::seconds kLongestWait{60};
+  return std::clamp<std::chrono::nanoseconds>(
+      *first > now ? *first - now : Duration(0), std::chrono::nanoseconds(0),
+      kLongestWait);
 }
 
 void CurlLoop::RunTimers() {
--- a/src/plugins/upstreams/curl_loop.h
+++ b/src/plugins/upstreams/curl_loop.h
@@ -4,6 +4,7 @@
 #include <curl/curl.h>
 
 #include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -59,7 +60,8 @@
 
   void Run();
   void WaitForEvents();
-  int TimeToWait() const;
+  // Nothing means that only an event ends the wait.
+  std::optional<std::chrono::nanoseconds> TimeToWait() const;
   void RunTimers();
   void FinishTransfers();
 
--- a/src/plugins/upstreams/upstreams_plugin.cc
+++ b/src/plugins/upstreams/upstreams_plugin.cc
@@ -12,8 +12,8 @@
 namespace {
 
 const Logger& Log() {
-  static const Logger logger("upstreams");
-  return logger;
+  static const Logger kLogger("upstreams");
+  return kLogger;
 }
 
 }  // namespace
--- a/tests/auto/upstreams/tst_engine_faults.cc
+++ b/tests/auto/upstreams/tst_engine_faults.cc
@@ -1,7 +1,9 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "plugins/upstreams/curl_upstream_client.h"
@@ -283,5 +285,49 @@
   CHECK(record.knowledge == ExecutionKnowledge::kMaybeExecuted);
 }
 
+// Guards against a cancel that only closes the connection, after which the
+// engine goes on computing, and against races between the caller's threads.
+TEST_CASE("cancels and pauses from other threads end each call once") {
+  constexpr std::uint64_t kCalls = 8;
+  const Script endless = AnswerAndHold(std::string(kHead) + Event(0));
+  ScriptedServer server(std::vector<Script>(kCalls, endless));
+  CurlUpstreamClient client(FastSettings(), 1);
+  std::vector<std::shared_ptr<RecordingObserver>> observers;
+  std::vector<std::thread> threads;
+  for (std::uint64_t i = 0; i < kCalls; ++i) {
+    observers.push_back(std::make_shared<RecordingObserver>());
+    UpstreamCall call = EngineCallTo(server.address());
+    call.id.sequence = i;
+    call.gap_time_limit = milliseconds(10000);
+    client.Start(call, observers.back());
+  }
+  for (std::uint64_t i = 0; i < kCalls; ++i) {
+    threads.emplace_back([&client, &observers, i] {
+      observers[i]->WaitFor(
+          [](const CallRecord& it) { return !it.data.empty(); });
+      client.SetPaused({.sequence = i}, true);
+      client.Cancel({.sequence = i});
+      client.Cancel({.sequence = i});
+      client.DumpState();
+    });
+  }
+  for (auto& it : threads) {
+    it.join();
+  }
+  for (const auto& it : observers) {
+    const CallRecord record = it->WaitForEnd();
+    CHECK(record.ends == 1);
+    REQUIRE(record.error);
+    CHECK(record.error->code == ErrorCode::kCancelled);
+  }
+  CHECK(WaitUntil([&server] {
+    const auto requests = server.Requests();
+    return std::count_if(requests.begin(), requests.end(),
+                         [](const std::string& it) {
+                           return it.compare(0, 6, "DELETE") == 0;
+                         }) == kCalls;
+  }));
+}
+
 }  // namespace
 }  // namespace flamingogauge
--- a/tests/fakes/fake_engine/fake_engine_state.cc
+++ b/tests/fakes/fake_engine/fake_engine_state.cc
@@ -156,12 +156,14 @@
       continue;
     }
     const auto now = std::chrono::steady_clock::now();
-    if (due_.top().first > now) {
-      changed_.wait_until(lock, due_.top().first);
+    // Copied, because the queue changes during the wait.
+    const auto [time, stream] = due_.top();
+    if (time > now) {
+      changed_.wait_until(lock, time);
       continue;
     }
-    const auto stream = due_.top().second;
     due_.pop();
+    stream->planned = false;
     AdvanceLocked(stream, now);
   }
 }
@@ -209,7 +211,8 @@
   }
   if (available >= stream->total) {
     EndLocked(*stream);
-  } else if (!stream->cancelled) {
+  } else if (!stream->cancelled && !stream->planned) {
+    stream->planned = true;
     due_.emplace(stream->first_at + stream->interval * available, stream);
     changed_.notify_all();
   }
--- a/tests/fakes/fake_engine/fake_engine_state.h
+++ b/tests/fakes/fake_engine/fake_engine_state.h
@@ -117,6 +117,8 @@
     bool cancelled = false;
     bool running = true;
     bool silent = false;
+    // The queue of due streams holds it.
+    bool planned = false;
     std::shared_ptr<FakeStreamSink> sink;
   };
   struct CacheChange {
--- /dev/null
+++ b/tools/load/load_report.h
@@ -0,0 +1,58 @@
+#ifndef FLAMINGOGAUGE_TOOLS_LOAD_LOAD_REPORT_H_
+#define FLAMINGOGAUGE_TOOLS_LOAD_LOAD_REPORT_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "tools/load/load_runner.h"
+
+namespace flamingogauge {
+
+// Latencies in milliseconds.
+struct LatencySummary {
+  double p50 = 0;
+  double p95 = 0;
+  double p99 = 0;
+};
+
+// One line of the report: the requests of one class that took one way.
+struct LoadRow {
+  std::string name;
+  int tier = 0;
+  bool direct = false;
+  std::uint64_t sent = 0;
+  std::uint64_t whole = 0;
+  // Whole, correct and within the class's limits, as a part of `sent`.
+  double goodput = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t wrong = 0;
+  std::uint64_t short_answers = 0;
+  std::uint64_t broken = 0;
+  // Of whole answers.
+  LatencySummary first_token;
+  LatencySummary total;
+};
+
+struct LoadReportData {
+  std::vector<LoadRow> rows;
+  std::map<std::string, std::uint64_t> refusals;
+  // First-token latency through the entry hosts minus the direct one at the
+  // same percentile; only with --direct.
+  bool has_added = false;
+  LatencySummary added_first_token;
+};
+
+LoadReportData MakeReport(const LoadSummary& summary,
+                          const std::vector<RequestClass>& classes);
+
+std::string FormatTable(const LoadSummary& summary, const LoadReportData& data);
+std::string FormatJson(const LoadSummary& summary, const LoadReportData& data);
+
+// True when no answer was wrong or short and nothing was executed twice.
+bool IsCorrect(const LoadSummary& summary, const LoadReportData& data);
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_TOOLS_LOAD_LOAD_REPORT_H_
--- /dev/null
+++ b/tools/load/load_request.cc
@@ -0,0 +1,192 @@
+#include "tools/load/load_request.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "tests/fakes/fake_engine/fake_text.h"
+
+namespace flamingogauge {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kFirstError = 300;
+constexpr std::size_t kMaxErrorBody = 4096;
+
+// Formats the status, type and run status of an error body.
+std::string DescribeRefusal(int status, const std::string& body) {
+  std::string text = std::to_string(status);
+  const auto json = nlohmann::json::parse(body, nullptr, false);
+  if (json.is_object() && json.contains("error") && json["error"].is_object()) {
+    for (const char* field : {"type", "run_status"}) {
+      const auto it = json["error"].find(field);
+      if (it != json["error"].end() && it->is_string()) {
+        text += " " + it->get<std::string>();
+      }
+    }
+  }
+  return text;
+}
+
+}  // namespace
+
+LoadRequest::LoadRequest(CurlLoop& loop,
+                         const LoadOptions& options,
+                         const RequestClass& request_class,
+                         PlannedRequest planned,
+                         const std::string& address,
+                         LoadResult result,
+                         MonotonicTime planned_time,
+                         Callback callback)
+    : loop_(loop),
+      options_(options),
+      class_(request_class),
+      planned_(std::move(planned)),
+      result_(std::move(result)),
+      planned_time_(planned_time),
+      callback_(std::move(callback)) {
+  timer_ = loop_.Schedule(
+      std::chrono::steady_clock::now() + options_.time_limit, [this] {
+        transfer_.reset();
+        Finish(LoadEnd::kTimeout);
+      });
+  transfer_ =
+      std::make_unique<HttpTransfer>(loop_, MakeTransfer(address), *this);
+}
+
+LoadRequest::~LoadRequest() {
+  loop_.Unschedule(timer_);
+}
+
+HttpTransferOptions LoadRequest::MakeTransfer(const std::string& address) {
+  HttpTransferOptions transfer{.address = address};
+  if (class_.kind == LoadKind::kChat) {
+    body_ = nlohmann::json{
+        {"model", options_.model},
+        {"messages", {{{"role", "user"}, {"content", planned_.prompt}}}},
+        {"max_tokens", planned_.output_tokens},
+        {"stream",
+         true}}.dump();
+    transfer.method = "POST";
+    transfer.path = "/v1/chat/completions";
+  } else if (class_.kind == LoadKind::kBooking) {
+    body_ = nlohmann::json{{"key", planned_.key}}.dump();
+    transfer.method = "POST";
+    transfer.path = "/v1/services/" + options_.service + "/book";
+    transfer.headers.push_back({"Idempotency-Key", planned_.key});
+  } else {
+    transfer.path = "/v1/services/" + options_.service + "/status";
+  }
+  transfer.body = body_;
+  const std::string tier = std::to_string(class_.tier);
+  transfer.headers.push_back(
+      {"Authorization", "Bearer " + options_.key_prefix + tier});
+  if (!body_.empty()) {
+    transfer.headers.push_back({"Content-Type", "application/json"});
+  }
+  if (!options_.tier_header.empty()) {
+    transfer.headers.push_back({options_.tier_header, tier});
+  }
+  if (result_.direct) {
+    transfer.headers.push_back(
+        {"X-Request-Id", "direct-" + std::to_string(options_.seed) + "-" +
+                             std::to_string(planned_.number)});
+  }
+  return transfer;
+}
+
+void LoadRequest::OnHead(int status, std::vector<HttpHeader> /*headers*/) {
+  status_ = status;
+}
+
+bool LoadRequest::OnBody(std::string_view bytes) {
+  if (status_ >= kFirstError || class_.kind != LoadKind::kChat) {
+    if (text_.size() < kMaxErrorBody) {
+      text_.append(bytes);
+    }
+    return true;
+  }
+  std::vector<SseEvent> events;
+  if (!parser_.Feed(bytes, events)) {
+    return false;
+  }
+  for (const SseEvent& it : events) {
+    TakeEvent(it.data);
+  }
+  return true;
+}
+
+void LoadRequest::TakeEvent(const std::string& data) {
+  if (data == "[DONE]") {
+    done_ = true;
+    return;
+  }
+  const auto json = nlohmann::json::parse(data, nullptr, false);
+  if (json.is_object() && json.contains("error")) {
+    error_event_ = true;
+    result_.refusal = DescribeRefusal(status_, data) + " in the stream";
+    return;
+  }
+  if (!has_first_) {
+    has_first_ = true;
+    result_.first_token = std::chrono::steady_clock::now() - planned_time_;
+  }
+  if (!options_.verify || !json.is_object() || !json.contains("choices") ||
+      !json["choices"].is_array() || json["choices"].empty()) {
+    return;
+  }
+  const auto& choice = json["choices"][0];
+  if (choice.contains("delta") && choice["delta"].contains("content")) {
+    text_ += choice["delta"]["content"].get<std::string>();
+  }
+}
+
+void LoadRequest::OnFinished(TransferEnd end, const std::string& /*message*/) {
+  if (end == TransferEnd::kConnectionRefused ||
+      end == TransferEnd::kNotConnected) {
+    Finish(LoadEnd::kNoConnection);
+  } else if (error_event_) {
+    Finish(LoadEnd::kRefused);
+  } else if (end != TransferEnd::kComplete) {
+    Finish(LoadEnd::kBroken);
+  } else {
+    Finish(JudgeAnswer());
+  }
+}
+
+LoadEnd LoadRequest::JudgeAnswer() const {
+  if (status_ >= kFirstError || status_ < kOk) {
+    return LoadEnd::kRefused;
+  }
+  if (class_.kind == LoadKind::kChat) {
+    if (!done_) {
+      return LoadEnd::kShort;
+    }
+    const bool same =
+        !options_.verify ||
+        text_ == FakeAnswer(planned_.prompt, planned_.output_tokens);
+    return same ? LoadEnd::kWhole : LoadEnd::kWrong;
+  }
+  if (!options_.verify || class_.kind != LoadKind::kBooking) {
+    return LoadEnd::kWhole;
+  }
+  const auto json = nlohmann::json::parse(text_, nullptr, false);
+  const bool own =
+      json.is_object() && json.contains("key") && json["key"] == planned_.key;
+  return own ? LoadEnd::kWhole : LoadEnd::kWrong;
+}
+
+void LoadRequest::Finish(LoadEnd end) {
+  result_.end = end;
+  result_.total = std::chrono::steady_clock::now() - planned_time_;
+  if (!has_first_) {
+    result_.first_token = result_.total;
+  }
+  if (end == LoadEnd::kRefused && result_.refusal.empty()) {
+    result_.refusal = DescribeRefusal(status_, text_);
+  }
+  // Taken out first, because the callback destroys this object.
+  const Callback callback = std::move(callback_);
+  callback(this, std::move(result_));
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/tools/load/workload.h
@@ -0,0 +1,73 @@
+#ifndef FLAMINGOGAUGE_TOOLS_LOAD_WORKLOAD_H_
+#define FLAMINGOGAUGE_TOOLS_LOAD_WORKLOAD_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "libs/kernel/random.h"
+#include "libs/model/permit.h"
+#include "tools/load/load_options.h"
+
+namespace flamingogauge {
+
+enum class LoadKind { kChat, kBooking, kStatusRead };
+
+// One kind of request in a deployment's mixture.
+struct RequestClass {
+  std::string name;
+  LoadKind kind = LoadKind::kChat;
+  // Its part of all requests, relative to the other classes.
+  double share = 1;
+  Tier tier = 0;
+  // Means; the lengths vary between half and one and a half times of them.
+  std::size_t prompt_tokens = 0;
+  std::size_t output_tokens = 0;
+  // An answer counts as goodput when both are kept.
+  std::chrono::milliseconds first_token_target{1000};
+  std::chrono::milliseconds deadline{60000};
+};
+
+// One planned request.
+struct PlannedRequest {
+  std::uint64_t number = 0;
+  // From the start of the run.
+  std::chrono::nanoseconds at{0};
+  std::size_t class_index = 0;
+  std::string prompt;
+  std::size_t output_tokens = 0;
+  // For bookings; a resend has the key of the original.
+  std::string key;
+  // Wait until the same booking is sent again to another host; 0 means never.
+  std::chrono::milliseconds resend_after{0};
+};
+
+// Generates the requests of a deployment from a seed, with exponentially
+// distributed intervals.
+class Workload {
+ public:
+  explicit Workload(const LoadOptions& options);
+
+  PlannedRequest Next();
+  const std::vector<RequestClass>& classes() const { return classes_; }
+
+ private:
+  std::size_t PickClass();
+  std::size_t Vary(std::size_t mean);
+  std::string MakePrompt(std::size_t tokens);
+
+  const LoadOptions options_;
+  Random random_;
+  // Distinguishes the prompts and keys of this run from earlier ones.
+  const std::string run_id_;
+  std::vector<RequestClass> classes_;
+  double total_share_ = 0;
+  std::uint64_t next_number_ = 0;
+  double next_at_s_ = 0;
+};
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_TOOLS_LOAD_WORKLOAD_H_
