--- /dev/null
+++ b/src/libs/http_server/http_server.cc
@@ -0,0 +1,407 @@
+#include "libs/http_server/http_server.h"
+
+#include <arpa/inet.h>
+#include <pistache/endpoint.h>
+#include <pistache/peer.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "libs/http_server/http_connection.h"
+
+namespace flamingogauge {
+namespace {
+
+namespace Http = Pistache::Http;
+
+constexpr char kConnectionData[] = "flamingogauge.connection";
+constexpr std::chrono::milliseconds kSweepInterval{250};
+constexpr std::chrono::milliseconds kDrainInterval{10};
+// Pistache counts its own timeouts from the last request, not from the last
+// answer, and would cut long streams; HttpConnection::Check replaces them.
+constexpr std::chrono::hours kNever{24 * 365};
+
+std::string LowerCase(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char it) {
+    return static_cast<char>(std::tolower(it));
+  });
+  return text;
+}
+
+HttpRequest Convert(const Http::Request& request) {
+  HttpRequest converted{.method = Http::methodString(request.method()),
+                        .path = request.resource(),
+                        .body = request.body()};
+  const std::string query = request.query().as_str();
+  converted.query = query.empty() ? query : query.substr(1);
+  for (const auto& [name, header] : request.headers().rawList()) {
+    converted.headers[LowerCase(header.name())] = header.value();
+  }
+  return converted;
+}
+
+}  // namespace
+
+std::string HttpRequest::Header(const std::string& name) const {
+  const auto found = headers.find(name);
+  return found == headers.end() ? std::string() : found->second;
+}
+
+// What Pistache keeps with each connection.
+struct ConnectionData {
+  std::shared_ptr<HttpConnection> connection;
+  HttpHeadScanner scanner;
+  bool continue_sent = false;
+};
+
+class HttpServer::Impl {
+ public:
+  Impl(HttpServerSettings settings, Handler handler, ErrorFormat error_format)
+      : settings_(std::move(settings)),
+        handler_(std::move(handler)),
+        error_format_(std::move(error_format)) {}
+
+  Result<void> Start();
+  void Drain(std::function<void()> done);
+  void Stop();
+  void Sweep();
+
+  void Add(std::size_t id, const std::shared_ptr<HttpConnection>& connection);
+  void Remove(std::size_t id);
+  void Handle(const Http::Request& request, ConnectionData& data);
+  void Reject(ConnectionData& data, int status, const std::string& text);
+
+  const HttpServerSettings& settings() const { return settings_; }
+  std::string ListeningAddress() const;
+  HttpServerCounts Counts() const;
+
+ private:
+  class PistacheHandler;
+
+  const HttpServerSettings settings_;
+  const Handler handler_;
+  const ErrorFormat error_format_;
+  std::unique_ptr<Http::Endpoint> endpoint_;
+  std::uint16_t port_ = 0;
+  mutable std::mutex mutex_;
+  std::condition_variable stopped_;
+  bool stopping_ = false;
+  std::unordered_map<std::size_t, std::shared_ptr<HttpConnection>> connections_;
+  HttpServerCounts counts_;
+  std::function<void()> on_drained_;
+  std::thread sweeper_;
+};
+
+// Replaces Pistache's request handling, which answers on its own in cases that
+// have to be answered in our format.
+class HttpServer::Impl::PistacheHandler : public Http::Handler {
+ public:
+  HTTP_PROTOTYPE(PistacheHandler)
+
+  explicit PistacheHandler(Impl* server) : server_(server) {}
+
+  void onRequest(const Http::Request& /*request*/,
+                 Http::ResponseWriter /*response*/) override {}
+
+  void onConnection(const std::shared_ptr<Pistache::Tcp::Peer>& peer) override {
+    peer->putData(ParserData, std::make_shared<Http::RequestParser>(
+                                  server_->settings().max_request_bytes));
+    auto data = std::make_shared<ConnectionData>();
+    data->connection =
+        std::make_shared<HttpConnection>(peer, server_->settings());
+    peer->putData(kConnectionData, data);
+    server_->Add(peer->getID(), data->connection);
+  }
+
+  void onDisconnection(
+      const std::shared_ptr<Pistache::Tcp::Peer>& peer) override {
+    const auto data = std::static_pointer_cast<ConnectionData>(
+        peer->tryGetData(kConnectionData));
+    if (!data) {
+      return;
+    }
+    const std::function<void()> on_gone = data->connection->MarkGone();
+    // Takes queued writes of this descriptor out of the queue before it is
+    // closed and reused.
+    transport()->flush();
+    server_->Remove(peer->getID());
+    if (on_gone) {
+      on_gone();
+    }
+  }
+
+  void onInput(const char* buffer,
+               std::size_t len,
+               const std::shared_ptr<Pistache::Tcp::Peer>& peer) override {
+    const auto data = std::static_pointer_cast<ConnectionData>(
+        peer->getData(kConnectionData));
+    if (data->connection->IsClosing()) {
+      return;
+    }
+    if (data->connection->HasExchange()) {
+      // A further request before the end of the answer. It is not kept; the
+      // connection closes after the answer, and the caller sends it again.
+      data->connection->CloseAfterAnswer();
+      return;
+    }
+    Parse(*data, *getParser(peer), std::string_view(buffer, len));
+  }
+
+ private:
+  void Parse(ConnectionData& data,
+             Http::RequestParser& parser,
+             std::string_view bytes) {
+    data.scanner.Feed(bytes);
+    data.connection->NoteInput(data.scanner.head_complete(),
+                               std::chrono::steady_clock::now());
+    try {
+      if (!parser.feed(bytes.data(), bytes.size())) {
+        server_->Reject(
+            data, 413,
+            "the request exceeds " +
+                std::to_string(server_->settings().max_request_bytes) +
+                " bytes");
+        return;
+      }
+      if (parser.parse() == Http::Private::State::Done) {
+        server_->Handle(parser.request, data);
+        parser.reset();
+        data.scanner.Reset();
+        data.continue_sent = false;
+      } else if (data.scanner.head_complete() && !data.continue_sent &&
+                 parser.request.headers().tryGetRaw("Expect").has_value()) {
+        data.continue_sent = true;
+        data.connection->WriteInterim("HTTP/1.1 100 Continue\r\n\r\n");
+      }
+    } catch (const Http::HttpError& error) {
+      server_->Reject(data, error.code(), error.reason());
+    } catch (const std::exception& error) {
+      server_->Reject(data, 400, error.what());
+    }
+  }
+
+  Impl* const server_;
+};
+
+Result<void> HttpServer::Impl::Start() {
+  try {
+    endpoint_ =
+        std::make_unique<Http::Endpoint>(Pistache::Address(settings_.address));
+    endpoint_->init(Http::Endpoint::options()
+                        .threads(settings_.threads)
+                        .flags(Pistache::Flags<Pistache::Tcp::Options>(
+                                   Pistache::Tcp::Options::ReuseAddr) |
+                               Pistache::Tcp::Options::NoDelay |
+                               Pistache::Tcp::Options::CloseOnExec)
+                        .maxRequestSize(settings_.max_request_bytes)
+                        .headerTimeout(kNever)
+                        .bodyTimeout(kNever)
+                        .keepaliveTimeout(kNever));
+    endpoint_->setHandler(std::make_shared<PistacheHandler>(this));
+    endpoint_->serveThreaded();
+    port_ = static_cast<std::uint16_t>(endpoint_->getPort());
+  } catch (const std::exception& error) {
+    return Error{.code = ErrorCode::kUnavailable,
+                 .step = "listen",
+                 .peer = settings_.address,
+                 .message = error.what()};
+  }
+  sweeper_ = std::thread([this] { Sweep(); });
+  return boost::outcome_v2::success();
+}
+
+void HttpServer::Impl::Drain(std::function<void()> done) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  for (const auto& [id, it] : connections_) {
+    it->CloseAfterAnswer();
+  }
+  on_drained_ = std::move(done);
+  stopped_.notify_all();
+}
+
+void HttpServer::Impl::Stop() {
+  std::vector<std::shared_ptr<HttpConnection>> connections;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    if (std::exchange(stopping_, true)) {
+      return;
+    }
+    for (const auto& [id, it] : connections_) {
+      connections.push_back(it);
+    }
+  }
+  stopped_.notify_all();
+  if (sweeper_.joinable()) {
+    sweeper_.join();
+  }
+  // No write may be queued on a transport that is being destroyed.
+  for (const auto& it : connections) {
+    const std::function<void()> on_gone = it->MarkGone();
+    if (on_gone) {
+      on_gone();
+    }
+  }
+  if (endpoint_) {
+    endpoint_->shutdown();
+    endpoint_.reset();
+  }
+}
+
+void HttpServer::Impl::Sweep() {
+  std::unique_lock<std::mutex> lock(mutex_);
+  while (!stopping_) {
+    stopped_.wait_for(lock, on_drained_ ? kDrainInterval : kSweepInterval);
+    std::vector<std::shared_ptr<HttpConnection>> connections;
+    connections.reserve(connections_.size());
+    for (const auto& [id, it] : connections_) {
+      connections.push_back(it);
+    }
+    lock.unlock();
+    std::uint64_t slow = 0;
+    std::uint64_t timed_out = 0;
+    bool busy = false;
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto& it : connections) {
+      const ConnectionVerdict verdict = it->Check(now);
+      slow += verdict == ConnectionVerdict::kSlowReader ? 1 : 0;
+      timed_out += verdict == ConnectionVerdict::kTimedOut ? 1 : 0;
+      busy = busy || it->IsBusy();
+    }
+    connections.clear();
+    lock.lock();
+    if (on_drained_ && !busy) {
+      const std::function<void()> on_drained =
+          std::exchange(on_drained_, nullptr);
+      lock.unlock();
+      on_drained();
+      lock.lock();
+    }
+    counts_.dropped_slow_readers += slow;
+    counts_.timed_out += timed_out;
+  }
+}
+
+void HttpServer::Impl::Add(std::size_t id,
+                           const std::shared_ptr<HttpConnection>& connection) {
+  bool accepted = false;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    accepted = !stopping_ && connections_.size() < settings_.max_connections;
+    connections_[id] = connection;
+    counts_.rejected += accepted ? 0 : 1;
+  }
+  if (!accepted) {
+    connection->Abort();
+  }
+}
+
+void HttpServer::Impl::Remove(std::size_t id) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  connections_.erase(id);
+}
+
+void HttpServer::Impl::Handle(const Http::Request& request,
+                              ConnectionData& data) {
+  HttpRequest converted = Convert(request);
+  const bool has_length = converted.headers.count("transfer-encoding") == 0;
+  const bool pipelined =
+      has_length && data.scanner.received_bytes() >
+                        data.scanner.head_bytes() + converted.body.size();
+  const bool is_http11 = request.version() == Http::Version::Http11;
+  const bool closes = pipelined || !is_http11 ||
+                      LowerCase(converted.Header("connection")).find("close") !=
+                          std::string::npos;
+  const std::uint64_t number = data.connection->StartExchange(closes);
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    ++counts_.requests;
+  }
+  handler_(std::move(converted),
+           std::make_shared<HttpExchange>(data.connection, number, is_http11));
+}
+
+void HttpServer::Impl::Reject(ConnectionData& data,
+                              int status,
+                              const std::string& text) {
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    ++counts_.rejected;
+  }
+  const std::uint64_t number = data.connection->StartExchange(true);
+  const ErrorAnswer answer = error_format_(status, text);
+  HttpExchange(data.connection, number, true)
+      .SendWhole(status, answer.headers, answer.content_type, answer.body);
+}
+
+std::string HttpServer::Impl::ListeningAddress() const {
+  const std::size_t colon = settings_.address.rfind(':');
+  return settings_.address.substr(0, colon) + ":" + std::to_string(port_);
+}
+
+HttpServerCounts HttpServer::Impl::Counts() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  HttpServerCounts counts = counts_;
+  counts.connections = connections_.size();
+  return counts;
+}
+
+HttpServer::HttpServer(HttpServerSettings settings,
+                       Handler handler,
+                       ErrorFormat error_format)
+    : impl_(std::make_unique<Impl>(std::move(settings),
+                                   std::move(handler),
+                                   std::move(error_format))) {}
+
+HttpServer::~HttpServer() {
+  Stop();
+}
+
+Result<void> HttpServer::Start() {
+  return impl_->Start();
+}
+
+void HttpServer::Drain(std::function<void()> done) {
+  impl_->Drain(std::move(done));
+}
+
+void HttpServer::Stop() {
+  impl_->Stop();
+}
+
+std::string HttpServer::ListeningAddress() const {
+  return impl_->ListeningAddress();
+}
+
+HttpServerCounts HttpServer::Counts() const {
+  return impl_->Counts();
+}
+
+Result<void> CheckListenAddress(const std::string& flag,
+                                const std::string& address) {
+  const std::size_t colon = address.rfind(':');
+  const std::string port =
+      colon == std::string::npos ? "" : address.substr(colon + 1);
+  in_addr parsed{};
+  const bool valid =
+      !port.empty() && port.size() <= 5 &&
+      port.find_first_not_of("0123456789") == std::string::npos &&
+      std::stoul(port) <= 65535 &&
+      inet_pton(AF_INET, address.substr(0, colon).c_str(), &parsed) == 1;
+  if (valid) {
+    return boost::outcome_v2::success();
+  }
+  return Error{.code = ErrorCode::kInvalidArgument,
+               .step = "check settings",
+               .message = "--" + flag + " is \"" + address +
+                          "\", allowed is an IPv4 address and a port from 0 "
+                          "to 65535, for example 127.0.0.1:0"};
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/libs/http_server/http_server.h
@@ -0,0 +1,108 @@
+#ifndef FLAMINGOGAUGE_LIBS_HTTP_SERVER_HTTP_SERVER_H_
+#define FLAMINGOGAUGE_LIBS_HTTP_SERVER_HTTP_SERVER_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "libs/http_server/http_exchange.h"
+#include "libs/kernel/error.h"
+
+namespace flamingogauge {
+
+struct HttpServerSettings {
+  // "ip:port"; the kernel chooses port 0.
+  std::string address = "127.0.0.1:0";
+  int threads = 2;
+  // Head and body of one request.
+  std::size_t max_request_bytes = 4U << 20U;
+  std::size_t max_connections = 8192;
+  // Unread bytes above which a caller is dropped, and below which its
+  // exchange's `on_drained` is called.
+  std::size_t max_outstanding_bytes = 1U << 20U;
+  std::size_t resume_bytes = 256U << 10U;
+  // From the first byte of a request to the end of its head, and of the whole.
+  std::chrono::milliseconds head_time_limit{10000};
+  std::chrono::milliseconds request_time_limit{30000};
+  // How long a connection may stay open without a request.
+  std::chrono::milliseconds idle_time_limit{75000};
+  // How long a caller may take no byte of an answer.
+  std::chrono::milliseconds stall_time_limit{30000};
+};
+
+// A request as it was received.
+struct HttpRequest {
+  std::string method;
+  std::string path;
+  // Without the question mark.
+  std::string query;
+  // Names in lower case.
+  std::map<std::string, std::string> headers;
+  std::string body;
+
+  // Returns the value of a header by its lower-case name, or nothing.
+  std::string Header(const std::string& name) const;
+};
+
+// Figures of a server for the state dump.
+struct HttpServerCounts {
+  std::uint64_t connections = 0;
+  std::uint64_t requests = 0;
+  std::uint64_t dropped_slow_readers = 0;
+  std::uint64_t timed_out = 0;
+  std::uint64_t rejected = 0;
+};
+
+// An HTTP/1.1 server on Pistache. Its handler runs on Pistache's threads and
+// must not block.
+class HttpServer {
+ public:
+  using Handler = std::function<void(HttpRequest request,
+                                     std::shared_ptr<HttpExchange> exchange)>;
+  // An answer that the server itself sends to a request that it cannot read.
+  struct ErrorAnswer {
+    std::vector<HttpHeader> headers;
+    std::string content_type;
+    std::string body;
+  };
+  using ErrorFormat =
+      std::function<ErrorAnswer(int status, const std::string& text)>;
+
+  HttpServer(HttpServerSettings settings,
+             Handler handler,
+             ErrorFormat error_format);
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+  ~HttpServer();
+
+  // Binds the address and starts the threads.
+  Result<void> Start();
+
+  // Calls `done` when no answer is in progress or partly unsent; connections
+  // then close after their next answer.
+  void Drain(std::function<void()> done);
+
+  // Closes all connections and joins the threads.
+  void Stop();
+
+  // "ip:port" with the port that was chosen.
+  std::string ListeningAddress() const;
+  HttpServerCounts Counts() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+// Checks that an address is "ip:port"; the error names the flag.
+Result<void> CheckListenAddress(const std::string& flag,
+                                const std::string& address);
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_LIBS_HTTP_SERVER_HTTP_SERVER_H_
--- a/src/libs/model/refusal.h
+++ b/src/libs/model/refusal.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <string>
+#include <string_view>
 
 #include "libs/model/run_status.h"
 
@@ -27,6 +28,9 @@
   kDeadlineExceeded,    // 504
 };
 
+// The name of a kind, for example "capacity".
+std::string_view ToString(RefusalKind kind);
+
 // The answer to a request that is refused or could not be completed.
 struct Refusal {
   RefusalKind kind = RefusalKind::kUnavailable;
--- /dev/null
+++ b/src/libs/requests/request_events.h
@@ -0,0 +1,184 @@
+#ifndef FLAMINGOGAUGE_LIBS_REQUESTS_REQUEST_EVENTS_H_
+#define FLAMINGOGAUGE_LIBS_REQUESTS_REQUEST_EVENTS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "libs/model/permit.h"
+#include "libs/model/refusal.h"
+#include "libs/services/claim_service.h"
+#include "libs/services/upstream_client.h"
+
+namespace flamingogauge {
+
+// In which form the caller wants the answer.
+enum class AnswerShape {
+  kStream,   // an engine's events, passed on one by one
+  kWhole,    // an engine's events, assembled into one answer
+  kService,  // a service's answer, passed on when it is whole
+};
+
+// A request after validation.
+struct RequestSpec {
+  RequestId id;
+  WorkspaceId workspace;
+  Tier tier = 0;
+  // The model or the service.
+  std::string target;
+  AnswerShape shape = AnswerShape::kStream;
+  // The caller's key; may be given for any request.
+  std::string idempotency_key;
+  // True for a non-idempotent request, which needs a claim.
+  bool needs_claim = false;
+  Fingerprint fingerprint;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t max_output_tokens = 0;
+  std::vector<std::uint64_t> prefix_hashes;
+  MonotonicTime accepted_at;
+  // No attempt is sent after this time.
+  MonotonicTime deadline;
+};
+
+// Events, from the shell to the state machine.
+struct SubmittedEvent {};
+struct ClaimAnsweredEvent {
+  ClaimAnswer answer;
+};
+struct ClaimReleasedEvent {
+  bool confirmed = false;
+};
+struct PermitGrantedEvent {
+  Permit permit;
+};
+struct PermitRefusedEvent {
+  Refusal refusal;
+};
+struct UpstreamSendingEvent {
+  std::uint32_t attempt = 0;
+};
+struct UpstreamHeadEvent {
+  std::uint32_t attempt = 0;
+  int status = 0;
+  std::string content_type;
+};
+struct UpstreamDataEvent {
+  std::uint32_t attempt = 0;
+  std::string data;
+};
+struct UpstreamCompletedEvent {
+  std::uint32_t attempt = 0;
+};
+struct UpstreamFailedEvent {
+  std::uint32_t attempt = 0;
+  Error error;
+  ExecutionKnowledge knowledge = ExecutionKnowledge::kMaybeExecuted;
+};
+// The engine's own count of tokens, found in its answer.
+struct UsageEvent {
+  std::uint32_t cached_tokens = 0;
+  std::uint32_t output_tokens = 0;
+};
+// The assembled answer exceeds what is kept for one caller.
+struct AnswerTooLargeEvent {};
+struct CallerBacklogEvent {
+  std::size_t outstanding_bytes = 0;
+};
+struct CallerGoneEvent {};
+struct DrainEvent {};
+struct TimeEvent {};
+
+using RequestEvent = std::variant<SubmittedEvent,
+                                  ClaimAnsweredEvent,
+                                  ClaimReleasedEvent,
+                                  PermitGrantedEvent,
+                                  PermitRefusedEvent,
+                                  UpstreamSendingEvent,
+                                  UpstreamHeadEvent,
+                                  UpstreamDataEvent,
+                                  UpstreamCompletedEvent,
+                                  UpstreamFailedEvent,
+                                  UsageEvent,
+                                  AnswerTooLargeEvent,
+                                  CallerBacklogEvent,
+                                  CallerGoneEvent,
+                                  DrainEvent,
+                                  TimeEvent>;
+
+// Actions, from the state machine to the shell, carried out in order.
+struct AcquireClaimAction {
+  ClaimRequest request;
+};
+struct AbandonClaimAction {};
+struct ReleaseClaimAction {};
+struct RecordClaimAction {
+  RecordedOutcome outcome;
+};
+struct LeaveClaimUnresolvedAction {};
+struct RequestPermitAction {
+  PermitRequest request;
+};
+struct CancelPermitAction {};
+struct ReportPermitAction {
+  PermitOutcome outcome;
+};
+struct StartUpstreamAction {
+  std::uint32_t attempt = 0;
+  Permit permit;
+  // How long the upstream may take for the first byte and for the whole call.
+  std::chrono::milliseconds first_byte_time_limit{0};
+  std::chrono::milliseconds total_time_limit{0};
+};
+struct CancelUpstreamAction {};
+struct PauseUpstreamAction {
+  bool paused = false;
+};
+struct StartAnswerAction {
+  UpstreamId upstream;
+};
+// Passes one event on, or adds it to the answer that is being assembled.
+struct SendEventAction {
+  std::string data;
+};
+// Ends a stream, or sends the assembled answer.
+struct FinishAnswerAction {};
+struct SendWholeAction {
+  int status = 0;
+  std::string content_type;
+  std::string body;
+  // True for the recorded answer of an earlier attempt.
+  bool recorded = false;
+};
+struct FailAnswerAction {
+  Refusal refusal;
+};
+struct SendRefusalAction {
+  Refusal refusal;
+};
+// The request is over; the shell drops the state machine.
+struct ForgetAction {};
+
+using RequestAction = std::variant<AcquireClaimAction,
+                                   AbandonClaimAction,
+                                   ReleaseClaimAction,
+                                   RecordClaimAction,
+                                   LeaveClaimUnresolvedAction,
+                                   RequestPermitAction,
+                                   CancelPermitAction,
+                                   ReportPermitAction,
+                                   StartUpstreamAction,
+                                   CancelUpstreamAction,
+                                   PauseUpstreamAction,
+                                   StartAnswerAction,
+                                   SendEventAction,
+                                   FinishAnswerAction,
+                                   SendWholeAction,
+                                   FailAnswerAction,
+                                   SendRefusalAction,
+                                   ForgetAction>;
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_LIBS_REQUESTS_REQUEST_EVENTS_H_
--- /dev/null
+++ b/src/libs/requests/request_machine.cc
@@ -0,0 +1,375 @@
+#include "libs/requests/request_machine.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+#include "libs/kernel/check.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kRetryAfter{1000};
+
+Refusal DeadlineRefusal(const std::string& step) {
+  return {.kind = RefusalKind::kDeadlineExceeded,
+          .message = step + ": the deadline passed"};
+}
+
+Refusal CallerGoneRefusal() {
+  return {.kind = RefusalKind::kUnavailable, .message = "caller hung up"};
+}
+
+}  // namespace
+
+std::string_view ToString(RequestState state) {
+  switch (state) {
+    case RequestState::kReceived:
+      return "received";
+    case RequestState::kClaiming:
+      return "claiming";
+    case RequestState::kQueued:
+      return "queued";
+    case RequestState::kConnecting:
+      return "connecting";
+    case RequestState::kSending:
+      return "sending";
+    case RequestState::kStreaming:
+      return "streaming";
+    case RequestState::kStopping:
+      return "stopping";
+    case RequestState::kReleasing:
+      return "releasing";
+    case RequestState::kFinished:
+      return "finished";
+  }
+  return "unknown";
+}
+
+RequestMachine::RequestMachine(RequestSpec spec, RequestLimits limits)
+    : spec_(std::move(spec)),
+      limits_(limits),
+      gate_(std::make_shared<DispatchGate>(spec_.id)) {}
+
+std::vector<RequestAction> RequestMachine::Handle(const RequestEvent& event,
+                                                  MonotonicTime now) {
+  now_ = now;
+  actions_.clear();
+  std::visit([this](const auto& it) { On(it); }, event);
+  return std::move(actions_);
+}
+
+MonotonicTime RequestMachine::NextTimeout() const {
+  switch (state_) {
+    case RequestState::kClaiming:
+      return claim_deadline_;
+    case RequestState::kReleasing:
+      return release_deadline_;
+    case RequestState::kQueued:
+    case RequestState::kConnecting:
+    case RequestState::kSending:
+      return answered_ ? MonotonicTime::max() : spec_.deadline;
+    case RequestState::kReceived:
+    case RequestState::kStreaming:
+    case RequestState::kStopping:
+    case RequestState::kFinished:
+      break;
+  }
+  return MonotonicTime::max();
+}
+
+void RequestMachine::On(const SubmittedEvent& /*event*/) {
+  if (state_ != RequestState::kReceived) {
+    return;
+  }
+  if (now_ >= spec_.deadline) {
+    Refuse(DeadlineRefusal("accept"));
+    return;
+  }
+  if (!spec_.needs_claim) {
+    Queue();
+    return;
+  }
+  state_ = RequestState::kClaiming;
+  claim_deadline_ = spec_.deadline + limits_.claim_grace;
+  Act(AcquireClaimAction{.request = {.id = spec_.id,
+                                     .workspace = spec_.workspace,
+                                     .service = spec_.target,
+                                     .idempotency_key = spec_.idempotency_key,
+                                     .fingerprint = spec_.fingerprint,
+                                     .time_left = duration_cast<milliseconds>(
+                                         spec_.deadline - now_)}});
+}
+
+void RequestMachine::On(const ClaimAnsweredEvent& event) {
+  if (state_ == RequestState::kClaiming) {
+    UseClaim(event.answer);
+    return;
+  }
+  // The wait had been given up, and nothing was executed under this claim.
+  if (event.answer.verdict == ClaimVerdict::kOwned && !claim_owned_) {
+    Act(ReleaseClaimAction{});
+  }
+}
+
+void RequestMachine::AbandonClaim(Refusal refusal) {
+  if (pending_refusal_) {
+    return;
+  }
+  // The claim may be acquired at this moment; its answer is awaited, so that
+  // it can be released.
+  pending_refusal_ = std::move(refusal);
+  claim_deadline_ = now_ + limits_.claim_grace;
+  Act(AbandonClaimAction{});
+}
+
+void RequestMachine::UseClaim(const ClaimAnswer& answer) {
+  switch (answer.verdict) {
+    case ClaimVerdict::kOwned:
+      claim_owned_ = true;
+      claim_valid_until_ = answer.dispatch_until;
+      if (pending_refusal_) {
+        Refuse(*pending_refusal_);
+      } else if (now_ >= spec_.deadline) {
+        Refuse(DeadlineRefusal("claim"));
+      } else {
+        Queue();
+      }
+      return;
+    case ClaimVerdict::kRecorded:
+      if (!answer.outcome.body_kept) {
+        SendRefusal({.kind = RefusalKind::kClaimUnresolved,
+                     .run_status = RunStatus::kExecuted,
+                     .message = "claim: an earlier attempt was executed; its "
+                                "answer was too large to keep"});
+      } else if (!caller_gone_) {
+        Act(SendWholeAction{.status = answer.outcome.status,
+                            .content_type = answer.outcome.content_type,
+                            .body = answer.outcome.body,
+                            .recorded = true});
+      }
+      answered_ = true;
+      Finish();
+      return;
+    case ClaimVerdict::kRefused:
+      SendRefusal([this, &answer] {
+        Refusal refusal = answer.refusal;
+        if (refusal.run_status == RunStatus::kNotRun) {
+          // Only the owner of a released claim knows about earlier attempts.
+          refusal.run_status = NotRunStatus(false);
+        }
+        return refusal;
+      }());
+      Finish();
+      return;
+  }
+}
+
+void RequestMachine::On(const ClaimReleasedEvent& event) {
+  if (state_ != RequestState::kReleasing) {
+    return;
+  }
+  Refusal refusal = *pending_refusal_;
+  refusal.run_status = NotRunStatus(event.confirmed);
+  CHECK_INVARIANT("I4",
+                  refusal.run_status != RunStatus::kNotRun || event.confirmed,
+                  "refuse request " + ToString(spec_.id) +
+                      " as not run without a released claim");
+  SendRefusal(refusal);
+  Finish();
+}
+
+void RequestMachine::Queue() {
+  state_ = RequestState::kQueued;
+  Act(RequestPermitAction{
+      .request = {
+          .id = spec_.id,
+          .target = spec_.target,
+          .is_service = IsService(),
+          .workspace = spec_.workspace,
+          .tier = spec_.tier,
+          .fingerprint = spec_.fingerprint,
+          .prompt_tokens = spec_.prompt_tokens,
+          .max_output_tokens = spec_.max_output_tokens,
+          .prefix_hashes = spec_.prefix_hashes,
+          .time_left = duration_cast<milliseconds>(spec_.deadline - now_),
+          .excluded = excluded_}});
+}
+
+MonotonicTime RequestMachine::DispatchLimit(const Permit& permit) const {
+  const MonotonicTime limit = std::min(permit.expires_at, spec_.deadline);
+  return claim_owned_ ? std::min(limit, claim_valid_until_) : limit;
+}
+
+void RequestMachine::On(const PermitGrantedEvent& event) {
+  const Permit& permit = event.permit;
+  if (state_ != RequestState::kQueued) {
+    // A second scheduler granted one too, or the request was withdrawn.
+    Act(ReportPermitAction{.outcome = {.permit = permit.id,
+                                       .request = spec_.id,
+                                       .upstream = permit.upstream,
+                                       .end = PermitEnd::kUnused}});
+    return;
+  }
+  permit_ = permit;
+  if (now_ >= DispatchLimit(permit)) {
+    ReportPermit(PermitEnd::kUnused);
+    RetryOrRefuse({.code = ErrorCode::kTimeout,
+                   .step = "use permit",
+                   .peer = permit.scheduler_host,
+                   .message = "the permit had expired"},
+                  false);
+    return;
+  }
+  StartAttempt(permit);
+}
+
+void RequestMachine::StartAttempt(const Permit& permit) {
+  ++attempt_;
+  gate_->Arm(attempt_, permit.id, DispatchLimit(permit));
+  state_ = RequestState::kConnecting;
+  started_at_ = now_;
+  const auto time_left = duration_cast<milliseconds>(spec_.deadline - now_);
+  Act(StartUpstreamAction{
+      .attempt = attempt_,
+      .permit = permit,
+      // The outcome of a non-idempotent call is awaited beyond the deadline,
+      // so that it can be recorded.
+      .first_byte_time_limit =
+          spec_.needs_claim ? time_left + limits_.overrun : time_left,
+      .total_time_limit = time_left + limits_.overrun});
+}
+
+void RequestMachine::On(const PermitRefusedEvent& event) {
+  if (state_ == RequestState::kQueued) {
+    Refuse(event.refusal);
+  }
+}
+
+void RequestMachine::On(const CallerBacklogEvent& event) {
+  const bool in_progress =
+      state_ == RequestState::kSending || state_ == RequestState::kStreaming;
+  const bool pause = event.outstanding_bytes > limits_.pause_bytes;
+  if (in_progress && !answered_ && pause != paused_) {
+    paused_ = pause;
+    Act(PauseUpstreamAction{.paused = pause});
+  }
+}
+
+void RequestMachine::On(const CallerGoneEvent& /*event*/) {
+  caller_gone_ = true;
+  switch (state_) {
+    case RequestState::kClaiming:
+      AbandonClaim(CallerGoneRefusal());
+      return;
+    case RequestState::kQueued:
+      Act(CancelPermitAction{});
+      Refuse(CallerGoneRefusal());
+      return;
+    case RequestState::kConnecting:
+    case RequestState::kSending:
+    case RequestState::kStreaming:
+      // A non-idempotent call that was sent goes on; its outcome is recorded.
+      if (!spec_.needs_claim || gate_->Close()) {
+        StopAttempt(CallerGoneRefusal());
+      } else if (paused_) {
+        paused_ = false;
+        Act(PauseUpstreamAction{.paused = false});
+      }
+      return;
+    case RequestState::kReceived:
+    case RequestState::kStopping:
+    case RequestState::kReleasing:
+    case RequestState::kFinished:
+      return;
+  }
+}
+
+void RequestMachine::On(const DrainEvent& /*event*/) {
+  const Refusal refusal{.kind = RefusalKind::kDraining,
+                        .message = "this host is being stopped",
+                        .retry_after = kRetryAfter};
+  if (state_ == RequestState::kClaiming && !pending_refusal_) {
+    AbandonClaim(refusal);
+  } else if (state_ == RequestState::kQueued) {
+    Act(CancelPermitAction{});
+    Refuse(refusal);
+  }
+}
+
+void RequestMachine::On(const TimeEvent& /*event*/) {
+  if (now_ < NextTimeout()) {
+    return;
+  }
+  switch (state_) {
+    case RequestState::kClaiming:
+      if (!pending_refusal_) {
+        Act(AbandonClaimAction{});
+      }
+      Refuse(pending_refusal_.value_or(
+          Refusal{.kind = RefusalKind::kUnavailable,
+                  .message = "claim: no answer from the claim service",
+                  .retry_after = kRetryAfter}));
+      return;
+    case RequestState::kReleasing:
+      On(ClaimReleasedEvent{.confirmed = false});
+      return;
+    case RequestState::kQueued:
+      Act(CancelPermitAction{});
+      Refuse(DeadlineRefusal("wait for a permit"));
+      return;
+    case RequestState::kConnecting:
+    case RequestState::kSending:
+      StopAttempt(DeadlineRefusal("wait for upstream " + permit_.upstream));
+      return;
+    case RequestState::kReceived:
+    case RequestState::kStreaming:
+    case RequestState::kStopping:
+    case RequestState::kFinished:
+      return;
+  }
+}
+
+RunStatus RequestMachine::NotRunStatus(bool release_confirmed) const {
+  return spec_.idempotency_key.empty() || release_confirmed
+             ? RunStatus::kNotRun
+             : RunStatus::kAttemptNotRun;
+}
+
+void RequestMachine::Refuse(Refusal refusal) {
+  CHECK_INVARIANT("I4", !gate_->MayHaveRun(),
+                  "refuse request " + ToString(spec_.id) + " in state " +
+                      std::string(ToString(state_)) + " that may have run");
+  if (claim_owned_) {
+    state_ = RequestState::kReleasing;
+    release_deadline_ = now_ + limits_.release_time_limit;
+    pending_refusal_ = std::move(refusal);
+    Act(ReleaseClaimAction{});
+    return;
+  }
+  refusal.run_status = NotRunStatus(false);
+  SendRefusal(refusal);
+  Finish();
+}
+
+void RequestMachine::SendRefusal(const Refusal& refusal) {
+  CHECK_INVARIANT("I4",
+                  refusal.run_status != RunStatus::kNotRun ||
+                      (!gate_->MayHaveRun() && !answer_started_),
+                  "say not-run of request " + ToString(spec_.id));
+  if (!caller_gone_ && !answered_) {
+    Act(SendRefusalAction{.refusal = refusal});
+  }
+  answered_ = true;
+}
+
+void RequestMachine::Finish() {
+  state_ = RequestState::kFinished;
+  Act(ForgetAction{});
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/libs/requests/request_machine_upstream.cc
@@ -0,0 +1,305 @@
+// The part of the state machine that follows an attempt at an upstream.
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "libs/kernel/check.h"
+#include "libs/requests/request_machine.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+
+constexpr int kStatusOk = 200;
+constexpr std::chrono::milliseconds kRetryAfter{500};
+
+std::string UpstreamStep(const Permit& permit) {
+  return "call upstream " + permit.upstream;
+}
+
+// How a failed attempt is reported to the scheduler. An upstream whose
+// connection broke during the request is taken as crashed.
+PermitEnd EndOfFailure(const Error& error) {
+  switch (error.code) {
+    case ErrorCode::kCancelled:
+      return PermitEnd::kCancelled;
+    case ErrorCode::kUnavailable:
+      return PermitEnd::kCrashed;
+    default:
+      return PermitEnd::kFailed;
+  }
+}
+
+}  // namespace
+
+bool RequestMachine::IsCurrent(std::uint32_t attempt) const {
+  return attempt == attempt_ && (state_ == RequestState::kConnecting ||
+                                 state_ == RequestState::kSending ||
+                                 state_ == RequestState::kStreaming ||
+                                 state_ == RequestState::kStopping);
+}
+
+RunStatus RequestMachine::BegunStatus() const {
+  return status_ != 0 ? RunStatus::kExecuted : RunStatus::kUnknown;
+}
+
+void RequestMachine::On(const UpstreamSendingEvent& event) {
+  if (IsCurrent(event.attempt) && state_ == RequestState::kConnecting) {
+    state_ = RequestState::kSending;
+  }
+}
+
+void RequestMachine::On(const UpstreamHeadEvent& event) {
+  if (!IsCurrent(event.attempt)) {
+    return;
+  }
+  CHECK_INVARIANT(
+      "I1", gate_->MayHaveRun(),
+      "answer to request " + ToString(spec_.id) + " that was not dispatched");
+  status_ = event.status;
+  content_type_ = event.content_type;
+  if (state_ != RequestState::kStopping) {
+    state_ = RequestState::kStreaming;
+  }
+}
+
+void RequestMachine::On(const UpstreamDataEvent& event) {
+  if (!IsCurrent(event.attempt)) {
+    return;
+  }
+  if (first_token_at_ == MonotonicTime{}) {
+    first_token_at_ = now_;
+  }
+  if (!IsService() && status_ == kStatusOk) {
+    DeliverEngineEvent(event.data);
+    return;
+  }
+  if (body_.size() + event.data.size() <= limits_.max_answer_bytes) {
+    body_ += event.data;
+  } else {
+    body_truncated_ = true;
+    On(AnswerTooLargeEvent{});
+  }
+}
+
+void RequestMachine::DeliverEngineEvent(const std::string& data) {
+  ++output_tokens_;
+  if (caller_gone_ || answered_) {
+    return;
+  }
+  if (!answer_started_) {
+    answer_started_ = true;
+    answer_attempt_ = attempt_;
+    if (spec_.shape == AnswerShape::kStream) {
+      Act(StartAnswerAction{.upstream = permit_.upstream});
+    }
+  }
+  CHECK_INVARIANT("I3", answer_attempt_ == attempt_,
+                  "answer request " + ToString(spec_.id) +
+                      " with the events of two attempts");
+  Act(SendEventAction{.data = data});
+}
+
+void RequestMachine::On(const UsageEvent& event) {
+  cached_tokens_ = event.cached_tokens;
+  reported_output_tokens_ = event.output_tokens;
+}
+
+void RequestMachine::On(const AnswerTooLargeEvent& /*event*/) {
+  if (answered_ || !IsCurrent(attempt_)) {
+    return;
+  }
+  Fail({.kind = RefusalKind::kUpstreamError,
+        .run_status = RunStatus::kExecuted,
+        .message = UpstreamStep(permit_) + ": the answer exceeds " +
+                   std::to_string(limits_.max_answer_bytes) + " bytes"});
+  if (!spec_.needs_claim) {
+    state_ = RequestState::kStopping;
+    Act(CancelUpstreamAction{});
+  }
+}
+
+void RequestMachine::On(const UpstreamCompletedEvent& event) {
+  if (!IsCurrent(event.attempt)) {
+    return;
+  }
+  CHECK_INVARIANT("I1", gate_->passes() > 0 && gate_->MayHaveRun(),
+                  "completion of request " + ToString(spec_.id) +
+                      " that was not dispatched");
+  ReportPermit(PermitEnd::kCompleted);
+  if (IsService()) {
+    CompleteService();
+  } else {
+    CompleteEngine();
+  }
+  Finish();
+}
+
+void RequestMachine::CompleteEngine() {
+  if (caller_gone_ || answered_) {
+    return;
+  }
+  if (status_ != kStatusOk) {
+    Fail({.kind = RefusalKind::kUpstreamError,
+          .run_status = RunStatus::kUnknown,
+          .message = UpstreamStep(permit_) + ": status " +
+                     std::to_string(status_) + ": " + body_.substr(0, 512)});
+    return;
+  }
+  if (!answer_started_ && spec_.shape == AnswerShape::kStream) {
+    Act(StartAnswerAction{.upstream = permit_.upstream});
+  }
+  answer_started_ = true;
+  answered_ = true;
+  Act(FinishAnswerAction{});
+}
+
+void RequestMachine::CompleteService() {
+  if (!caller_gone_ && !answered_) {
+    answered_ = true;
+    Act(SendWholeAction{
+        .status = status_, .content_type = content_type_, .body = body_});
+  }
+  if (claim_owned_) {
+    const bool kept =
+        !body_truncated_ && body_.size() <= limits_.max_recorded_bytes;
+    Act(RecordClaimAction{
+        .outcome = {.status = status_,
+                    .content_type = content_type_,
+                    .body = kept ? std::move(body_) : std::string(),
+                    .body_kept = kept}});
+  }
+}
+
+void RequestMachine::On(const UpstreamFailedEvent& event) {
+  if (!IsCurrent(event.attempt)) {
+    return;
+  }
+  // An answer that has begun contradicts a report that nothing was executed.
+  const bool not_executed =
+      event.knowledge != ExecutionKnowledge::kMaybeExecuted && status_ == 0 &&
+      gate_->ConfirmNotExecuted(event.attempt);
+  if (not_executed) {
+    HandleNotExecuted(event.error, event.knowledge);
+  } else {
+    HandleMaybeExecuted(event.error);
+  }
+}
+
+void RequestMachine::HandleNotExecuted(const Error& error,
+                                       ExecutionKnowledge knowledge) {
+  const bool was_closed =
+      pending_refusal_.has_value() || now_ >= DispatchLimit(permit_);
+  const bool refused = knowledge == ExecutionKnowledge::kNotExecuted;
+  ReportPermit(was_closed && !refused ? PermitEnd::kUnused
+                                      : PermitEnd::kNotExecuted);
+  if (answered_) {
+    // The caller was already told that the request may have run, which is
+    // weaker than the truth. The claim can be used by its resend.
+    if (claim_owned_) {
+      Act(ReleaseClaimAction{});
+    }
+    Finish();
+    return;
+  }
+  if (pending_refusal_ || caller_gone_) {
+    Refuse(
+        pending_refusal_.value_or(Refusal{.kind = RefusalKind::kUnavailable}));
+    return;
+  }
+  RetryOrRefuse(error, refused || !was_closed);
+}
+
+void RequestMachine::RetryOrRefuse(const Error& error, bool permit_used) {
+  if (now_ >= spec_.deadline) {
+    Refuse({.kind = RefusalKind::kDeadlineExceeded,
+            .message = ToString(error) + "; the deadline passed"});
+    return;
+  }
+  const bool claim_expired = claim_owned_ && now_ >= claim_valid_until_;
+  bool again = !claim_expired;
+  if (permit_used) {
+    excluded_.push_back(permit_.upstream);
+    again = again && retries_++ < limits_.max_retries;
+  } else {
+    again = again && stale_permits_++ < limits_.max_stale_permits;
+  }
+  if (again) {
+    Queue();
+    return;
+  }
+  Refuse({.kind = RefusalKind::kUnavailable,
+          .message = ToString(error),
+          .retry_after = kRetryAfter});
+}
+
+void RequestMachine::HandleMaybeExecuted(const Error& error) {
+  ReportPermit(EndOfFailure(error));
+  if (claim_owned_) {
+    Act(LeaveClaimUnresolvedAction{});
+  }
+  Fail({.kind = error.code == ErrorCode::kTimeout
+                    ? RefusalKind::kDeadlineExceeded
+                    : RefusalKind::kUpstreamError,
+        .run_status = BegunStatus(),
+        .message = ToString(error)});
+  Finish();
+}
+
+void RequestMachine::StopAttempt(const Refusal& refusal) {
+  if (gate_->Close()) {
+    // Nothing was sent and nothing can be sent any more.
+    pending_refusal_ = refusal;
+    state_ = RequestState::kStopping;
+    Act(CancelUpstreamAction{});
+    return;
+  }
+  Refusal failure = refusal;
+  failure.run_status = BegunStatus();
+  Fail(std::move(failure));
+  if (!spec_.needs_claim) {
+    state_ = RequestState::kStopping;
+    Act(CancelUpstreamAction{});
+  }
+}
+
+void RequestMachine::Fail(Refusal refusal) {
+  CHECK_INVARIANT("I4",
+                  refusal.run_status == RunStatus::kUnknown ||
+                      refusal.run_status == RunStatus::kExecuted,
+                  "fail request " + ToString(spec_.id) + " as " +
+                      std::string(ToString(refusal.run_status)));
+  if (!caller_gone_ && !answered_) {
+    if (answer_started_ && spec_.shape == AnswerShape::kStream) {
+      Act(FailAnswerAction{.refusal = std::move(refusal)});
+    } else {
+      Act(SendRefusalAction{.refusal = std::move(refusal)});
+    }
+  }
+  answered_ = true;
+}
+
+void RequestMachine::ReportPermit(PermitEnd end) {
+  const auto first_token =
+      first_token_at_ == MonotonicTime{}
+          ? microseconds{0}
+          : duration_cast<microseconds>(first_token_at_ - started_at_);
+  Act(ReportPermitAction{
+      .outcome = {
+          .permit = permit_.id,
+          .request = spec_.id,
+          .upstream = permit_.upstream,
+          .end = end,
+          .prompt_tokens = spec_.prompt_tokens,
+          .cached_tokens = cached_tokens_,
+          .output_tokens = std::max(output_tokens_, reported_output_tokens_),
+          .time_to_first_token = first_token,
+          .total_time = end == PermitEnd::kUnused ? microseconds{0}
+                                                  : duration_cast<microseconds>(
+                                                        now_ - started_at_)}});
+}
+
+}  // namespace flamingogauge
--- a/src/libs/services/request_intake.h
+++ b/src/libs/services/request_intake.h
@@ -21,6 +21,8 @@
   std::string query;
   std::string bearer_key;
   std::string idempotency_key;
+  // The tier's name, or empty.
+  std::string tier;
   std::string content_type;
   std::string body;
 };
@@ -70,6 +72,13 @@
   // non-idempotent and already sent.
   virtual void CallerGone(RequestId id) = 0;
 
+  // The bytes that the caller has not taken fell below the mark at which its
+  // upstream call may continue.
+  virtual void CallerDrained(RequestId id) = 0;
+
+  // Refuses new and queued requests; those in flight go on.
+  virtual void BeginDrain() = 0;
+
   // True while new requests are accepted.
   virtual bool IsReady() const = 0;
 };
--- /dev/null
+++ b/src/plugins/callers/callers_settings.cc
@@ -0,0 +1,112 @@
+#include "plugins/callers/callers_settings.h"
+
+#include <gflags/gflags.h>
+
+#include <string>
+
+namespace {
+
+const flamingogauge::HttpServerSettings kDefaults;
+
+}  // namespace
+
+DEFINE_string(callers_address,
+              "127.0.0.1:8080",
+              "ip:port on which callers are served; port 0 lets the kernel "
+              "choose");
+DEFINE_uint32(callers_threads, 2, "threads that serve callers");
+DEFINE_uint64(callers_max_request_bytes,
+              kDefaults.max_request_bytes,
+              "largest request, head and body");
+DEFINE_uint64(callers_max_connections,
+              kDefaults.max_connections,
+              "connections at the same time");
+DEFINE_uint64(callers_max_outstanding_bytes,
+              kDefaults.max_outstanding_bytes,
+              "unread bytes above which a caller is dropped");
+DEFINE_uint32(callers_head_time_limit_ms,
+              kDefaults.head_time_limit.count(),
+              "time from the first byte of a request to the end of its head");
+DEFINE_uint32(callers_request_time_limit_ms,
+              kDefaults.request_time_limit.count(),
+              "time from the first byte of a request to its last");
+DEFINE_uint32(callers_idle_time_limit_ms,
+              kDefaults.idle_time_limit.count(),
+              "how long a connection stays open without a request");
+DEFINE_uint32(callers_stall_time_limit_ms,
+              kDefaults.stall_time_limit.count(),
+              "how long a caller may take no byte of an answer");
+
+namespace flamingogauge {
+namespace {
+
+Result<void> CheckRange(const char* flag,
+                        std::uint64_t value,
+                        std::uint64_t lowest,
+                        std::uint64_t highest) {
+  if (value >= lowest && value <= highest) {
+    return boost::outcome_v2::success();
+  }
+  return Error{.code = ErrorCode::kInvalidArgument,
+               .step = "check settings",
+               .message = std::string("--") + flag + " is " +
+                          std::to_string(value) + ", allowed is " +
+                          std::to_string(lowest) + " to " +
+                          std::to_string(highest)};
+}
+
+}  // namespace
+
+CallersSettings CallersSettingsFromFlags() {
+  using std::chrono::milliseconds;
+  HttpServerSettings server;
+  server.address = FLAGS_callers_address;
+  server.threads = static_cast<int>(FLAGS_callers_threads);
+  server.max_request_bytes = FLAGS_callers_max_request_bytes;
+  server.max_connections = FLAGS_callers_max_connections;
+  server.max_outstanding_bytes = FLAGS_callers_max_outstanding_bytes;
+  server.head_time_limit = milliseconds(FLAGS_callers_head_time_limit_ms);
+  server.request_time_limit = milliseconds(FLAGS_callers_request_time_limit_ms);
+  server.idle_time_limit = milliseconds(FLAGS_callers_idle_time_limit_ms);
+  server.stall_time_limit = milliseconds(FLAGS_callers_stall_time_limit_ms);
+  return {.server = server};
+}
+
+Result<void> CheckSettings(const CallersSettings& settings) {
+  struct Row {
+    const char* flag;
+    std::uint64_t value;
+    std::uint64_t lowest;
+    std::uint64_t highest;
+  };
+  const HttpServerSettings& server = settings.server;
+  const auto milliseconds = [](std::chrono::milliseconds time) {
+    return static_cast<std::uint64_t>(time.count());
+  };
+  constexpr std::uint64_t kHour = 3600000;
+  for (const Row& row :
+       {Row{"callers_threads", static_cast<std::uint64_t>(server.threads), 1,
+            64},
+        Row{"callers_max_request_bytes", server.max_request_bytes, 1024,
+            1U << 30U},
+        Row{"callers_max_connections", server.max_connections, 1, 1U << 20U},
+        Row{"callers_max_outstanding_bytes", server.max_outstanding_bytes,
+            server.resume_bytes, 1U << 30U},
+        Row{"callers_head_time_limit_ms", milliseconds(server.head_time_limit),
+            1, kHour},
+        Row{"callers_request_time_limit_ms",
+            milliseconds(server.request_time_limit), 1, kHour},
+        Row{"callers_idle_time_limit_ms", milliseconds(server.idle_time_limit),
+            1, kHour},
+        Row{"callers_stall_time_limit_ms",
+            milliseconds(server.stall_time_limit), 1, kHour}}) {
+    Result<void> checked =
+        CheckRange(row.flag, row.value, row.lowest, row.highest);
+    if (!checked) {
+      return checked;
+    }
+  }
+  return CheckListenAddress("callers_address", server.address);
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/plugins/requests/request_table.h
@@ -0,0 +1,115 @@
+#ifndef FLAMINGOGAUGE_PLUGINS_REQUESTS_REQUEST_TABLE_H_
+#define FLAMINGOGAUGE_PLUGINS_REQUESTS_REQUEST_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "libs/requests/request_machine.h"
+#include "libs/services/claim_service.h"
+#include "libs/services/document_source.h"
+#include "libs/services/permit_broker.h"
+#include "libs/services/quarantine_service.h"
+#include "libs/services/upstream_client.h"
+#include "plugins/requests/answer_assembler.h"
+#include "plugins/requests/request_inbox.h"
+#include "plugins/requests/request_metrics.h"
+#include "plugins/requests/request_validator.h"
+
+namespace flamingogauge {
+
+// The services that carry out the actions of the state machines.
+struct RequestServices {
+  DocumentSource* document = nullptr;
+  PermitBroker* permits = nullptr;
+  ClaimService* claims = nullptr;
+  UpstreamClient* upstreams = nullptr;
+  // Null when no plugin offers it.
+  QuarantineService* quarantine = nullptr;
+};
+
+// The requests in progress: gives events to their state machines and carries
+// out the actions. Used by the requests thread only.
+class RequestTable {
+ public:
+  RequestTable(RequestServices services,
+               std::shared_ptr<RequestInbox> inbox,
+               RequestMetrics* metrics,
+               std::size_t max_requests);
+
+  void Handle(RequestMessage message, MonotonicTime now);
+  // Delivers the time to those that wait for it.
+  void HandleTimeouts(MonotonicTime now);
+  void Drain(MonotonicTime now);
+
+  std::size_t size() const { return requests_.size(); }
+  // The earliest time for HandleTimeouts.
+  MonotonicTime NextTimeout() const;
+  // A JSON object of bounded size.
+  std::string Dump() const;
+
+ private:
+  struct ActiveRequest {
+    ActiveRequest(ValidRequest valid, std::shared_ptr<CallerSink> caller_sink);
+
+    RequestMachine machine;
+    const std::string tier_name;
+    const std::chrono::milliseconds first_token_target;
+    const std::string method;
+    const std::string path;
+    const std::vector<HttpHeader> headers;
+    const std::string body;
+    std::shared_ptr<CallerSink> sink;
+    std::unique_ptr<AnswerAssembler> assembler;
+    MonotonicTime timeout = MonotonicTime::max();
+    MonotonicTime last_event_at;
+  };
+  using ActivePointer = std::shared_ptr<ActiveRequest>;
+
+  void Submit(const RequestId& id, SubmitMessage message, MonotonicTime now);
+  void HandleUnknown(const RequestId& id, const RequestEvent& event);
+  void Feed(const ActivePointer& request,
+            const RequestEvent& event,
+            MonotonicTime now);
+  void UpdateTimeout(const ActivePointer& request);
+
+  void Do(const ActivePointer& request, AcquireClaimAction action);
+  void Do(const ActivePointer& request, const AbandonClaimAction& action);
+  void Do(const ActivePointer& request, const ReleaseClaimAction& action);
+  void Do(const ActivePointer& request, RecordClaimAction action);
+  void Do(const ActivePointer& request,
+          const LeaveClaimUnresolvedAction& action);
+  void Do(const ActivePointer& request, RequestPermitAction action);
+  void Do(const ActivePointer& request, const CancelPermitAction& action);
+  void Do(const ActivePointer& request, const ReportPermitAction& action);
+  void Do(const ActivePointer& request, const StartUpstreamAction& action);
+  void Do(const ActivePointer& request, const CancelUpstreamAction& action);
+  void Do(const ActivePointer& request, const PauseUpstreamAction& action);
+  void Do(const ActivePointer& request, const StartAnswerAction& action);
+  void Do(const ActivePointer& request, const SendEventAction& action);
+  void Do(const ActivePointer& request, const FinishAnswerAction& action);
+  void Do(const ActivePointer& request, SendWholeAction action);
+  void Do(const ActivePointer& request, const FailAnswerAction& action);
+  void Do(const ActivePointer& request, const SendRefusalAction& action);
+  void Do(const ActivePointer& request, const ForgetAction& action);
+
+  void SendAssembled(ActiveRequest& request);
+  void ObserveEvent(ActiveRequest& request);
+  void CountCompleted(const ActiveRequest& request);
+
+  const RequestServices services_;
+  const std::shared_ptr<RequestInbox> inbox_;
+  RequestMetrics* const metrics_;
+  const std::size_t max_requests_;
+  std::unordered_map<RequestId, ActivePointer> requests_;
+  std::set<std::pair<MonotonicTime, RequestId>> timeouts_;
+  MonotonicTime now_;
+};
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_PLUGINS_REQUESTS_REQUEST_TABLE_H_
