--- a/src/libs/http_server/http_server.cc
+++ b/src/libs/http_server/http_server.cc
@@ -175,6 +175,10 @@
         parser.reset();
         data.scanner.Reset();
         data.continue_sent = false;
+      } else if (data.scanner.head_complete() &&
+                 parser.step()->id() == Http::Private::RequestLineStep::Id) {
+        // Pistache would wait for the rest of a request line without spaces.
+        server_->Reject(data, 400, "the request line is not valid");
       } else if (data.scanner.head_complete() && !data.continue_sent &&
                  parser.request.headers().tryGetRaw("Expect").has_value()) {
         data.continue_sent = true;
