--- a/src/libs/requests/request_machine.cc
+++ b/src/libs/requests/request_machine.cc
@@ -123,7 +123,7 @@
   // The claim may be acquired at this moment; its answer is awaited, so that
   // it can be released.
   pending_refusal_ = std::move(refusal);
-  claim_deadline_ = now_ + limits_.claim_grace;
+  claim_deadline_ = now_ + limits_.abandon_grace;
   Act(AbandonClaimAction{});
 }
 
--- a/src/libs/requests/request_machine.h
+++ b/src/libs/requests/request_machine.h
@@ -35,6 +35,9 @@
   std::uint32_t max_stale_permits = 8;
   // How long the claim service may overrun the deadline with its answer.
   std::chrono::milliseconds claim_grace{1000};
+  // How long an abandoned claim may still be answered; its answer may be on
+  // the way to this thread.
+  std::chrono::milliseconds abandon_grace{250};
   // How long a refusal waits for the confirmation that its claim is released.
   std::chrono::milliseconds release_time_limit{2000};
   // How long an answer that has begun may continue after the deadline.
--- a/src/libs/requests/request_machine_upstream.cc
+++ b/src/libs/requests/request_machine_upstream.cc
@@ -20,19 +20,30 @@
   return "call upstream " + permit.upstream;
 }
 
-// How a failed attempt is reported to the scheduler. An upstream whose
-// connection broke during the request is taken as crashed.
+// How a failed attempt is reported to the scheduler.
 PermitEnd EndOfFailure(const Error& error) {
   switch (error.code) {
     case ErrorCode::kCancelled:
       return PermitEnd::kCancelled;
-    case ErrorCode::kUnavailable:
+    case ErrorCode::kPeerCrashed:
       return PermitEnd::kCrashed;
     default:
       return PermitEnd::kFailed;
   }
 }
 
+RefusalKind KindOfFailure(const Error& error) {
+  switch (error.code) {
+    case ErrorCode::kTimeout:
+      return RefusalKind::kDeadlineExceeded;
+    case ErrorCode::kInvalidArgument:
+      // The upstream answered with a status from 400 to 499.
+      return RefusalKind::kInvalidRequest;
+    default:
+      return RefusalKind::kUpstreamError;
+  }
+}
+
 }  // namespace
 
 bool RequestMachine::IsCurrent(std::uint32_t attempt) const {
@@ -241,9 +252,7 @@
   if (claim_owned_) {
     Act(LeaveClaimUnresolvedAction{});
   }
-  Fail({.kind = error.code == ErrorCode::kTimeout
-                    ? RefusalKind::kDeadlineExceeded
-                    : RefusalKind::kUpstreamError,
+  Fail({.kind = KindOfFailure(error),
         .run_status = BegunStatus(),
         .message = ToString(error)});
   Finish();
--- a/src/plugins/requests/request_validator.cc
+++ b/src/plugins/requests/request_validator.cc
@@ -5,9 +5,9 @@
 #include <string_view>
 #include <utility>
 
+#include "libs/digest/sha256.h"
 #include "libs/requests/prefix_hashes.h"
 #include "plugins/requests/chat_body.h"
-#include "plugins/requests/key_hash.h"
 
 namespace flamingogauge {
 namespace {
@@ -94,8 +94,8 @@
       return Refuse(RefusalKind::kUnauthenticated,
                     "the header Authorization: Bearer <key> is missing");
     }
-    const auto found = document_.workspace_by_key_hash.find(
-        HashBearerKey(request_.bearer_key));
+    const auto found =
+        document_.workspace_by_key_hash.find(Sha256Hex(request_.bearer_key));
     if (found == document_.workspace_by_key_hash.end()) {
       return Refuse(RefusalKind::kUnauthenticated,
                     "the bearer key belongs to no workspace");
--- /dev/null
+++ b/tests/auto/requests/machine_driver.h
@@ -0,0 +1,122 @@
+#ifndef FLAMINGOGAUGE_TESTS_AUTO_REQUESTS_MACHINE_DRIVER_H_
+#define FLAMINGOGAUGE_TESTS_AUTO_REQUESTS_MACHINE_DRIVER_H_
+
+#include <chrono>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libs/requests/request_machine.h"
+
+namespace flamingogauge {
+
+inline constexpr MonotonicTime kTestStart{std::chrono::hours(1)};
+inline constexpr std::chrono::milliseconds kTestDeadline{10000};
+
+// Feeds one state machine and keeps what it does.
+class MachineDriver {
+ public:
+  explicit MachineDriver(AnswerShape shape = AnswerShape::kStream,
+                         bool needs_claim = false)
+      : machine_(MakeSpec(shape, needs_claim), RequestLimits{}) {
+    Feed(SubmittedEvent{});
+  }
+
+  static RequestSpec MakeSpec(AnswerShape shape, bool needs_claim) {
+    return {.id = {.incarnation = {.high = 1, .low = 2}, .sequence = 3},
+            .workspace = "w",
+            .target = "m",
+            .shape = shape,
+            .idempotency_key = needs_claim ? "key" : "",
+            .needs_claim = needs_claim,
+            .accepted_at = kTestStart,
+            .deadline = kTestStart + kTestDeadline};
+  }
+
+  void Feed(const RequestEvent& event) {
+    last_ = machine_.Handle(event, now_);
+    for (const RequestAction& it : last_) {
+      all_.push_back(it);
+    }
+  }
+
+  void Advance(std::chrono::milliseconds time) {
+    now_ += time;
+    Feed(TimeEvent{});
+  }
+
+  Permit MakePermit(
+      std::chrono::milliseconds valid_for = std::chrono::milliseconds(1000)) {
+    return {.id = {.scheduler = {.high = 9, .low = 9}, .sequence = ++permits_},
+            .request = machine_.spec().id,
+            .upstream = "u" + std::to_string(permits_),
+            .expires_at = now_ + valid_for};
+  }
+
+  void Grant() { Feed(PermitGrantedEvent{.permit = MakePermit()}); }
+
+  // Passes the gate as the upstream client does, and reports it.
+  bool TrySend() {
+    const bool passed = machine_.gate()->TryPass(machine_.attempt(), now_);
+    if (passed) {
+      Feed(UpstreamSendingEvent{.attempt = machine_.attempt()});
+    }
+    return passed;
+  }
+
+  void Head(int status = 200) {
+    Feed(UpstreamHeadEvent{.attempt = machine_.attempt(),
+                           .status = status,
+                           .content_type = "text/plain"});
+  }
+  void Data(std::string data) {
+    Feed(UpstreamDataEvent{.attempt = machine_.attempt(),
+                           .data = std::move(data)});
+  }
+  void Complete() {
+    Feed(UpstreamCompletedEvent{.attempt = machine_.attempt()});
+  }
+  void FailWith(ExecutionKnowledge knowledge,
+                ErrorCode code = ErrorCode::kUnavailable) {
+    Feed(UpstreamFailedEvent{
+        .attempt = machine_.attempt(),
+        .error = {.code = code, .step = "test", .message = "failed"},
+        .knowledge = knowledge});
+  }
+
+  // Returns the actions of one type since the start.
+  template <typename Action>
+  std::vector<Action> All() const {
+    return Select<Action>(all_);
+  }
+  // Returns those of the last event.
+  template <typename Action>
+  std::vector<Action> Last() const {
+    return Select<Action>(last_);
+  }
+
+  RequestMachine& machine() { return machine_; }
+  MonotonicTime now() const { return now_; }
+
+ private:
+  template <typename Action>
+  static std::vector<Action> Select(const std::vector<RequestAction>& actions) {
+    std::vector<Action> selected;
+    for (const RequestAction& it : actions) {
+      if (const auto* action = std::get_if<Action>(&it)) {
+        selected.push_back(*action);
+      }
+    }
+    return selected;
+  }
+
+  MonotonicTime now_ = kTestStart;
+  std::uint64_t permits_ = 0;
+  std::vector<RequestAction> last_;
+  std::vector<RequestAction> all_;
+  RequestMachine machine_;
+};
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_TESTS_AUTO_REQUESTS_MACHINE_DRIVER_H_
