--- a/src/plugins/operators/operators_plugin.cc
+++ b/src/plugins/operators/operators_plugin.cc
@@ -230,9 +230,12 @@
   done();
 }
 
+std::string OperatorsPlugin::ListeningAddress() const {
+  return server_ ? server_->ListeningAddress() : std::string();
+}
+
 std::string OperatorsPlugin::DumpState() const {
-  return server_ ? "{\"address\":\"" + server_->ListeningAddress() + "\"}"
-                 : "{}";
+  return "{\"address\":\"" + ListeningAddress() + "\"}";
 }
 
 }  // namespace flamingogauge
--- a/src/plugins/operators/operators_plugin.h
+++ b/src/plugins/operators/operators_plugin.h
@@ -33,6 +33,9 @@
   void AboutToShutdown(std::function<void()> done) override;
   std::string DumpState() const override;
 
+  // "ip:port" with the port that was chosen.
+  std::string ListeningAddress() const;
+
  private:
   Result<void> FindServices(ServiceRegistry& registry);
   void Handle(const HttpRequest& request,
