scheduling: add the group scheduler's policies

Cause: the first version granted by least outstanding requests only. Change: tier queues with deficit round robin among workspaces and separate lanes for short and long requests; admission by token memory, time between tokens and reserved room; lengths learnt by workspace and prompt class; prefill rate and gap learnt per upstream and generation; late load reports compared with what was in flight when they were measured; prefix map with ages; stragglers reduced, stopped and tried again with half of the group in use; shedding by expected wait, lowest tier first and newest first; retry budget with jitter; retirement dates; suspects. Each policy is abstract and has its baseline beside it. I2 is checked at each capacity refusal and I6 at each grant. A test found that the first deficit round robin never moved the turn to the next workspace; the turn now moves before the next quantum is given.

--- a/src/libs/scheduling/group_scheduler.h
+++ b/src/libs/scheduling/group_scheduler.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "libs/model/upstream_health.h"
+#include "libs/scheduling/group_policies.h"
 #include "libs/scheduling/group_types.h"
 
 namespace flamingogauge {
@@ -19,6 +20,7 @@
   // `scheduler` makes the permit ids unique; `seed` feeds the retry jitter.
   GroupScheduler(GroupConfig config,
                  GroupTiming timing,
+                 GroupPolicies policies,
                  Incarnation scheduler,
                  std::uint64_t seed);
   GroupScheduler(const GroupScheduler&) = delete;
--- /dev/null
+++ b/src/libs/scheduling/rate_estimator.cc
@@ -0,0 +1,79 @@
+#include "libs/scheduling/rate_estimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingogauge {
+namespace {
+
+// First guess for hardware that was never seen: tokens a second of prefill,
+// and the gap in seconds at a batch of 1 and of 32.
+constexpr double kFirstPrefillRate = 6000;
+constexpr double kFirstGapAlone = 0.02;
+constexpr double kFirstGapBatch = 0.045;
+constexpr double kFirstBatch = 32;
+constexpr double kFirstWeight = 2;
+
+// A sample loses half of its weight after about 70 further ones.
+constexpr double kForgetting = 0.99;
+constexpr double kPrefillSmoothing = 0.1;
+
+}  // namespace
+
+RateEstimator::RateEstimator() : prefill_rate_(kFirstPrefillRate) {
+  Add(1, kFirstGapAlone, kFirstWeight);
+  Add(kFirstBatch, kFirstGapBatch, kFirstWeight);
+  Fit();
+}
+
+void RateEstimator::LearnFirstToken(double predicted, double observed) {
+  if (predicted <= 0 || observed <= 0) {
+    return;
+  }
+  const double ratio = std::clamp(predicted / observed, 0.25, 4.0);
+  prefill_rate_ *= std::pow(ratio, kPrefillSmoothing);
+  prefill_rate_ = std::clamp(prefill_rate_, 50.0, 1e6);
+}
+
+void RateEstimator::LearnGap(double batch, double gap) {
+  weight_ *= kForgetting;
+  sum_x_ *= kForgetting;
+  sum_y_ *= kForgetting;
+  sum_xx_ *= kForgetting;
+  sum_xy_ *= kForgetting;
+  Add(batch, gap, 1);
+  Fit();
+  ++samples_;
+}
+
+double RateEstimator::Gap(double batch) const {
+  return std::max(0.0005, intercept_ + slope_ * batch);
+}
+
+double RateEstimator::BatchWithin(double limit) const {
+  if (slope_ <= 0) {
+    return intercept_ <= limit ? 1e6 : 1;
+  }
+  return std::max(1.0, (limit - intercept_) / slope_);
+}
+
+void RateEstimator::Add(double batch, double gap, double weight) {
+  weight_ += weight;
+  sum_x_ += weight * batch;
+  sum_y_ += weight * gap;
+  sum_xx_ += weight * batch * batch;
+  sum_xy_ += weight * batch * gap;
+}
+
+void RateEstimator::Fit() {
+  const double mean_x = sum_x_ / weight_;
+  const double mean_y = sum_y_ / weight_;
+  const double variance = sum_xx_ / weight_ - mean_x * mean_x;
+  const double covariance = sum_xy_ / weight_ - mean_x * mean_y;
+  // A small ridge keeps the slope finite when all samples have one batch size;
+  // a batch never makes a step faster.
+  slope_ = std::max(0.0, covariance / (variance + 0.5));
+  intercept_ = mean_y - slope_ * mean_x;
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/libs/scheduling/request_order.cc
@@ -0,0 +1,121 @@
+#include "libs/scheduling/request_order.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace flamingogauge {
+namespace {
+
+// Tokens a workspace of weight 1 may use in one turn. About one report, so
+// that a turn usually serves at least one request.
+constexpr double kQuantum = 4000;
+
+}  // namespace
+
+void FifoOrder::Push(QueuedRequest* request) {
+  queue_[request->arrival] = request;
+}
+
+void FifoOrder::Remove(QueuedRequest* request) {
+  queue_.erase(request->arrival);
+}
+
+std::vector<QueuedRequest*> FifoOrder::Heads() {
+  if (queue_.empty()) {
+    return {};
+  }
+  return {queue_.begin()->second};
+}
+
+void FairQueue::Push(QueuedRequest* request) {
+  const WorkspaceId& workspace = request->request.workspace;
+  Share& share = shares_[workspace];
+  if (share.requests.empty()) {
+    share.turn = turns_.insert(turns_.end(), workspace);
+  }
+  share.requests[request->arrival] = request;
+}
+
+void FairQueue::Remove(QueuedRequest* request) {
+  const auto it = shares_.find(request->request.workspace);
+  if (it == shares_.end() || it->second.requests.erase(request->arrival) == 0) {
+    return;
+  }
+  if (request == head_) {
+    it->second.deficit -= static_cast<double>(request->Tokens());
+    head_ = nullptr;
+  }
+  if (it->second.requests.empty()) {
+    turns_.erase(it->second.turn);
+    shares_.erase(it);
+  }
+}
+
+QueuedRequest* FairQueue::Head() {
+  if (head_ != nullptr || turns_.empty()) {
+    return head_;
+  }
+  // A workspace receives its quantum when its turn comes, and keeps the turn
+  // while its deficit covers its next request.
+  for (std::size_t visited = 0; visited < turns_.size(); ++visited) {
+    if (Missing(turns_.front()) <= 0) {
+      head_ = shares_.at(turns_.front()).requests.begin()->second;
+      return head_;
+    }
+    turns_.splice(turns_.end(), turns_, turns_.begin());
+    Credit(turns_.front(), 1);
+  }
+  // All next requests cost more than a quantum. To bound the work, all
+  // workspaces receive at once as many quanta as the nearest one still needs.
+  double rounds = std::numeric_limits<double>::max();
+  for (const WorkspaceId& it : turns_) {
+    const double weight = shares_.at(it).requests.begin()->second->weight;
+    rounds = std::min(rounds, std::max(0.0, Missing(it)) / (kQuantum * weight));
+  }
+  for (const WorkspaceId& it : turns_) {
+    Credit(it, rounds);
+  }
+  return Head();
+}
+
+double FairQueue::Missing(const WorkspaceId& workspace) const {
+  const Share& share = shares_.at(workspace);
+  // Rounding must not leave a workspace short of its next request for ever.
+  constexpr double kSlack = 1e-6;
+  return static_cast<double>(share.requests.begin()->second->Tokens()) -
+         share.deficit - kSlack;
+}
+
+void FairQueue::Credit(const WorkspaceId& workspace, double rounds) {
+  Share& share = shares_.at(workspace);
+  share.deficit += rounds * kQuantum * share.requests.begin()->second->weight;
+}
+
+FairQueue& TieredOrder::QueueOf(const QueuedRequest& request) {
+  TierQueues& tier =
+      tiers_[std::min<std::size_t>(request.request.tier, kMaxTiers - 1)];
+  return request.is_long ? tier.long_requests : tier.short_requests;
+}
+
+void TieredOrder::Push(QueuedRequest* request) {
+  QueueOf(*request).Push(request);
+}
+
+void TieredOrder::Remove(QueuedRequest* request) {
+  QueueOf(*request).Remove(request);
+}
+
+std::vector<QueuedRequest*> TieredOrder::Heads() {
+  std::vector<QueuedRequest*> heads;
+  heads.reserve(2 * kMaxTiers);
+  for (TierQueues& it : tiers_) {
+    for (FairQueue* queue : {&it.short_requests, &it.long_requests}) {
+      if (QueuedRequest* head = queue->Head()) {
+        heads.push_back(head);
+      }
+    }
+  }
+  return heads;
+}
+
+}  // namespace flamingogauge
--- a/src/plugins/scheduler/scheduler_core.cc
+++ b/src/plugins/scheduler/scheduler_core.cc
@@ -35,11 +35,12 @@
   for (auto& [target, config] : configs) {
     auto& group = groups_[target];
     if (group == nullptr) {
+      GroupPolicies policies = DefaultPolicies(config);
       group = std::make_unique<GroupScheduler>(
           std::move(config),
           GroupTiming{.permit_time_to_live = settings_.permit_time_to_live,
                       .permit_margin = settings_.permit_margin},
-          incarnation_, settings_.seed);
+          std::move(policies), incarnation_, settings_.seed);
     } else {
       group->Configure(now, std::move(config));
       Deliver(now, target);
--- /dev/null
+++ b/tests/auto/scheduling/tst_group_scheduler.cc
@@ -0,0 +1,208 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "libs/scheduling/group_scheduler.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr MonotonicTime kStart{seconds(1000)};
+
+GroupConfig Upstreams(std::size_t count, std::uint32_t concurrency) {
+  GroupConfig config{.target = "m"};
+  for (std::size_t it = 0; it < count; ++it) {
+    config.upstreams.push_back({.id = "u" + std::to_string(it),
+                                .token_capacity = 100000,
+                                .max_concurrency = concurrency});
+  }
+  return config;
+}
+
+struct Group {
+  explicit Group(const GroupConfig& config)
+      : scheduler(config, {}, DefaultPolicies(config), {.low = 1}, 1) {}
+
+  RequestId Submit(PermitRequest request) {
+    request.id = {.sequence = ++sequence};
+    request.target = "m";
+    request.workspace = request.workspace.empty() ? "w" : request.workspace;
+    request.fingerprint = request.fingerprint == Fingerprint{}
+                              ? Fingerprint{.low = sequence}
+                              : request.fingerprint;
+    if (request.time_left.count() == 0) {
+      request.time_left = seconds(60);
+    }
+    scheduler.Submit(now, request, "host");
+    return request.id;
+  }
+
+  std::vector<GrantAction> Grants() {
+    scheduler.Advance(now);
+    std::vector<GrantAction> grants;
+    for (const GroupAction& it : scheduler.TakeActions()) {
+      if (const auto* grant = std::get_if<GrantAction>(&it)) {
+        grants.push_back(*grant);
+      } else if (const auto* refused = std::get_if<RefuseAction>(&it)) {
+        refusals.push_back(*refused);
+      } else if (std::holds_alternative<QuarantineAction>(it)) {
+        ++quarantined;
+      }
+    }
+    return grants;
+  }
+
+  void End(const GrantAction& grant, PermitEnd end) {
+    scheduler.OnOutcome(now, {.permit = grant.permit,
+                              .request = grant.request,
+                              .upstream = grant.upstream,
+                              .end = end});
+  }
+
+  MonotonicTime now = kStart;
+  GroupScheduler scheduler;
+  std::uint64_t sequence = 0;
+  std::vector<RefuseAction> refusals;
+  int quarantined = 0;
+};
+
+PermitRequest Report() {
+  return {.prompt_tokens = 4000, .max_output_tokens = 50};
+}
+
+PermitRequest Question() {
+  return {.prompt_tokens = 50, .max_output_tokens = 20};
+}
+
+// Guards against questions that wait behind reports (head-of-line blocking),
+// even when the reports are more urgent and many.
+TEST_CASE("GroupScheduler grants a question while reports fill the group") {
+  Group group(Upstreams(2, 8));
+  for (int it = 0; it < 50; ++it) {
+    group.Submit(Report());
+  }
+  for (int it = 0; it < 100; ++it) {
+    group.Grants();
+    group.now += milliseconds(100);
+  }
+  PermitRequest question = Question();
+  question.tier = 3;
+  const RequestId id = group.Submit(question);
+  const std::vector<GrantAction> grants = group.Grants();
+  REQUIRE(grants.size() == 1);
+  CHECK(grants[0].request == id);
+}
+
+// Guards against a slot that is lost with a silent entry host, and against one
+// that is given away while its permit is renewed.
+TEST_CASE("GroupScheduler frees silent permits and keeps renewed ones") {
+  Group group(Upstreams(1, 1));
+  group.Submit(Question());
+  const std::vector<GrantAction> first = group.Grants();
+  REQUIRE(first.size() == 1);
+  group.Submit(Question());
+  group.now += milliseconds(2500);
+  group.scheduler.Renew(group.now, first[0].permit);
+  group.now += milliseconds(2500);
+  CHECK(group.Grants().empty());
+  group.now += milliseconds(1000);
+  CHECK(group.Grants().size() == 1);
+}
+
+// Guards against new work on a leaving, removed or soon retiring upstream (I6).
+TEST_CASE("GroupScheduler avoids upstreams that go away") {
+  struct Row {
+    const char* what;
+    bool leaving;
+    bool removed;
+    seconds retires_in;
+    std::size_t grants;
+  };
+  for (const Row& row : {Row{"stays", false, false, seconds(1000), 2},
+                         Row{"leaving", true, false, seconds(1000), 1},
+                         Row{"removed", false, true, seconds(1000), 1},
+                         Row{"retires", false, false, seconds(0), 1}}) {
+    CAPTURE(row.what);
+    Group group(Upstreams(2, 1));
+    GroupConfig config = Upstreams(row.removed ? 1 : 2, 1);
+    if (!row.removed) {
+      config.upstreams[1].leaving = row.leaving;
+      config.upstreams[1].retires_at = group.now + row.retires_in;
+    }
+    group.scheduler.Configure(group.now, config);
+    group.Submit(Question());
+    group.Submit(Question());
+    CHECK(group.Grants().size() == row.grants);
+  }
+}
+
+// Guards against a crashing request that takes down more than two upstreams,
+// and against suspects that share an upstream (design section 11).
+TEST_CASE("GroupScheduler isolates suspects and quarantines a repeat") {
+  Group group(Upstreams(3, 4));
+  PermitRequest crashing = Question();
+  crashing.fingerprint = {.low = 77};
+  group.Submit(crashing);
+  group.Submit(crashing);
+  const std::vector<GrantAction> same = group.Grants();
+  REQUIRE(same.size() == 2);
+  CHECK(same[0].upstream == same[1].upstream);
+  group.End(same[0], PermitEnd::kCrashed);
+  group.End(same[1], PermitEnd::kCrashed);
+  CHECK(group.Grants().empty());
+  CHECK(group.quarantined == 0);
+  group.Submit(crashing);
+  group.Submit(crashing);
+  const std::vector<GrantAction> alone = group.Grants();
+  REQUIRE(alone.size() == 1);
+  CHECK(alone[0].upstream != same[0].upstream);
+  group.End(alone[0], PermitEnd::kCrashed);
+  group.Grants();
+  CHECK(group.quarantined == 1);
+}
+
+// Guards against retries that exceed their budget, come without a pause, or
+// return to the upstream that just failed.
+TEST_CASE("GroupScheduler bounds and delays retries") {
+  Group group(Upstreams(2, 64));
+  PermitRequest retry = Question();
+  retry.excluded = {"u0"};
+  for (int it = 0; it < 10; ++it) {
+    group.Submit(retry);
+  }
+  CHECK(group.Grants().empty());
+  CHECK(group.refusals.size() == 7);
+  group.now += milliseconds(200);
+  const std::vector<GrantAction> grants = group.Grants();
+  CHECK(grants.size() == 3);
+  for (const GrantAction& it : grants) {
+    CHECK(it.upstream == "u1");
+  }
+}
+
+// Guards against a new scheduler that overfills upstreams because it does not
+// know the permits of its predecessor, or grants before it knows them.
+TEST_CASE("GroupScheduler takes over permits in use") {
+  Group group(Upstreams(1, 2));
+  group.scheduler.SetPaused(group.now, true);
+  group.Submit(Question());
+  group.Submit(Question());
+  CHECK(group.Grants().empty());
+  group.scheduler.Adopt(group.now, {.permit = {.sequence = 900},
+                                    .request = {.sequence = 800},
+                                    .host = "other",
+                                    .upstream = "u0"});
+  group.scheduler.SetPaused(group.now, false);
+  CHECK(group.Grants().size() == 1);
+  CHECK(group.scheduler.InUseCount() == 2);
+}
+
+}  // namespace
+}  // namespace flamingogauge
