policy: add a virtual-time policy driver

Change: tools/policy runs the real GroupScheduler against engine models with continuous batching, limited memory and late load reports, for both deployments, with bursts, a straggler, a leaving upstream and a lost host.

--- /dev/null
+++ b/tools/policy/simulation.cc
@@ -0,0 +1,304 @@
+#include "policy/simulation.h"
+
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "libs/kernel/random.h"
+
+namespace flamingogauge::policy {
+namespace {
+
+// When the disturbances of a run begin and end, in seconds.
+constexpr double kStraggleAt = 60;
+constexpr double kRecoverAt = 150;
+constexpr double kLeaveAt = 120;
+constexpr double kLoseHostAt = 180;
+constexpr double kStragglerSlowdown = 10;
+
+constexpr double kTick = 0.02;
+constexpr double kRenewInterval = 1;
+constexpr double kLoadInterval = 0.5;
+constexpr double kLoadAge = 1;
+constexpr double kMissingCacheEvents = 0.1;
+constexpr double kEnd = kArrivalSeconds + 200;
+
+// Tells the true length of each answer.
+class TrueLengths : public LengthEstimator {
+ public:
+  explicit TrueLengths(const std::vector<Arrival>* arrivals)
+      : arrivals_(arrivals) {}
+  std::uint32_t Estimate(const PermitRequest& request,
+                         std::uint32_t) const override {
+    return (*arrivals_)[request.id.sequence - 1].output_tokens;
+  }
+  void Learn(const WorkspaceId&, std::uint32_t, std::uint32_t) override {}
+
+ private:
+  const std::vector<Arrival>* arrivals_;
+};
+
+std::chrono::microseconds Micros(double seconds) {
+  return std::chrono::microseconds(static_cast<std::int64_t>(seconds * 1e6));
+}
+
+}  // namespace
+
+Simulation::Simulation(RunOptions options)
+    : options_(std::move(options)),
+      random_(options_.seed * 7919),
+      arrivals_(
+          MakeArrivals(options_.deployment, options_.load, options_.seed)) {
+  const bool oracle = options_.policy == PolicyKind::kOracle;
+  for (const Generation& it : options_.deployment.upstreams) {
+    const std::string id = "upstream" + std::to_string(engines_.size());
+    config_.upstreams.push_back({.id = id,
+                                 .generation = it.name,
+                                 .token_capacity = it.token_capacity,
+                                 .max_concurrency = 64});
+    engines_.emplace_back(id, it);
+  }
+  for (EngineModel& it : engines_) {
+    it.known_blocks = &known_blocks_;
+  }
+  config_.target = "model";
+  config_.goodput_weight = options_.deployment.goodput_weight;
+  config_.wasted_prefill_weight = options_.deployment.wasted_prefill_weight;
+  GroupPolicies policies;
+  switch (options_.policy) {
+    case PolicyKind::kOurs:
+    case PolicyKind::kOracle:
+      policies = DefaultPolicies(config_);
+      break;
+    case PolicyKind::kRoundRobin:
+      policies = RoundRobinPolicies();
+      break;
+    case PolicyKind::kLeastOutstanding:
+      policies = LeastOutstandingPolicies();
+      break;
+  }
+  if (oracle) {
+    policies.lengths = std::make_unique<TrueLengths>(&arrivals_);
+  }
+  scheduler_ = std::make_unique<GroupScheduler>(
+      config_, GroupTiming{}, std::move(policies), Incarnation{.low = 1},
+      options_.seed);
+}
+
+MonotonicTime Simulation::Now() const {
+  return MonotonicTime(std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(now_ + 1)));
+}
+
+void Simulation::At(double time, Kind kind, std::size_t index) {
+  events_.push({time, order_++, kind, index});
+}
+
+bool Simulation::Counts(const Arrival& arrival) const {
+  // Callers of the lost host get no answer under any policy.
+  return !options_.with_lost_host || arrival.host != 0;
+}
+
+RunResult Simulation::Run() {
+  for (std::size_t it = 0; it < arrivals_.size(); ++it) {
+    At(arrivals_[it].time, Kind::kArrival, it);
+  }
+  At(0, Kind::kTick, 0);
+  At(0, Kind::kRenew, 0);
+  At(0, Kind::kLoad, engines_.size());
+  if (options_.with_straggler) {
+    At(kStraggleAt, Kind::kStraggle, 1);
+    At(kRecoverAt, Kind::kRecover, 1);
+  }
+  if (options_.with_leaving) {
+    At(kLeaveAt, Kind::kLeave, 2);
+  }
+  if (options_.with_lost_host) {
+    At(kLoseHostAt, Kind::kLoseHost, 0);
+  }
+  while (!events_.empty() && events_.top().time < kEnd) {
+    const Event event = events_.top();
+    events_.pop();
+    now_ = event.time;
+    Handle(event);
+    TakeActions();
+  }
+  for (const EngineModel& it : engines_) {
+    result_.wasted_prefill += it.recomputed;
+  }
+  return std::move(result_);
+}
+
+void Simulation::Handle(const Event& event) {
+  const bool oracle = options_.policy == PolicyKind::kOracle;
+  switch (event.kind) {
+    case Kind::kArrival: {
+      const Arrival& it = arrivals_[event.index];
+      if (it.host == lost_host_) {
+        break;
+      }
+      result_.tiers[it.request.tier].offered += Counts(it) ? 1 : 0;
+      At(now_ + kDeadlines[it.request.tier], Kind::kDeadline, event.index);
+      scheduler_->Submit(Now(), it.request, "host" + std::to_string(it.host));
+      scheduler_->Advance(Now());
+      break;
+    }
+    case Kind::kStep:
+      StepEngine(event.index);
+      break;
+    case Kind::kTick:
+      scheduler_->Advance(Now());
+      At(now_ + kTick, Kind::kTick, 0);
+      break;
+    case Kind::kDeadline:
+      Abort(event.index, true);
+      break;
+    case Kind::kLoad:
+      // The index of the engines' count measures; others deliver.
+      if (event.index < engines_.size()) {
+        scheduler_->OnLoad(Now(), reports_.front());
+        scheduler_->OnCache(Now(), cache_events_.front());
+        reports_.pop_front();
+        cache_events_.pop_front();
+        break;
+      }
+      for (std::size_t it = 0; it < engines_.size(); ++it) {
+        LoadReport report = engines_[it].Load();
+        report.age = std::chrono::milliseconds(oracle ? 0 : 1000);
+        reports_.push_back(report);
+        CacheEvent changes = engines_[it].TakeCacheEvent();
+        if (!oracle && random_.NextBool(kMissingCacheEvents)) {
+          changes.stored.clear();
+          changes.evicted.clear();
+        }
+        cache_events_.push_back(std::move(changes));
+        At(now_ + (oracle ? 0 : kLoadAge), Kind::kLoad, it);
+      }
+      At(now_ + (oracle ? kTick : kLoadInterval), Kind::kLoad, engines_.size());
+      break;
+    case Kind::kRenew:
+      for (const auto& [arrival, flight] : flights_) {
+        scheduler_->Renew(Now(), flight.permit);
+      }
+      At(now_ + kRenewInterval, Kind::kRenew, 0);
+      break;
+    case Kind::kStraggle:
+      engines_[event.index].slowdown = kStragglerSlowdown;
+      break;
+    case Kind::kRecover:
+      engines_[event.index].slowdown = 1;
+      break;
+    case Kind::kLeave:
+      config_.upstreams[event.index].leaving = true;
+      scheduler_->Configure(Now(), config_);
+      break;
+    case Kind::kLoseHost:
+      LoseHost(event.index);
+      break;
+  }
+}
+
+void Simulation::TakeActions() {
+  for (auto actions = scheduler_->TakeActions(); !actions.empty();
+       actions = scheduler_->TakeActions()) {
+    for (const GroupAction& it : actions) {
+      if (const auto* grant = std::get_if<GrantAction>(&it)) {
+        const std::size_t arrival = grant->request.sequence - 1;
+        const std::size_t engine = std::stoul(grant->upstream.substr(8));
+        flights_[arrival] = {grant->permit, engine};
+        engines_[engine].Submit(arrivals_[arrival], arrival, now_);
+        if (!std::exchange(engines_[engine].stepping, true)) {
+          At(now_, Kind::kStep, engine);
+        }
+      } else if (const auto* shed = std::get_if<ShedProposal>(&it)) {
+        scheduler_->ConfirmShed(Now(), shed->request, "none");
+      } else if (const auto* refused = std::get_if<RefuseAction>(&it)) {
+        const Arrival& arrival = arrivals_[refused->request.sequence - 1];
+        result_.tiers[refused->tier].shed += Counts(arrival) ? 1 : 0;
+      }
+    }
+  }
+}
+
+void Simulation::StepEngine(std::size_t index) {
+  EngineModel& engine = engines_[index];
+  if (engine.IsIdle()) {
+    engine.stepping = false;
+    return;
+  }
+  std::vector<EngineRequest> completed;
+  const double end = engine.Step(now_, completed);
+  // Answers are reported at the end of the step; the engine model has no
+  // events inside a step.
+  now_ = end;
+  for (const EngineRequest& it : completed) {
+    Complete(index, it);
+  }
+  if (!completed.empty()) {
+    scheduler_->Advance(Now());
+  }
+  At(end, Kind::kStep, index);
+}
+
+void Simulation::Complete(std::size_t engine, const EngineRequest& request) {
+  const Arrival& arrival = arrivals_[request.arrival];
+  const auto flight = flights_.find(request.arrival);
+  if (flight == flights_.end()) {
+    return;
+  }
+  TierResult& tier = result_.tiers[arrival.request.tier];
+  const double mean_gap =
+      request.produced > 1 ? (request.last_token_at - request.first_token_at) /
+                                 (request.produced - 1)
+                           : 0;
+  const bool late = now_ > arrival.time + kDeadlines[arrival.request.tier];
+  if (late) {
+    result_.wasted_prefill += request.computed;
+  } else if (Counts(arrival)) {
+    ++tier.good;
+    result_.useful_tokens += arrival.request.prompt_tokens + request.produced;
+    tier.first_token.push_back(
+        static_cast<float>(request.first_token_at - arrival.time));
+    tier.gap.push_back(static_cast<float>(mean_gap));
+  }
+  scheduler_->OnOutcome(
+      Now(),
+      {.permit = flight->second.permit,
+       .request = arrival.request.id,
+       .upstream = "upstream" + std::to_string(engine),
+       .end = PermitEnd::kCompleted,
+       .prompt_tokens = arrival.request.prompt_tokens,
+       .cached_tokens = request.cached,
+       .output_tokens = request.produced,
+       .time_to_first_token =
+           Micros(request.first_token_at - request.granted_at),
+       .total_time = Micros(request.last_token_at - request.granted_at)});
+  flights_.erase(flight);
+}
+
+void Simulation::Abort(std::size_t arrival, bool report) {
+  const auto flight = flights_.find(arrival);
+  if (flight == flights_.end()) {
+    return;
+  }
+  result_.wasted_prefill += engines_[flight->second.engine].Cancel(arrival);
+  if (report) {
+    scheduler_->OnOutcome(Now(), {.permit = flight->second.permit,
+                                  .request = arrivals_[arrival].request.id,
+                                  .end = PermitEnd::kCancelled});
+    scheduler_->Advance(Now());
+  }
+  flights_.erase(flight);
+}
+
+void Simulation::LoseHost(std::size_t host) {
+  lost_host_ = host;
+  for (std::size_t it = 0; it < arrivals_.size(); ++it) {
+    if (arrivals_[it].host == host) {
+      Abort(it, false);
+    }
+  }
+  scheduler_->ForgetHost(Now(), "host" + std::to_string(host));
+}
+
+}  // namespace flamingogauge::policy
