scheduler: obtain permits from schedulers on other hosts

Cause: each host scheduled all groups for itself, so hosts herded onto one upstream and tier order across hosts could not be checked. Change: the scheduler of a group is the first live host of its data centre in rendezvous order. Grants echo the newest clock of the entry host, which computes the expiry from it. After a change of scheduler they report what waits and what is in use; the new one grants when all live members have reported, or after 500 ms. Before a capacity refusal all sibling schedulers are asked; one that offers gets the request. A fingerprint that crashed two upstreams of a group is refused there. Conclusion: three and four hosts in virtual time with own clocks keep to the concurrency across takeovers and 30% loss, and every request is answered.

--- a/src/libs/scheduling/group_dispatch.cc
+++ b/src/libs/scheduling/group_dispatch.cc
@@ -122,6 +122,11 @@
     MonotonicTime now,
     QueuedRequest& it,
     Room room) {
+  if (suspects.IsQuarantined(now, it.request.fingerprint)) {
+    Refuse(it, RefusalKind::kQuarantined,
+           "the same request crashed two upstreams of " + config.target);
+    return Placement::kPlaced;
+  }
   const std::vector<float> cached =
       prefixes.CachedFractions(now, upstreams.size(), it.request.prefix_hashes);
   std::vector<Candidate> candidates;
@@ -316,7 +321,7 @@
   std::vector<Fingerprint> quarantined;
   for (const auto& [id, it] : in_use) {
     if (it.slot == permit.slot && it.fingerprint != Fingerprint{} &&
-        suspects.OnCrash(it.fingerprint, upstream)) {
+        suspects.OnCrash(it.fingerprint, upstream, now + config.quarantine)) {
       quarantined.push_back(it.fingerprint);
     }
   }
--- a/src/libs/scheduling/group_scheduler.cc
+++ b/src/libs/scheduling/group_scheduler.cc
@@ -158,8 +158,15 @@
   if (slot == d_->upstreams.size() || d_->in_use.contains(permit.permit)) {
     return;
   }
+  const PermitRequest request{.workspace = permit.workspace,
+                              .prompt_tokens = permit.prompt_tokens,
+                              .max_output_tokens = permit.max_output_tokens};
   const std::uint64_t tokens =
-      std::uint64_t{permit.prompt_tokens} + permit.max_output_tokens;
+      d_->config.is_service
+          ? 0
+          : permit.prompt_tokens +
+                std::uint64_t{d_->policies.lengths->Estimate(
+                    request, d_->config.default_max_output_tokens)};
   const bool is_long = tokens >= kLongTokens;
   d_->in_use[permit.permit] = {
       .request = permit.request,
--- a/src/libs/scheduling/group_scheduler_p.h
+++ b/src/libs/scheduling/group_scheduler_p.h
@@ -45,7 +45,7 @@
   };
 
   enum class Placement {
-    kPlaced,
+    kPlaced,  // granted, or answered in another way
     kNoRoom,  // the head of its lane waits
     kNotNow,  // only this request must wait, others may pass
     kTooLate,
--- a/src/libs/scheduling/group_types.h
+++ b/src/libs/scheduling/group_types.h
@@ -50,6 +50,8 @@
   double wasted_prefill_weight = 1.0;
   // Retries as a fraction of the traffic.
   double retry_budget = 0.1;
+  // How long a fingerprint that crashed two upstreams is refused.
+  std::chrono::seconds quarantine{3600};
   // Shares of the workspaces whose weight is not 1.
   std::shared_ptr<const std::unordered_map<WorkspaceId, double>> weights;
 };
--- a/src/plugins/scheduler/document_groups.cc
+++ b/src/plugins/scheduler/document_groups.cc
@@ -14,6 +14,7 @@
   config.goodput_weight = document.policy.goodput_weight;
   config.wasted_prefill_weight = document.policy.wasted_prefill_weight;
   config.retry_budget = document.policy.retry_budget;
+  config.quarantine = document.policy.quarantine;
   const std::size_t tiers =
       std::min<std::size_t>(document.tiers.size(), kMaxTiers);
   for (std::size_t it = 0; it < tiers; ++it) {
--- a/src/plugins/scheduler/scheduler_core.cc
+++ b/src/plugins/scheduler/scheduler_core.cc
@@ -4,187 +4,202 @@
 #include <utility>
 #include <variant>
 
+#include "libs/model/rendezvous.h"
 #include "plugins/scheduler/document_groups.h"
+#include "plugins/scheduler/scheduler_codec.h"
 
 namespace flamingogauge {
 namespace {
 
-// At most this many groups appear in a dump, so that its size is bounded.
-constexpr std::size_t kDumpedGroups = 32;
+std::chrono::nanoseconds ClockOf(MonotonicTime now) {
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(
+      now.time_since_epoch());
+}
+
+// The group's name in the rendezvous order.
+std::string GroupKey(const std::string& target, const DataCentreId& place) {
+  return target + "@" + place;
+}
 
 }  // namespace
 
 SchedulerCore::SchedulerCore(SchedulerSettings settings,
-                             Incarnation incarnation)
-    : settings_(std::move(settings)), incarnation_(incarnation) {}
+                             Incarnation incarnation,
+                             Transmit transmit)
+    : settings_(std::move(settings)),
+      transmit_(std::move(transmit)),
+      entry_(settings_, *this),
+      groups_(settings_, incarnation, *this) {}
 
 void SchedulerCore::SetListener(PermitBroker::Listener listener) {
-  listener_ = std::move(listener);
+  entry_.SetListener(std::move(listener));
 }
 
 void SchedulerCore::OnDocument(MonotonicTime now,
                                std::chrono::seconds since_epoch,
-                               const Document& document) {
-  revision_ = document.revision;
-  std::map<std::string, GroupConfig> configs =
-      GroupsOfDocument(document, settings_.data_centre, now, since_epoch);
-  for (auto& [target, group] : groups_) {
-    // A group without upstreams keeps its permits and refuses by deadline.
-    configs.try_emplace(target, GroupConfig{.target = target});
+                               std::shared_ptr<const Document> document) {
+  document_ = std::move(document);
+  groups_.SetConfigs(now, GroupsOfDocument(*document_, settings_.data_centre,
+                                           now, since_epoch));
+  Assign(now);
+  HandleLocal(now);
+}
+
+void SchedulerCore::OnMembers(MonotonicTime now,
+                              std::shared_ptr<const MemberList> members) {
+  members_ = std::move(members);
+  Assign(now);
+  HandleLocal(now);
+}
+
+void SchedulerCore::Assign(MonotonicTime now) {
+  // A suspected host is passed over before it is declared dead: a needless
+  // takeover costs half a second, waiting for the verdict three seconds.
+  std::map<DataCentreId, std::vector<HostId>> live;
+  live[settings_.data_centre].push_back(settings_.host);
+  if (members_ != nullptr) {
+    for (const Member& it : *members_) {
+      if (it.state == MemberState::kAlive && it.host != settings_.host) {
+        live[it.data_centre].push_back(it.host);
+      }
+    }
   }
-  for (auto& [target, config] : configs) {
-    auto& group = groups_[target];
-    if (group == nullptr) {
-      GroupPolicies policies = DefaultPolicies(config);
-      group = std::make_unique<GroupScheduler>(
-          std::move(config),
-          GroupTiming{.permit_time_to_live = settings_.permit_time_to_live,
-                      .permit_margin = settings_.permit_margin},
-          std::move(policies), incarnation_, settings_.seed);
-    } else {
-      group->Configure(now, std::move(config));
-      Deliver(now, target);
+  std::map<std::string, std::set<DataCentreId>> places;
+  if (document_ != nullptr) {
+    for (const UpstreamSpec& it : document_->upstreams) {
+      for (const std::string& target : it.targets) {
+        places[target].insert(settings_.data_centre.empty() ? DataCentreId()
+                                                            : it.data_centre);
+      }
     }
   }
+  EntryRequests::Schedulers schedulers;
+  std::set<std::string> mine;
+  std::map<std::string, std::vector<HostId>> siblings;
+  for (const auto& [target, data_centres] : places) {
+    for (const DataCentreId& it : data_centres) {
+      const auto hosts = live.find(it);
+      if (hosts == live.end()) {
+        continue;
+      }
+      const HostId first = RendezvousFirst(GroupKey(target, it), hosts->second);
+      if (it == settings_.data_centre) {
+        schedulers[target] = first;
+        if (first == settings_.host) {
+          mine.insert(target);
+        }
+      } else {
+        siblings[target].push_back(first);
+      }
+    }
+    // A target without upstreams in this data centre is asked for elsewhere.
+    if (!schedulers.contains(target) && !siblings[target].empty()) {
+      schedulers[target] = siblings[target].front();
+    }
+  }
+  const auto& here = live.at(settings_.data_centre);
+  groups_.SetAssignment(now, mine, {here.begin(), here.end()},
+                        std::move(siblings));
+  schedulers_ = schedulers;
+  entry_.SetSchedulers(now, schedulers_);
 }
 
 void SchedulerCore::Request(MonotonicTime now, PermitRequest request) {
-  const auto group = groups_.find(request.target);
-  if (group == groups_.end()) {
-    RefuseHere(request.id, RefusalKind::kUnavailable,
-               "no upstream serves " + request.target);
-    return;
-  }
-  const std::string target = request.target;
-  pending_[request.id] = {.target = target, .sent_at = now};
-  group->second->Submit(now, std::move(request), settings_.host);
-  group->second->Advance(now);
-  Deliver(now, target);
+  entry_.Request(now, std::move(request));
+  HandleLocal(now);
 }
 
 void SchedulerCore::Cancel(MonotonicTime now, const RequestId& id) {
-  const auto pending = pending_.find(id);
-  if (pending == pending_.end()) {
-    return;
-  }
-  const auto group = groups_.find(pending->second.target);
-  pending_.erase(pending);
-  if (group != groups_.end()) {
-    group->second->Cancel(now, id);
-  }
+  entry_.Cancel(id);
+  HandleLocal(now);
 }
 
 void SchedulerCore::Report(MonotonicTime now, const PermitOutcome& outcome) {
-  const auto permit = permits_.find(outcome.permit);
-  if (permit == permits_.end()) {
-    return;
-  }
-  const std::string target = permit->second.target;
-  permits_.erase(permit);
-  const auto group = groups_.find(target);
-  if (group != groups_.end()) {
-    group->second->OnOutcome(now, outcome);
-    group->second->Advance(now);
-    Deliver(now, target);
-  }
+  entry_.Report(outcome);
+  HandleLocal(now);
 }
 
 void SchedulerCore::OnLoad(MonotonicTime now, const LoadReport& report) {
-  for (auto& [target, group] : groups_) {
-    group->OnLoad(now, report);
-  }
+  groups_.OnLoad(now, report);
 }
 
 void SchedulerCore::OnCache(MonotonicTime now, const CacheEvent& event) {
-  for (auto& [target, group] : groups_) {
-    group->OnCache(now, event);
-  }
+  groups_.OnCache(now, event);
 }
 
-void SchedulerCore::Advance(MonotonicTime now) {
-  if (now - renewed_at_ >= settings_.permit_time_to_live / 2) {
-    renewed_at_ = now;
-    for (const auto& [id, permit] : permits_) {
-      const auto group = groups_.find(permit.target);
-      if (group != groups_.end()) {
-        group->second->Renew(now, id);
-      }
-    }
-  }
-  for (auto& [target, group] : groups_) {
-    group->Advance(now);
-    Deliver(now, target);
-  }
+Result<void> SchedulerCore::OnPayload(MonotonicTime now,
+                                      const HostId& from,
+                                      const std::string& payload) {
+  Result<SchedulerBatch> batch = DecodeBatch(payload);
+  if (!batch) {
+    Error error = batch.error();
+    error.peer = from;
+    return error;
+  }
+  groups_.OnClock(from, batch.value().clock);
+  for (SchedulerMessage& it : batch.value().messages) {
+    Handle(now, from, std::move(it));
+  }
+  HandleLocal(now);
+  return boost::outcome_v2::success();
 }
 
-void SchedulerCore::Deliver(MonotonicTime now, const std::string& target) {
-  GroupScheduler& group = *groups_.at(target);
-  for (std::vector<GroupAction> actions = group.TakeActions(); !actions.empty();
-       actions = group.TakeActions()) {
-    for (const GroupAction& it : actions) {
-      if (const auto* grant = std::get_if<GrantAction>(&it)) {
-        DeliverGrant(target, *grant);
-      } else if (const auto* refused = std::get_if<RefuseAction>(&it)) {
-        DeliverRefusal(*refused);
-      } else if (const auto* shed = std::get_if<ShedProposal>(&it)) {
-        group.ConfirmShed(now, shed->request, "no sibling group");
-      }
-    }
+void SchedulerCore::Handle(MonotonicTime now,
+                           const HostId& from,
+                           SchedulerMessage message) {
+  if (const auto* grant = std::get_if<GrantMessage>(&message.body)) {
+    entry_.OnGrant(now, from, message.target, *grant);
+  } else if (const auto* refuse = std::get_if<RefuseMessage>(&message.body)) {
+    entry_.OnRefuse(*refuse);
+  } else if (const auto* redirect =
+                 std::get_if<RedirectMessage>(&message.body)) {
+    entry_.OnRedirect(now, *redirect);
+  } else {
+    groups_.OnMessage(now, from, std::move(message));
   }
 }
 
-void SchedulerCore::DeliverGrant(const std::string& target,
-                                 const GrantAction& grant) {
-  const auto pending = pending_.find(grant.request);
-  const MonotonicTime sent_at =
-      pending == pending_.end() ? MonotonicTime{} : pending->second.sent_at;
-  if (pending != pending_.end()) {
-    pending_.erase(pending);
-  }
-  permits_[grant.permit] = {.target = target};
-  if (listener_.on_granted) {
-    listener_.on_granted(
-        {.id = grant.permit,
-         .request = grant.request,
-         .scheduler_host = settings_.host,
-         .upstream = grant.upstream,
-         .address = grant.address,
-         .expires_at = sent_at + settings_.permit_time_to_live});
+void SchedulerCore::HandleLocal(MonotonicTime now) {
+  while (!to_self_.empty()) {
+    SchedulerMessage message = std::move(to_self_.front());
+    to_self_.pop_front();
+    Handle(now, settings_.host, std::move(message));
   }
 }
 
-void SchedulerCore::DeliverRefusal(const RefuseAction& refused) {
-  pending_.erase(refused.request);
-  if (listener_.on_refused) {
-    listener_.on_refused(refused.request, refused.refusal);
+void SchedulerCore::Advance(MonotonicTime now) {
+  entry_.Advance(now);
+  groups_.Advance(now);
+  HandleLocal(now);
+}
+
+void SchedulerCore::Send(const HostId& host, SchedulerMessage message) {
+  if (host == settings_.host) {
+    to_self_.push_back(std::move(message));
+  } else {
+    outbox_[host].push_back(std::move(message));
   }
 }
 
-void SchedulerCore::RefuseHere(const RequestId& id,
-                               RefusalKind kind,
-                               const std::string& text) {
-  pending_.erase(id);
-  if (listener_.on_refused) {
-    listener_.on_refused(id, {.kind = kind,
-                              .run_status = RunStatus::kAttemptNotRun,
-                              .message = "schedule: " + text,
-                              .retry_after = std::chrono::milliseconds(1000)});
+void SchedulerCore::Flush(MonotonicTime now) {
+  std::map<HostId, std::vector<SchedulerMessage>> outbox;
+  outbox.swap(outbox_);
+  for (auto& [host, messages] : outbox) {
+    transmit_(host, EncodeBatch({.clock = ClockOf(now),
+                                 .messages = std::move(messages)}));
   }
 }
 
+bool SchedulerCore::IsIdle() const {
+  return entry_.pending_count() == 0 && entry_.permit_count() == 0;
+}
+
 std::string SchedulerCore::Dump(MonotonicTime now) const {
-  std::string text = "{\"revision\":" + std::to_string(revision_) +
-                     ",\"pending\":" + std::to_string(pending_.size()) +
-                     ",\"permits\":" + std::to_string(permits_.size()) +
-                     ",\"groups\":{";
-  std::size_t dumped = 0;
-  for (const auto& [target, group] : groups_) {
-    if (dumped++ == kDumpedGroups) {
-      break;
-    }
-    text += (dumped == 1 ? "\"" : ",\"") + target + "\":" + group->Dump(now);
-  }
-  return text + "}}";
+  const std::uint64_t revision = document_ == nullptr ? 0 : document_->revision;
+  return "{\"revision\":" + std::to_string(revision) +
+         ",\"pending\":" + std::to_string(entry_.pending_count()) +
+         ",\"permits\":" + std::to_string(entry_.permit_count()) +
+         ",\"scheduling\":" + groups_.Dump(now) + "}";
 }
 
 }  // namespace flamingogauge
--- a/src/plugins/scheduler/scheduler_core.h
+++ b/src/plugins/scheduler/scheduler_core.h
@@ -1,68 +1,79 @@
 #ifndef FLAMINGOGAUGE_PLUGINS_SCHEDULER_SCHEDULER_CORE_H_
 #define FLAMINGOGAUGE_PLUGINS_SCHEDULER_SCHEDULER_CORE_H_
 
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
-#include <unordered_map>
+#include <vector>
 
 #include "libs/document/document.h"
-#include "libs/scheduling/group_scheduler.h"
+#include "libs/services/membership_view.h"
 #include "libs/services/permit_broker.h"
+#include "plugins/scheduler/entry_requests.h"
+#include "plugins/scheduler/group_host.h"
 #include "plugins/scheduler/scheduler_settings.h"
 
 namespace flamingogauge {
 
-// The scheduler thread's state: the requests and permits of this host, and the
-// groups that this host schedules. Time and events come in through the
-// functions; used from one thread.
-class SchedulerCore {
+// The scheduler thread's state: this host's requests, the groups it schedules,
+// and the messages between the two and to other hosts. Used from one thread.
+class SchedulerCore : private MessageSender {
  public:
-  SchedulerCore(SchedulerSettings settings, Incarnation incarnation);
+  // Carries an encoded batch to another host; losses are repaired by renewals
+  // and repetitions.
+  using Transmit = std::function<void(const HostId& to, std::string payload)>;
+
+  SchedulerCore(SchedulerSettings settings,
+                Incarnation incarnation,
+                Transmit transmit);
+  SchedulerCore(const SchedulerCore&) = delete;
+  SchedulerCore& operator=(const SchedulerCore&) = delete;
 
   void SetListener(PermitBroker::Listener listener);
   void OnDocument(MonotonicTime now,
                   std::chrono::seconds since_epoch,
-                  const Document& document);
+                  std::shared_ptr<const Document> document);
+  void OnMembers(MonotonicTime now, std::shared_ptr<const MemberList> members);
   void Request(MonotonicTime now, PermitRequest request);
   void Cancel(MonotonicTime now, const RequestId& id);
   void Report(MonotonicTime now, const PermitOutcome& outcome);
   void OnLoad(MonotonicTime now, const LoadReport& report);
   void OnCache(MonotonicTime now, const CacheEvent& event);
+  Result<void> OnPayload(MonotonicTime now,
+                         const HostId& from,
+                         const std::string& payload);
 
-  // Renews permits and lets time pass in all groups.
+  // Lets time pass; call every tick.
   void Advance(MonotonicTime now);
 
-  // True when no request waits and no permit is in use.
-  bool IsIdle() const { return pending_.empty() && permits_.empty(); }
+  // Sends the messages that have gathered, one batch for each host.
+  void Flush(MonotonicTime now);
+
+  // True when no request of this host waits and none of its permits is in use.
+  bool IsIdle() const;
 
   // JSON object of bounded size.
   std::string Dump(MonotonicTime now) const;
 
  private:
-  struct Pending {
-    std::string target;
-    MonotonicTime sent_at;
-  };
-  struct HeldPermit {
-    std::string target;
-  };
-
-  void Deliver(MonotonicTime now, const std::string& target);
-  void DeliverGrant(const std::string& target, const GrantAction& grant);
-  void DeliverRefusal(const RefuseAction& refused);
-  void RefuseHere(const RequestId& id,
-                  RefusalKind kind,
-                  const std::string& text);
+  void Send(const HostId& host, SchedulerMessage message) override;
+  void Assign(MonotonicTime now);
+  void HandleLocal(MonotonicTime now);
+  void Handle(MonotonicTime now, const HostId& from, SchedulerMessage message);
 
   SchedulerSettings settings_;
-  Incarnation incarnation_;
-  PermitBroker::Listener listener_;
-  std::uint64_t revision_ = 0;
-  std::map<std::string, std::unique_ptr<GroupScheduler>> groups_;
-  std::unordered_map<RequestId, Pending> pending_;
-  std::unordered_map<PermitId, HeldPermit> permits_;
-  MonotonicTime renewed_at_;
+  Transmit transmit_;
+  EntryRequests entry_;
+  GroupHost groups_;
+  std::shared_ptr<const Document> document_;
+  // Null when there is no membership; this host is then alone.
+  std::shared_ptr<const MemberList> members_;
+  std::deque<SchedulerMessage> to_self_;
+  std::map<HostId, std::vector<SchedulerMessage>> outbox_;
+  std::map<std::string, HostId> schedulers_;
 };
 
 }  // namespace flamingogauge
--- /dev/null
+++ b/src/plugins/scheduler/scheduler_messages.h
@@ -0,0 +1,90 @@
+#ifndef FLAMINGOGAUGE_PLUGINS_SCHEDULER_SCHEDULER_MESSAGES_H_
+#define FLAMINGOGAUGE_PLUGINS_SCHEDULER_SCHEDULER_MESSAGES_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "libs/model/permit.h"
+#include "libs/model/refusal.h"
+#include "libs/scheduling/group_types.h"
+
+namespace flamingogauge {
+
+// From an entry host to a scheduler.
+struct CancelMessage {
+  RequestId request;
+};
+struct RenewMessage {
+  std::vector<PermitId> permits;
+};
+// Everything an entry host has in a group, sent to its new scheduler.
+struct ReportMessage {
+  std::vector<PermitRequest> waiting;
+  std::vector<AdoptedPermit> in_use;
+};
+
+// From a scheduler to an entry host.
+struct GrantMessage {
+  PermitId permit;
+  RequestId request;
+  UpstreamId upstream;
+  std::string address;
+  // The newest clock of the entry host that the scheduler had received, 0 for
+  // none.
+  std::chrono::nanoseconds echo{0};
+};
+struct RefuseMessage {
+  RequestId request;
+  Refusal refusal;
+};
+// A sibling group offered to take the request.
+struct RedirectMessage {
+  RequestId request;
+  HostId host;
+};
+
+// Between the schedulers of sibling groups.
+struct ShedQueryMessage {
+  std::uint64_t query = 0;
+  Tier tier = 0;
+};
+struct ShedAnswerMessage {
+  std::uint64_t query = 0;
+  bool offers = false;
+};
+
+struct SchedulerMessage {
+  // The group's target; empty where the message does not concern a group.
+  std::string target;
+  std::variant<PermitRequest,
+               CancelMessage,
+               PermitOutcome,
+               RenewMessage,
+               ReportMessage,
+               GrantMessage,
+               RefuseMessage,
+               RedirectMessage,
+               ShedQueryMessage,
+               ShedAnswerMessage>
+      body;
+};
+
+struct SchedulerBatch {
+  // The sender's monotonic clock when the batch was sent.
+  std::chrono::nanoseconds clock{0};
+  std::vector<SchedulerMessage> messages;
+};
+
+// Sends messages to hosts; messages to this host are handled without network.
+class MessageSender {
+ public:
+  virtual ~MessageSender() = default;
+  virtual void Send(const HostId& host, SchedulerMessage message) = 0;
+};
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_PLUGINS_SCHEDULER_SCHEDULER_MESSAGES_H_
--- a/src/plugins/scheduler/scheduler_plugin.cc
+++ b/src/plugins/scheduler/scheduler_plugin.cc
@@ -12,6 +12,7 @@
 #include "libs/kernel/log.h"
 #include "libs/services/document_source.h"
 #include "libs/services/membership_view.h"
+#include "libs/services/peer_transport.h"
 #include "libs/services/upstream_client.h"
 #include "plugins/scheduler/scheduler_core.h"
 
@@ -23,12 +24,21 @@
 // How long a dump waits for the scheduler thread.
 constexpr std::chrono::milliseconds kDumpWait{500};
 
+constexpr char kChannel[] = "scheduler";
+
+// How long the transport may try to deliver a batch.
+constexpr std::chrono::milliseconds kCallTimeLimit{1000};
+
 struct ListenerMessage {
   PermitBroker::Listener listener;
 };
-struct CancelMessage {
+struct CancelInput {
   RequestId id;
 };
+struct PeerInput {
+  HostId from;
+  std::string payload;
+};
 struct DumpMessage {
   std::shared_ptr<std::promise<std::string>> result;
 };
@@ -38,8 +48,10 @@
 
 using Message = std::variant<ListenerMessage,
                              PermitRequest,
-                             CancelMessage,
+                             CancelInput,
                              PermitOutcome,
+                             PeerInput,
+                             std::shared_ptr<const MemberList>,
                              std::shared_ptr<const Document>,
                              LoadReport,
                              CacheEvent,
@@ -70,11 +82,13 @@
   // Drops the message when the ring is full. A lost outcome keeps its slot
   // occupied until the permit expires.
   void Push(Message message, const char* what);
+  void Transmit(const HostId& to, std::string payload);
 
   SchedulerSettings settings;
   Logger log{"scheduler"};
   BoundedRing<Message> ring;
   std::unique_ptr<SchedulerCore> core;
+  PeerTransport* transport = nullptr;
   PermitBroker::Listener listener;
   std::function<void()> drained;
   std::atomic<bool> draining{false};
@@ -90,6 +104,14 @@
   }
 }
 
+void SchedulerPlugin::Private::Transmit(const HostId& to, std::string payload) {
+  if (transport != nullptr) {
+    // A lost batch is repaired by the next renewal or repetition.
+    transport->Call(to, kChannel, std::move(payload), kCallTimeLimit,
+                    [](const Result<std::string>&) {});
+  }
+}
+
 void SchedulerPlugin::Private::Run() {
   MonotonicTime next_tick = Clock::now();
   while (!ring.IsClosed()) {
@@ -102,6 +124,11 @@
       core->Advance(now);
       next_tick = now + settings.tick;
     }
+    // Messages gather while there is more input, and leave at the latest with
+    // the next tick.
+    if (!message.has_value() || ring.Size() == 0) {
+      core->Flush(now);
+    }
     if (drained && core->IsIdle()) {
       std::exchange(drained, nullptr)();
     }
@@ -113,7 +140,7 @@
     core->Request(now, std::move(*request));
   } else if (auto* outcome = std::get_if<PermitOutcome>(&message)) {
     core->Report(now, *outcome);
-  } else if (auto* cancel = std::get_if<CancelMessage>(&message)) {
+  } else if (auto* cancel = std::get_if<CancelInput>(&message)) {
     core->Cancel(now, cancel->id);
   } else if (auto* load = std::get_if<LoadReport>(&message)) {
     core->OnLoad(now, *load);
@@ -121,7 +148,15 @@
     core->OnCache(now, *event);
   } else if (auto* document =
                  std::get_if<std::shared_ptr<const Document>>(&message)) {
-    core->OnDocument(now, SinceEpoch(), **document);
+    core->OnDocument(now, SinceEpoch(), std::move(*document));
+  } else if (auto* members =
+                 std::get_if<std::shared_ptr<const MemberList>>(&message)) {
+    core->OnMembers(now, std::move(*members));
+  } else if (auto* peer = std::get_if<PeerInput>(&message)) {
+    Result<void> handled = core->OnPayload(now, peer->from, peer->payload);
+    if (!handled) {
+      log.Warning(ToString(handled.error()));
+    }
   } else if (auto* set = std::get_if<ListenerMessage>(&message)) {
     core->SetListener(std::move(set->listener));
   } else if (auto* dump = std::get_if<DumpMessage>(&message)) {
@@ -156,19 +191,45 @@
     return documents.error();
   }
   Incarnation incarnation = RandomIncarnation();
-  if (Result<MembershipView*> membership =
-          registry.Find<MembershipView>(MembershipView::kServiceName)) {
+  const Result<MembershipView*> membership =
+      registry.Find<MembershipView>(MembershipView::kServiceName);
+  if (membership) {
     const Member& self = membership.value()->Self();
     d_->settings.host = self.host;
     d_->settings.data_centre = self.data_centre;
     incarnation = self.incarnation;
   }
-  d_->core = std::make_unique<SchedulerCore>(d_->settings, incarnation);
+  d_->core = std::make_unique<SchedulerCore>(
+      d_->settings, incarnation, [this](const HostId& to, std::string payload) {
+        d_->Transmit(to, std::move(payload));
+      });
   d_->core->SetListener(d_->listener);
+  if (Result<PeerTransport*> transport =
+          registry.Find<PeerTransport>(PeerTransport::kServiceName)) {
+    d_->transport = transport.value();
+    d_->transport->Handle(
+        kChannel, [this](const HostId& from, std::string payload,
+                         const PeerTransport::ReplyCallback& reply) {
+          if (d_->ring.TryPush(PeerInput{from, std::move(payload)})) {
+            reply(std::string());
+          } else {
+            reply(Error{.code = ErrorCode::kResourceExhausted,
+                        .step = "receive scheduler batch",
+                        .peer = from,
+                        .message = "the scheduler's ring is full"});
+          }
+        });
+  }
   d_->thread = std::thread([this] { d_->Run(); });
   documents.value()->Subscribe([this](std::shared_ptr<const Document> it) {
     d_->Push(std::move(it), "document");
   });
+  if (membership) {
+    membership.value()->Subscribe(
+        [this](std::shared_ptr<const MemberList> members) {
+          d_->Push(std::move(members), "member list");
+        });
+  }
   if (Result<UpstreamClient*> client =
           registry.Find<UpstreamClient>(UpstreamClient::kServiceName)) {
     client.value()->SubscribeLoad(
@@ -218,7 +279,7 @@
 }
 
 void SchedulerPlugin::Cancel(RequestId id) {
-  d_->Push(CancelMessage{id}, "cancellation");
+  d_->Push(CancelInput{id}, "cancellation");
 }
 
 void SchedulerPlugin::Report(PermitOutcome outcome) {
--- /dev/null
+++ b/tests/auto/scheduler/tst_scheduler_hosts.cc
@@ -0,0 +1,334 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libs/kernel/random.h"
+#include "plugins/scheduler/scheduler_codec.h"
+#include "plugins/scheduler/scheduler_core.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Several hosts in virtual time, whose batches can be delayed and lost. Each
+// host has its own clock, so that a time of one never suits another.
+class Hosts {
+ public:
+  struct Host {
+    std::unique_ptr<SchedulerCore> core;
+    milliseconds clock_offset{0};
+    bool is_up = true;
+    std::map<std::uint64_t, Permit> granted;
+    std::map<std::uint64_t, Refusal> refused;
+    int expired_grants = 0;
+  };
+
+  // `places` holds the data centre of each host.
+  Hosts(const std::vector<DataCentreId>& places,
+        std::uint32_t concurrency,
+        double loss)
+      : places_(places), loss_(loss) {
+    Document document{.revision = 1};
+    document.tiers.resize(kMaxTiers);
+    document.models = {{.id = "m"}};
+    for (const DataCentreId& it :
+         std::set<DataCentreId>(places.begin(), places.end())) {
+      document.upstreams.push_back({.id = "upstream-" + it,
+                                    .targets = {"m"},
+                                    .data_centre = it,
+                                    .max_concurrency = concurrency});
+    }
+    document_ = std::make_shared<const Document>(std::move(document));
+    for (std::size_t it = 0; it < places.size(); ++it) {
+      Add(it);
+    }
+    ShareMembers();
+  }
+
+  MonotonicTime Now(std::size_t host) const {
+    return MonotonicTime(seconds(1000) + time_ + hosts_[host].clock_offset);
+  }
+
+  RequestId Request(std::size_t host, Tier tier, milliseconds time_left) {
+    const RequestId id{.incarnation = {.low = host + 1},
+                       .sequence = ++sequence_};
+    hosts_[host].core->Request(Now(host), {.id = id,
+                                           .target = "m",
+                                           .workspace = "w",
+                                           .tier = tier,
+                                           .fingerprint = {.low = sequence_},
+                                           .prompt_tokens = 10,
+                                           .max_output_tokens = 10,
+                                           .time_left = time_left});
+    return id;
+  }
+
+  void End(std::size_t host, std::uint64_t sequence) {
+    const Permit permit = hosts_[host].granted.at(sequence);
+    hosts_[host].granted.erase(sequence);
+    hosts_[host].core->Report(Now(host), {.permit = permit.id,
+                                          .request = permit.request,
+                                          .upstream = permit.upstream,
+                                          .end = PermitEnd::kCancelled});
+  }
+
+  void Stop(std::size_t host) {
+    hosts_[host].is_up = false;
+    ShareMembers();
+  }
+
+  void Run(milliseconds duration) {
+    const milliseconds end = time_ + duration;
+    for (; time_ < end; time_ += milliseconds(5)) {
+      std::deque<Packet> due;
+      due.swap(packets_);
+      for (Packet& it : due) {
+        Host& to = hosts_[it.to];
+        if (to.is_up && !random_.NextBool(loss_)) {
+          CHECK(to.core->OnPayload(Now(it.to), Name(it.from), it.payload)
+                    .has_value());
+        }
+      }
+      for (std::size_t it = 0; it < hosts_.size(); ++it) {
+        if (hosts_[it].is_up) {
+          hosts_[it].core->Advance(Now(it));
+          hosts_[it].core->Flush(Now(it));
+        }
+      }
+    }
+  }
+
+  std::size_t SchedulerIndex() const {
+    for (std::size_t it = 0; it < hosts_.size(); ++it) {
+      if (hosts_[it].is_up && hosts_[it].core->Dump(Now(it)).find(
+                                  "\"is_mine\":true") != std::string::npos) {
+        return it;
+      }
+    }
+    return hosts_.size();
+  }
+
+  std::size_t InUse() const {
+    std::size_t count = 0;
+    for (const Host& it : hosts_) {
+      count += it.is_up ? it.granted.size() : 0;
+    }
+    return count;
+  }
+
+  Host& operator[](std::size_t host) { return hosts_[host]; }
+  std::size_t size() const { return hosts_.size(); }
+
+ private:
+  struct Packet {
+    std::size_t from;
+    std::size_t to;
+    std::string payload;
+  };
+
+  static HostId Name(std::size_t host) { return "host" + std::to_string(host); }
+
+  void Add(std::size_t index) {
+    hosts_.emplace_back();
+    Host& host = hosts_.back();
+    host.clock_offset = seconds(5000) * static_cast<int>(index);
+    SchedulerSettings settings;
+    settings.host = Name(index);
+    settings.data_centre = places_[index];
+    host.core = std::make_unique<SchedulerCore>(
+        settings, Incarnation{.low = index + 1},
+        [this, index](const HostId& to, std::string payload) {
+          packets_.push_back(
+              {index, std::stoul(to.substr(4)), std::move(payload)});
+        });
+    host.core->SetListener(
+        {.on_granted =
+             [this, index](const Permit& permit) {
+               Host& it = hosts_[index];
+               it.expired_grants += permit.expires_at <= Now(index) ? 1 : 0;
+               it.granted[permit.request.sequence] = permit;
+             },
+         .on_refused =
+             [this, index](RequestId id, Refusal refusal) {
+               CHECK_FALSE(hosts_[index].refused.contains(id.sequence));
+               hosts_[index].refused[id.sequence] = std::move(refusal);
+             }});
+    host.core->OnDocument(Now(index), seconds(0), document_);
+  }
+
+  void ShareMembers() {
+    auto members = std::make_shared<MemberList>();
+    for (std::size_t it = 0; it < hosts_.size(); ++it) {
+      if (hosts_[it].is_up) {
+        members->push_back({.host = Name(it), .data_centre = places_[it]});
+      }
+    }
+    for (std::size_t it = 0; it < hosts_.size(); ++it) {
+      if (hosts_[it].is_up) {
+        hosts_[it].core->OnMembers(Now(it), members);
+      }
+    }
+  }
+
+  std::vector<DataCentreId> places_;
+  double loss_;
+  Random random_{1};
+  std::shared_ptr<const Document> document_;
+  std::deque<Host> hosts_;
+  std::deque<Packet> packets_;
+  milliseconds time_{0};
+  std::uint64_t sequence_ = 0;
+};
+
+// Guards against permits beyond an upstream's room when several hosts ask, and
+// against an expiry computed from another host's clock.
+TEST_CASE("SchedulerCore grants to all hosts of a data centre") {
+  Hosts hosts({"a", "a", "a"}, 4, 0);
+  for (std::size_t it = 0; it < 9; ++it) {
+    hosts.Request(it % 3, 0, seconds(60));
+  }
+  hosts.Run(milliseconds(600));
+  CHECK(hosts.InUse() == 4);
+  hosts.Run(seconds(20));
+  CHECK(hosts.InUse() == 4);
+  while (hosts.InUse() > 0) {
+    for (std::size_t it = 0; it < 3; ++it) {
+      while (!hosts[it].granted.empty()) {
+        hosts.End(it, hosts[it].granted.begin()->first);
+      }
+    }
+    hosts.Run(milliseconds(100));
+    CHECK(hosts.InUse() <= 4);
+  }
+  for (std::size_t it = 0; it < 3; ++it) {
+    CHECK(hosts[it].core->IsIdle());
+    CHECK(hosts[it].expired_grants == 0);
+  }
+}
+
+// Guards against a takeover that forgets waiting requests, ignores permits in
+// use, or waits for its time limit although all members have reported.
+TEST_CASE("SchedulerCore takes a group over from a lost host") {
+  Hosts hosts({"a", "a", "a", "a"}, 3, 0);
+  hosts.Run(milliseconds(600));
+  const std::size_t scheduler = hosts.SchedulerIndex();
+  REQUIRE(scheduler < hosts.size());
+  std::vector<std::size_t> others;
+  for (std::size_t it = 0; it < hosts.size(); ++it) {
+    if (it != scheduler) {
+      others.push_back(it);
+      hosts.Request(it, 0, seconds(60));
+      hosts.Request(it, 0, seconds(60));
+    }
+  }
+  hosts.Run(milliseconds(100));
+  CHECK(hosts.InUse() == 3);
+  hosts.Stop(scheduler);
+  hosts.Run(milliseconds(100));
+  CHECK(hosts.InUse() == 3);
+  for (const std::size_t it : others) {
+    while (!hosts[it].granted.empty()) {
+      hosts.End(it, hosts[it].granted.begin()->first);
+    }
+  }
+  hosts.Run(milliseconds(50));
+  CHECK(hosts.InUse() == 3);
+}
+
+// Guards against a capacity refusal while a sibling group has room (I2).
+TEST_CASE("SchedulerCore sends a request to a sibling with room") {
+  Hosts hosts({"a", "b"}, 1, 0);
+  hosts.Run(milliseconds(600));
+  // A steady stream of requests keeps "a" saturated, so that sheds begin.
+  for (int it = 0; it < 400; ++it) {
+    hosts.Request(0, 2, milliseconds(1500));
+    hosts.Run(milliseconds(20));
+    if (!hosts[0].granted.empty() && it % 5 == 0) {
+      hosts.End(0, hosts[0].granted.begin()->first);
+    }
+  }
+  hosts.Run(seconds(4));
+  const std::string dump = hosts[0].core->Dump(hosts.Now(0));
+  CHECK(dump.find("\"redirects\":0") == std::string::npos);
+  int shed = 0;
+  for (const auto& [sequence, it] : hosts[0].refused) {
+    if (it.kind == RefusalKind::kCapacity) {
+      ++shed;
+      CHECK(it.message.find("1 of 1 answered") != std::string::npos);
+    }
+  }
+  CHECK(shed > 0);
+}
+
+// Guards against requests that are never answered and slots that are never
+// freed when batches are lost.
+TEST_CASE("SchedulerCore answers every request under loss") {
+  Hosts hosts({"a", "a", "a"}, 2, 0.3);
+  for (int it = 0; it < 300; ++it) {
+    hosts.Request(static_cast<std::size_t>(it % 3), 1, seconds(8));
+    hosts.Run(milliseconds(30));
+    for (std::size_t host = 0; host < 3; ++host) {
+      if (!hosts[host].granted.empty()) {
+        hosts.End(host, hosts[host].granted.begin()->first);
+      }
+    }
+  }
+  for (int it = 0; it < 200; ++it) {
+    hosts.Run(milliseconds(100));
+    for (std::size_t host = 0; host < 3; ++host) {
+      while (!hosts[host].granted.empty()) {
+        hosts.End(host, hosts[host].granted.begin()->first);
+      }
+    }
+  }
+  for (std::size_t host = 0; host < 3; ++host) {
+    CHECK(hosts[host].core->IsIdle());
+    CHECK(hosts[host].core->Dump(hosts.Now(host)).find("\"in_use\":0") !=
+          std::string::npos);
+  }
+}
+
+// Guards against fields lost on the wire and against a crash on foreign bytes.
+TEST_CASE("SchedulerBatch survives the wire and rejects other bytes") {
+  const PermitRequest request{.id = {.incarnation = {1, 2}, .sequence = 3},
+                              .target = "m",
+                              .workspace = "w",
+                              .tier = 4,
+                              .fingerprint = {5, 6},
+                              .prompt_tokens = 7,
+                              .prefix_hashes = {8, 9},
+                              .time_left = milliseconds(10),
+                              .excluded = {"u"}};
+  const std::string payload = EncodeBatch(
+      {.clock = std::chrono::nanoseconds(11),
+       .messages = {
+           {.target = "m", .body = request},
+           {.target = "m",
+            .body = GrantMessage{.permit = {.sequence = 12},
+                                 .upstream = "u",
+                                 .address = "127.0.0.1:1",
+                                 .echo = std::chrono::nanoseconds(13)}}}});
+  const Result<SchedulerBatch> batch = DecodeBatch(payload);
+  REQUIRE(batch.has_value());
+  CHECK(EncodeBatch(batch.value()) == payload);
+  const auto& read = std::get<PermitRequest>(batch.value().messages[0].body);
+  CHECK(read.prefix_hashes == request.prefix_hashes);
+  CHECK(read.excluded == request.excluded);
+  for (const std::string& it :
+       {std::string(), std::string("x"), payload.substr(0, 24),
+        std::string(64, '\xff')}) {
+    CHECK_FALSE(DecodeBatch(it).has_value());
+  }
+}
+
+}  // namespace
+}  // namespace flamingogauge
--- a/tests/auto/scheduling/tst_group_scheduler.cc
+++ b/tests/auto/scheduling/tst_group_scheduler.cc
@@ -166,6 +166,10 @@
   group.End(alone[0], PermitEnd::kCrashed);
   group.Grants();
   CHECK(group.quarantined == 1);
+  group.now += milliseconds(200);
+  CHECK(group.Grants().empty());
+  REQUIRE(group.refusals.size() == 1);
+  CHECK(group.refusals[0].refusal.kind == RefusalKind::kQuarantined);
 }
 
 // Guards against retries that exceed their budget, come without a pause, or
