--- /dev/null
+++ b/src/libs/membership/member_table.cc
@@ -0,0 +1,169 @@
+#include "libs/membership/member_table.h"
+
+#include <string>
+#include <tuple>
+
+#include "libs/kernel/check.h"
+#include "libs/kernel/random.h"
+#include "libs/model/fingerprint.h"
+
+namespace flamingogauge {
+namespace {
+
+int Rank(MemberState state) {
+  switch (state) {
+    case MemberState::kAlive:
+      return 0;
+    case MemberState::kLeaving:
+      return 1;
+    case MemberState::kSuspected:
+      return 2;
+    case MemberState::kDead:
+      return 3;
+  }
+  return 3;
+}
+
+auto Key(const MemberEntry& entry) {
+  return std::tuple(entry.epoch, entry.member.incarnation, entry.member.life,
+                    Rank(entry.member.state));
+}
+
+bool IsDoubted(MemberState state) {
+  return state == MemberState::kSuspected || state == MemberState::kDead;
+}
+
+// Dead entries do not count, because hosts forget them at different times.
+std::uint64_t EntryHash(const MemberEntry& entry) {
+  if (entry.member.state == MemberState::kDead) {
+    return 0;
+  }
+  const std::uint64_t host = ComputeContentHash(entry.member.host).low;
+  std::uint64_t hash = Random(host ^ entry.member.incarnation.high).Next();
+  hash = Random(hash ^ entry.member.incarnation.low).Next();
+  return Random(hash ^ (std::uint64_t{entry.member.life} << 8) ^
+                static_cast<std::uint64_t>(Rank(entry.member.state)))
+      .Next();
+}
+
+std::string Describe(const MemberEntry& entry) {
+  return entry.member.host + " incarnation " +
+         ToString(entry.member.incarnation) + " life " +
+         std::to_string(entry.member.life) + " state rank " +
+         std::to_string(Rank(entry.member.state));
+}
+
+}  // namespace
+
+bool Overrides(const MemberEntry& b, const MemberEntry& a) {
+  return Key(b) > Key(a);
+}
+
+bool MemberTable::Merge(const MemberEntry& entry,
+                        const HostId& from,
+                        MonotonicTime now) {
+  const auto [it, inserted] = records_.try_emplace(entry.member.host);
+  Record& record = it->second;
+  if (!inserted && !Overrides(entry, record.entry)) {
+    return false;
+  }
+  const MemberEntry previous = record.entry;
+  const bool was_doubted = !inserted && IsDoubted(previous.member.state);
+  digest_ ^= inserted ? 0 : EntryHash(previous);
+  record.entry = entry;
+  digest_ ^= EntryHash(entry);
+  if (IsDoubted(entry.member.state) && !was_doubted) {
+    record.doubted_since = now;
+  }
+  record.changed_at = now;
+  CHECK_INVARIANT(
+      "M1",
+      inserted || previous.member.state != MemberState::kDead ||
+          std::tuple(entry.epoch, entry.member.incarnation, entry.member.life) >
+              std::tuple(previous.epoch, previous.member.incarnation,
+                         previous.member.life),
+      "a dead life returns: " + Describe(previous) + " to " + Describe(entry));
+  Log(&record, from);
+  return true;
+}
+
+void MemberTable::SetState(const HostId& host,
+                           MemberState state,
+                           MonotonicTime now) {
+  const Record* record = Find(host);
+  if (record != nullptr) {
+    MemberEntry entry = record->entry;
+    entry.member.state = state;
+    Merge(entry, HostId(), now);
+  }
+}
+
+const MemberTable::Record* MemberTable::Find(const HostId& host) const {
+  const auto it = records_.find(host);
+  return it == records_.end() ? nullptr : &it->second;
+}
+
+std::uint64_t MemberTable::CollectChanges(
+    std::uint64_t base,
+    const HostId& receiver,
+    std::size_t limit,
+    MonotonicTime dead_after,
+    std::vector<MemberEntry>* changes) const {
+  std::uint64_t reached = base;
+  std::size_t collected = 0;
+  for (auto it = log_.upper_bound(base); it != log_.end(); ++it) {
+    const Record& record = records_.at(it->second);
+    const bool is_old_death = base == 0 &&
+                              record.entry.member.state == MemberState::kDead &&
+                              record.changed_at < dead_after;
+    if (record.learned_from != receiver && !is_old_death) {
+      if (collected == limit) {
+        return reached;
+      }
+      changes->push_back(record.entry);
+      ++collected;
+    }
+    reached = it->first;
+  }
+  return head_;
+}
+
+void MemberTable::Forget(MonotonicTime dead_before, std::size_t max_entries) {
+  auto oldest = records_.end();
+  for (auto it = records_.begin(); it != records_.end();) {
+    const auto here = it++;
+    if (here->second.entry.member.state != MemberState::kDead) {
+      continue;
+    }
+    if (here->second.changed_at < dead_before) {
+      Erase(here);
+    } else if (oldest == records_.end() ||
+               here->second.changed_at < oldest->second.changed_at) {
+      oldest = here;
+    }
+  }
+  if (records_.size() > max_entries && oldest != records_.end()) {
+    Erase(oldest);
+  }
+}
+
+void MemberTable::ShiftDoubts(Duration gap) {
+  for (auto& [host, record] : records_) {
+    record.doubted_since += gap;
+  }
+}
+
+void MemberTable::Erase(Records::iterator it) {
+  digest_ ^= EntryHash(it->second.entry);
+  log_.erase(it->second.sequence);
+  records_.erase(it);
+}
+
+void MemberTable::Log(Record* record, const HostId& from) {
+  log_.erase(record->sequence);
+  record->sequence = ++head_;
+  record->learned_from = from;
+  log_.emplace(record->sequence, record->entry.member.host);
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/libs/membership/topology.cc
@@ -0,0 +1,92 @@
+#include "libs/membership/topology.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libs/model/rendezvous.h"
+
+namespace flamingogauge {
+namespace {
+
+constexpr char kRingKey[] = "membership.ring";
+constexpr char kGatewayKey[] = "membership.gateway";
+
+std::vector<HostId> Successors(const HostId& self,
+                               std::vector<HostId> hosts,
+                               std::size_t limit) {
+  const std::vector<HostId> ring = RendezvousOrder(kRingKey, std::move(hosts));
+  const auto here = std::find(ring.begin(), ring.end(), self);
+  const auto position = static_cast<std::size_t>(here - ring.begin());
+  std::vector<HostId> successors;
+  for (std::size_t n = 1; n < ring.size() && n <= limit; ++n) {
+    successors.push_back(ring[(position + n) % ring.size()]);
+  }
+  return successors;
+}
+
+// Gateway number n of one data centre talks to number n of the other, or to its
+// last one when it has fewer.
+bool ArePaired(std::size_t a,
+               std::size_t a_count,
+               std::size_t b,
+               std::size_t b_count) {
+  return b == std::min(a, b_count - 1) || a == std::min(b, a_count - 1);
+}
+
+// Of two data centres the one with the lower name starts the exchanges.
+std::vector<HostId> RemoteGateways(const Member& self,
+                                   const Topology& topology) {
+  const std::vector<HostId>& own = topology.gateways.at(self.data_centre);
+  const auto here = std::find(own.begin(), own.end(), self.host);
+  std::vector<HostId> result;
+  if (here == own.end()) {
+    return result;
+  }
+  const auto position = static_cast<std::size_t>(here - own.begin());
+  for (const auto& [data_centre, gateways] : topology.gateways) {
+    for (std::size_t n = 0;
+         data_centre > self.data_centre && n < gateways.size(); ++n) {
+      if (ArePaired(position, own.size(), n, gateways.size())) {
+        result.push_back(gateways[n]);
+      }
+    }
+  }
+  return result;
+}
+
+}  // namespace
+
+Topology ComputeTopology(const Member& self,
+                         const MemberTable::Records& records,
+                         const MembershipOptions& options) {
+  std::map<DataCentreId, std::vector<HostId>> candidates;
+  std::map<DataCentreId, std::vector<HostId>> present;
+  for (const auto& [host, record] : records) {
+    const Member& member = record.entry.member;
+    if (member.state == MemberState::kDead) {
+      continue;
+    }
+    present[member.data_centre].push_back(host);
+    if (member.state == MemberState::kAlive) {
+      candidates[member.data_centre].push_back(host);
+    }
+  }
+  Topology topology;
+  topology.successors =
+      Successors(self.host, present[self.data_centre], options.ring_successors);
+  for (auto& [data_centre, hosts] : present) {
+    // Without any host that is plainly alive, the others have to do.
+    std::vector<HostId>& chosen = candidates[data_centre];
+    std::vector<HostId> order =
+        RendezvousOrder(kGatewayKey, chosen.empty() ? hosts : chosen);
+    order.resize(std::min(order.size(), options.gateways));
+    topology.gateways.emplace(data_centre, std::move(order));
+  }
+  const std::vector<HostId>& own = topology.gateways.at(self.data_centre);
+  topology.is_gateway =
+      std::find(own.begin(), own.end(), self.host) != own.end();
+  topology.remote_gateways = RemoteGateways(self, topology);
+  return topology;
+}
+
+}  // namespace flamingogauge
--- a/src/libs/model/member.h
+++ b/src/libs/model/member.h
@@ -19,6 +19,9 @@
   std::string peer_address;
   Incarnation incarnation;
   MemberState state = MemberState::kAlive;
+  // Raised by the process itself, for example to refute a verdict. A dead life
+  // of an incarnation never returns.
+  std::uint32_t life = 0;
   // The document revision it has in force, 0 for none.
   std::uint64_t document_revision = 0;
 };
--- a/src/libs/services/membership_view.h
+++ b/src/libs/services/membership_view.h
@@ -33,6 +33,10 @@
 
   // Sets the document revision told to the other hosts. Safe from any thread.
   virtual void SetDocumentRevision(std::uint64_t revision) = 0;
+
+  // Tells the other hosts that this one leaves and takes no new work. Called
+  // by main when a stop begins, because the peers plugin drains last.
+  virtual void AnnounceLeaving() {}
 };
 
 }  // namespace flamingogauge
--- /dev/null
+++ b/src/plugins/peers/heartbeat_codec.cc
@@ -0,0 +1,113 @@
+#include "plugins/peers/heartbeat_codec.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
+#include <algorithm>
+#include <cstdint>
+
+#include "plugins/peers/peer_connection.h"
+#include "protocol/membership.capnp.h"
+
+namespace flamingogauge {
+namespace {
+
+void WriteBits(const Incarnation& from, wire::Bits128::Builder to) {
+  to.setHigh(from.high);
+  to.setLow(from.low);
+}
+
+Incarnation ReadBits(wire::Bits128::Reader from) {
+  return {.high = from.getHigh(), .low = from.getLow()};
+}
+
+void WriteEntry(const MemberEntry& from, wire::MemberEntry::Builder to) {
+  WriteHostInfo(from.member, to.initHost());
+  to.setState(static_cast<std::uint8_t>(from.member.state));
+  to.setLife(from.member.life);
+  to.setEpoch(from.epoch);
+  to.setDocumentRevision(from.member.document_revision);
+  auto unreachable =
+      to.initUnreachable(static_cast<unsigned>(from.unreachable.size()));
+  for (unsigned n = 0; n < from.unreachable.size(); ++n) {
+    unreachable.set(n, from.unreachable[n]);
+  }
+}
+
+MemberEntry ReadEntry(wire::MemberEntry::Reader from) {
+  MemberEntry entry{.member = ReadHostInfo(from.getHost()),
+                    .epoch = from.getEpoch(),
+                    .unreachable = {}};
+  // A state that this version does not know is treated as the last known one.
+  entry.member.state = static_cast<MemberState>(std::min<std::uint8_t>(
+      from.getState(), static_cast<std::uint8_t>(MemberState::kDead)));
+  entry.member.life = from.getLife();
+  entry.member.document_revision = from.getDocumentRevision();
+  for (const auto& it : from.getUnreachable()) {
+    entry.unreachable.emplace_back(it.cStr());
+  }
+  return entry;
+}
+
+Heartbeat ReadHeartbeat(wire::Heartbeat::Reader from) {
+  Heartbeat heartbeat{
+      .from = from.getFrom().cStr(),
+      .incarnation = ReadBits(from.getIncarnation()),
+      .counter = from.getCounter(),
+      .document_revision = from.getDocumentRevision(),
+      .base = from.getBase(),
+      .sequence = from.getSequence(),
+      .log_head = from.getLogHead(),
+      .acknowledged = from.getAcknowledged(),
+      .acknowledged_incarnation = ReadBits(from.getAcknowledgedIncarnation()),
+      .digest = from.getDigest(),
+      .changes = {}};
+  for (const auto& it : from.getChanges()) {
+    heartbeat.changes.push_back(ReadEntry(it));
+  }
+  return heartbeat;
+}
+
+}  // namespace
+
+std::string EncodeHeartbeat(const Heartbeat& heartbeat) {
+  capnp::MallocMessageBuilder message;
+  auto to = message.initRoot<wire::Heartbeat>();
+  to.setFrom(heartbeat.from);
+  WriteBits(heartbeat.incarnation, to.initIncarnation());
+  to.setCounter(heartbeat.counter);
+  to.setDocumentRevision(heartbeat.document_revision);
+  to.setBase(heartbeat.base);
+  to.setSequence(heartbeat.sequence);
+  to.setLogHead(heartbeat.log_head);
+  to.setAcknowledged(heartbeat.acknowledged);
+  WriteBits(heartbeat.acknowledged_incarnation,
+            to.initAcknowledgedIncarnation());
+  to.setDigest(heartbeat.digest);
+  auto changes =
+      to.initChanges(static_cast<unsigned>(heartbeat.changes.size()));
+  for (unsigned n = 0; n < heartbeat.changes.size(); ++n) {
+    WriteEntry(heartbeat.changes[n], changes[n]);
+  }
+  kj::VectorOutputStream output;
+  capnp::writePackedMessage(output, message);
+  const auto chars = output.getArray().asChars();
+  return {chars.begin(), chars.size()};
+}
+
+Result<Heartbeat> DecodeHeartbeat(const std::string& bytes) {
+  try {
+    kj::ArrayInputStream input(
+        kj::StringPtr(bytes.c_str(), bytes.size()).asBytes());
+    capnp::PackedMessageReader reader(input, PeerReaderOptions());
+    return ReadHeartbeat(reader.getRoot<wire::Heartbeat>());
+  } catch (const kj::Exception& exception) {
+    return Error{.code = ErrorCode::kInvalidArgument,
+                 .step = "decode heartbeat",
+                 .peer = {},
+                 .message = exception.getDescription().cStr()};
+  }
+}
+
+}  // namespace flamingogauge
--- a/src/plugins/peers/peer_connection.cc
+++ b/src/plugins/peers/peer_connection.cc
@@ -80,8 +80,9 @@
                           .low = reader.getIncarnation().getLow()}};
 }
 
-PeerConnection::PeerConnection(kj::Own<kj::AsyncIoStream> stream)
-    : stream_(kj::mv(stream)),
+PeerConnection::PeerConnection(kj::Own<kj::AsyncIoStream> stream,
+                               TrafficMeter& meter)
+    : stream_(kj::mv(stream), meter),
       network_(*stream_,
                capnp::rpc::twoparty::Side::CLIENT,
                PeerReaderOptions()),
@@ -94,14 +95,15 @@
     kj::Network& network,
     const std::string& address,
     const std::string& token,
-    const Member& self) {
+    const Member& self,
+    TrafficMeter& meter) {
   return network.parseAddress(address.c_str())
       .then([](kj::Own<kj::NetworkAddress> parsed) {
         auto connected = parsed->connect();
         return connected.attach(kj::mv(parsed));
       })
-      .then([token, self](kj::Own<kj::AsyncIoStream> stream) {
-        auto connection = kj::refcounted<PeerConnection>(kj::mv(stream));
+      .then([token, self, &meter](kj::Own<kj::AsyncIoStream> stream) {
+        auto connection = kj::refcounted<PeerConnection>(kj::mv(stream), meter);
         auto greeted = connection->SayHello(token, self);
         return greeted.then([connection = kj::mv(connection)]() mutable {
           return kj::mv(connection);
--- a/src/plugins/peers/peer_connection.h
+++ b/src/plugins/peers/peer_connection.h
@@ -8,6 +8,7 @@
 
 #include "libs/kernel/error.h"
 #include "libs/model/member.h"
+#include "plugins/peers/traffic.h"
 #include "protocol/peer.capnp.h"
 
 namespace flamingogauge {
@@ -33,13 +34,14 @@
 // promises are rejected with a kj exception when the connection breaks.
 class PeerConnection : public kj::Refcounted {
  public:
-  explicit PeerConnection(kj::Own<kj::AsyncIoStream> stream);
+  PeerConnection(kj::Own<kj::AsyncIoStream> stream, TrafficMeter& meter);
 
   // Connects to `address` and presents the token.
   static kj::Promise<kj::Own<PeerConnection>> Open(kj::Network& network,
                                                    const std::string& address,
                                                    const std::string& token,
-                                                   const Member& self);
+                                                   const Member& self,
+                                                   TrafficMeter& meter);
 
   kj::Own<PeerConnection> addRef() { return kj::addRef(*this); }
 
@@ -54,7 +56,7 @@
  private:
   kj::Promise<void> SayHello(const std::string& token, const Member& self);
 
-  kj::Own<kj::AsyncIoStream> stream_;
+  MeteredStream stream_;
   capnp::TwoPartyVatNetwork network_;
   capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc_;
   wire::Peer::Client client_;
--- a/src/plugins/peers/peer_node.cc
+++ b/src/plugins/peers/peer_node.cc
@@ -1,34 +1,23 @@
 #include "plugins/peers/peer_node.h"
 
-#include <capnp/message.h>
-#include <capnp/serialize.h>
-
+#include <algorithm>
+#include <string_view>
 #include <utility>
-#include <vector>
 
-#include "protocol/membership.capnp.h"
+#include "plugins/peers/heartbeat_codec.h"
 
 namespace flamingogauge {
 namespace {
 
-constexpr char kIntroductionChannel[] = "peers.introduction";
-constexpr std::chrono::milliseconds kExchangeInterval{500};
-constexpr std::chrono::milliseconds kConnectTimeLimit{1000};
-// After this silence a host is no longer listed.
-constexpr auto kSilenceLimit = 3 * kj::SECONDS;
+constexpr char kMembershipChannel[] = "peers.membership";
+constexpr std::chrono::milliseconds kHeartbeatTimeLimit{1000};
 // How long a handler may take to reply; longer than any call's time limit.
 constexpr auto kReplyTimeLimit = 120 * kj::SECONDS;
+constexpr auto kReplyCheckInterval = 5 * kj::SECONDS;
+// Time for the news that this host leaves to reach its neighbours.
+constexpr auto kLeaveTime = 300 * kj::MILLISECONDS;
 constexpr std::size_t kMaxCallsInFlight = 16384;
 
-kj::Duration ToKj(std::chrono::milliseconds duration) {
-  return duration.count() * kj::MILLISECONDS;
-}
-
-// Rejects the promise in whose continuation it is called.
-[[noreturn]] void Fail(const char* reason) {
-  kj::throwFatalException(KJ_EXCEPTION(FAILED, reason));
-}
-
 Error CallError(ErrorCode code, const std::string& peer, std::string message) {
   return Error{.code = code,
                .step = "call peer",
@@ -36,32 +25,64 @@
                .message = std::move(message)};
 }
 
+std::uint64_t WallClockMilliseconds() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+std::string_view StateName(MemberState state) {
+  switch (state) {
+    case MemberState::kAlive:
+      return "alive";
+    case MemberState::kSuspected:
+      return "suspected";
+    case MemberState::kLeaving:
+      return "leaving";
+    case MemberState::kDead:
+      return "dead";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 PeerNode::PeerNode(kj::AsyncIoContext& io,
                    const PeersSettings& settings,
-                   Member self,
+                   const Member& self,
                    int listen_fd,
                    std::weak_ptr<EventLoop> loop,
-                   std::shared_ptr<PeersShared> shared)
+                   std::shared_ptr<PeersShared> shared,
+                   HostList* host_list)
     : io_(io),
       timer_(io.provider->getTimer()),
       settings_(settings),
-      self_(std::move(self)),
+      self_(self),
       loop_(std::move(loop)),
       shared_(std::move(shared)),
+      host_list_(host_list),
       listener_(io.lowLevelProvider->wrapListenSocketFd(
           listen_fd,
           kj::LowLevelAsyncIoProvider::TAKE_OWNERSHIP |
               kj::LowLevelAsyncIoProvider::ALREADY_CLOEXEC)),
+      membership_(self,
+                  WallClockMilliseconds(),
+                  MembershipOptions(),
+                  std::chrono::steady_clock::now()),
+      links_(io, self, settings.token, *shared_, meter_),
       tasks_(*this) {
+  membership_.SetSeeds(settings_.seeds);
   dispatch_ = [this](const Member& from, const std::string& channel,
                      std::string payload) {
     return Dispatch(from, channel, std::move(payload));
   };
-  Publish();
   tasks_.add(AcceptConnections());
-  tasks_.add(ExchangeHosts());
+  tasks_.add(Tick());
+  tasks_.add(ExpireReplies());
+  if (host_list_ != nullptr) {
+    tasks_.add(FetchHostList());
+  }
 }
 
 void PeerNode::taskFailed(kj::Exception&& exception) {
@@ -73,109 +94,12 @@
   return listener_->accept().then([this](kj::Own<kj::AsyncIoStream> stream) {
     ++shared_->connections_accepted;
     tasks_.add(ServeConnection(
-        kj::mv(stream),
-        kj::heap<PeerServer>(self_, settings_.token, dispatch_)));
+        kj::mv(stream), kj::heap<PeerServer>(self_, settings_.token, dispatch_),
+        meter_, timer_));
     return AcceptConnections();
   });
 }
 
-kj::Promise<kj::Own<PeerConnection>> PeerNode::GetConnection(
-    const std::string& address) {
-  Link& link = links_[address];
-  if (link.ready.get() != nullptr) {
-    return link.ready->addRef();
-  }
-  KJ_IF_MAYBE (opening, link.opening) {
-    return opening->addBranch();
-  }
-  auto opening = OpenConnection(address).fork();
-  auto branch = opening.addBranch();
-  link.opening = kj::mv(opening);
-  return branch;
-}
-
-kj::Promise<kj::Own<PeerConnection>> PeerNode::OpenConnection(
-    const std::string& address) {
-  auto limit = timer_.afterDelay(ToKj(kConnectTimeLimit))
-                   .then([]() -> kj::Own<PeerConnection> {
-                     Fail("no answer within the time limit");
-                   });
-  // The link is changed in a later turn, when nobody runs inside its promise.
-  return PeerConnection::Open(io_.provider->getNetwork(), address,
-                              settings_.token, self_)
-      .exclusiveJoin(kj::mv(limit))
-      .then(
-          [this, address](kj::Own<PeerConnection> connection)
-              -> kj::Promise<kj::Own<PeerConnection>> {
-            ++shared_->connections_opened;
-            tasks_.add(kj::evalLater(
-                [this, address, opened = connection->addRef()]() mutable {
-                  Link& link = links_[address];
-                  link.opening = nullptr;
-                  link.ready = kj::mv(opened);
-                  WatchConnection(address, *link.ready);
-                }));
-            return kj::mv(connection);
-          },
-          [this, address](kj::Exception&& exception) {
-            tasks_.add(
-                kj::evalLater([this, address] { links_.erase(address); }));
-            return kj::Promise<kj::Own<PeerConnection>>(kj::mv(exception));
-          });
-}
-
-void PeerNode::WatchConnection(const std::string& address,
-                               PeerConnection& connection) {
-  // kj keeps a reference to a function that is not passed as an rvalue.
-  auto forget = [this, address, watched = &connection] {
-    const auto it = links_.find(address);
-    if (it != links_.end() && it->second.ready.get() == watched) {
-      links_.erase(it);
-    }
-  };
-  tasks_.add(connection.OnDisconnect()
-                 .catch_([](kj::Exception&&) {})
-                 .then(std::move(forget)));
-}
-
-kj::Promise<CallResult> PeerNode::CallAddress(
-    const std::string& address,
-    const HostId& expected_host,
-    const std::string& channel,
-    const std::string& payload,
-    std::chrono::milliseconds time_limit) {
-  ++shared_->calls_sent;
-  const auto was_sent = std::make_shared<bool>(false);
-  const std::string peer =
-      expected_host.empty() ? address : expected_host + " at " + address;
-  // Nothing was delivered before the request was handed to a connection; after
-  // that the peer may have handled it.
-  const auto failure = [this, was_sent, peer](const std::string& reason) {
-    ++shared_->calls_failed;
-    return CallResult(
-        CallError(*was_sent ? ErrorCode::kTimeout : ErrorCode::kUnavailable,
-                  peer, reason));
-  };
-  auto limit = timer_.afterDelay(ToKj(time_limit)).then([failure, time_limit] {
-    return failure("no answer within " + std::to_string(time_limit.count()) +
-                   " ms");
-  });
-  return GetConnection(address)
-      .then([was_sent, channel, payload,
-             expected_host](kj::Own<PeerConnection> connection) {
-        if (!expected_host.empty() &&
-            connection->peer().host != expected_host) {
-          Fail("another host answers at this address");
-        }
-        *was_sent = true;
-        return connection->Call(channel, payload);
-      })
-      .catch_([failure](kj::Exception&& exception) {
-        return failure(exception.getDescription().cStr());
-      })
-      .exclusiveJoin(kj::mv(limit));
-}
-
 void PeerNode::Call(const HostId& host,
                     const std::string& channel,
                     const std::string& payload,
@@ -188,16 +112,15 @@
                            std::to_string(kMaxPayloadBytes) + " bytes"));
     return;
   }
-  const auto it = hosts_.find(host);
-  if (host != self_.host && it == hosts_.end()) {
+  const auto it = addresses_.find(host);
+  if (host != self_.host && it == addresses_.end()) {
     callback(CallError(ErrorCode::kNotFound, host, "unknown host"));
     return;
   }
   ++calls_in_flight_;
-  auto result = host == self_.host
-                    ? Dispatch(self_, channel, payload)
-                    : CallAddress(it->second.member.peer_address, host, channel,
-                                  payload, time_limit);
+  auto result = host == self_.host ? Dispatch(self_, channel, payload)
+                                   : links_.Call(it->second, host, channel,
+                                                 payload, time_limit);
   tasks_.add(
       result.then([this, callback = std::move(callback)](CallResult outcome) {
         --calls_in_flight_;
@@ -209,20 +132,29 @@
                                            const std::string& channel,
                                            std::string payload) {
   ++shared_->calls_received;
-  if (channel == kIntroductionChannel) {
-    Heard(from);
-    LearnHosts(payload);
-    return CallResult(Introduce());
+  if (channel == kMembershipChannel) {
+    return AnswerHeartbeat(payload);
+  }
+  if (channel == kPingChannel) {
+    return CallResult(std::string());
   }
   const PeerTransport::Handler handler = shared_->FindHandler(channel);
   if (!handler) {
     return CallResult(CallError(ErrorCode::kNotFound, self_.host,
                                 "unknown channel " + channel));
   }
+  return CallHandler(from, handler, std::move(payload));
+}
+
+kj::Promise<CallResult> PeerNode::CallHandler(
+    const Member& from,
+    const PeerTransport::Handler& handler,
+    std::string payload) {
   const std::uint64_t id = next_reply_++;
   auto pair = kj::newPromiseAndFulfiller<CallResult>();
-  replies_.emplace(id, kj::mv(pair.fulfiller));
-  tasks_.add(ExpireReply(id));
+  replies_.emplace(id,
+                   PendingReply{.fulfiller = kj::mv(pair.fulfiller),
+                                .expires_at = timer_.now() + kReplyTimeLimit});
   handler(from.host, std::move(payload),
           [this, id, loop = loop_, shared = shared_](const CallResult& result) {
             const auto target = loop.lock();
@@ -240,108 +172,156 @@
   if (it == replies_.end()) {
     return;
   }
-  it->second->fulfill(kj::mv(result));
+  it->second.fulfiller->fulfill(kj::mv(result));
   replies_.erase(it);
 }
 
-kj::Promise<void> PeerNode::ExpireReply(std::uint64_t id) {
-  return timer_.afterDelay(kReplyTimeLimit).then([this, id] {
-    CompleteReply(id, CallError(ErrorCode::kInternal, self_.host,
-                                "the handler did not reply"));
+kj::Promise<void> PeerNode::ExpireReplies() {
+  return timer_.afterDelay(kReplyCheckInterval).then([this] {
+    // Ids rise with time, and every reply has the same time limit.
+    while (!replies_.empty() &&
+           replies_.begin()->second.expires_at <= timer_.now()) {
+      CompleteReply(replies_.begin()->first,
+                    CallError(ErrorCode::kInternal, self_.host,
+                              "the handler did not reply"));
+    }
+    return ExpireReplies();
   });
 }
 
-kj::Promise<void> PeerNode::ExchangeHosts() {
-  std::vector<std::string> addresses = settings_.seeds;
-  for (const auto& [host, known] : hosts_) {
-    addresses.push_back(known.member.peer_address);
-  }
-  for (const std::string& address : addresses) {
-    if (address == self_.peer_address) {
-      continue;
-    }
-    tasks_.add(CallAddress(address, "", kIntroductionChannel, Introduce(),
-                           kConnectTimeLimit)
-                   .then([this, address](CallResult result) {
-                     const auto it = links_.find(address);
-                     if (result && it != links_.end() &&
-                         it->second.ready.get() != nullptr) {
-                       Heard(it->second.ready->peer());
-                       LearnHosts(result.value());
-                     }
-                   }));
+kj::Promise<void> PeerNode::Tick() {
+  membership_.SetDocumentRevision(shared_->document_revision);
+  for (const HeartbeatAction& it :
+       membership_.Tick(std::chrono::steady_clock::now())) {
+    SendHeartbeat(it);
   }
   Publish();
-  return timer_.afterDelay(ToKj(kExchangeInterval)).then([this] {
-    return ExchangeHosts();
-  });
+  PublishTraffic();
+  if (membership_.is_replaced() && !is_replacement_logged_) {
+    is_replacement_logged_ = true;
+    log_.Error("another process has taken over the name " + self_.host);
+  }
+  return timer_.afterDelay(Membership::kTickInterval.count() * kj::MILLISECONDS)
+      .then([this] { return Tick(); });
 }
 
-std::string PeerNode::Introduce() const {
-  capnp::MallocMessageBuilder message;
-  auto hosts = message.initRoot<wire::Introduction>().initHosts(
-      static_cast<unsigned>(hosts_.size()));
-  unsigned n = 0;
-  for (const auto& [host, known] : hosts_) {
-    WriteHostInfo(known.member, hosts[n++]);
+void PeerNode::PublishTraffic() {
+  // Asking the kernel for each connection is left to every 20th tick, 1 s.
+  if (ticks_++ % 20 != 0) {
+    return;
   }
-  const auto words = capnp::messageToFlatArray(message);
-  const auto chars = words.asChars();
-  return {chars.begin(), chars.size()};
+  const Traffic total = meter_.Total();
+  shared_->bytes_sent = total.bytes_sent;
+  shared_->bytes_received = total.bytes_received;
+  shared_->segments_sent = total.segments_sent;
+  shared_->segments_received = total.segments_received;
+  shared_->open_connections = meter_.OpenConnections();
 }
 
-void PeerNode::LearnHosts(const std::string& introduction) {
-  // The reader needs aligned words.
-  auto words = kj::heapArray<capnp::word>(introduction.size() / 8);
-  memcpy(words.begin(), introduction.data(), words.asBytes().size());
-  capnp::FlatArrayMessageReader reader(words, PeerReaderOptions());
-  for (const auto& it : reader.getRoot<wire::Introduction>().getHosts()) {
-    const Member member = ReadHostInfo(it);
-    if (member.host != self_.host && hosts_.count(member.host) == 0) {
-      Heard(member);
-    }
+void PeerNode::SendHeartbeat(const HeartbeatAction& action) {
+  if (action.needs_new_connection) {
+    links_.GiveUp(action.address);
   }
+  tasks_.add(links_
+                 .Call(action.address, action.host, kMembershipChannel,
+                       EncodeHeartbeat(action.message), kHeartbeatTimeLimit)
+                 .then([this](CallResult result) {
+                   if (!result) {
+                     return;
+                   }
+                   const Result<Heartbeat> reply =
+                       DecodeHeartbeat(result.value());
+                   if (reply) {
+                     membership_.OnReply(reply.value(),
+                                         std::chrono::steady_clock::now());
+                     Publish();
+                   }
+                 }));
 }
 
-void PeerNode::Heard(const Member& member) {
-  if (member.host == self_.host) {
-    return;
+CallResult PeerNode::AnswerHeartbeat(const std::string& payload) {
+  const Result<Heartbeat> request = DecodeHeartbeat(payload);
+  if (!request) {
+    return request.error();
   }
-  hosts_.insert_or_assign(
-      member.host, KnownHost{.member = member, .last_heard = timer_.now()});
+  const Heartbeat reply =
+      membership_.OnRequest(request.value(), std::chrono::steady_clock::now());
+  Publish();
+  return EncodeHeartbeat(reply);
 }
 
 void PeerNode::Publish() {
-  auto members = std::make_shared<MemberList>();
-  members->push_back(self_);
-  for (auto it = hosts_.begin(); it != hosts_.end();) {
-    if (timer_.now() - it->second.last_heard > kSilenceLimit) {
-      log_.Warning("no answer from host " + it->first);
-      it = hosts_.erase(it);
-      continue;
-    }
-    members->push_back((it++)->second.member);
-  }
-  const auto previous = shared_->Current();
-  const bool is_same =
-      std::equal(members->begin(), members->end(), previous->begin(),
-                 previous->end(), [](const Member& a, const Member& b) {
-                   return a.host == b.host && a.incarnation == b.incarnation;
-                 });
-  if (is_same) {
+  const std::shared_ptr<const MemberList> members = membership_.view();
+  const std::shared_ptr<const MemberList> previous = shared_->Current();
+  if (members == previous) {
     return;
   }
-  log_.Info(std::to_string(members->size()) + " members");
+  LogChanges(*previous, *members);
+  addresses_.clear();
+  for (const Member& it : *members) {
+    addresses_[it.host] = it.peer_address;
+  }
   shared_->Publish(members);
   for (const MembershipView::Listener& it : shared_->Listeners()) {
     it(members);
   }
 }
 
+void PeerNode::LogChanges(const MemberList& previous,
+                          const MemberList& members) {
+  std::unordered_map<HostId, const Member*> before;
+  for (const Member& it : previous) {
+    before[it.host] = &it;
+  }
+  for (const Member& it : members) {
+    const auto found = before.find(it.host);
+    if (found == before.end() || found->second->incarnation != it.incarnation ||
+        found->second->state != it.state) {
+      log_.Info("host " + it.host + " is " + std::string(StateName(it.state)));
+    }
+  }
+}
+
 void PeerNode::CallNewListeners() {
   for (const MembershipView::Listener& it : shared_->TakeNewListeners()) {
     it(shared_->Current());
   }
 }
 
+void PeerNode::AnnounceLeaving(std::function<void()> done) {
+  membership_.AnnounceLeaving(std::chrono::steady_clock::now());
+  Publish();
+  tasks_.add(timer_.afterDelay(kLeaveTime).then(std::move(done)));
+}
+
+kj::Promise<void> PeerNode::FetchHostList() {
+  host_list_->Fetch(
+      [this, loop = loop_](Result<std::vector<ListedHost>> listed) {
+        const auto target = loop.lock();
+        if (listed && target) {
+          // A lost list is fetched again after the interval.
+          static_cast<void>(target->Post(
+              [this, hosts = listed.value()] { LearnHostList(hosts); }));
+        }
+      });
+  const auto interval = membership_.view()->size() > 1
+                            ? settings_.host_list_interval
+                            : settings_.host_list_interval_alone;
+  return timer_.afterDelay(interval.count() * kj::MILLISECONDS).then([this] {
+    return FetchHostList();
+  });
+}
+
+void PeerNode::LearnHostList(const std::vector<ListedHost>& listed) {
+  std::vector<ContactAddress> contacts;
+  for (const ListedHost& it : listed) {
+    if (!it.leaving) {
+      contacts.push_back({.address = it.peer_address,
+                          .host = it.host,
+                          .data_centre = it.data_centre});
+    }
+  }
+  membership_.SetListedHosts(std::move(contacts));
+}
+
 }  // namespace flamingogauge
--- a/src/plugins/peers/peer_node.h
+++ b/src/plugins/peers/peer_node.h
@@ -5,33 +5,41 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 #include "libs/kernel/log.h"
+#include "libs/membership/membership.h"
 #include "libs/model/member.h"
+#include "libs/services/host_list.h"
 #include "libs/services/peer_transport.h"
 #include "plugins/peers/event_loop.h"
+#include "plugins/peers/link_table.h"
 #include "plugins/peers/peer_connection.h"
 #include "plugins/peers/peer_server.h"
 #include "plugins/peers/peers_settings.h"
 #include "plugins/peers/peers_shared.h"
+#include "plugins/peers/traffic.h"
 
 namespace flamingogauge {
 
 // The part of the plugin that lives on the peers thread: the listener, the
-// connections and the calls in flight.
+// calls in flight and the membership.
 class PeerNode final : private kj::TaskSet::ErrorHandler {
  public:
   // Takes over `listen_fd`, a listening socket. `loop` serves replies that
-  // handlers give on other threads.
+  // handlers give on other threads. `host_list` may be null.
   PeerNode(kj::AsyncIoContext& io,
            const PeersSettings& settings,
-           Member self,
+           const Member& self,
            int listen_fd,
            std::weak_ptr<EventLoop> loop,
-           std::shared_ptr<PeersShared> shared);
+           std::shared_ptr<PeersShared> shared,
+           HostList* host_list);
 
   // Calls a channel of a host; see PeerTransport::Call.
   void Call(const HostId& host,
@@ -43,56 +51,55 @@
   // Calls the listeners that were added since the last turn.
   void CallNewListeners();
 
- private:
-  // The one outgoing connection to an address, being opened or ready.
-  struct Link {
-    kj::Own<PeerConnection> ready;
-    kj::Maybe<kj::ForkedPromise<kj::Own<PeerConnection>>> opening;
-  };
-  struct KnownHost {
-    Member member;
-    kj::TimePoint last_heard;
-  };
+  // Tells the others that this host leaves; calls `done` once the heartbeats
+  // that say so had time to arrive.
+  void AnnounceLeaving(std::function<void()> done);
 
+ private:
   void taskFailed(kj::Exception&& exception) override;
 
   kj::Promise<void> AcceptConnections();
-  kj::Promise<kj::Own<PeerConnection>> GetConnection(
-      const std::string& address);
-  kj::Promise<kj::Own<PeerConnection>> OpenConnection(
-      const std::string& address);
-  void WatchConnection(const std::string& address, PeerConnection& connection);
-  kj::Promise<CallResult> CallAddress(const std::string& address,
-                                      const HostId& expected_host,
-                                      const std::string& channel,
-                                      const std::string& payload,
-                                      std::chrono::milliseconds time_limit);
   kj::Promise<CallResult> Dispatch(const Member& from,
                                    const std::string& channel,
                                    std::string payload);
+  kj::Promise<CallResult> CallHandler(const Member& from,
+                                      const PeerTransport::Handler& handler,
+                                      std::string payload);
   void CompleteReply(std::uint64_t id, CallResult result);
-  kj::Promise<void> ExpireReply(std::uint64_t id);
+  kj::Promise<void> ExpireReplies();
 
-  kj::Promise<void> ExchangeHosts();
-  std::string Introduce() const;
-  void LearnHosts(const std::string& introduction);
-  void Heard(const Member& member);
+  kj::Promise<void> Tick();
+  void SendHeartbeat(const HeartbeatAction& action);
+  CallResult AnswerHeartbeat(const std::string& payload);
   void Publish();
+  void PublishTraffic();
+  void LogChanges(const MemberList& previous, const MemberList& members);
+  kj::Promise<void> FetchHostList();
+  void LearnHostList(const std::vector<ListedHost>& listed);
 
   kj::AsyncIoContext& io_;
   kj::Timer& timer_;
-  PeersSettings settings_;
-  Member self_;
+  const PeersSettings settings_;
+  const Member self_;
   std::weak_ptr<EventLoop> loop_;
   std::shared_ptr<PeersShared> shared_;
+  HostList* host_list_;
   Logger log_{"peers"};
+  TrafficMeter meter_;
   kj::Own<kj::ConnectionReceiver> listener_;
   PeerServer::Dispatch dispatch_;
-  std::map<std::string, Link> links_;
-  std::map<HostId, KnownHost> hosts_;
-  std::map<std::uint64_t, kj::Own<kj::PromiseFulfiller<CallResult>>> replies_;
+  Membership membership_;
+  std::unordered_map<HostId, std::string> addresses_;
+  struct PendingReply {
+    kj::Own<kj::PromiseFulfiller<CallResult>> fulfiller;
+    kj::TimePoint expires_at;
+  };
+  std::map<std::uint64_t, PendingReply> replies_;
   std::uint64_t next_reply_ = 0;
   std::size_t calls_in_flight_ = 0;
+  std::uint64_t ticks_ = 0;
+  bool is_replacement_logged_ = false;
+  LinkTable links_;
   // Last, so that pending promises are dropped before what they use.
   kj::TaskSet tasks_;
 };
--- a/src/plugins/peers/peer_server.cc
+++ b/src/plugins/peers/peer_server.cc
@@ -29,12 +29,24 @@
          CRYPTO_memcmp(presented.begin(), token.data(), token.size()) == 0;
 }
 
+constexpr auto kSilenceLimit = 60 * kj::SECONDS;
+
+// Ends when `server` has had no request for the silence limit.
+kj::Promise<void> WatchSilence(PeerServer& server, kj::Timer& timer) {
+  const std::uint64_t before = server.requests();
+  return timer.afterDelay(kSilenceLimit).then([&server, &timer, before] {
+    return server.requests() == before ? kj::Promise<void>(kj::READY_NOW)
+                                       : WatchSilence(server, timer);
+  });
+}
+
 // Owns what one accepted connection needs; the stream is destroyed last.
 class AcceptedConnection {
  public:
   AcceptedConnection(kj::Own<kj::AsyncIoStream> stream,
-                     kj::Own<PeerServer> server)
-      : stream_(kj::mv(stream)),
+                     kj::Own<PeerServer> server,
+                     TrafficMeter& meter)
+      : stream_(kj::mv(stream), meter),
         network_(*stream_,
                  capnp::rpc::twoparty::Side::SERVER,
                  PeerReaderOptions()),
@@ -46,7 +58,7 @@
   kj::Promise<void> OnDisconnect() { return network_.onDisconnect(); }
 
  private:
-  kj::Own<kj::AsyncIoStream> stream_;
+  MeteredStream stream_;
   capnp::TwoPartyVatNetwork network_;
   capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc_;
 };
@@ -54,6 +66,7 @@
 }  // namespace
 
 kj::Promise<void> PeerServer::hello(HelloContext context) {
+  ++requests_;
   if (!IsSameToken(context.getParams().getToken(), token_)) {
     KJ_FAIL_REQUIRE("the token is not the one of this host");
   }
@@ -65,6 +78,7 @@
 
 kj::Promise<void> PeerServer::call(CallContext context) {
   KJ_REQUIRE(is_authenticated_, "hello must come before any call");
+  ++requests_;
   const auto params = context.getParams();
   const auto bytes = params.getPayload().asChars();
   std::string channel = params.getChannel().cStr();
@@ -85,11 +99,15 @@
 }
 
 kj::Promise<void> ServeConnection(kj::Own<kj::AsyncIoStream> stream,
-                                  kj::Own<PeerServer> server) {
+                                  kj::Own<PeerServer> server,
+                                  TrafficMeter& meter,
+                                  kj::Timer& timer) {
+  // The connection owns the server, and is destroyed after both promises.
+  auto silence = WatchSilence(*server, timer);
   auto connection =
-      kj::heap<AcceptedConnection>(kj::mv(stream), kj::mv(server));
-  auto broken = connection->OnDisconnect();
-  return broken.attach(kj::mv(connection));
+      kj::heap<AcceptedConnection>(kj::mv(stream), kj::mv(server), meter);
+  auto ended = connection->OnDisconnect().exclusiveJoin(kj::mv(silence));
+  return ended.attach(kj::mv(connection));
 }
 
 }  // namespace flamingogauge
--- a/src/plugins/peers/peer_server.h
+++ b/src/plugins/peers/peer_server.h
@@ -9,6 +9,7 @@
 #include "libs/kernel/error.h"
 #include "libs/model/member.h"
 #include "plugins/peers/peer_connection.h"
+#include "plugins/peers/traffic.h"
 #include "protocol/peer.capnp.h"
 
 namespace flamingogauge {
@@ -25,6 +26,9 @@
   PeerServer(const Member& self, std::string token, const Dispatch& dispatch)
       : self_(self), token_(std::move(token)), dispatch_(dispatch) {}
 
+  // Counts requests, so that silence can be told.
+  std::uint64_t requests() const { return requests_; }
+
  protected:
   kj::Promise<void> hello(HelloContext context) override;
   kj::Promise<void> call(CallContext context) override;
@@ -35,11 +39,15 @@
   const Dispatch& dispatch_;
   Member caller_;
   bool is_authenticated_ = false;
+  std::uint64_t requests_ = 0;
 };
 
-// Serves one accepted connection until it breaks.
+// Serves one accepted connection until it breaks, or until no request arrived
+// for a minute: its other end has gone without a word.
 kj::Promise<void> ServeConnection(kj::Own<kj::AsyncIoStream> stream,
-                                  kj::Own<PeerServer> server);
+                                  kj::Own<PeerServer> server,
+                                  TrafficMeter& meter,
+                                  kj::Timer& timer);
 
 }  // namespace flamingogauge
 
--- a/src/plugins/peers/peers_flags.cc
+++ b/src/plugins/peers/peers_flags.cc
@@ -18,6 +18,9 @@
               "",
               "peers to contact at the start, comma-separated ip:port");
 DEFINE_string(peer_token, "", "secret shared by all hosts");
+DEFINE_uint64(host_list_interval_ms,
+              30000,
+              "time between fetches of the platform's list of hosts");
 DEFINE_uint64(peer_queue_capacity,
               16384,
               "tasks of other threads that may wait for the peers thread");
@@ -32,6 +35,8 @@
                          .advertised_address = FLAGS_peer_advertise,
                          .seeds = {},
                          .token = FLAGS_peer_token,
+                         .host_list_interval = std::chrono::milliseconds(
+                             FLAGS_host_list_interval_ms),
                          .queue_capacity = FLAGS_peer_queue_capacity};
   std::istringstream list(FLAGS_peer_seeds);
   for (std::string seed; std::getline(list, seed, ',');) {
--- a/src/plugins/peers/peers_plugin.cc
+++ b/src/plugins/peers/peers_plugin.cc
@@ -3,6 +3,7 @@
 #include <sys/random.h>
 #include <unistd.h>
 
+#include <array>
 #include <utility>
 
 #include "libs/kernel/log.h"
@@ -112,11 +113,14 @@
   return registry.Register<MembershipView>(MembershipView::kServiceName, this);
 }
 
-Result<void> PeersPlugin::ExtensionsInitialized(ServiceRegistry& /*registry*/) {
-  d_->loop->Start([this](kj::AsyncIoContext& io) {
+Result<void> PeersPlugin::ExtensionsInitialized(ServiceRegistry& registry) {
+  const Result<HostList*> found =
+      registry.Find<HostList>(HostList::kServiceName);
+  HostList* host_list = found ? found.value() : nullptr;
+  d_->loop->Start([this, host_list](kj::AsyncIoContext& io) {
     auto node = std::make_shared<PeerNode>(io, d_->settings, d_->self,
                                            std::exchange(d_->listen_fd, -1),
-                                           d_->loop, d_->shared);
+                                           d_->loop, d_->shared, host_list);
     d_->node = node.get();
     return std::shared_ptr<void>(node);
   });
@@ -127,25 +131,51 @@
 }
 
 void PeersPlugin::AboutToShutdown(std::function<void()> done) {
-  done();
+  Private* d = d_.get();
+  if (d->node == nullptr ||
+      !d->loop->Post([d, done] { d->node->AnnounceLeaving(done); })) {
+    done();
+  }
+}
+
+void PeersPlugin::AnnounceLeaving() {
+  Private* d = d_.get();
+  if (!d->loop->Post([d] { d->node->AnnounceLeaving([] {}); })) {
+    d->log.Error(
+        "the queue is full; the others do not learn that this host "
+        "leaves");
+  }
 }
 
 std::string PeersPlugin::DumpState() const {
   const auto members = d_->shared->Current();
+  std::array<std::size_t, 4> states{};
+  for (const Member& it : *members) {
+    ++states.at(static_cast<std::size_t>(it.state));
+  }
+  const auto number = [](const char* name, std::uint64_t value) {
+    return ",\"" + std::string(name) + "\":" + std::to_string(value);
+  };
   const PeersShared& shared = *d_->shared;
   return "{\"host\":\"" + d_->self.host + "\",\"address\":\"" +
          d_->self.peer_address + "\",\"incarnation\":\"" +
-         ToString(d_->self.incarnation) +
-         "\",\"members\":" + std::to_string(members->size()) +
-         ",\"calls_sent\":" + std::to_string(shared.calls_sent) +
-         ",\"calls_failed\":" + std::to_string(shared.calls_failed) +
-         ",\"calls_received\":" + std::to_string(shared.calls_received) +
-         ",\"replies_lost\":" + std::to_string(shared.replies_lost) +
-         ",\"connections_opened\":" +
-         std::to_string(shared.connections_opened) +
-         ",\"connections_accepted\":" +
-         std::to_string(shared.connections_accepted) +
-         ",\"queue\":" + std::to_string(d_->loop->QueueSize()) + "}";
+         ToString(d_->self.incarnation) + "\"" +
+         number("members", members->size()) + number("alive", states[0]) +
+         number("suspected", states[1]) + number("leaving", states[2]) +
+         number("dead", states[3]) +
+         number("document_revision", shared.document_revision) +
+         number("calls_sent", shared.calls_sent) +
+         number("calls_failed", shared.calls_failed) +
+         number("calls_received", shared.calls_received) +
+         number("replies_lost", shared.replies_lost) +
+         number("connections_opened", shared.connections_opened) +
+         number("connections_accepted", shared.connections_accepted) +
+         number("open_connections", shared.open_connections) +
+         number("bytes_sent", shared.bytes_sent) +
+         number("bytes_received", shared.bytes_received) +
+         number("segments_sent", shared.segments_sent) +
+         number("segments_received", shared.segments_received) +
+         number("queue", d_->loop->QueueSize()) + "}";
 }
 
 void PeersPlugin::Handle(std::string channel, Handler handler) {
--- a/src/plugins/peers/peers_plugin.h
+++ b/src/plugins/peers/peers_plugin.h
@@ -40,6 +40,7 @@
   std::shared_ptr<const MemberList> Current() const override;
   void Subscribe(Listener listener) override;
   void SetDocumentRevision(std::uint64_t revision) override;
+  void AnnounceLeaving() override;
 
  private:
   class Private;
--- a/src/plugins/peers/peers_settings.cc
+++ b/src/plugins/peers/peers_settings.cc
@@ -13,6 +13,8 @@
 constexpr std::size_t kMaxNameLength = 64;
 constexpr std::size_t kMinQueueCapacity = 16;
 constexpr std::size_t kMaxQueueCapacity = 1U << 20;
+constexpr std::chrono::milliseconds kMinHostListInterval{1000};
+constexpr std::chrono::milliseconds kMaxHostListInterval{3600000};
 
 Error Invalid(const std::string& flag,
               const std::string& value,
@@ -103,6 +105,12 @@
     return Invalid("peer_token", "",
                    "a secret, unless the listen address is a loopback address");
   }
+  if (settings.host_list_interval < kMinHostListInterval ||
+      settings.host_list_interval > kMaxHostListInterval) {
+    return Invalid("host_list_interval_ms",
+                   std::to_string(settings.host_list_interval.count()),
+                   "1000 to 3600000");
+  }
   if (settings.queue_capacity < kMinQueueCapacity ||
       settings.queue_capacity > kMaxQueueCapacity) {
     return Invalid("peer_queue_capacity",
--- a/src/plugins/peers/peers_settings.h
+++ b/src/plugins/peers/peers_settings.h
@@ -1,7 +1,9 @@
 #ifndef FLAMINGOGAUGE_PLUGINS_PEERS_PEERS_SETTINGS_H_
 #define FLAMINGOGAUGE_PLUGINS_PEERS_PEERS_SETTINGS_H_
 
+#include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -24,6 +26,10 @@
   std::vector<std::string> seeds;
   // The secret that every connection presents; may be empty on loopback only.
   std::string token;
+  // How often the platform's list of hosts is fetched: with other members, and
+  // while none is known. 370 hosts cost the platform 12 calls/s.
+  std::chrono::milliseconds host_list_interval{30000};
+  std::chrono::milliseconds host_list_interval_alone{2000};
   // Tasks from other threads that may wait for the peers thread.
   std::size_t queue_capacity = 16384;
 };
--- a/src/plugins/peers/peers_shared.h
+++ b/src/plugins/peers/peers_shared.h
@@ -39,6 +39,11 @@
   std::atomic<std::uint64_t> replies_lost{0};
   std::atomic<std::uint64_t> connections_opened{0};
   std::atomic<std::uint64_t> connections_accepted{0};
+  std::atomic<std::uint64_t> open_connections{0};
+  std::atomic<std::uint64_t> bytes_sent{0};
+  std::atomic<std::uint64_t> bytes_received{0};
+  std::atomic<std::uint64_t> segments_sent{0};
+  std::atomic<std::uint64_t> segments_received{0};
 
  private:
   mutable std::mutex mutex_;
--- /dev/null
+++ b/tests/auto/membership/tst_membership.cc
@@ -0,0 +1,260 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <string>
+
+#include "libs/membership/membership.h"
+#include "tests/auto/membership/membership_network.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Hosts in data centres "dc0", "dc1", ..., two of them in each region.
+void AddHosts(MembershipNetwork* network, int data_centres, int hosts) {
+  for (int d = 0; d < data_centres; ++d) {
+    for (int h = 0; h < hosts; ++h) {
+      network->AddHost("dc" + std::to_string(d),
+                       "region" + std::to_string(d / 2));
+    }
+  }
+  for (std::size_t n = 0; n < network->size(); ++n) {
+    network->Start(n);
+  }
+}
+
+// Guards against suspicions and deaths without any fault, and against a start
+// that takes longer than a few seconds.
+TEST_CASE("Hosts find each other and suspect nobody without faults") {
+  MembershipNetwork network(1);
+  AddHosts(&network, 4, 7);
+  network.RunFor(seconds(5));
+  REQUIRE(network.IsConverged());
+  bool is_stable = true;
+  network.after_tick = [&is_stable, &network](MembershipNetwork::Host&) {
+    is_stable = is_stable && network.IsConverged();
+  };
+  network.RunFor(seconds(5));
+  CHECK(is_stable);
+}
+
+// Guards against a dead host that stays listed, and against a verdict before
+// silence, probe and suspicion have passed.
+TEST_CASE("A stopped host is suspected, then dead, everywhere") {
+  MembershipNetwork network(2);
+  AddHosts(&network, 3, 9);
+  network.RunFor(seconds(6));
+  REQUIRE(network.IsConverged());
+  const Member gone = network.host(4).self;
+  network.Stop(4);
+  network.RunFor(milliseconds(1900));
+  CHECK(network.StateIn(0, 4) == MemberState::kAlive);
+  network.RunFor(milliseconds(2100));
+  CHECK(network.StateIn(0, 4) == MemberState::kSuspected);
+  network.RunFor(milliseconds(3500));
+  CHECK(network.StateIn(0, 4) == MemberState::kDead);
+  CHECK(network.StateIn(20, 4) == MemberState::kDead);
+  network.RunFor(seconds(60));
+  network.Start(4);
+  network.RunFor(seconds(3));
+  CHECK(network.IsConverged());
+  CHECK(network.host(4).self.incarnation != gone.incarnation);
+}
+
+// Guards against a restart that waits for the old process's death, also when
+// the wall clock of the new machine is behind.
+TEST_CASE("A new incarnation replaces the old one at once") {
+  for (const milliseconds clock_error :
+       {milliseconds(0), milliseconds(-90000)}) {
+    MembershipNetwork network(3);
+    AddHosts(&network, 2, 6);
+    network.RunFor(seconds(6));
+    network.Stop(7);
+    network.Start(7, clock_error);
+    network.RunFor(milliseconds(2500));
+    CHECK(network.IsConverged());
+  }
+}
+
+// Guards against verdicts on the hosts of a data centre that is only out of
+// reach, and against a data centre that does not come back.
+TEST_CASE("Hosts of an unreachable data centre are suspected, never dead") {
+  MembershipNetwork network(4);
+  AddHosts(&network, 3, 6);
+  network.RunFor(seconds(6));
+  for (std::size_t n = 12; n < 18; ++n) {
+    network.host(n).partition = 1;
+  }
+  network.RunFor(seconds(10));
+  CHECK(network.StateIn(0, 12) == MemberState::kSuspected);
+  CHECK(network.StateIn(13, 0) == MemberState::kSuspected);
+  CHECK(network.StateIn(13, 12) == MemberState::kAlive);
+  network.RunFor(seconds(120));
+  CHECK(network.StateIn(5, 17) == MemberState::kSuspected);
+  for (std::size_t n = 12; n < 18; ++n) {
+    network.host(n).partition = 0;
+  }
+  network.RunFor(seconds(6));
+  CHECK(network.IsConverged());
+}
+
+// Guards against an isolated or paused host that, once back, spreads verdicts
+// on hosts that were well all the time.
+TEST_CASE("A host that was cut off or paused spreads no verdicts") {
+  for (const bool is_pause : {false, true}) {
+    MembershipNetwork network(5);
+    AddHosts(&network, 2, 8);
+    network.RunFor(seconds(6));
+    if (is_pause) {
+      network.Pause(3, seconds(600));
+    } else {
+      network.host(3).partition = 1;
+    }
+    network.RunFor(seconds(60));
+    CHECK(network.StateIn(0, 3) == MemberState::kDead);
+    if (!is_pause) {
+      CHECK(network.StateIn(3, 0) == MemberState::kSuspected);
+    }
+    bool is_harmless = true;
+    network.after_tick = [&](MembershipNetwork::Host& host) {
+      for (const Member& it : *host.membership->view()) {
+        is_harmless =
+            is_harmless && (it.host == network.host(3).self.host ||
+                            host.self.host == network.host(3).self.host ||
+                            it.state == MemberState::kAlive);
+      }
+    };
+    network.host(3).partition = 0;
+    network.RunFor(seconds(560));
+    CHECK(is_harmless);
+    CHECK(network.IsConverged());
+  }
+}
+
+// Guards against a leaving host that keeps being chosen for new work.
+TEST_CASE("A leaving host is known as leaving everywhere within 2 s") {
+  MembershipNetwork network(6);
+  AddHosts(&network, 4, 7);
+  network.RunFor(seconds(6));
+  network.host(9).membership->AnnounceLeaving(network.now());
+  network.RunFor(seconds(2));
+  for (std::size_t n = 0; n < network.size(); ++n) {
+    CHECK(network.StateIn(n, 9) == MemberState::kLeaving);
+  }
+}
+
+// Guards against a change of the document that waits for the next heartbeats
+// on its way through a data centre of 28 hosts.
+TEST_CASE("A document revision reaches 28 hosts within 1 s") {
+  MembershipNetwork network(7);
+  AddHosts(&network, 1, 28);
+  network.RunFor(seconds(6));
+  // Each host takes over the highest revision that a neighbour has.
+  network.after_tick = [](MembershipNetwork::Host& host) {
+    for (const Member& it : *host.membership->view()) {
+      host.membership->SetDocumentRevision(it.document_revision);
+    }
+  };
+  network.host(5).membership->SetDocumentRevision(8);
+  network.RunFor(seconds(1));
+  for (std::size_t n = 0; n < network.size(); ++n) {
+    CHECK(network.host(n).membership->view()->front().document_revision == 8);
+  }
+}
+
+// Applies one random fault.
+void Disturb(MembershipNetwork* network) {
+  Random& random = network->random();
+  const std::size_t n = random.NextBelow(network->size());
+  switch (random.NextBelow(7)) {
+    case 0:
+      network->Stop(n);
+      return;
+    case 1:
+      network->Stop(n);
+      network->Start(n, milliseconds(random.NextBelow(4000)) - seconds(2));
+      return;
+    case 2:
+      network->Pause(n, milliseconds(random.NextBelow(20000)));
+      return;
+    case 3:
+      for (std::size_t it = 0; it < network->size(); ++it) {
+        network->host(it).partition = static_cast<int>(random.NextBelow(2));
+      }
+      return;
+    case 4:
+      network->host(n).partition = 2;
+      return;
+    case 5:
+      network->faults() = {
+          .loss = random.NextDouble() * 0.4,
+          .duplication = random.NextDouble() * 0.3,
+          .max_extra_delay = milliseconds(random.NextBelow(2000))};
+      return;
+    default:
+      for (std::size_t it = 0; it < network->size(); ++it) {
+        network->host(it).partition = 0;
+      }
+  }
+}
+
+std::uint64_t EnvironmentNumber(const char* name, std::uint64_t otherwise) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+}
+
+// Guards against views that stay different after faults have ended, and, by
+// the invariants in the product, against dead lives that return.
+TEST_CASE("Views agree again after random faults") {
+  const std::uint64_t first = EnvironmentNumber("MEMBERSHIP_SEED", 1);
+  const std::uint64_t count = EnvironmentNumber("MEMBERSHIP_SEEDS", 12);
+  std::uint64_t events = 0;
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    INFO("seed " << seed);
+    MembershipNetwork network(seed);
+    AddHosts(&network, 1 + static_cast<int>(seed % 3),
+             2 + static_cast<int>(seed % 5));
+    // Remembers each life that a host has ever seen dead.
+    std::map<std::pair<HostId, HostId>, std::map<Incarnation, std::uint32_t>>
+        dead;
+    network.after_tick = [&dead](MembershipNetwork::Host& host) {
+      for (const Member& it : *host.membership->view()) {
+        auto& lives = dead[{ToString(host.self.incarnation), it.host}];
+        const auto found = lives.find(it.incarnation);
+        if (it.state == MemberState::kDead) {
+          lives[it.incarnation] = it.life;
+        } else if (found != lives.end()) {
+          REQUIRE(it.life > found->second);
+        }
+      }
+    };
+    for (int step = 0; step < 25; ++step) {
+      Disturb(&network);
+      network.RunFor(milliseconds(network.random().NextBelow(8000)));
+    }
+    network.faults() = {};
+    for (std::size_t n = 0; n < network.size(); ++n) {
+      network.host(n).partition = 0;
+      if (!network.host(n).membership) {
+        network.Start(n);
+      }
+    }
+    network.RunFor(seconds(90));
+    CHECK(network.IsConverged());
+    events += network.events();
+  }
+  std::printf("membership: seeds %llu to %llu, %llu events\n",
+              static_cast<unsigned long long>(first),
+              static_cast<unsigned long long>(first + count - 1),
+              static_cast<unsigned long long>(events));
+}
+
+}  // namespace
+}  // namespace flamingogauge
