--- a/src/libs/membership/member_table.cc
+++ b/src/libs/membership/member_table.cc
@@ -24,9 +24,14 @@
   return 3;
 }
 
+// One life of one process.
+auto LifeKey(const MemberEntry& entry) {
+  return std::tuple(entry.epoch, entry.member.incarnation.high,
+                    entry.member.incarnation.low, entry.member.life);
+}
+
 auto Key(const MemberEntry& entry) {
-  return std::tuple(entry.epoch, entry.member.incarnation, entry.member.life,
-                    Rank(entry.member.state));
+  return std::tuple_cat(LifeKey(entry), std::tuple(Rank(entry.member.state)));
 }
 
 bool IsDoubted(MemberState state) {
@@ -79,9 +84,7 @@
   CHECK_INVARIANT(
       "M1",
       inserted || previous.member.state != MemberState::kDead ||
-          std::tuple(entry.epoch, entry.member.incarnation, entry.member.life) >
-              std::tuple(previous.epoch, previous.member.incarnation,
-                         previous.member.life),
+          LifeKey(entry) > LifeKey(previous),
       "a dead life returns: " + Describe(previous) + " to " + Describe(entry));
   Log(&record, from);
   return true;
--- a/src/plugins/peers/peer_node.h
+++ b/src/plugins/peers/peer_node.h
@@ -77,7 +77,6 @@
   kj::Promise<void> FetchHostList();
   void LearnHostList(const std::vector<ListedHost>& listed);
 
-  kj::AsyncIoContext& io_;
   kj::Timer& timer_;
   const PeersSettings settings_;
   const Member self_;
--- a/tests/auto/membership/membership_network.cc
+++ b/tests/auto/membership/membership_network.cc
@@ -109,7 +109,7 @@
 void MembershipNetwork::Send(std::size_t from,
                              std::size_t to,
                              const Heartbeat& message,
-                             std::function<void()> deliver) {
+                             const std::function<void()>& deliver) {
   const std::size_t size = size_ ? size_(message) : 0;
   ++hosts_[from].messages_sent;
   hosts_[from].bytes_sent += size;
--- a/tests/auto/membership/membership_network.h
+++ b/tests/auto/membership/membership_network.h
@@ -84,7 +84,7 @@
   void Send(std::size_t from,
             std::size_t to,
             const Heartbeat& message,
-            std::function<void()> deliver);
+            const std::function<void()>& deliver);
   void Deliver(std::size_t from, std::size_t to, const Heartbeat& request);
   bool CanReach(std::size_t from, std::size_t to) const;
 
--- a/tests/auto/membership/tst_membership.cc
+++ b/tests/auto/membership/tst_membership.cc
@@ -221,16 +221,16 @@
     MembershipNetwork network(seed);
     AddHosts(&network, 1 + static_cast<int>(seed % 3),
              2 + static_cast<int>(seed % 5));
-    // Remembers each life that a host has ever seen dead.
-    std::map<std::pair<HostId, HostId>, std::map<Incarnation, std::uint32_t>>
-        dead;
+    // Remembers each life that a host has ever seen dead, by the viewer's and
+    // the dead host's process.
+    std::map<std::pair<std::uint64_t, std::uint64_t>, std::uint32_t> dead;
     network.after_tick = [&dead](MembershipNetwork::Host& host) {
       for (const Member& it : *host.membership->view()) {
-        auto& lives = dead[{ToString(host.self.incarnation), it.host}];
-        const auto found = lives.find(it.incarnation);
+        const std::pair key(host.self.incarnation.low, it.incarnation.low);
+        const auto found = dead.find(key);
         if (it.state == MemberState::kDead) {
-          lives[it.incarnation] = it.life;
-        } else if (found != lives.end()) {
+          dead[key] = it.life;
+        } else if (found != dead.end()) {
           REQUIRE(it.life > found->second);
         }
       }
