--- a/src/libs/services/quarantine_service.h
+++ b/src/libs/services/quarantine_service.h
@@ -24,6 +24,10 @@
   virtual bool IsQuarantined(const Fingerprint& fingerprint) const = 0;
   virtual std::vector<QuarantineEntry> List() const = 0;
 
+  // Starts a quarantine on all hosts in reach, for the time that the document
+  // sets. Called by the scheduler that saw the second crash.
+  virtual void Quarantine(const Fingerprint& /*fingerprint*/) {}
+
   // Ends a quarantine on all hosts in reach; false when there is none.
   virtual bool Release(const Fingerprint& fingerprint) = 0;
 };
