--- a/src/libs/document/document_reader.cc
+++ b/src/libs/document/document_reader.cc
@@ -271,8 +271,7 @@
 
 ReadOutcome ReadDocument(std::string_view text) {
   ReadOutcome outcome;
-  const Json json =
-      Parse(text, "", UnknownFields::kRefuse, outcome.faults);
+  const Json json = Parse(text, "", UnknownFields::kRefuse, outcome.faults);
   if (json.is_discarded()) {
     return outcome;
   }
--- /dev/null
+++ b/src/plugins/configuration/configuration_messages.h
@@ -0,0 +1,32 @@
+#ifndef FLAMINGOGAUGE_PLUGINS_CONFIGURATION_CONFIGURATION_MESSAGES_H_
+#define FLAMINGOGAUGE_PLUGINS_CONFIGURATION_CONFIGURATION_MESSAGES_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace flamingogauge {
+
+// The name of the channel between the configuration plugins of hosts.
+inline constexpr char kConfigurationChannel[] = "configuration";
+
+struct PeerRequest {
+  // When empty, the manifest in force is wanted.
+  std::vector<std::string> chunk_hashes;
+};
+
+struct PeerReply {
+  // Empty when the host has no document.
+  std::string manifest;
+  std::vector<std::string> chunks;
+};
+
+// Cap'n Proto codecs. Decoders return nothing for malformed payloads.
+std::string EncodePeerRequest(const PeerRequest& request);
+std::optional<PeerRequest> DecodePeerRequest(const std::string& payload);
+std::string EncodePeerReply(const PeerReply& reply);
+std::optional<PeerReply> DecodePeerReply(const std::string& payload);
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_PLUGINS_CONFIGURATION_CONFIGURATION_MESSAGES_H_
