--- /dev/null
+++ b/src/libs/commandline/command_context.cc
@@ -0,0 +1,140 @@
+#include "libs/commandline/command_context.h"
+
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+#include "libs/document/document_json.h"
+
+namespace flamingogauge {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpUnauthorized = 401;
+constexpr int kHttpConflict = 409;
+constexpr int kHttpUnprocessable = 422;
+constexpr int kHttpUnavailable = 503;
+constexpr int kHttpTimeout = 504;
+
+// The message of {"error":{"message":...}}, or the whole body.
+std::string MessageOf(const OperatorResponse& response) {
+  const json body = json::parse(response.body, nullptr, false);
+  if (body.is_object() && body.contains("error") && body["error"].is_object() &&
+      body["error"].contains("message") &&
+      body["error"]["message"].is_string()) {
+    return body["error"]["message"].get<std::string>();
+  }
+  return response.body.empty() ? "no reason is given" : response.body;
+}
+
+std::string TextOf(const json& object, const char* name) {
+  const auto it = object.find(name);
+  return it != object.end() && it->is_string() ? it->get<std::string>() : "";
+}
+
+DocumentFaults FaultsOf(const OperatorResponse& response) {
+  DocumentFaults faults;
+  const json body = json::parse(response.body, nullptr, false);
+  if (!body.is_object() || !body.contains("error") ||
+      !body["error"].is_object() || !body["error"].contains("faults")) {
+    return faults;
+  }
+  for (const json& it : body["error"]["faults"]) {
+    if (it.is_object()) {
+      faults.push_back({.section = TextOf(it, "section"),
+                        .path = TextOf(it, "path"),
+                        .value = TextOf(it, "value"),
+                        .allowed = TextOf(it, "allowed")});
+    }
+  }
+  return faults;
+}
+
+}  // namespace
+
+int ReportError(int status, const std::string& message) {
+  std::fprintf(stderr, "flamingogauge: %s\n", message.c_str());
+  return status;
+}
+
+int ReportFaults(const DocumentFaults& faults) {
+  for (const DocumentFault& it : faults) {
+    std::fprintf(stderr, "%s%s: %s: allowed is %s\n", it.section.c_str(),
+                 it.path.c_str(), it.value.c_str(), it.allowed.c_str());
+  }
+  return ReportError(kInvalidDocument,
+                     std::to_string(faults.size()) +
+                         " faults; nothing was changed, correct them and try "
+                         "again");
+}
+
+int ReportFailure(const Result<OperatorResponse>& response) {
+  if (!response) {
+    if (response.error().code == ErrorCode::kUnknownOutcome) {
+      return ReportError(kOutcomeUnknown,
+                         ToString(response.error()) +
+                             "; the change may have taken effect, see "
+                             "'flamingogauge document history' and "
+                             "'flamingogauge status'");
+    }
+    return ReportError(kUnreachable,
+                       ToString(response.error()) +
+                           "; check --operator_address and that the host "
+                           "runs, or try another host");
+  }
+  const OperatorResponse& answer = response.value();
+  switch (answer.status) {
+    case kHttpUnauthorized:
+      return ReportError(
+          kTokenRefused,
+          MessageOf(answer) + "; set --operator_token or FLAGS_operator_token");
+    case kHttpConflict:
+      return ReportError(kConflict,
+                         MessageOf(answer) +
+                             "; read it with 'flamingogauge document get', "
+                             "repeat the change there, and apply it with that "
+                             "--expected-revision");
+    case kHttpUnprocessable:
+      return ReportFaults(FaultsOf(answer));
+    case kHttpUnavailable:
+      return ReportError(kUnreachable,
+                         MessageOf(answer) + "; try again in a few seconds");
+    case kHttpTimeout:
+      return ReportError(kOutcomeUnknown,
+                         MessageOf(answer) +
+                             "; look for the change in 'flamingogauge document "
+                             "history' before trying again");
+    default:
+      return ReportError(kFailed, "the host answers with status " +
+                                      std::to_string(answer.status) + ": " +
+                                      MessageOf(answer));
+  }
+}
+
+bool IsSuccess(const Result<OperatorResponse>& response) {
+  return response && response.value().status == kHttpOk;
+}
+
+Result<std::string> ReadInput(const std::string& path) {
+  if (path == "-") {
+    return std::string(std::istreambuf_iterator<char>(std::cin), {});
+  }
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    return Error{.code = ErrorCode::kNotFound,
+                 .step = "read file",
+                 .peer = "",
+                 .message = path + " cannot be read"};
+  }
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+void PrintJson(const std::string& text) {
+  std::puts(IndentJson(text).c_str());
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/libs/commandline/upstream_commands.cc
@@ -0,0 +1,160 @@
+#include <cstdio>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "libs/commandline/command_context.h"
+#include "libs/commandline/table.h"
+#include "libs/document/nearest_name.h"
+
+namespace flamingogauge {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+// How often an edit is repeated when another one of the section came first.
+constexpr int kMaxAttempts = 5;
+constexpr int kHttpConflict = 409;
+
+// A document together with the revision that it is.
+struct KnownDocument {
+  std::uint64_t revision = 0;
+  Json document;
+};
+
+// Reads the newest revision; returns the exit status on failure.
+std::pair<KnownDocument, int> ReadNewest(const CommandContext& context) {
+  const auto history = context.client.Call("GET", "/document/history");
+  if (!IsSuccess(history)) {
+    return {{}, ReportFailure(history)};
+  }
+  const Json records = Json::parse(history.value().body, nullptr, false);
+  if (!records.is_array() || records.empty()) {
+    return {{},
+            ReportError(kUnreachable,
+                        "the host has no document yet; try again in a few "
+                        "seconds")};
+  }
+  KnownDocument known{.revision =
+                          records[0].value("revision", std::uint64_t{0})};
+  const auto text = context.client.Call(
+      "GET", "/document?revision=" + std::to_string(known.revision));
+  if (!IsSuccess(text)) {
+    return {{}, ReportFailure(text)};
+  }
+  known.document = Json::parse(text.value().body, nullptr, false);
+  return {std::move(known), kDone};
+}
+
+std::string RetiresAt(const Json& document, const std::string& upstream) {
+  for (const Json& it : document.value("retirements", Json::array())) {
+    if (it.value("upstream", "") == upstream) {
+      return it.value("retires_at", "");
+    }
+  }
+  return "-";
+}
+
+int RunList(const CommandContext& context) {
+  const auto [known, status] = ReadNewest(context);
+  if (status != kDone) {
+    return status;
+  }
+  const Json upstreams = known.document.value("upstreams", Json::array());
+  if (context.json_output) {
+    std::puts(upstreams.dump(2).c_str());
+    return kDone;
+  }
+  std::vector<std::vector<std::string>> rows{
+      {"UPSTREAM", "KIND", "DATA CENTRE", "ADDRESS", "LEAVING", "RETIRES AT"}};
+  for (const Json& it : upstreams) {
+    const std::string id = it.value("id", "");
+    rows.push_back({id, it.value("kind", ""), it.value("data_centre", ""),
+                    it.value("address", ""),
+                    it.value("leaving", false) ? "yes" : "no",
+                    RetiresAt(known.document, id)});
+  }
+  std::fputs(FormatTable(rows).c_str(), stdout);
+  return kDone;
+}
+
+// Sets "leaving" of one upstream; returns false when there is no such one.
+bool SetLeaving(Json& upstreams, const std::string& id, bool leaving) {
+  for (Json& it : upstreams) {
+    if (it.value("id", "") == id) {
+      it["leaving"] = leaving;
+      return true;
+    }
+  }
+  return false;
+}
+
+int ReportUnknownUpstream(const Json& upstreams, const std::string& id) {
+  std::vector<std::string> names;
+  for (const Json& it : upstreams) {
+    names.push_back(it.value("id", ""));
+  }
+  const std::string nearest = NearestName(id, names);
+  return ReportError(
+      kFailed, "the document has no upstream " + id +
+                   (nearest.empty() ? "; see 'flamingogauge upstream list'"
+                                    : "; did you mean " + nearest + "?"));
+}
+
+int RunLeave(const CommandContext& context) {
+  const std::string& id = context.arguments.positional[0];
+  const bool leaving = !context.arguments.Has("cancel");
+  const char* user = std::getenv("USER");
+  const std::string author =
+      context.arguments.Get("author", user != nullptr ? user : "operator");
+  for (int attempt = 1;; ++attempt) {
+    auto [known, status] = ReadNewest(context);
+    if (status != kDone) {
+      return status;
+    }
+    Json upstreams = known.document.value("upstreams", Json::array());
+    if (!SetLeaving(upstreams, id, leaving)) {
+      return ReportUnknownUpstream(upstreams, id);
+    }
+    const auto response = context.client.Call(
+        "POST",
+        "/document/upstreams?expected_revision=" +
+            std::to_string(known.revision) + "&author=" + EncodeUrlPart(author),
+        upstreams.dump());
+    if (IsSuccess(response)) {
+      if (context.json_output) {
+        PrintJson(response.value().body);
+      } else {
+        std::printf(
+            "%s %s\n", id.c_str(),
+            leaving ? "leaves: it receives no new work" : "no longer leaves");
+      }
+      return kDone;
+    }
+    const bool is_conflict =
+        response && response.value().status == kHttpConflict;
+    if (!is_conflict || attempt == kMaxAttempts) {
+      return ReportFailure(response);
+    }
+  }
+}
+
+}  // namespace
+
+std::vector<Command> UpstreamCommands() {
+  return {
+      {.name = "upstream list",
+       .synopsis = "",
+       .summary = "lists upstreams with their addresses and retirement",
+       .run = &RunList},
+      {.name = "upstream leave",
+       .synopsis = "[--cancel] [--author A] UPSTREAM",
+       .summary = "marks an upstream as leaving, so that it gets no new work",
+       .options = {{.name = "cancel", .takes_value = false}, {"author"}},
+       .min_positional = 1,
+       .max_positional = 1,
+       .run = &RunLeave},
+  };
+}
+
+}  // namespace flamingogauge
--- a/src/plugins/configuration/edit_session.cc
+++ b/src/plugins/configuration/edit_session.cc
@@ -290,8 +290,9 @@
 void EditSession::UpdateManifest() {
   auto self = shared_from_this();
   auto done = OnRunner<StoredObject>(
-      context_,
-      [self](Result<StoredObject> updated) { self->OnUpdated(updated); });
+      context_, [self](const Result<StoredObject>& updated) {
+        self->OnUpdated(updated);
+      });
   if (base_) {
     context_.store.Update(kManifestKey, next_->manifest_text, base_version_,
                           std::move(done));
--- a/src/plugins/configuration/manifest_follower.cc
+++ b/src/plugins/configuration/manifest_follower.cc
@@ -57,11 +57,11 @@
     After(context_, kRoleCheck, [this] { ReadStore(); });
     return;
   }
-  context_.store.Get(
-      kManifestKey,
-      OnRunner<StoredObject>(context_, [this](Result<StoredObject> object) {
-        OnStoreRead(object);
-      }));
+  context_.store.Get(kManifestKey,
+                     OnRunner<StoredObject>(
+                         context_, [this](const Result<StoredObject>& object) {
+                           OnStoreRead(object);
+                         }));
 }
 
 void ManifestFollower::OnStoreRead(const Result<StoredObject>& object) {
@@ -92,9 +92,9 @@
   }
   context_.store.Watch(
       kManifestKey, known_version_, context_.settings.watch_time_limit,
-      OnRunner<StoredObject>(context_, [this](Result<StoredObject> object) {
-        OnWatchEnd(object);
-      }));
+      OnRunner<StoredObject>(
+          context_,
+          [this](const Result<StoredObject>& object) { OnWatchEnd(object); }));
 }
 
 void ManifestFollower::OnWatchEnd(const Result<StoredObject>& object) {
@@ -257,7 +257,8 @@
   is_loading_ = true;
   RevisionLoader::Load(
       context_, offer.text, offer.source,
-      [this, offer](Result<std::shared_ptr<const LoadedRevision>> loaded) {
+      [this,
+       offer](const Result<std::shared_ptr<const LoadedRevision>>& loaded) {
         OnLoaded(offer, loaded);
       });
 }
--- a/src/plugins/configuration/peer_round.cc
+++ b/src/plugins/configuration/peer_round.cc
@@ -13,7 +13,7 @@
                     const std::vector<HostId>& hosts,
                     Callback callback) {
   const std::shared_ptr<PeerRound> round(
-      new PeerRound(context, hosts.size(), std::move(callback)));
+      new PeerRound(hosts.size(), std::move(callback)));
   if (hosts.empty()) {
     round->Finish();
     return;
@@ -23,17 +23,16 @@
   for (const HostId& host : hosts) {
     context.transport->Call(
         host, kConfigurationChannel, EncodePeerRequest({}), time_limit,
-        OnRunner<std::string>(context, [round, host](Result<std::string> it) {
-          round->OnReply(host, it);
-        }));
+        OnRunner<std::string>(context,
+                              [round, host](const Result<std::string>& it) {
+                                round->OnReply(host, it);
+                              }));
   }
   After(context, time_limit, [round] { round->Finish(); });
 }
 
-PeerRound::PeerRound(CoreContext& context,
-                     std::size_t expected,
-                     Callback callback)
-    : context_(context), expected_(expected), callback_(std::move(callback)) {}
+PeerRound::PeerRound(std::size_t expected, Callback callback)
+    : expected_(expected), callback_(std::move(callback)) {}
 
 void PeerRound::OnReply(const HostId& host,
                         const Result<std::string>& payload) {
--- a/src/plugins/configuration/peer_round.h
+++ b/src/plugins/configuration/peer_round.h
@@ -30,12 +30,11 @@
                   Callback callback);
 
  private:
-  PeerRound(CoreContext& context, std::size_t expected, Callback callback);
+  PeerRound(std::size_t expected, Callback callback);
 
   void OnReply(const HostId& host, const Result<std::string>& payload);
   void Finish();
 
-  CoreContext& context_;
   std::size_t expected_;
   Callback callback_;
   OfferedManifest best_;
--- a/src/plugins/configuration/revision_loader.cc
+++ b/src/plugins/configuration/revision_loader.cc
@@ -89,9 +89,10 @@
   context_.transport->Call(
       source_, kConfigurationChannel, EncodePeerRequest(request),
       kPeerTimeLimit,
-      OnRunner<std::string>(context_, [self](Result<std::string> payload) {
-        self->OnPeerReply(payload);
-      }));
+      OnRunner<std::string>(context_,
+                            [self](const Result<std::string>& payload) {
+                              self->OnPeerReply(payload);
+                            }));
 }
 
 void RevisionLoader::OnPeerReply(const Result<std::string>& payload) {
--- a/tests/auto/configuration/cluster_fixture.cc
+++ b/tests/auto/configuration/cluster_fixture.cc
@@ -95,7 +95,8 @@
         return;
       }
       it->second->handler_(
-          from, payload, [&cluster, callback](Result<std::string> reply) {
+          from, payload,
+          [&cluster, callback](const Result<std::string>& reply) {
             Post(cluster, kLatency, [callback, reply] { callback(reply); });
           });
     });
@@ -132,7 +133,7 @@
  private:
   static void Post(Cluster& cluster,
                    Duration delay,
-                   std::function<void()> task) {
+                   const std::function<void()>& task) {
     const bool posted = cluster.runner->PostAfter(
         delay, [alive = std::weak_ptr<bool>(cluster.alive_), task] {
           if (!alive.expired()) {
--- a/tests/auto/configuration/random_configuration_run.cc
+++ b/tests/auto/configuration/random_configuration_run.cc
@@ -166,15 +166,20 @@
       for (const auto& [name, it] : manifest.sections) {
         if (parent.revision > 0 && name != section &&
             it.chunks != parent.sections.at(name).chunks) {
-          problems_.push_back("revision " + std::to_string(manifest.revision) +
-                              " changes " + name + ", an edit of " + section);
+          std::string problem = "revision " + std::to_string(manifest.revision);
+          problem.append(" changes ")
+              .append(name)
+              .append(", an edit of ")
+              .append(section);
+          problems_.push_back(std::move(problem));
         }
       }
       for (const SentEdit& it : edits_) {
         if (it.author == manifest.history.front().author &&
             parent.sections.at(section).changed_in > it.expected_revision) {
-          problems_.push_back(it.author + " overwrote a newer edit of " +
-                              section);
+          std::string problem = it.author;
+          problem.append(" overwrote a newer edit of ").append(section);
+          problems_.push_back(std::move(problem));
         }
       }
       if (parent.revision + 1 != manifest.revision) {
--- a/tests/auto/configuration/tst_configuration_core.cc
+++ b/tests/auto/configuration/tst_configuration_core.cc
@@ -228,7 +228,7 @@
   };
   for (const std::uint64_t revision : {0, 1, 99}) {
     cluster.core("a1").GetText(revision, record);
-    REQUIRE(cluster.RunUntil([&] { return texts.size() > 0; }, seconds(5)));
+    REQUIRE(cluster.RunUntil([&] { return !texts.empty(); }, seconds(5)));
     cluster.runner->RunFor(seconds(1));
   }
   cluster.core("a1").GetHistory(record);
--- a/tests/auto/configuration/tst_configuration_plugin.cc
+++ b/tests/auto/configuration/tst_configuration_plugin.cc
@@ -41,11 +41,12 @@
           std::future_status::ready);
   CHECK(ready.get() == 1);
   std::promise<Result<EditOutcome>> edited;
-  editor->Apply({.section = "policy",
-                 .text = "{}",
-                 .expected_revision = 1,
-                 .author = "lead"},
-                [&](Result<EditOutcome> it) { edited.set_value(it); });
+  editor->Apply(
+      {.section = "policy",
+       .text = "{}",
+       .expected_revision = 1,
+       .author = "lead"},
+      [&](Result<EditOutcome> it) { edited.set_value(std::move(it)); });
   // The defaults are in force already, so that nothing changes.
   CHECK(edited.get_future().get().value().revision == 1);
   CHECK(manager.Shutdown(std::chrono::milliseconds(5000)));
