--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -17,4 +17,4 @@
   cmake --build "build/$sanitizer" -j "$JOBS"
 done
 ctest --test-dir build/tsan --output-on-failure -j 4 -L shell
-ctest --test-dir build/asan --output-on-failure -j 4
+ctest --test-dir build/asan --output-on-failure -j 4 -LE model
