http_server: keep Pistache's objects on its own threads

Cause: under ThreadSanitizer a writer could drop the last reference to a Pistache peer and destroy it on a foreign thread. Change: the connection holds the peer until the hang-up and the server owns what belongs to a connection. PluginManager keeps state dumps off plugins that are being destroyed.

--- a/src/libs/http_server/http_connection.cc
+++ b/src/libs/http_server/http_connection.cc
@@ -17,9 +17,9 @@
 
 }  // namespace
 
-HttpConnection::HttpConnection(std::weak_ptr<Pistache::Tcp::Peer> peer,
+HttpConnection::HttpConnection(std::shared_ptr<Pistache::Tcp::Peer> peer,
                                const HttpServerSettings& settings)
-    : peer_(std::move(peer)), settings_(settings), idle_since_(Now()) {}
+    : settings_(settings), peer_(std::move(peer)), idle_since_(Now()) {}
 
 std::uint64_t HttpConnection::StartExchange(bool close_after_answer) {
   std::lock_guard<std::mutex> lock(mutex_);
@@ -113,10 +113,6 @@
 
 std::size_t HttpConnection::QueueWrite(std::unique_lock<std::mutex> lock,
                                        std::string bytes) {
-  const std::shared_ptr<Pistache::Tcp::Peer> peer = peer_.lock();
-  if (!peer) {
-    return 0;
-  }
   const std::size_t n = bytes.size();
   if (outstanding_ == 0) {
     last_progress_ = Now();
@@ -125,7 +121,7 @@
   above_resume_ = above_resume_ || outstanding_ > settings_.resume_bytes;
   const std::size_t outstanding = outstanding_;
   auto sent =
-      peer->send(Pistache::RawBuffer(std::move(bytes), n), MSG_NOSIGNAL);
+      peer_->send(Pistache::RawBuffer(std::move(bytes), n), MSG_NOSIGNAL);
   // The callback may run inside then(), when the write is already done.
   lock.unlock();
   sent.then([self = shared_from_this(), n](ssize_t) { self->OnWritten(n); },
@@ -169,6 +165,7 @@
 std::function<void()> HttpConnection::MarkGone() {
   std::lock_guard<std::mutex> lock(mutex_);
   gone_ = true;
+  peer_.reset();
   has_exchange_ = false;
   on_drained_ = nullptr;
   return std::exchange(on_gone_, nullptr);
@@ -213,11 +210,8 @@
 
 void HttpConnection::ShutdownLocked(int how) {
   // The descriptor is still this connection's: it is closed after MarkGone.
-  if (gone_) {
-    return;
-  }
-  if (const auto peer = peer_.lock()) {
-    ::shutdown(peer->fd(), how);
+  if (!gone_) {
+    ::shutdown(peer_->fd(), how);
   }
 }
 
--- a/src/libs/http_server/http_connection.h
+++ b/src/libs/http_server/http_connection.h
@@ -30,7 +30,7 @@
 // follows with a flush of the queue before the descriptor is closed.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
  public:
-  HttpConnection(std::weak_ptr<Pistache::Tcp::Peer> peer,
+  HttpConnection(std::shared_ptr<Pistache::Tcp::Peer> peer,
                  const HttpServerSettings& settings);
 
   // Starts the answer to a request and returns its number.
@@ -75,11 +75,13 @@
   void ShutdownLocked(int how);
   std::size_t QueueWrite(std::unique_lock<std::mutex> lock, std::string bytes);
 
-  const std::weak_ptr<Pistache::Tcp::Peer> peer_;
   const HttpServerSettings settings_;
 
   mutable std::mutex mutex_;
   bool gone_ = false;
+  // Held until MarkGone, so that no other thread drops the last reference and
+  // destroys Pistache's object there.
+  std::shared_ptr<Pistache::Tcp::Peer> peer_;
   // The last answer was queued; the connection closes once it is written.
   bool closing_ = false;
   bool dropped_ = false;
--- a/src/libs/http_server/http_server.cc
+++ b/src/libs/http_server/http_server.cc
@@ -54,9 +54,16 @@
   return found == headers.end() ? std::string() : found->second;
 }
 
-// What Pistache keeps with each connection.
+// What belongs to one Pistache connection. It is owned by the server and not by
+// Pistache, which may drop its own objects on any of its threads.
 struct ConnectionData {
-  std::shared_ptr<HttpConnection> connection;
+  ConnectionData(const std::shared_ptr<Pistache::Tcp::Peer>& peer,
+                 const HttpServerSettings& settings)
+      : connection(std::make_shared<HttpConnection>(peer, settings)),
+        parser(settings.max_request_bytes) {}
+
+  const std::shared_ptr<HttpConnection> connection;
+  Http::RequestParser parser;
   HttpHeadScanner scanner;
   bool continue_sent = false;
 };
@@ -73,7 +80,7 @@
   void Stop();
   void Sweep();
 
-  void Add(std::size_t id, const std::shared_ptr<HttpConnection>& connection);
+  ConnectionData* Add(const std::shared_ptr<Pistache::Tcp::Peer>& peer);
   void Remove(std::size_t id);
   void Handle(const Http::Request& request, ConnectionData& data);
   void Reject(ConnectionData& data, int status, const std::string& text);
@@ -93,7 +100,7 @@
   mutable std::mutex mutex_;
   std::condition_variable stopped_;
   bool stopping_ = false;
-  std::unordered_map<std::size_t, std::shared_ptr<HttpConnection>> connections_;
+  std::unordered_map<std::size_t, std::unique_ptr<ConnectionData>> connections_;
   HttpServerCounts counts_;
   std::function<void()> on_drained_;
   std::thread sweeper_;
@@ -111,20 +118,18 @@
                  Http::ResponseWriter /*response*/) override {}
 
   void onConnection(const std::shared_ptr<Pistache::Tcp::Peer>& peer) override {
-    peer->putData(ParserData, std::make_shared<Http::RequestParser>(
-                                  server_->settings().max_request_bytes));
-    auto data = std::make_shared<ConnectionData>();
-    data->connection =
-        std::make_shared<HttpConnection>(peer, server_->settings());
-    peer->putData(kConnectionData, data);
-    server_->Add(peer->getID(), data->connection);
+    // Pointers without ownership.
+    const std::shared_ptr<void> none;
+    ConnectionData* data = server_->Add(peer);
+    peer->putData(kConnectionData, std::shared_ptr<void>(none, data));
+    peer->putData(ParserData, std::shared_ptr<void>(none, &data->parser));
   }
 
   void onDisconnection(
       const std::shared_ptr<Pistache::Tcp::Peer>& peer) override {
-    const auto data = std::static_pointer_cast<ConnectionData>(
-        peer->tryGetData(kConnectionData));
-    if (!data) {
+    auto* data =
+        static_cast<ConnectionData*>(peer->tryGetData(kConnectionData).get());
+    if (data == nullptr) {
       return;
     }
     const std::function<void()> on_gone = data->connection->MarkGone();
@@ -140,8 +145,8 @@
   void onInput(const char* buffer,
                std::size_t len,
                const std::shared_ptr<Pistache::Tcp::Peer>& peer) override {
-    const auto data = std::static_pointer_cast<ConnectionData>(
-        peer->getData(kConnectionData));
+    auto* data =
+        static_cast<ConnectionData*>(peer->getData(kConnectionData).get());
     if (data->connection->IsClosing()) {
       return;
     }
@@ -151,13 +156,12 @@
       data->connection->CloseAfterAnswer();
       return;
     }
-    Parse(*data, *getParser(peer), std::string_view(buffer, len));
+    Parse(*data, std::string_view(buffer, len));
   }
 
  private:
-  void Parse(ConnectionData& data,
-             Http::RequestParser& parser,
-             std::string_view bytes) {
+  void Parse(ConnectionData& data, std::string_view bytes) {
+    Http::RequestParser& parser = data.parser;
     data.scanner.Feed(bytes);
     data.connection->NoteInput(data.scanner.head_complete(),
                                std::chrono::steady_clock::now());
@@ -224,7 +228,7 @@
 void HttpServer::Impl::Drain(std::function<void()> done) {
   std::lock_guard<std::mutex> lock(mutex_);
   for (const auto& [id, it] : connections_) {
-    it->CloseAfterAnswer();
+    it->connection->CloseAfterAnswer();
   }
   on_drained_ = std::move(done);
   stopped_.notify_all();
@@ -238,7 +242,7 @@
       return;
     }
     for (const auto& [id, it] : connections_) {
-      connections.push_back(it);
+      connections.push_back(it->connection);
     }
   }
   stopped_.notify_all();
@@ -265,7 +269,7 @@
     std::vector<std::shared_ptr<HttpConnection>> connections;
     connections.reserve(connections_.size());
     for (const auto& [id, it] : connections_) {
-      connections.push_back(it);
+      connections.push_back(it->connection);
     }
     lock.unlock();
     std::uint64_t slow = 0;
@@ -292,23 +296,31 @@
   }
 }
 
-void HttpServer::Impl::Add(std::size_t id,
-                           const std::shared_ptr<HttpConnection>& connection) {
+ConnectionData* HttpServer::Impl::Add(
+    const std::shared_ptr<Pistache::Tcp::Peer>& peer) {
+  auto owned = std::make_unique<ConnectionData>(peer, settings_);
+  ConnectionData* data = owned.get();
   bool accepted = false;
   {
     std::lock_guard<std::mutex> lock(mutex_);
     accepted = !stopping_ && connections_.size() < settings_.max_connections;
-    connections_[id] = connection;
+    connections_[peer->getID()] = std::move(owned);
     counts_.rejected += accepted ? 0 : 1;
   }
   if (!accepted) {
-    connection->Abort();
+    data->connection->Abort();
   }
+  return data;
 }
 
 void HttpServer::Impl::Remove(std::size_t id) {
+  std::unique_ptr<ConnectionData> removed;
   std::lock_guard<std::mutex> lock(mutex_);
-  connections_.erase(id);
+  const auto found = connections_.find(id);
+  if (found != connections_.end()) {
+    removed = std::move(found->second);
+    connections_.erase(found);
+  }
 }
 
 void HttpServer::Impl::Handle(const Http::Request& request,
--- a/src/libs/kernel/plugin_manager.cc
+++ b/src/libs/kernel/plugin_manager.cc
@@ -37,6 +37,12 @@
 }  // namespace
 
 PluginManager::~PluginManager() {
+  {
+    // Waits for a state dump in progress and keeps later ones off plugins that
+    // are being destroyed.
+    std::lock_guard<std::mutex> lock(dump_mutex_);
+    destroying_ = true;
+  }
   while (!plugins_.empty()) {
     plugins_.pop_back();
   }
@@ -76,6 +82,10 @@
 }
 
 std::string PluginManager::DumpAll() const {
+  std::lock_guard<std::mutex> lock(dump_mutex_);
+  if (destroying_) {
+    return "{}";
+  }
   std::string text = "{";
   for (const auto& it : plugins_) {
     if (text.size() > 1) {
--- a/src/libs/kernel/plugin_manager.h
+++ b/src/libs/kernel/plugin_manager.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,8 @@
  private:
   ServiceRegistry registry_;
   std::vector<std::unique_ptr<Plugin>> plugins_;
+  mutable std::mutex dump_mutex_;
+  bool destroying_ = false;
 };
 
 }  // namespace flamingogauge
