--- /dev/null
+++ b/src/app/flag_reader.cc
@@ -0,0 +1,96 @@
+#include "app/flag_reader.h"
+
+#include <gflags/gflags.h>
+
+#include <cstdlib>
+
+namespace flamingogauge {
+namespace {
+
+Error FlagError(const std::string& message) {
+  return {.code = ErrorCode::kInvalidArgument,
+          .step = "read flags",
+          .message = message};
+}
+
+// The library's own flags (--flagfile, --tryfromenv and the like) live in
+// files that are not ours.
+bool IsOwnFlag(const gflags::CommandLineFlagInfo& info) {
+  return info.filename.find("gflags") == std::string::npos;
+}
+
+Result<void> SetFlag(const std::string& name, const std::string& value) {
+  gflags::CommandLineFlagInfo info;
+  if (!gflags::GetCommandLineFlagInfo(name.c_str(), &info)) {
+    return FlagError("--" + name + " is unknown; try: flamingogauge help");
+  }
+  if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty()) {
+    return FlagError("--" + name + " is \"" + value + "\", allowed is a " +
+                     info.type);
+  }
+  return boost::outcome_v2::success();
+}
+
+bool IsBool(const std::string& name) {
+  gflags::CommandLineFlagInfo info;
+  return gflags::GetCommandLineFlagInfo(name.c_str(), &info) &&
+         info.type == "bool";
+}
+
+Result<void> ReadEnvironment() {
+  std::vector<gflags::CommandLineFlagInfo> flags;
+  gflags::GetAllFlags(&flags);
+  for (const gflags::CommandLineFlagInfo& it : flags) {
+    const char* value = std::getenv(("FLAGS_" + it.name).c_str());
+    if (value != nullptr && IsOwnFlag(it)) {
+      Result<void> set = SetFlag(it.name, value);
+      if (!set) {
+        return set;
+      }
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
+}  // namespace
+
+Result<void> ReadFlags(const std::vector<std::string>& arguments) {
+  Result<void> read = ReadEnvironment();
+  for (std::size_t it = 0; read && it < arguments.size(); ++it) {
+    const std::string& argument = arguments[it];
+    const std::size_t dashes = argument.find_first_not_of('-');
+    if (argument.empty() || argument[0] != '-' || dashes > 2) {
+      return FlagError("\"" + argument + "\" is not a flag");
+    }
+    const std::size_t equals = argument.find('=');
+    const std::string name = argument.substr(dashes, equals - dashes);
+    if (equals != std::string::npos) {
+      read = SetFlag(argument.substr(dashes, equals - dashes),
+                     argument.substr(equals + 1));
+    } else if (IsBool(name)) {
+      read = SetFlag(name, "true");
+    } else if (name.rfind("no", 0) == 0 && IsBool(name.substr(2))) {
+      read = SetFlag(name.substr(2), "false");
+    } else if (it + 1 < arguments.size()) {
+      read = SetFlag(name, arguments[++it]);
+    } else {
+      read = FlagError("--" + name + " needs a value");
+    }
+  }
+  return read;
+}
+
+std::string DescribeFlags() {
+  std::vector<gflags::CommandLineFlagInfo> flags;
+  gflags::GetAllFlags(&flags);
+  std::string text;
+  for (const gflags::CommandLineFlagInfo& it : flags) {
+    if (IsOwnFlag(it)) {
+      text += "  --" + it.name + "=" + it.default_value + "  " +
+              it.description + "\n";
+    }
+  }
+  return text;
+}
+
+}  // namespace flamingogauge
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -1,25 +1,60 @@
-#include <gflags/gflags.h>
-
 #include <cstdio>
 #include <string>
+#include <vector>
 
+#include "app/flag_reader.h"
+#include "app/serve_command.h"
+#include "libs/commandline/client_command.h"
 #include "libs/kernel/log.h"
 
 namespace {
 
 constexpr int kUsageError = 2;
 
+constexpr char kUsage[] =
+    "usage: flamingogauge <command> [flags]\n"
+    "\n"
+    "  serve             runs an entry host; --embedded runs one alone\n"
+    "  version           prints the version\n"
+    "  help              prints this text and the flags of serve\n"
+    "\n"
+    "Other commands are for operators; each prints its own usage.\n"
+    "Flags are also read from environment variables FLAGS_<name>.\n";
+
+int PrintHelp() {
+  std::fputs(kUsage, stdout);
+  std::fputs("\nflags of serve:\n", stdout);
+  std::fputs(flamingogauge::DescribeFlags().c_str(), stdout);
+  return 0;
+}
+
+int Serve(const std::vector<std::string>& arguments) {
+  const flamingogauge::Result<void> read = flamingogauge::ReadFlags(arguments);
+  if (!read) {
+    std::fprintf(stderr, "flamingogauge: %s\n", ToString(read.error()).c_str());
+    return kUsageError;
+  }
+  flamingogauge::InitializeLogging(flamingogauge::LogLevel::kInfo);
+  return flamingogauge::RunServeCommand();
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
-  gflags::SetUsageMessage("schedules requests across model engines");
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
-  flamingogauge::InitializeLogging(flamingogauge::LogLevel::kInfo);
-  if (argc == 2 && std::string(argv[1]) == "version") {
+  const std::string command = argc > 1 ? argv[1] : "";
+  if (command == "serve") {
+    return Serve({argv + 2, argv + argc});
+  }
+  if (command == "version") {
     std::puts("flamingogauge 0.1.0");
     return 0;
   }
-  std::fputs("flamingogauge: unknown command; try: flamingogauge version\n",
-             stderr);
-  return kUsageError;
+  if (command == "help" || command == "--help") {
+    return PrintHelp();
+  }
+  if (command.empty()) {
+    std::fputs(kUsage, stderr);
+    return kUsageError;
+  }
+  return flamingogauge::RunClientCommand(argc, argv);
 }
--- /dev/null
+++ b/src/app/serve_command.cc
@@ -0,0 +1,141 @@
+#include "app/serve_command.h"
+
+#include <gflags/gflags.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <csignal>
+#include <ctime>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "app/embedded_document.h"
+#include "libs/kernel/log.h"
+#include "libs/kernel/plugin_manager.h"
+#include "libs/services/request_intake.h"
+#include "plugins/callers/callers_plugin.h"
+#include "plugins/claims/claims_plugin.h"
+#include "plugins/configuration/configuration_plugin.h"
+#include "plugins/operators/operators_plugin.h"
+#include "plugins/peers/peers_plugin.h"
+#include "plugins/platform/platform_plugin.h"
+#include "plugins/requests/requests_plugin.h"
+#include "plugins/scheduler/scheduler_plugin.h"
+#include "plugins/upstreams/upstreams_plugin.h"
+
+DEFINE_bool(embedded,
+            false,
+            "run alone: store in memory, built-in document, answers made in "
+            "this process");
+DEFINE_uint32(drain_time_limit_ms,
+              600000,
+              "how long a planned stop waits for requests in flight");
+
+namespace flamingogauge {
+namespace {
+
+constexpr int kStartFailed = 1;
+constexpr int kWrongSetting = 2;
+constexpr int kSignalStatus = 128;
+constexpr char kEmbeddedToken[] = "embedded-operators";
+constexpr timespec kSignalPoll{.tv_sec = 0, .tv_nsec = 20000000};
+
+const Logger& Log() {
+  static const Logger logger("main");
+  return logger;
+}
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+// Adds each plugin after those on whose services it depends.
+void AddPlugins(PluginManager& manager) {
+  PlatformSettings platform = PlatformSettingsFromFlags();
+  ConfigurationSettings configuration = ConfigurationSettingsFromFlags();
+  const PeersSettings peers = PeersSettingsFromFlags();
+  UpstreamsSettings upstreams = UpstreamsSettingsFromFlags();
+  OperatorsSettings operators = OperatorsSettingsFromFlags();
+  SchedulerSettings scheduler = SchedulerSettingsFromFlags();
+  scheduler.host = peers.host;
+  if (FLAGS_embedded) {
+    platform.address.clear();
+    upstreams.echo = true;
+    if (operators.token.empty()) {
+      operators.token = kEmbeddedToken;
+    }
+  }
+  manager.Add(std::make_unique<PlatformPlugin>(platform));
+  manager.Add(std::make_unique<ConfigurationPlugin>(configuration));
+  manager.Add(std::make_unique<PeersPlugin>(peers));
+  manager.Add(std::make_unique<UpstreamsPlugin>(upstreams));
+  manager.Add(std::make_unique<ClaimsPlugin>(ClaimsSettingsFromFlags()));
+  manager.Add(std::make_unique<SchedulerPlugin>(scheduler));
+  manager.Add(std::make_unique<RequestsPlugin>(RequestsSettingsFromFlags()));
+  manager.Add(std::make_unique<CallersPlugin>(CallersSettingsFromFlags()));
+  manager.Add(std::make_unique<OperatorsPlugin>(operators));
+}
+
+// Drains in a second thread, so that a second signal can end the process.
+bool Drain(PluginManager& manager, const sigset_t& signals) {
+  std::atomic<bool> done = false;
+  bool complete = false;
+  std::thread drainer([&manager, &done, &complete] {
+    complete =
+        manager.Shutdown(std::chrono::milliseconds(FLAGS_drain_time_limit_ms));
+    done = true;
+  });
+  while (!done) {
+    const int number = sigtimedwait(&signals, nullptr, &kSignalPoll);
+    if (number > 0) {
+      Log().Warning("second signal " + std::to_string(number) +
+                    ": ends without draining");
+      _exit(kSignalStatus + number);
+    }
+  }
+  drainer.join();
+  return complete;
+}
+
+}  // namespace
+
+int RunServeCommand() {
+  // Blocked before threads start, so that only this thread receives them.
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  PluginManager manager;
+  AddPlugins(manager);
+  const Result<void> started = manager.Start();
+  if (!started) {
+    Log().Error(ToString(started.error()));
+    return started.error().code == ErrorCode::kInvalidArgument ? kWrongSetting
+                                                               : kStartFailed;
+  }
+  if (FLAGS_embedded) {
+    const Result<void> applied = ApplyEmbeddedDocument(manager.registry());
+    if (!applied) {
+      Log().Error(ToString(applied.error()));
+      return kStartFailed;
+    }
+  }
+  Log().Info("started");
+  int number = 0;
+  sigwait(&signals, &number);
+  Log().Info("signal " + std::to_string(number) + ": draining");
+  // Readiness ends before the first plugin drains.
+  if (auto intake =
+          manager.registry().Find<RequestIntake>(RequestIntake::kServiceName)) {
+    intake.value()->BeginDrain();
+  }
+  const bool complete = Drain(manager, signals);
+  Log().Info(complete ? "drained" : "the drain was not complete in time");
+  return complete ? 0 : kStartFailed;
+}
+
+}  // namespace flamingogauge
