--- a/src/libs/document/document_json.h
+++ b/src/libs/document/document_json.h
@@ -25,8 +25,7 @@
 // The JSON text of each section.
 using SectionTexts = std::map<std::string, std::string, std::less<>>;
 
-// Edits are refused when they hold unknown fields. Accepted revisions are read
-// without them, because a newer program may have accepted them.
+// Whether fields that this program does not know are faults.
 enum class UnknownFields { kRefuse, kIgnore };
 
 struct ReadOutcome {
@@ -38,10 +37,13 @@
 // Reads and validates a document, which is one JSON object of sections; absent
 // sections are empty. Reports all faults, those of references between sections
 // included.
-ReadOutcome ReadDocument(std::string_view text,
-                         UnknownFields unknown_fields = UnknownFields::kRefuse);
+ReadOutcome ReadDocument(std::string_view text);
+
+// The same for separate sections. Unknown fields are refused in the edited
+// section and ignored in the others, because a newer program may have accepted
+// them.
 ReadOutcome ReadSections(const SectionTexts& sections,
-                         UnknownFields unknown_fields = UnknownFields::kRefuse);
+                         std::string_view edited_section = "");
 
 // One element of an array section, or the whole of an object section.
 struct SectionElement {
--- a/src/libs/document/document_reader.cc
+++ b/src/libs/document/document_reader.cc
@@ -269,9 +269,9 @@
 
 }  // namespace
 
-ReadOutcome ReadDocument(std::string_view text, UnknownFields unknown_fields) {
+ReadOutcome ReadDocument(std::string_view text) {
   ReadOutcome outcome;
-  const Json json = Parse(text, "", unknown_fields, outcome.faults);
+  const Json json = Parse(text, "", UnknownFields::kRefuse, outcome.faults);
   if (json.is_discarded()) {
     return outcome;
   }
@@ -298,7 +298,7 @@
       continue;
     }
     ReadContext context{.section = name,
-                        .unknown_fields = unknown_fields,
+                        .unknown_fields = UnknownFields::kRefuse,
                         .faults = &outcome.faults};
     ReadSection(value, context, outcome.document);
   }
@@ -307,9 +307,12 @@
 }
 
 ReadOutcome ReadSections(const SectionTexts& sections,
-                         UnknownFields unknown_fields) {
+                         std::string_view edited_section) {
   ReadOutcome outcome;
   for (const auto& [name, text] : sections) {
+    const UnknownFields unknown_fields = name == edited_section
+                                             ? UnknownFields::kRefuse
+                                             : UnknownFields::kIgnore;
     const Json json = Parse(text, name, unknown_fields, outcome.faults);
     if (!json.is_discarded()) {
       ReadContext context{.section = name,
