--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -18,11 +18,11 @@
     "  version           prints the version\n"
     "  help              prints this text and the flags of serve\n"
     "\n"
-    "Other commands are for operators; each prints its own usage.\n"
-    "Flags are also read from environment variables FLAGS_<name>.\n";
+    "Flags are also read from environment variables FLAGS_<name>.\n"
+    "\ncommands for operators:\n";
 
 int PrintHelp() {
-  std::fputs(kUsage, stdout);
+  std::fputs((kUsage + flamingogauge::ClientCommandsHelp()).c_str(), stdout);
   std::fputs("\nflags of serve:\n", stdout);
   std::fputs(flamingogauge::DescribeFlags().c_str(), stdout);
   return 0;
@@ -53,7 +53,7 @@
     return PrintHelp();
   }
   if (command.empty()) {
-    std::fputs(kUsage, stderr);
+    std::fputs((kUsage + flamingogauge::ClientCommandsHelp()).c_str(), stderr);
     return kUsageError;
   }
   return flamingogauge::RunClientCommand(argc, argv);
--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -10,12 +10,12 @@
 #include <string>
 #include <thread>
 
-#include "app/embedded_document.h"
 #include "libs/kernel/log.h"
 #include "libs/kernel/plugin_manager.h"
 #include "libs/services/request_intake.h"
 #include "plugins/callers/callers_plugin.h"
 #include "plugins/claims/claims_plugin.h"
+#include "plugins/configuration/built_in_document.h"
 #include "plugins/configuration/configuration_plugin.h"
 #include "plugins/operators/operators_plugin.h"
 #include "plugins/peers/peers_plugin.h"
@@ -39,6 +39,8 @@
 constexpr int kWrongSetting = 2;
 constexpr int kSignalStatus = 128;
 constexpr char kEmbeddedToken[] = "embedded-operators";
+// The echo upstream client connects to nothing.
+constexpr char kNoAddress[] = "127.0.0.1:1";
 constexpr timespec kSignalPoll{.tv_sec = 0, .tv_nsec = 20000000};
 
 const Logger& Log() {
@@ -66,6 +68,10 @@
   if (FLAGS_embedded) {
     platform.address.clear();
     upstreams.echo = true;
+    if (configuration.initial_document.empty()) {
+      configuration.initial_document_text =
+          BuiltInDocument(kNoAddress, peers.data_centre);
+    }
     if (operators.token.empty()) {
       operators.token = kEmbeddedToken;
     }
@@ -117,13 +123,6 @@
     return started.error().code == ErrorCode::kInvalidArgument ? kWrongSetting
                                                                : kStartFailed;
   }
-  if (FLAGS_embedded) {
-    const Result<void> applied = ApplyEmbeddedDocument(manager.registry());
-    if (!applied) {
-      Log().Error(ToString(applied.error()));
-      return kStartFailed;
-    }
-  }
   Log().Info("started");
   int number = 0;
   sigwait(&signals, &number);
