--- a/src/libs/requests/prefix_hashes.cc
+++ b/src/libs/requests/prefix_hashes.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <memory>
 
 namespace flamingogauge {
 
@@ -16,11 +17,14 @@
       std::min(prompt.size() / kPrefixBlockBytes, kMaxPrefixBlocks);
   std::vector<std::uint64_t> hashes;
   hashes.reserve(blocks);
-  std::uint64_t hash = 0;
+  // The state is extended block by block, so that each byte is read once.
+  const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> state(
+      XXH3_createState(), &XXH3_freeState);
+  XXH3_128bits_reset(state.get());
   for (std::size_t it = 0; it < blocks; ++it) {
-    hash = XXH3_64bits_withSeed(prompt.data() + it * kPrefixBlockBytes,
-                                kPrefixBlockBytes, hash);
-    hashes.push_back(hash);
+    XXH3_128bits_update(state.get(), prompt.data() + it * kPrefixBlockBytes,
+                        kPrefixBlockBytes);
+    hashes.push_back(XXH3_128bits_digest(state.get()).low64);
   }
   return hashes;
 }
--- a/src/libs/requests/prefix_hashes.h
+++ b/src/libs/requests/prefix_hashes.h
@@ -19,8 +19,8 @@
 std::uint32_t EstimateTokens(std::string_view prompt);
 
 // Returns one hash for each whole block; each covers the prompt from its start
-// to the end of the block. The hash of a block is XXH3-64 of its bytes, seeded
-// with the hash of the block before it (0 for the first).
+// to the end of the block. It is the lower half of the content hash of those
+// bytes, as engines name blocks in their cache events.
 std::vector<std::uint64_t> ComputePrefixHashes(std::string_view prompt);
 
 }  // namespace flamingogauge
--- a/src/plugins/requests/chat_body.cc
+++ b/src/plugins/requests/chat_body.cc
@@ -70,14 +70,15 @@
       return Invalid("messages holds " + Show(it) +
                      ", allowed is an object with a role and a content");
     }
-    chat.prompt += role->get_ref<const std::string&>() + "\n";
+    if (!chat.prompt.empty()) {
+      chat.prompt += "\n";
+    }
     const auto content = it.find("content");
     if (content != it.end() && content->is_string()) {
       chat.prompt += content->get_ref<const std::string&>();
     } else if (content != it.end() && !content->is_null()) {
       chat.prompt += content->dump();
     }
-    chat.prompt += "\n";
   }
   return boost::outcome_v2::success();
 }
--- a/src/plugins/requests/chat_body.h
+++ b/src/plugins/requests/chat_body.h
@@ -18,8 +18,8 @@
   std::uint32_t max_tokens = 0;
   // The tier's name, or empty.
   std::string tier;
-  // Roles and contents of all messages, for the estimate of the length and
-  // for the hashes of prefixes.
+  // The contents of all messages, joined by line feeds, for the estimate of the
+  // length and for the hashes of prefixes.
   std::string prompt;
   // The body without the fields that do not change what is computed.
   std::string canonical;
