--- a/src/plugins/peers/peers_plugin.cc
+++ b/src/plugins/peers/peers_plugin.cc
@@ -48,6 +48,7 @@
   PeersSettings settings;
   Member self;
   int listen_fd = -1;
+  int listen_port = 0;
   std::shared_ptr<PeersShared> shared;
   std::shared_ptr<EventLoop> loop;
   // Lives on the loop's thread.
@@ -66,6 +67,7 @@
     return socket.error();
   }
   listen_fd = socket.value().fd;
+  listen_port = socket.value().address.port;
   SocketAddress advertised = socket.value().address;
   if (!settings.advertised_address.empty()) {
     const Result<SocketAddress> given =
@@ -207,6 +209,10 @@
   }
 }
 
+int PeersPlugin::ListenPort() const {
+  return d_->listen_port;
+}
+
 const Member& PeersPlugin::Self() const {
   return d_->self;
 }
--- a/src/plugins/peers/peers_plugin.h
+++ b/src/plugins/peers/peers_plugin.h
@@ -27,6 +27,10 @@
   void AboutToShutdown(std::function<void()> done) override;
   std::string DumpState() const override;
 
+  // The port on which this host listens, chosen by the kernel if the settings
+  // say 0. Known after Initialize.
+  int ListenPort() const;
+
   // PeerTransport.
   void Handle(std::string channel, Handler handler) override;
   void Call(HostId host,
--- a/tests/auto/peers/tst_peers_plugin.cc
+++ b/tests/auto/peers/tst_peers_plugin.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <future>
@@ -9,6 +10,7 @@
 
 #include "libs/kernel/service_registry.h"
 #include "plugins/peers/peers_plugin.h"
+#include "tests/auto/peers/silent_proxy.h"
 
 namespace flamingogauge {
 namespace {
@@ -112,5 +114,67 @@
   CHECK(b.plugin().Current()->size() == 1);
 }
 
+// Returns how `viewer` sees a host; kDead when it does not list it.
+MemberState StateOf(TestHost& viewer, const HostId& host) {
+  for (const Member& it : *viewer.plugin().Current()) {
+    if (it.host == host) {
+      return it.state;
+    }
+  }
+  return MemberState::kDead;
+}
+
+// Guards against a stop that the others learn of only by silence, and against
+// a host that stays alive in the list after its process has ended.
+TEST_CASE("A leaving host is announced and an ended one is suspected") {
+  TestHost a({.host = "a"});
+  const std::string seed = a.plugin().Self().peer_address;
+  auto b =
+      std::make_unique<TestHost>(PeersSettings{.host = "b", .seeds = {seed}});
+  TestHost c({.host = "c", .seeds = {seed}});
+  REQUIRE(Eventually([&] {
+    return StateOf(c, "b") == MemberState::kAlive &&
+           StateOf(a, "b") == MemberState::kAlive;
+  }));
+  std::promise<void> drained;
+  b->plugin().AboutToShutdown([&drained] { drained.set_value(); });
+  drained.get_future().wait();
+  CHECK(Eventually([&] { return StateOf(a, "b") == MemberState::kLeaving; }));
+  CHECK(Eventually([&] { return StateOf(c, "b") == MemberState::kLeaving; }));
+  b.reset();
+  CHECK(Eventually([&] { return StateOf(a, "b") == MemberState::kDead; }));
+  CHECK(Eventually([&] { return StateOf(c, "b") == MemberState::kDead; }));
+}
+
+// Guards against a connection that goes silent for ever without an error: the
+// peer must stay a member and be reached over a new connection.
+TEST_CASE("Calls and heartbeats leave a silent connection") {
+  SilentProxy proxy;
+  TestHost a({.host = "a"});
+  TestHost b({.host = "b",
+              .advertised_address = proxy.address(),
+              .seeds = {a.plugin().Self().peer_address}});
+  proxy.SetTarget(b.plugin().ListenPort());
+  REQUIRE(Eventually([&] {
+    return a.Call("b", "echo", "x", milliseconds(200)).get().has_value();
+  }));
+  std::atomic<bool> was_doubted = false;
+  a.plugin().Subscribe(
+      [&was_doubted](const std::shared_ptr<const MemberList>& members) {
+        for (const Member& it : *members) {
+          was_doubted = was_doubted || it.state != MemberState::kAlive;
+        }
+      });
+  for (int n = 0; n < 2; ++n) {
+    proxy.Silence();
+    CHECK(a.Call("b", "echo", "x", milliseconds(100)).get().error().code ==
+          ErrorCode::kTimeout);
+    CHECK(Eventually([&] {
+      return a.Call("b", "echo", "y", milliseconds(200)).get().has_value();
+    }));
+  }
+  CHECK_FALSE(was_doubted);
+}
+
 }  // namespace
 }  // namespace flamingogauge
