--- a/src/plugins/configuration/edit_session.cc
+++ b/src/plugins/configuration/edit_session.cc
@@ -347,9 +347,11 @@
 }
 
 void EditSession::Accept(std::uint64_t revision) {
-  context_.log.Info("edit of section " + request_.section + " by " +
-                    request_.author + " is accepted in revision " +
-                    std::to_string(revision));
+  const std::string what = request_.section.empty()
+                               ? std::string("whole document")
+                               : "edit of section " + request_.section;
+  context_.log.Info(what + " by " + request_.author +
+                    " is accepted in revision " + std::to_string(revision));
   std::exchange(callback_, nullptr)(EditOutcome{.revision = revision});
 }
 
--- a/src/plugins/configuration/manifest_follower.cc
+++ b/src/plugins/configuration/manifest_follower.cc
@@ -143,8 +143,12 @@
                    is_in_boot_round_ = false;
                    if (offer.revision > 0) {
                      Consider(std::move(offer));
-                   } else {
-                     After(context_, kStoreGrace, [this] { StartBootRound(); });
+                   } else if (!is_round_planned_) {
+                     is_round_planned_ = true;
+                     After(context_, kStoreGrace, [this] {
+                       is_round_planned_ = false;
+                       StartBootRound();
+                     });
                    }
                  });
 }
@@ -196,6 +200,11 @@
   if (is_asking_peer_ || is_loading_) {
     return;
   }
+  if (context_.in_force.Number() == 0 && !Status().store_problem.empty()) {
+    // A starting host without the store does not wait for its peers' reports.
+    StartBootRound();
+    return;
+  }
   if (const std::optional<HostId> source = ChooseSource()) {
     AskPeer(*source);
   } else if (waiting_since_ && !is_check_planned_) {
--- a/src/plugins/configuration/manifest_follower.h
+++ b/src/plugins/configuration/manifest_follower.h
@@ -66,6 +66,7 @@
   bool is_asking_peer_ = false;
   bool is_check_planned_ = false;
   bool is_in_boot_round_ = false;
+  bool is_round_planned_ = false;
   // When another host was first seen with a revision that none of this data
   // centre has.
   std::optional<MonotonicTime> waiting_since_;
