--- a/src/libs/claims/claim_attempt.cc
+++ b/src/libs/claims/claim_attempt.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "libs/claims/claim_attempt_p.h"
 #include "libs/kernel/check.h"
 
 namespace flamingogauge {
@@ -13,88 +14,8 @@
 
 constexpr std::chrono::milliseconds kRetryAfterOutage{1000};
 
-enum class State {
-  kAcquiring,  // no verdict yet
-  kOwned,
-  kReleasing,
-  kRecording,
-  kFinished,
-};
-
 }  // namespace
 
-class ClaimAttempt::Impl {
- public:
-  explicit Impl(ClaimAttemptOptions options)
-      : options_(options), backoff_(options.first_backoff) {}
-
-  Actions Start(MonotonicTime now);
-  Actions OnWritten(MonotonicTime now,
-                    ClaimWriteResult result,
-                    std::uint64_t version);
-  Actions OnRead(MonotonicTime now,
-                 ClaimReadResult result,
-                 const std::optional<VersionedClaim>& claim,
-                 bool owner_alive);
-  Actions OnTime(MonotonicTime now);
-  Actions Release(MonotonicTime now);
-  Actions Record(MonotonicTime now, RecordedOutcome outcome);
-  void LeaveUnresolved();
-  Actions Abandon(MonotonicTime now);
-  std::optional<MonotonicTime> NextWake() const;
-
-  State state() const { return state_; }
-
- private:
-  ClaimRecord OwnRecord(ClaimState state) const;
-  Actions Create();
-  Actions Update(ClaimState state, std::uint64_t expected_version);
-  Actions Read();
-  void WaitBeforeNextRead(MonotonicTime now);
-
-  Actions BecomeOwner(MonotonicTime now, std::uint64_t version);
-  void ClearDoubt();
-  Actions WaitToSettle(MonotonicTime now);
-  Actions Refuse(MonotonicTime now,
-                 RefusalKind kind,
-                 RunStatus status,
-                 std::string message);
-  Actions RefuseOverdue(MonotonicTime now);
-  Actions JoinOther(MonotonicTime now,
-                    const VersionedClaim& claim,
-                    bool owner_alive);
-
-  Actions AcquireRead(MonotonicTime now,
-                      ClaimReadResult result,
-                      const std::optional<VersionedClaim>& claim,
-                      bool owner_alive);
-  Actions SettleRead(MonotonicTime now,
-                     ClaimReadResult result,
-                     const std::optional<VersionedClaim>& claim);
-  Actions Settled(bool confirmed);
-  Actions EndReleaseReport(bool confirmed);
-  Actions ReportOverdueRelease(MonotonicTime now);
-
-  ClaimAttemptOptions options_;
-  State state_ = State::kAcquiring;
-  std::chrono::milliseconds backoff_;
-  bool operation_outstanding_ = false;
-  // A write of this attempt is outstanding, or its answer was lost, so that it
-  // may be applied without our knowledge.
-  bool write_in_doubt_ = false;
-  bool earlier_write_in_doubt_ = false;
-  // An earlier attempt's claim was seen, whose outcome is waited for.
-  bool joined_ = false;
-  bool answered_ = false;
-  bool release_reported_ = true;
-  std::uint64_t version_ = 0;
-  MonotonicTime acquire_until_;
-  RecordedOutcome outcome_;
-  std::optional<MonotonicTime> next_read_;
-  MonotonicTime release_report_at_;
-  MonotonicTime settle_until_;
-};
-
 ClaimRecord ClaimAttempt::Impl::OwnRecord(ClaimState state) const {
   ClaimRecord record{.state = state,
                      .token = options_.token,
@@ -521,11 +442,11 @@
 }
 
 bool ClaimAttempt::IsFinished() const {
-  return impl_->state() == State::kFinished;
+  return impl_->state() == Impl::State::kFinished;
 }
 
 bool ClaimAttempt::IsOwned() const {
-  return impl_->state() == State::kOwned;
+  return impl_->state() == Impl::State::kOwned;
 }
 
 }  // namespace flamingogauge
--- /dev/null
+++ b/src/plugins/claims/claim_events.h
@@ -0,0 +1,98 @@
+#ifndef FLAMINGOGAUGE_PLUGINS_CLAIMS_CLAIM_EVENTS_H_
+#define FLAMINGOGAUGE_PLUGINS_CLAIMS_CLAIM_EVENTS_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "libs/claims/claim_attempt.h"
+#include "libs/kernel/bounded_ring.h"
+#include "libs/kernel/time.h"
+#include "libs/services/claim_service.h"
+#include "libs/services/object_store.h"
+
+namespace flamingogauge {
+
+// What other threads tell the claims thread.
+
+struct AcquireEvent {
+  ClaimRequest request;
+  ClaimService::AcquireCallback callback;
+};
+struct AbandonEvent {
+  RequestId id;
+};
+struct ReleaseEvent {
+  RequestId id;
+  ClaimService::ReleaseCallback callback;
+};
+struct RecordEvent {
+  RequestId id;
+  RecordedOutcome outcome;
+};
+struct LeaveUnresolvedEvent {
+  RequestId id;
+};
+struct WrittenEvent {
+  RequestId id;
+  ClaimWriteResult result;
+  std::uint64_t version;
+};
+struct ReadEvent {
+  RequestId id;
+  ClaimReadResult result;
+  std::optional<VersionedClaim> claim;
+};
+// The epoch object was read, created or advanced.
+struct EpochEvent {
+  MonotonicTime requested_at;
+  Result<StoredObject> object;
+};
+// A call of the sweep ended.
+struct SweepListedEvent {
+  std::vector<std::string> keys;
+};
+struct SweepReadEvent {
+  std::uint64_t version;
+  std::optional<std::uint64_t> epoch;
+};
+struct SweepDeletedEvent {
+  bool deleted;
+};
+struct DrainEvent {
+  std::function<void()> done;
+};
+
+using ClaimEvent = std::variant<AcquireEvent,
+                                AbandonEvent,
+                                ReleaseEvent,
+                                RecordEvent,
+                                LeaveUnresolvedEvent,
+                                WrittenEvent,
+                                ReadEvent,
+                                EpochEvent,
+                                SweepListedEvent,
+                                SweepReadEvent,
+                                SweepDeletedEvent,
+                                DrainEvent>;
+
+using ClaimEventRing = BoundedRing<ClaimEvent>;
+
+// Pushes an event for which the ring must have room; a full ring violates I5,
+// because the result of a store call would be lost.
+void PostClaimEvent(ClaimEventRing& ring, ClaimEvent event);
+
+// The name of the claim object of a request: a hash of workspace, service and
+// idempotency key.
+std::string ClaimKey(const ClaimRequest& request);
+
+// Translates the end of a store call into the words of the claims library.
+ClaimWriteResult ToWriteResult(const Result<StoredObject>& result);
+ReadEvent ToReadEvent(RequestId id, const Result<StoredObject>& result);
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_PLUGINS_CLAIMS_CLAIM_EVENTS_H_
--- a/src/plugins/claims/claims_plugin.h
+++ b/src/plugins/claims/claims_plugin.h
@@ -12,6 +12,8 @@
 
 namespace flamingogauge {
 
+class ClaimsWorker;
+
 // Makes non-idempotent requests run at most once, by claims in the platform's
 // store. Needs "platform.store"; uses "peers.membership" if it is registered to
 // tell dead owners from live ones.
@@ -33,8 +35,8 @@
   void LeaveUnresolved(RequestId id) override;
 
  private:
-  class Impl;
-  std::unique_ptr<Impl> impl_;
+  ClaimsSettings settings_;
+  std::unique_ptr<ClaimsWorker> worker_;
 };
 
 }  // namespace flamingogauge
--- /dev/null
+++ b/src/plugins/claims/claims_worker.h
@@ -0,0 +1,127 @@
+#ifndef FLAMINGOGAUGE_PLUGINS_CLAIMS_CLAIMS_WORKER_H_
+#define FLAMINGOGAUGE_PLUGINS_CLAIMS_CLAIMS_WORKER_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "libs/claims/claim_attempt.h"
+#include "libs/claims/claim_epoch_clock.h"
+#include "libs/claims/claim_sweeper.h"
+#include "libs/kernel/log.h"
+#include "libs/services/claim_service.h"
+#include "libs/services/membership_view.h"
+#include "libs/services/object_store.h"
+#include "plugins/claims/claim_events.h"
+#include "plugins/claims/claims_settings.h"
+
+namespace flamingogauge {
+
+// The counts shown in the state dump.
+struct ClaimCounts {
+  std::atomic<std::uint64_t> owned{0};
+  std::atomic<std::uint64_t> recorded{0};
+  std::atomic<std::uint64_t> refused{0};
+  std::atomic<std::uint64_t> unresolved{0};
+  std::atomic<std::uint64_t> swept{0};
+};
+
+// The claims thread: carries out the actions of claim attempts, keeps the
+// retention epoch and sweeps expired claims.
+class ClaimsWorker {
+ public:
+  explicit ClaimsWorker(ClaimsSettings settings)
+      : settings_(settings),
+        ring_(std::make_shared<ClaimEventRing>((settings.max_attempts + 1) *
+                                               kEventsPerAttempt)),
+        epoch_clock_({.epoch_length = settings.epoch_length,
+                      .retention_epochs = settings.retention_epochs}) {}
+
+  ~ClaimsWorker();
+
+  void Start(ObjectStore* store, MembershipView* membership) {
+    store_ = store;
+    membership_ = membership;
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  void Acquire(ClaimRequest request, ClaimService::AcquireCallback callback);
+
+  // Every other event belongs to an attempt that was admitted by Acquire, for
+  // which the ring has room.
+  void Post(ClaimEvent event) { PostClaimEvent(*ring_, std::move(event)); }
+
+  std::string DumpState() const;
+
+ private:
+  // Requests, results and ends of one attempt that may wait at the same time.
+  static constexpr std::size_t kEventsPerAttempt = 8;
+
+  struct Entry {
+    std::string key;
+    std::unique_ptr<ClaimAttempt> attempt;
+    ClaimService::AcquireCallback on_acquired;
+    ClaimService::ReleaseCallback on_released;
+  };
+
+  void Run();
+  MonotonicTime NextWake(MonotonicTime now) const;
+  void Dispatch(ClaimEvent& event, MonotonicTime now);
+  void Handle(AcquireEvent& event, MonotonicTime now);
+  void Handle(AbandonEvent& event, MonotonicTime now);
+  void Handle(ReleaseEvent& event, MonotonicTime now);
+  void Handle(RecordEvent& event, MonotonicTime now);
+  void Handle(LeaveUnresolvedEvent& event, MonotonicTime now);
+  void Handle(WrittenEvent& event, MonotonicTime now);
+  void Handle(ReadEvent& event, MonotonicTime now);
+  void Handle(EpochEvent& event, MonotonicTime now);
+  void Handle(SweepListedEvent& event, MonotonicTime now);
+  void Handle(SweepReadEvent& event, MonotonicTime now);
+  void Handle(SweepDeletedEvent& event, MonotonicTime now);
+  void Handle(DrainEvent& event, MonotonicTime now);
+
+  void CarryOut(RequestId id, ClaimAttempt::Actions actions);
+  void CarryOutOne(RequestId id, Entry& entry, ClaimAction& action);
+  void RemoveIfFinished(RequestId id);
+  void OnTime(MonotonicTime now);
+  void KeepEpoch(MonotonicTime now);
+  void Sweep(MonotonicTime now);
+  bool MayBeAlive(const Incarnation& owner) const;
+  ClaimToken NewToken();
+  void FinishDrainIfIdle();
+
+  ClaimsSettings settings_;
+  ObjectStore* store_ = nullptr;
+  MembershipView* membership_ = nullptr;
+  Logger logger_{"claims"};
+  // Shared with the callbacks given to the store, which may outlive the plugin.
+  std::shared_ptr<ClaimEventRing> ring_;
+  std::atomic<std::size_t> attempt_count_{0};
+  ClaimCounts counts_;
+  std::thread thread_;
+
+  // Used by the thread only, but for the dump.
+  mutable std::mutex entries_mutex_;
+  std::unordered_map<RequestId, Entry> entries_;
+  ClaimEpochClock epoch_clock_;
+  std::uint64_t epoch_version_ = 0;
+  std::uint64_t epoch_ = 0;
+  bool epoch_outstanding_ = false;
+  MonotonicTime next_epoch_read_ = std::chrono::steady_clock::now();
+  ClaimSweeper sweeper_{{}};
+  std::random_device entropy_;
+  std::function<void()> drained_;
+};
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_PLUGINS_CLAIMS_CLAIMS_WORKER_H_
