http_server: write answers through an own descriptor

Change: the connection duplicates its descriptor, writes to it directly under its mutex, waits with epoll when the socket is full, and closes it at the hang-up. Nothing is queued by descriptor any more.

--- a/src/libs/http_server/http_connection.cc
+++ b/src/libs/http_server/http_connection.cc
@@ -1,8 +1,10 @@
 #include "libs/http_server/http_connection.h"
 
-#include <pistache/peer.h>
+#include <fcntl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include <cerrno>
 #include <utility>
 
 namespace flamingogauge {
@@ -17,9 +19,24 @@
 
 }  // namespace
 
-HttpConnection::HttpConnection(std::shared_ptr<Pistache::Tcp::Peer> peer,
+HttpConnection::HttpConnection(int fd,
+                               std::uint64_t id,
+                               WritePoller* poller,
                                const HttpServerSettings& settings)
-    : settings_(settings), peer_(std::move(peer)), idle_since_(Now()) {}
+    : id_(id),
+      poller_(poller),
+      settings_(settings),
+      fd_(::fcntl(fd, F_DUPFD_CLOEXEC, 0)),
+      idle_since_(Now()) {}
+
+HttpConnection::~HttpConnection() {
+  MarkGone();
+}
+
+bool HttpConnection::IsOpen() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return fd_ >= 0;
+}
 
 std::uint64_t HttpConnection::StartExchange(bool close_after_answer) {
   std::lock_guard<std::mutex> lock(mutex_);
@@ -42,7 +59,7 @@
 
 bool HttpConnection::IsBusy() const {
   std::lock_guard<std::mutex> lock(mutex_);
-  return !gone_ && !dropped_ && (has_exchange_ || outstanding_ > 0);
+  return !gone_ && !dropped_ && (has_exchange_ || OutstandingLocked() > 0);
 }
 
 bool HttpConnection::ClosesAfterAnswer() const {
@@ -66,34 +83,29 @@
 }
 
 std::size_t HttpConnection::Write(std::uint64_t number,
-                                  std::string bytes,
+                                  std::string_view bytes,
                                   AnswerEnd end) {
-  std::unique_lock<std::mutex> lock(mutex_);
+  std::lock_guard<std::mutex> lock(mutex_);
   if (gone_ || dropped_ || !has_exchange_ || number != exchange_) {
     return 0;
   }
-  if (outstanding_ > 0 &&
-      outstanding_ + bytes.size() > settings_.max_outstanding_bytes) {
+  if (OutstandingLocked() > 0 &&
+      OutstandingLocked() + bytes.size() > settings_.max_outstanding_bytes) {
     // The caller does not read. The connection breaks, and its hang-up is
     // reported by Pistache.
     dropped_ = true;
     ShutdownLocked(SHUT_RDWR);
-    return outstanding_;
+    return OutstandingLocked();
   }
   EndAnswerLocked(end);
-  if (bytes.empty()) {
-    if (closing_ && outstanding_ == 0) {
-      ShutdownLocked(SHUT_WR);
-    }
-    return outstanding_;
-  }
-  return QueueWrite(std::move(lock), std::move(bytes));
+  AppendLocked(bytes);
+  return OutstandingLocked();
 }
 
-void HttpConnection::WriteInterim(std::string bytes) {
-  std::unique_lock<std::mutex> lock(mutex_);
+void HttpConnection::WriteInterim(std::string_view bytes) {
+  std::lock_guard<std::mutex> lock(mutex_);
   if (!gone_ && !dropped_) {
-    QueueWrite(std::move(lock), std::move(bytes));
+    AppendLocked(bytes);
   }
 }
 
@@ -111,37 +123,58 @@
   }
 }
 
-std::size_t HttpConnection::QueueWrite(std::unique_lock<std::mutex> lock,
-                                       std::string bytes) {
-  const std::size_t n = bytes.size();
-  if (outstanding_ == 0) {
+void HttpConnection::AppendLocked(std::string_view bytes) {
+  if (OutstandingLocked() == 0) {
+    last_progress_ = Now();
+  }
+  const bool waits = OutstandingLocked() > 0;
+  unsent_ += bytes;
+  if (!waits) {
+    FlushLocked();
+  }
+  above_resume_ = above_resume_ || OutstandingLocked() > settings_.resume_bytes;
+}
+
+void HttpConnection::FlushLocked() {
+  while (OutstandingLocked() > 0) {
+    const ssize_t n = ::send(fd_, unsent_.data() + sent_, OutstandingLocked(),
+                             MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (n < 0 && errno == EINTR) {
+      continue;
+    }
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      // Keeps what is sent from piling up in front.
+      unsent_.erase(0, std::exchange(sent_, 0));
+      poller_->Arm(fd_, id_);
+      return;
+    }
+    if (n <= 0) {
+      // The caller hung up, which Pistache reports.
+      dropped_ = true;
+      break;
+    }
+    sent_ += static_cast<std::size_t>(n);
     last_progress_ = Now();
   }
-  outstanding_ += n;
-  above_resume_ = above_resume_ || outstanding_ > settings_.resume_bytes;
-  const std::size_t outstanding = outstanding_;
-  auto sent =
-      peer_->send(Pistache::RawBuffer(std::move(bytes), n), MSG_NOSIGNAL);
-  // The callback may run inside then(), when the write is already done.
-  lock.unlock();
-  sent.then([self = shared_from_this(), n](ssize_t) { self->OnWritten(n); },
-            [](std::exception_ptr&) {});
-  return outstanding;
+  std::string().swap(unsent_);
+  sent_ = 0;
+  if (closing_ && !dropped_) {
+    ShutdownLocked(SHUT_WR);
+  }
 }
 
-void HttpConnection::OnWritten(std::size_t n) {
+void HttpConnection::OnWritable() {
   std::function<void()> on_drained;
   {
     std::lock_guard<std::mutex> lock(mutex_);
-    outstanding_ -= n;
-    last_progress_ = Now();
-    if (above_resume_ && outstanding_ <= settings_.resume_bytes) {
+    if (gone_ || dropped_) {
+      return;
+    }
+    FlushLocked();
+    if (above_resume_ && OutstandingLocked() <= settings_.resume_bytes) {
       above_resume_ = false;
       on_drained = on_drained_;
     }
-    if (closing_ && outstanding_ == 0) {
-      ShutdownLocked(SHUT_WR);
-    }
   }
   if (on_drained) {
     on_drained();
@@ -150,7 +183,7 @@
 
 std::size_t HttpConnection::Outstanding() const {
   std::lock_guard<std::mutex> lock(mutex_);
-  return outstanding_;
+  return OutstandingLocked();
 }
 
 void HttpConnection::NoteInput(bool head_complete, MonotonicTime now) {
@@ -164,8 +197,12 @@
 
 std::function<void()> HttpConnection::MarkGone() {
   std::lock_guard<std::mutex> lock(mutex_);
-  gone_ = true;
-  peer_.reset();
+  if (!std::exchange(gone_, true) && fd_ >= 0) {
+    // The socket itself lives on in Pistache's descriptor, so the poller would
+    // keep it.
+    poller_->Remove(fd_);
+    ::close(std::exchange(fd_, -1));
+  }
   has_exchange_ = false;
   on_drained_ = nullptr;
   return std::exchange(on_gone_, nullptr);
@@ -176,12 +213,14 @@
   if (gone_ || dropped_) {
     return ConnectionVerdict::kKeep;
   }
-  if (outstanding_ > 0 && now - last_progress_ > settings_.stall_time_limit) {
+  if (OutstandingLocked() > 0 &&
+      now - last_progress_ > settings_.stall_time_limit) {
     dropped_ = true;
     ShutdownLocked(SHUT_RDWR);
     return ConnectionVerdict::kSlowReader;
   }
-  if (closing_ && outstanding_ == 0 && now - closing_since_ > kLingerTime) {
+  if (closing_ && OutstandingLocked() == 0 &&
+      now - closing_since_ > kLingerTime) {
     dropped_ = true;
     ShutdownLocked(SHUT_RDWR);
     return ConnectionVerdict::kClosed;
@@ -209,9 +248,8 @@
 }
 
 void HttpConnection::ShutdownLocked(int how) {
-  // The descriptor is still this connection's: it is closed after MarkGone.
-  if (!gone_) {
-    ::shutdown(peer_->fd(), how);
+  if (fd_ >= 0) {
+    ::shutdown(fd_, how);
   }
 }
 
--- a/src/libs/http_server/http_connection.h
+++ b/src/libs/http_server/http_connection.h
@@ -4,18 +4,15 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 
 #include "libs/http_server/http_head_scanner.h"
 #include "libs/http_server/http_server.h"
+#include "libs/http_server/write_poller.h"
 #include "libs/kernel/time.h"
 
-namespace Pistache::Tcp {
-class Peer;
-}  // namespace Pistache::Tcp
-
 namespace flamingogauge {
 
 // Whether a write is the last of an answer, and what follows it.
@@ -24,14 +21,25 @@
 // Why the periodic check ended a connection.
 enum class ConnectionVerdict { kKeep, kSlowReader, kTimedOut, kClosed };
 
-// One caller's connection. Pistache's queued writes name a connection by its
-// file descriptor, which the kernel reuses. Therefore all writes are queued
-// under the mutex, and none after MarkGone, which Pistache's handler calls and
-// follows with a flush of the queue before the descriptor is closed.
-class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+// One caller's connection. Pistache accepts and reads it; answers are written
+// here, through a duplicate of its descriptor that only this class closes.
+// Pistache's own queue names a connection by its descriptor, which the kernel
+// reuses, so a queued answer could reach another caller (I3); its flush() ends
+// the process with "could not find write data" when other connections have
+// queued writes.
+class HttpConnection {
  public:
-  HttpConnection(std::shared_ptr<Pistache::Tcp::Peer> peer,
+  // Duplicates `fd`. `id` names the connection to the poller.
+  HttpConnection(int fd,
+                 std::uint64_t id,
+                 WritePoller* poller,
                  const HttpServerSettings& settings);
+  HttpConnection(const HttpConnection&) = delete;
+  HttpConnection& operator=(const HttpConnection&) = delete;
+  ~HttpConnection();
+
+  // False when the process has no descriptors left.
+  bool IsOpen() const;
 
   // Starts the answer to a request and returns its number.
   std::uint64_t StartExchange(bool close_after_answer);
@@ -45,12 +53,14 @@
                    std::function<void()> on_gone,
                    std::function<void()> on_drained);
 
-  // Queues bytes of the answer with this number and returns the bytes not yet
+  // Writes bytes of the answer with this number and returns the bytes not yet
   // taken by the caller; 0 when that answer has ended or the caller is gone.
-  std::size_t Write(std::uint64_t number, std::string bytes, AnswerEnd end);
+  std::size_t Write(std::uint64_t number,
+                    std::string_view bytes,
+                    AnswerEnd end);
 
-  // Queues bytes outside an answer, for example "100 Continue".
-  void WriteInterim(std::string bytes);
+  // Writes bytes outside an answer, for example "100 Continue".
+  void WriteInterim(std::string_view bytes);
 
   std::size_t Outstanding() const;
 
@@ -59,8 +69,11 @@
   // Further bytes came before the answer ended; it will be the last one.
   void CloseAfterAnswer();
 
-  // Forbids further writes. Returns the listener to call when an answer was
-  // cut short.
+  // The socket takes bytes again.
+  void OnWritable();
+
+  // Forbids further writes and closes the duplicate. Returns the listener to
+  // call when an answer was cut short.
   std::function<void()> MarkGone();
 
   // Enforces the time limits.
@@ -70,19 +83,21 @@
   void Abort();
 
  private:
-  void OnWritten(std::size_t n);
   void EndAnswerLocked(AnswerEnd end);
   void ShutdownLocked(int how);
-  std::size_t QueueWrite(std::unique_lock<std::mutex> lock, std::string bytes);
+  std::size_t OutstandingLocked() const { return unsent_.size() - sent_; }
+  void AppendLocked(std::string_view bytes);
+  // Gives the socket what it takes and waits for it to take the rest.
+  void FlushLocked();
 
+  const std::uint64_t id_;
+  WritePoller* const poller_;
   const HttpServerSettings settings_;
 
   mutable std::mutex mutex_;
   bool gone_ = false;
-  // Held until MarkGone, so that no other thread drops the last reference and
-  // destroys Pistache's object there.
-  std::shared_ptr<Pistache::Tcp::Peer> peer_;
-  // The last answer was queued; the connection closes once it is written.
+  int fd_ = -1;
+  // The connection closes once its last answer is written.
   bool closing_ = false;
   bool dropped_ = false;
   bool close_after_answer_ = false;
@@ -90,7 +105,9 @@
   std::uint64_t exchange_ = 0;
   std::function<void()> on_gone_;
   std::function<void()> on_drained_;
-  std::size_t outstanding_ = 0;
+  // The bytes that the socket has not taken begin at `sent_`.
+  std::string unsent_;
+  std::size_t sent_ = 0;
   // True while the caller has more unread bytes than `resume_bytes`.
   bool above_resume_ = false;
   bool request_begun_ = false;
--- a/src/libs/http_server/http_exchange.cc
+++ b/src/libs/http_server/http_exchange.cc
@@ -91,7 +91,7 @@
   }
   bytes += "\r\n";
   bytes += body;
-  connection_->Write(number_, std::move(bytes), AnswerEnd::kComplete);
+  connection_->Write(number_, bytes, AnswerEnd::kComplete);
 }
 
 void HttpExchange::StartStream(int status,
@@ -103,7 +103,7 @@
     bytes += "Connection: close\r\n";
   }
   bytes += "\r\n";
-  connection_->Write(number_, std::move(bytes), AnswerEnd::kOpen);
+  connection_->Write(number_, bytes, AnswerEnd::kOpen);
 }
 
 std::size_t HttpExchange::SendPart(std::string_view bytes) {
@@ -111,14 +111,14 @@
     return connection_->Outstanding();
   }
   if (!chunked_) {
-    return connection_->Write(number_, std::string(bytes), AnswerEnd::kOpen);
+    return connection_->Write(number_, bytes, AnswerEnd::kOpen);
   }
   std::array<char, 20> size{};
   std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
   std::string chunk = size.data();
   chunk += bytes;
   chunk += "\r\n";
-  return connection_->Write(number_, std::move(chunk), AnswerEnd::kOpen);
+  return connection_->Write(number_, chunk, AnswerEnd::kOpen);
 }
 
 void HttpExchange::EndStream(bool complete) {
--- a/src/libs/http_server/http_server.cc
+++ b/src/libs/http_server/http_server.cc
@@ -3,11 +3,11 @@
 #include <arpa/inet.h>
 #include <pistache/endpoint.h>
 #include <pistache/peer.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <atomic>
 #include <cctype>
-#include <condition_variable>
 #include <mutex>
 #include <thread>
 #include <unordered_map>
@@ -22,7 +22,7 @@
 namespace Http = Pistache::Http;
 
 constexpr char kConnectionData[] = "flamingogauge.connection";
-constexpr std::chrono::milliseconds kSweepInterval{250};
+constexpr std::chrono::milliseconds kCheckInterval{250};
 constexpr std::chrono::milliseconds kDrainInterval{10};
 // Pistache counts its own timeouts from the last request, not from the last
 // answer, and would cut long streams; HttpConnection::Check replaces them.
@@ -57,9 +57,13 @@
 // What belongs to one Pistache connection. It is owned by the server and not by
 // Pistache, which may drop its own objects on any of its threads.
 struct ConnectionData {
-  ConnectionData(const std::shared_ptr<Pistache::Tcp::Peer>& peer,
+  ConnectionData(const Pistache::Tcp::Peer& peer,
+                 WritePoller* poller,
                  const HttpServerSettings& settings)
-      : connection(std::make_shared<HttpConnection>(peer, settings)),
+      : connection(std::make_shared<HttpConnection>(peer.fd(),
+                                                    peer.getID(),
+                                                    poller,
+                                                    settings)),
         parser(settings.max_request_bytes) {}
 
   const std::shared_ptr<HttpConnection> connection;
@@ -78,7 +82,10 @@
   Result<void> Start();
   void Drain(std::function<void()> done);
   void Stop();
-  void Sweep();
+  void Run();
+  void OnWritable(std::uint64_t id);
+  void CheckConnections(MonotonicTime now);
+  std::vector<std::shared_ptr<HttpConnection>> Connections() const;
 
   ConnectionData* Add(const std::shared_ptr<Pistache::Tcp::Peer>& peer);
   void Remove(std::size_t id);
@@ -98,12 +105,12 @@
   std::unique_ptr<Http::Endpoint> endpoint_;
   std::uint16_t port_ = 0;
   mutable std::mutex mutex_;
-  std::condition_variable stopped_;
+  WritePoller poller_;
   bool stopping_ = false;
   std::unordered_map<std::size_t, std::unique_ptr<ConnectionData>> connections_;
   HttpServerCounts counts_;
   std::function<void()> on_drained_;
-  std::thread sweeper_;
+  std::thread thread_;
 };
 
 // Replaces Pistache's request handling, which answers on its own in cases that
@@ -133,9 +140,6 @@
       return;
     }
     const std::function<void()> on_gone = data->connection->MarkGone();
-    // Takes queued writes of this descriptor out of the queue before it is
-    // closed and reused.
-    transport()->flush();
     server_->Remove(peer->getID());
     if (on_gone) {
       on_gone();
@@ -199,6 +203,12 @@
 };
 
 Result<void> HttpServer::Impl::Start() {
+  if (!poller_.IsOpen()) {
+    return Error{.code = ErrorCode::kResourceExhausted,
+                 .step = "listen",
+                 .peer = settings_.address,
+                 .message = "no descriptors are left"};
+  }
   try {
     endpoint_ =
         std::make_unique<Http::Endpoint>(Pistache::Address(settings_.address));
@@ -221,7 +231,7 @@
                  .peer = settings_.address,
                  .message = error.what()};
   }
-  sweeper_ = std::thread([this] { Sweep(); });
+  thread_ = std::thread([this] { Run(); });
   return boost::outcome_v2::success();
 }
 
@@ -231,26 +241,21 @@
     it->connection->CloseAfterAnswer();
   }
   on_drained_ = std::move(done);
-  stopped_.notify_all();
+  poller_.Wake();
 }
 
 void HttpServer::Impl::Stop() {
-  std::vector<std::shared_ptr<HttpConnection>> connections;
   {
     std::lock_guard<std::mutex> lock(mutex_);
     if (std::exchange(stopping_, true)) {
       return;
     }
-    for (const auto& [id, it] : connections_) {
-      connections.push_back(it->connection);
-    }
   }
-  stopped_.notify_all();
-  if (sweeper_.joinable()) {
-    sweeper_.join();
+  poller_.Wake();
+  if (thread_.joinable()) {
+    thread_.join();
   }
-  // No write may be queued on a transport that is being destroyed.
-  for (const auto& it : connections) {
+  for (const auto& it : Connections()) {
     const std::function<void()> on_gone = it->MarkGone();
     if (on_gone) {
       on_gone();
@@ -262,53 +267,88 @@
   }
 }
 
-void HttpServer::Impl::Sweep() {
+void HttpServer::Impl::Run() {
+  auto next_check = std::chrono::steady_clock::now();
   std::unique_lock<std::mutex> lock(mutex_);
   while (!stopping_) {
-    stopped_.wait_for(lock, on_drained_ ? kDrainInterval : kSweepInterval);
-    std::vector<std::shared_ptr<HttpConnection>> connections;
-    connections.reserve(connections_.size());
-    for (const auto& [id, it] : connections_) {
-      connections.push_back(it->connection);
-    }
+    const auto interval = on_drained_ ? kDrainInterval : kCheckInterval;
     lock.unlock();
-    std::uint64_t slow = 0;
-    std::uint64_t timed_out = 0;
-    bool busy = false;
+    for (const std::uint64_t it : poller_.Wait(interval)) {
+      OnWritable(it);
+    }
     const auto now = std::chrono::steady_clock::now();
-    for (const auto& it : connections) {
-      const ConnectionVerdict verdict = it->Check(now);
-      slow += verdict == ConnectionVerdict::kSlowReader ? 1 : 0;
-      timed_out += verdict == ConnectionVerdict::kTimedOut ? 1 : 0;
-      busy = busy || it->IsBusy();
+    if (now >= next_check) {
+      CheckConnections(now);
+      next_check = now + interval;
     }
-    connections.clear();
     lock.lock();
-    if (on_drained_ && !busy) {
-      const std::function<void()> on_drained =
-          std::exchange(on_drained_, nullptr);
-      lock.unlock();
-      on_drained();
-      lock.lock();
+  }
+}
+
+void HttpServer::Impl::OnWritable(std::uint64_t id) {
+  std::shared_ptr<HttpConnection> connection;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = connections_.find(id);
+    if (found != connections_.end()) {
+      connection = found->second->connection;
     }
+  }
+  if (connection) {
+    connection->OnWritable();
+  }
+}
+
+std::vector<std::shared_ptr<HttpConnection>> HttpServer::Impl::Connections()
+    const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<std::shared_ptr<HttpConnection>> connections;
+  connections.reserve(connections_.size());
+  for (const auto& [id, it] : connections_) {
+    connections.push_back(it->connection);
+  }
+  return connections;
+}
+
+void HttpServer::Impl::CheckConnections(MonotonicTime now) {
+  std::uint64_t slow = 0;
+  std::uint64_t timed_out = 0;
+  bool busy = false;
+  for (const auto& it : Connections()) {
+    const ConnectionVerdict verdict = it->Check(now);
+    slow += verdict == ConnectionVerdict::kSlowReader ? 1 : 0;
+    timed_out += verdict == ConnectionVerdict::kTimedOut ? 1 : 0;
+    busy = busy || it->IsBusy();
+  }
+  std::function<void()> on_drained;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
     counts_.dropped_slow_readers += slow;
     counts_.timed_out += timed_out;
+    if (!busy) {
+      on_drained = std::exchange(on_drained_, nullptr);
+    }
+  }
+  if (on_drained) {
+    on_drained();
   }
 }
 
 ConnectionData* HttpServer::Impl::Add(
     const std::shared_ptr<Pistache::Tcp::Peer>& peer) {
-  auto owned = std::make_unique<ConnectionData>(peer, settings_);
+  auto owned = std::make_unique<ConnectionData>(*peer, &poller_, settings_);
   ConnectionData* data = owned.get();
   bool accepted = false;
   {
     std::lock_guard<std::mutex> lock(mutex_);
-    accepted = !stopping_ && connections_.size() < settings_.max_connections;
+    accepted = !stopping_ && data->connection->IsOpen() &&
+               connections_.size() < settings_.max_connections;
     connections_[peer->getID()] = std::move(owned);
     counts_.rejected += accepted ? 0 : 1;
   }
   if (!accepted) {
     data->connection->Abort();
+    ::shutdown(peer->fd(), SHUT_RDWR);
   }
   return data;
 }
--- a/tests/auto/end_to_end/tst_processes.cc
+++ b/tests/auto/end_to_end/tst_processes.cc
@@ -69,6 +69,11 @@
     it.join();
   }
   CHECK(wrong == 0);
+  // A host that crashed has said why.
+  for (int it = 0; it < 2; ++it) {
+    CHECK_MESSAGE(!deployment.host(it).process->Wait(milliseconds(0)),
+                  deployment.host(it).process->Output());
+  }
 }
 
 // Guards against upstream streams that go on for callers that hung up, and
