load: name keys and tiers; share prefix hashes with the fake

Cause: the requests plugin hashes prefixes by a rule of its own and tiers are named in a header. Change: the fake engine's cache uses the same hashes; the load tool takes a list of keys and tier names; an ended call is destroyed before one with the same id starts, so that a refused request can be sent again at once.

--- a/src/plugins/upstreams/curl_upstream_client.cc
+++ b/src/plugins/upstreams/curl_upstream_client.cc
@@ -141,6 +141,9 @@
 
 void CurlUpstreamClient::Handle(StartCommand command) {
   const RequestId id = command.call.id;
+  // A request that was refused may be sent again, under its id, before the
+  // timer that destroys the ended call has run.
+  DestroyEndedCalls();
   if (calls_.size() >= settings_.max_calls || calls_.count(id) != 0) {
     const char* message = calls_.count(id) != 0
                               ? "a call with this id is in flight"
--- a/tests/fakes/fake_engine/fake_engine_state.cc
+++ b/tests/fakes/fake_engine/fake_engine_state.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "libs/model/fingerprint.h"
+#include "libs/requests/prefix_hashes.h"
 #include "tests/fakes/fake_engine/fake_text.h"
 
 namespace flamingogauge {
@@ -14,7 +15,6 @@
 constexpr std::size_t kMaxFinishedStreams = 4096;
 constexpr std::size_t kMaxCountedIds = 200000;
 constexpr std::size_t kMaxCacheChanges = 1024;
-constexpr std::size_t kCacheBlockBytes = 256;
 
 std::chrono::nanoseconds TimeForTokens(double tokens, double rate) {
   if (rate <= 0) {
@@ -75,7 +75,7 @@
     ++by_fingerprint_[ToString(ComputeFingerprint(request->model, body))];
   }
   stream->cached_tokens =
-      std::min(CachePromptLocked(request->prompt), stream->prompt_tokens);
+      std::min(CachePromptLocked(request->cache_text), stream->prompt_tokens);
   const double uncached =
       static_cast<double>(stream->prompt_tokens - stream->cached_tokens);
   stream->first_at = now + TimeForTokens(uncached * faults_.slowdown,
@@ -255,14 +255,12 @@
 }
 
 // Stores the prompt's blocks and returns the tokens that were stored already.
-std::size_t FakeEngineState::CachePromptLocked(std::string_view prompt) {
+std::size_t FakeEngineState::CachePromptLocked(std::string_view text) {
   CacheChange change;
-  std::size_t found = 0;
-  for (std::size_t end = kCacheBlockBytes; end <= prompt.size();
-       end += kCacheBlockBytes) {
-    const std::uint64_t hash = ComputeContentHash(prompt.substr(0, end)).low;
+  std::size_t found_blocks = 0;
+  for (const std::uint64_t hash : ComputePrefixHashes(text)) {
     if (!cached_.emplace(hash, true).second) {
-      found = end;
+      ++found_blocks;
       continue;
     }
     cached_order_.push_back(hash);
@@ -280,7 +278,7 @@
       cache_changes_.pop_front();
     }
   }
-  return CountFakeTokens(prompt.substr(0, found));
+  return found_blocks * (kPrefixBlockBytes / kBytesPerToken);
 }
 
 std::string FakeEngineState::LoadJson() const {
--- a/tests/fakes/fake_engine/fake_engine_state.h
+++ b/tests/fakes/fake_engine/fake_engine_state.h
@@ -138,7 +138,7 @@
   std::size_t AvailableLocked(const Stream& stream, MonotonicTime now) const;
   std::string EventLocked(const Stream& stream, std::size_t offset) const;
   void EndLocked(Stream& stream);
-  std::size_t CachePromptLocked(std::string_view prompt);
+  std::size_t CachePromptLocked(std::string_view text);
   void ForgetOldStreamsLocked();
 
   const FakeEngineOptions options_;
--- a/tests/fakes/fake_engine/fake_text.cc
+++ b/tests/fakes/fake_engine/fake_text.cc
@@ -27,7 +27,9 @@
     if (!request.prompt.empty()) {
       request.prompt += '\n';
     }
-    request.prompt += it["content"].get_ref<const std::string&>();
+    const auto& content = it["content"].get_ref<const std::string&>();
+    request.prompt += content;
+    request.cache_text += it.value("role", "") + "\n" + content + "\n";
   }
   if (json.contains("max_tokens") && json["max_tokens"].is_number_unsigned()) {
     request.max_tokens = json["max_tokens"].get<std::size_t>();
--- a/tests/fakes/fake_engine/fake_text.h
+++ b/tests/fakes/fake_engine/fake_text.h
@@ -14,6 +14,8 @@
   std::string model;
   // The contents of all messages, joined by line feeds.
   std::string prompt;
+  // The roles and contents as flamingogauge hashes them for prefix caches.
+  std::string cache_text;
   // 0 when the request names none.
   std::size_t max_tokens = 0;
 };
--- a/tools/load/load_options.cc
+++ b/tools/load/load_options.cc
@@ -18,8 +18,8 @@
 DEFINE_uint64(seed, 1, "seed of the workload");
 DEFINE_string(model, "m", "model that chat requests name");
 DEFINE_string(service, "booking", "service that bookings name");
-DEFINE_string(key_prefix, "key-", "bearer key without the tier's number");
-DEFINE_string(tier_header, "", "header that asks for a tier; empty: none");
+DEFINE_string(keys, "key", "bearer keys of tier 0, 1, ...");
+DEFINE_string(tier_names, "", "names of tier 0, 1, ..., sent as a header");
 DEFINE_uint64(prompt_tokens, 64, "prompt length of the workload uniform");
 DEFINE_uint64(output_tokens, 16, "answer length of the workload uniform");
 DEFINE_bool(verify, true, "compare answers with those of the fake engine");
@@ -110,8 +110,8 @@
       .seed = FLAGS_seed,
       .model = FLAGS_model,
       .service = FLAGS_service,
-      .key_prefix = FLAGS_key_prefix,
-      .tier_header = FLAGS_tier_header,
+      .keys = Split(FLAGS_keys),
+      .tier_names = Split(FLAGS_tier_names),
       .prompt_tokens = FLAGS_prompt_tokens,
       .output_tokens = FLAGS_output_tokens,
       .verify = FLAGS_verify,
@@ -122,6 +122,9 @@
   if (options.targets.empty() && options.direct.empty()) {
     return FlagError("targets", "", "at least one address");
   }
+  if (options.keys.empty()) {
+    return FlagError("keys", "", "at least one key");
+  }
   const std::initializer_list<Result<void>> checks{
       CheckAddresses("targets", options.targets, options.allow_remote),
       CheckAddresses("direct", options.direct, options.allow_remote),
--- a/tools/load/load_options.h
+++ b/tools/load/load_options.h
@@ -30,10 +30,11 @@
   std::uint64_t seed = 1;
   std::string model = "m";
   std::string service = "booking";
-  // The bearer key of a tier is this text and the tier's number.
-  std::string key_prefix = "key-";
-  // The header that asks for a tier; empty sends none.
-  std::string tier_header;
+  // The bearer keys of the tiers; the last one is used for all further tiers.
+  std::vector<std::string> keys{"key"};
+  // The names of the tiers, sent as Flamingogauge-Tier; without a name the
+  // workspace's own tier applies.
+  std::vector<std::string> tier_names;
   // For the workload "uniform", in tokens of four bytes.
   std::size_t prompt_tokens = 64;
   std::size_t output_tokens = 16;
--- a/tools/load/load_request.cc
+++ b/tools/load/load_request.cc
@@ -1,5 +1,6 @@
 #include "tools/load/load_request.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -77,14 +78,15 @@
     transfer.path = "/v1/services/" + options_.service + "/status";
   }
   transfer.body = body_;
-  const std::string tier = std::to_string(class_.tier);
-  transfer.headers.push_back(
-      {"Authorization", "Bearer " + options_.key_prefix + tier});
+  const std::size_t key =
+      std::min<std::size_t>(class_.tier, options_.keys.size() - 1);
+  transfer.headers.push_back({"Authorization", "Bearer " + options_.keys[key]});
   if (!body_.empty()) {
     transfer.headers.push_back({"Content-Type", "application/json"});
   }
-  if (!options_.tier_header.empty()) {
-    transfer.headers.push_back({options_.tier_header, tier});
+  if (class_.tier < options_.tier_names.size()) {
+    transfer.headers.push_back(
+        {"Flamingogauge-Tier", options_.tier_names[class_.tier]});
   }
   if (result_.direct) {
     transfer.headers.push_back(
