policy: keep load until the last deadline and cache running prompts

Cause: arrivals ended with the counted requests, so a policy gained by postponing work to an end without load. The engine model cached a prompt only after its answer, and not those of running requests. Change: arrivals go on for 180 s after the counted 240 s; blocks are cached once the prompt is computed and while its request runs.

--- a/tools/policy/engine_model.cc
+++ b/tools/policy/engine_model.cc
@@ -62,6 +62,9 @@
   std::size_t decoding = 0;
   for (EngineRequest& it : running_) {
     const std::uint32_t part = std::min(chunk, it.prefill_left);
+    if (part > 0 && part == it.prefill_left) {
+      Hold(it);
+    }
     it.prefill_left -= part;
     it.tokens += part;
     it.computed += part;
@@ -83,7 +86,7 @@
   }
   for (auto it = running_.begin(); it != running_.end();) {
     if (it->produced >= it->output) {
-      Store(*it);
+      Release(*it);
       completed.push_back(std::move(*it));
       it = running_.erase(it);
     } else {
@@ -93,6 +96,8 @@
   while (running_.size() > 1 && TokensInMemory() > generation_.token_capacity) {
     EngineRequest newest = std::move(running_.back());
     running_.pop_back();
+    Release(newest);
+    newest.holds_blocks = false;
     recomputed += newest.tokens;
     newest.prefill_left += static_cast<std::uint32_t>(newest.tokens);
     newest.tokens = 0;
@@ -101,23 +106,36 @@
   return end;
 }
 
-void EngineModel::Store(const EngineRequest& request) {
-  const std::uint64_t limit =
-      generation_.token_capacity / kCachePart / kBlockTokens;
-  for (const std::uint64_t block : request.blocks) {
-    const auto known = cache_.find(block);
-    if (known != cache_.end()) {
-      cache_order_.splice(cache_order_.end(), cache_order_, known->second);
-      continue;
+void EngineModel::Hold(EngineRequest& request) {
+  request.holds_blocks = true;
+  for (const std::uint64_t it : request.blocks) {
+    auto [block, created] = cache_.try_emplace(it);
+    if (created) {
+      changes_.stored.push_back(it);
+    } else if (block->second.holders == 0) {
+      cache_order_.erase(block->second.order);
     }
-    cache_[block] = cache_order_.insert(cache_order_.end(), block);
-    changes_.stored.push_back(block);
-    if (cache_.size() > limit) {
-      changes_.evicted.push_back(cache_order_.front());
-      cache_.erase(cache_order_.front());
-      cache_order_.pop_front();
+    ++block->second.holders;
+  }
+}
+
+void EngineModel::Release(const EngineRequest& request) {
+  if (!request.holds_blocks) {
+    return;
+  }
+  for (const std::uint64_t it : request.blocks) {
+    Block& block = cache_.at(it);
+    if (--block.holders == 0) {
+      block.order = cache_order_.insert(cache_order_.end(), it);
     }
   }
+  const std::uint64_t limit =
+      generation_.token_capacity / kCachePart / kBlockTokens;
+  while (cache_order_.size() > limit) {
+    changes_.evicted.push_back(cache_order_.front());
+    cache_.erase(cache_order_.front());
+    cache_order_.pop_front();
+  }
 }
 
 std::uint64_t EngineModel::Cancel(std::size_t arrival) {
@@ -127,6 +145,7 @@
         [arrival](const EngineRequest& e) { return e.arrival == arrival; });
     if (it != queue->end()) {
       const std::uint64_t computed = it->computed;
+      Release(*it);
       queue->erase(it);
       return computed;
     }
--- a/tools/policy/engine_model.h
+++ b/tools/policy/engine_model.h
@@ -28,6 +28,8 @@
   // Prompt tokens computed for it so far.
   std::uint64_t computed = 0;
   std::vector<std::uint64_t> blocks;
+  // True once its prompt is computed, so that its blocks are cached.
+  bool holds_blocks = false;
 };
 
 // Continuous batching: a step computes a chunk of prompts in arrival order and
@@ -58,16 +60,22 @@
 
  private:
   void Admit();
-  void Store(const EngineRequest& request);
+  void Hold(EngineRequest& request);
+  void Release(const EngineRequest& request);
   std::uint64_t TokensInMemory() const;
 
   UpstreamId id_;
   Generation generation_;
   std::deque<EngineRequest> waiting_;
   std::deque<EngineRequest> running_;
-  // Cached blocks, least recently used first.
+  // Blocks of running requests are cached without limit; the others up to a
+  // part of the memory, least recently used first.
+  struct Block {
+    std::uint32_t holders = 0;
+    std::list<std::uint64_t>::iterator order;
+  };
   std::list<std::uint64_t> cache_order_;
-  std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> cache_;
+  std::unordered_map<std::uint64_t, Block> cache_;
   CacheEvent changes_;
 };
 
--- a/tools/policy/simulation.cc
+++ b/tools/policy/simulation.cc
@@ -21,7 +21,7 @@
 constexpr double kLoadInterval = 0.5;
 constexpr double kLoadAge = 1;
 constexpr double kMissingCacheEvents = 0.1;
-constexpr double kEnd = kArrivalSeconds + 200;
+constexpr double kEnd = kArrivalSeconds + 1;
 
 // Tells the true length of each answer.
 class TrueLengths : public LengthEstimator {
@@ -96,7 +96,8 @@
 
 bool Simulation::Counts(const Arrival& arrival) const {
   // Callers of the lost host get no answer under any policy.
-  return !options_.with_lost_host || arrival.host != 0;
+  return arrival.time < kCountedSeconds &&
+         (!options_.with_lost_host || arrival.host != 0);
 }
 
 RunResult Simulation::Run() {
--- a/tools/policy/workload.h
+++ b/tools/policy/workload.h
@@ -46,8 +46,11 @@
 
 inline constexpr std::size_t kHosts = 6;
 inline constexpr std::uint32_t kBlockTokens = 256;
-// Arrivals end at this time; the run goes on until all deadlines are over.
-inline constexpr double kArrivalSeconds = 240;
+// Requests that arrive until then are counted, in seconds. Arrivals go on until
+// their last deadline, so that no policy gains by postponing work to an end
+// without load.
+inline constexpr double kCountedSeconds = 240;
+inline constexpr double kArrivalSeconds = kCountedSeconds + 180;
 // Seconds from acceptance to the end of the answer, by tier.
 inline constexpr double kDeadlines[kMaxTiers] = {10, 20, 90, 120, 180};
 
