scheduling: plan more of the token memory

Cause: an eighth of the token memory stayed free, and tier 4 was shed. Change: long requests may plan 92% (was 85%) of it and all 100% (was 95%).

--- a/src/libs/scheduling/group_policies.cc
+++ b/src/libs/scheduling/group_policies.cc
@@ -13,8 +13,8 @@
 
 // The part of the token memory that may be planned, for long requests and for
 // all; the rest absorbs answers longer than expected.
-constexpr double kLongTokenPart = 0.85;
-constexpr double kTokenPart = 0.95;
+constexpr double kLongTokenPart = 0.92;
+constexpr double kTokenPart = 1.0;
 
 // A long prompt is not added behind more than this prefill, so that short
 // prompts that arrive next do not wait for several long ones.
