scheduling: forecast the wait over longer than a burst

Cause: arrival rates averaged over 5 s took each burst for the new load, and requests with minutes to their deadline were shed. Change: arrivals are averaged over 60 s and the drain rate over 20 s; a request is shed when it would need 1.5 times its remaining time.

--- a/src/libs/scheduling/drain_estimator.h
+++ b/src/libs/scheduling/drain_estimator.h
@@ -26,9 +26,11 @@
       return;
     }
     const double blend = 1 - std::exp(-std::min(elapsed, 5.0) / kSmoothing);
+    const double arrival_blend =
+        1 - std::exp(-std::min(elapsed, 5.0) / kArrivalSmoothing);
     for (std::size_t tier = 0; tier < kMaxTiers; ++tier) {
       arrival_rate_[tier] +=
-          blend * (arrived_[tier] / elapsed - arrival_rate_[tier]);
+          arrival_blend * (arrived_[tier] / elapsed - arrival_rate_[tier]);
       arrived_[tier] = 0;
     }
     // Grants tell the capacity only while there was always something to grant.
@@ -61,7 +63,8 @@
   // Length of a measuring interval and time constant of the average, in
   // seconds: several requests a group, and quicker than a burst.
   static constexpr double kInterval = 1.0;
-  static constexpr double kSmoothing = 5.0;
+  static constexpr double kSmoothing = 20.0;
+  static constexpr double kArrivalSmoothing = 60.0;
   // A tier is expected to get at least this part of the capacity.
   static constexpr double kLeastPart = 0.1;
 
--- a/src/libs/scheduling/group_policies.h
+++ b/src/libs/scheduling/group_policies.h
@@ -120,10 +120,11 @@
 
 class ExpectedWaitShed : public ShedPolicy {
  public:
+  static constexpr double kTolerance = 1.5;
   bool ShouldShed(double expected_wait,
                   double expected_service,
                   double time_left) const override {
-    return expected_wait + expected_service > time_left;
+    return expected_wait + expected_service > kTolerance * time_left;
   }
 };
 
