scheduling: prefer cached prompts among a workspace's reports

Cause: with full engines, placement has one upstream to choose from, so cached prompts were found by chance; entries were trusted for 300 s while engines evict within tens of seconds. Change: among the next 16 reports of the workspace whose turn it is, the one with most cached tokens where there is room goes first, until the head has used 30% of its time. Entries are trusted for 1.5 times the mean time to eviction of their upstream.

--- a/src/libs/scheduling/group_dispatch.cc
+++ b/src/libs/scheduling/group_dispatch.cc
@@ -33,6 +33,12 @@
 constexpr double kFailureSample = 20;
 constexpr double kRefusalSample = 8;
 
+// A long request whose prompt is cached where there is room may go before the
+// head of its workspace, among this many, until the head has used this part of
+// its time.
+constexpr std::size_t kAlternatives = 16;
+constexpr double kBypassPart = 0.3;
+
 double Seconds(std::chrono::microseconds time) {
   return std::chrono::duration<double>(time).count();
 }
@@ -167,6 +173,42 @@
   return any_room ? Placement::kTooLate : Placement::kNoRoom;
 }
 
+QueuedRequest* GroupScheduler::Private::PreferCached(MonotonicTime now,
+                                                     QueuedRequest* head) {
+  const double waited =
+      std::chrono::duration<double>(now - head->arrived_at).count();
+  if (waited > kBypassPart * (waited + TimeLeft(now, *head))) {
+    return head;
+  }
+  const auto alternatives = policies.order->Alternatives(head, kAlternatives);
+  if (alternatives.size() < 2) {
+    return head;
+  }
+  QueuedRequest* best = head;
+  double best_cached = 0;
+  for (QueuedRequest* it : alternatives) {
+    const std::vector<float> cached = prefixes.CachedFractions(
+        now, upstreams.size(), it->request.prefix_hashes);
+    for (std::size_t slot = 0; slot < upstreams.size(); ++slot) {
+      const double tokens =
+          static_cast<double>(cached[slot]) * it->request.prompt_tokens;
+      if (tokens <= best_cached) {
+        continue;
+      }
+      const Candidate candidate = MakeCandidate(now, *it, slot, cached[slot]);
+      if (IsEligible(now, *it, candidate) &&
+          policies.admission->HasRoom(candidate, *it, Room::kAll)) {
+        best = it;
+        best_cached = tokens;
+      }
+    }
+  }
+  if (best != head) {
+    policies.order->TakeTurn(best);
+  }
+  return best;
+}
+
 void GroupScheduler::Private::Dispatch(MonotonicTime now) {
   bool progress = true;
   while (progress) {
@@ -180,6 +222,9 @@
         continue;
       }
       const bool is_long = it->is_long;
+      if (is_long) {
+        it = PreferCached(now, it);
+      }
       const Placement placed = TryPlace(now, *it, room);
       if (placed == Placement::kPlaced) {
         progress = true;
--- a/src/libs/scheduling/group_scheduler.cc
+++ b/src/libs/scheduling/group_scheduler.cc
@@ -224,7 +224,7 @@
   const std::size_t slot = d_->SlotOf(event.upstream);
   if (slot < d_->upstreams.size()) {
     const auto index = static_cast<PrefixMap::Slot>(slot);
-    d_->prefixes.Evict(index, event.evicted);
+    d_->prefixes.Evict(now, index, event.evicted);
     d_->prefixes.Store(now, index, event.stored);
   }
 }
--- a/src/libs/scheduling/prefix_map.cc
+++ b/src/libs/scheduling/prefix_map.cc
@@ -8,6 +8,10 @@
 // An entry older than this is not trusted: an eviction event may be missing.
 constexpr std::chrono::seconds kMaxAge{300};
 
+// An entry is trusted for this many mean times to eviction of its upstream.
+constexpr double kLifetimes = 1.5;
+constexpr double kLifetimeSmoothing = 0.05;
+
 }  // namespace
 
 void PrefixMap::Store(MonotonicTime now,
@@ -34,15 +38,38 @@
   }
 }
 
-void PrefixMap::Evict(Slot slot, const std::vector<std::uint64_t>& hashes) {
+void PrefixMap::Evict(MonotonicTime now,
+                      Slot slot,
+                      const std::vector<std::uint64_t>& hashes) {
   for (const std::uint64_t hash : hashes) {
     const auto entry = holders_.find(hash);
-    if (entry != holders_.end()) {
-      std::erase_if(entry->second, [slot](const Holder& holder) {
-        return holder.slot == slot;
-      });
+    if (entry == holders_.end()) {
+      continue;
     }
+    auto& list = entry->second;
+    const auto it = std::find_if(
+        list.begin(), list.end(),
+        [slot](const Holder& holder) { return holder.slot == slot; });
+    if (it == list.end()) {
+      continue;
+    }
+    lifetimes_.resize(std::max<std::size_t>(lifetimes_.size(), slot + 1));
+    const double age =
+        std::chrono::duration<double>(now - it->stored_at).count();
+    double& mean = lifetimes_[slot];
+    mean = mean == 0 ? age : mean + kLifetimeSmoothing * (age - mean);
+    list.erase(it);
+  }
+}
+
+Duration PrefixMap::TrustedAge(Slot slot) const {
+  if (slot >= lifetimes_.size() || lifetimes_[slot] == 0) {
+    return kMaxAge;
   }
+  return std::min<Duration>(
+      kMaxAge,
+      std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double>(kLifetimes * lifetimes_[slot])));
 }
 
 std::vector<float> PrefixMap::CachedFractions(
@@ -58,7 +85,7 @@
     }
     for (const Holder& it : entry->second) {
       if (it.slot < slots && matched[it.slot] == block &&
-          now - it.stored_at < kMaxAge) {
+          now - it.stored_at < TrustedAge(it.slot)) {
         ++matched[it.slot];
       }
     }
--- a/src/libs/scheduling/prefix_map.h
+++ b/src/libs/scheduling/prefix_map.h
@@ -26,7 +26,9 @@
   void Store(MonotonicTime now,
              Slot slot,
              const std::vector<std::uint64_t>& hashes);
-  void Evict(Slot slot, const std::vector<std::uint64_t>& hashes);
+  void Evict(MonotonicTime now,
+             Slot slot,
+             const std::vector<std::uint64_t>& hashes);
 
   // Returns for each of `slots` upstreams the fraction of the prompt that is
   // expected in its cache, from 0 to 1.
@@ -44,7 +46,13 @@
     MonotonicTime stored_at;
   };
 
+  // How long an entry of an upstream is trusted.
+  Duration TrustedAge(Slot slot) const;
+
   std::size_t max_entries_;
+  // Mean seconds from the last use to the eviction, by upstream; 0 while
+  // nothing was evicted.
+  std::vector<double> lifetimes_;
   std::unordered_map<std::uint64_t, std::vector<Holder>> holders_;
   // Insertion order of the keys, from which the oldest are dropped.
   std::deque<std::uint64_t> order_;
--- a/src/libs/scheduling/request_order.cc
+++ b/src/libs/scheduling/request_order.cc
@@ -27,6 +27,11 @@
   return {queue_.begin()->second};
 }
 
+std::vector<QueuedRequest*> FifoOrder::Alternatives(QueuedRequest* head,
+                                                    std::size_t) {
+  return {head};
+}
+
 void FairQueue::Push(QueuedRequest* request) {
   const WorkspaceId& workspace = request->request.workspace;
   Share& share = shares_[workspace];
@@ -91,6 +96,32 @@
   share.deficit += rounds * kQuantum * share.requests.begin()->second->weight;
 }
 
+std::vector<QueuedRequest*> FairQueue::OfSameWorkspace(
+    const QueuedRequest& head,
+    std::size_t count) const {
+  std::vector<QueuedRequest*> requests;
+  const auto share = shares_.find(head.request.workspace);
+  if (share == shares_.end()) {
+    return requests;
+  }
+  for (const auto& [arrival, it] : share->second.requests) {
+    if (requests.size() == count) {
+      break;
+    }
+    requests.push_back(it);
+  }
+  return requests;
+}
+
+std::vector<QueuedRequest*> TieredOrder::Alternatives(QueuedRequest* head,
+                                                      std::size_t count) {
+  return QueueOf(*head).OfSameWorkspace(*head, count);
+}
+
+void TieredOrder::TakeTurn(QueuedRequest* request) {
+  QueueOf(*request).SetHead(request);
+}
+
 FairQueue& TieredOrder::QueueOf(const QueuedRequest& request) {
   TierQueues& tier =
       tiers_[std::min<std::size_t>(request.request.tier, kMaxTiers - 1)];
--- a/src/libs/scheduling/request_order.h
+++ b/src/libs/scheduling/request_order.h
@@ -22,6 +22,12 @@
   virtual void Remove(QueuedRequest* request) = 0;
   // Returns the requests to consider now, the most urgent first.
   virtual std::vector<QueuedRequest*> Heads() = 0;
+  // Returns up to `count` requests that could take the turn of a head without
+  // a change of the shares of others; the head is the first.
+  virtual std::vector<QueuedRequest*> Alternatives(QueuedRequest* head,
+                                                   std::size_t count) = 0;
+  // Lets one of the alternatives take the turn of its head.
+  virtual void TakeTurn(QueuedRequest* request) = 0;
 };
 
 // The baseline: one queue in order of arrival.
@@ -30,6 +36,9 @@
   void Push(QueuedRequest* request) override;
   void Remove(QueuedRequest* request) override;
   std::vector<QueuedRequest*> Heads() override;
+  std::vector<QueuedRequest*> Alternatives(QueuedRequest* head,
+                                           std::size_t count) override;
+  void TakeTurn(QueuedRequest*) override {}
 
  private:
   std::map<std::uint64_t, QueuedRequest*> queue_;
@@ -41,10 +50,16 @@
 class FairQueue {
  public:
   void Push(QueuedRequest* request);
-  // Removes a request; the head is charged to its workspace.
+  // Removes a request. The head, or one that takes its turn, is charged to its
+  // workspace.
   void Remove(QueuedRequest* request);
   // Returns the next request in turn, or null.
   QueuedRequest* Head();
+  // Returns the first requests of the head's workspace in order of arrival.
+  std::vector<QueuedRequest*> OfSameWorkspace(const QueuedRequest& head,
+                                              std::size_t count) const;
+  // Lets a request of the same workspace take the turn of the head.
+  void SetHead(QueuedRequest* request) { head_ = request; }
 
  private:
   struct Share {
@@ -71,6 +86,10 @@
   void Push(QueuedRequest* request) override;
   void Remove(QueuedRequest* request) override;
   std::vector<QueuedRequest*> Heads() override;
+  // The next requests of the same workspace, tier and length class.
+  std::vector<QueuedRequest*> Alternatives(QueuedRequest* head,
+                                           std::size_t count) override;
+  void TakeTurn(QueuedRequest* request) override;
 
  private:
   FairQueue& QueueOf(const QueuedRequest& request);
--- a/tests/auto/scheduling/tst_scheduling_parts.cc
+++ b/tests/auto/scheduling/tst_scheduling_parts.cc
@@ -115,7 +115,7 @@
   map.Store(kStart, 1, {1, 2, 3, 4});
   CHECK(map.CachedFractions(kStart, 2, {1, 2, 3, 4})[1] == 1.0F);
   CHECK(map.CachedFractions(kStart, 2, {1, 2, 9, 9})[1] == 0.5F);
-  map.Evict(1, {2});
+  map.Evict(kStart + seconds(299), 1, {2});
   CHECK(map.CachedFractions(kStart, 2, {1, 2, 3, 4})[1] == 0.25F);
   CHECK(map.CachedFractions(kStart + seconds(301), 2, {1})[1] == 0.0F);
   map.Store(kStart, 0, {11, 12, 13, 14, 15, 16, 17, 18, 19});
