--- a/tests/auto/membership/tst_membership.cc
+++ b/tests/auto/membership/tst_membership.cc
@@ -124,7 +124,8 @@
     }
     bool is_harmless = true;
     network.after_tick = [&](MembershipNetwork::Host& host) {
-      for (const Member& it : *host.membership->view()) {
+      const auto members = host.membership->view();
+      for (const Member& it : *members) {
         is_harmless =
             is_harmless && (it.host == network.host(3).self.host ||
                             host.self.host == network.host(3).self.host ||
@@ -158,7 +159,8 @@
   network.RunFor(seconds(6));
   // Each host takes over the highest revision that a neighbour has.
   network.after_tick = [](MembershipNetwork::Host& host) {
-    for (const Member& it : *host.membership->view()) {
+    const auto members = host.membership->view();
+    for (const Member& it : *members) {
       host.membership->SetDocumentRevision(it.document_revision);
     }
   };
@@ -225,7 +227,8 @@
     // the dead host's process.
     std::map<std::pair<std::uint64_t, std::uint64_t>, std::uint32_t> dead;
     network.after_tick = [&dead](MembershipNetwork::Host& host) {
-      for (const Member& it : *host.membership->view()) {
+      const auto members = host.membership->view();
+      for (const Member& it : *members) {
         const std::pair key(host.self.incarnation.low, it.incarnation.low);
         const auto found = dead.find(key);
         if (it.state == MemberState::kDead) {
--- a/tests/auto/peers/tst_peers_plugin.cc
+++ b/tests/auto/peers/tst_peers_plugin.cc
@@ -116,7 +116,8 @@
 
 // Returns how `viewer` sees a host; kDead when it does not list it.
 MemberState StateOf(TestHost& viewer, const HostId& host) {
-  for (const Member& it : *viewer.plugin().Current()) {
+  const auto members = viewer.plugin().Current();
+  for (const Member& it : *members) {
     if (it.host == host) {
       return it.state;
     }
--- a/tools/membership/measure_takeover.cc
+++ b/tools/membership/measure_takeover.cc
@@ -38,7 +38,8 @@
 
 std::vector<HostId> AliveHosts(const Membership& membership) {
   std::vector<HostId> alive;
-  for (const Member& it : *membership.view()) {
+  const auto members = membership.view();
+  for (const Member& it : *members) {
     if (it.state == MemberState::kAlive) {
       alive.push_back(it.host);
     }
