orders: hold a fenced lease for orders to upstreams

Cause: two hosts must not order the same upstream, also when one was paused past its lease or lost the store's answers. Change: the lease machine without I/O; the object's version is the fencing number; the next holder waits out the longest flight for upstreams that do not check it.

--- /dev/null
+++ b/src/libs/orders/order_lease.cc
@@ -0,0 +1,130 @@
+#include "libs/orders/order_lease.h"
+
+#include <string>
+
+#include "libs/kernel/check.h"
+
+namespace flamingogauge {
+
+std::optional<LeaseAction> OrderLease::OnTime(MonotonicTime now) {
+  if (outstanding_ || now < next_call_) {
+    return std::nullopt;
+  }
+  outstanding_ = true;
+  next_call_ = now + options_.interval;
+  if (write_in_doubt_) {
+    return LeaseAction{.kind = LeaseAction::Kind::kRead};
+  }
+  if (authority_) {
+    write_sent_ = now;
+    return LeaseAction{.kind = LeaseAction::Kind::kUpdate,
+                       .expected_version = authority_->fencing_number};
+  }
+  if (absent_) {
+    write_sent_ = now;
+    return LeaseAction{.kind = LeaseAction::Kind::kCreate};
+  }
+  // The holder's lease began at the latest when its version was seen first.
+  const bool lapsed =
+      seen_version_ &&
+      now - seen_since_ >= options_.lease + options_.clock_margin;
+  if (lapsed) {
+    write_sent_ = now;
+    return LeaseAction{.kind = LeaseAction::Kind::kUpdate,
+                       .expected_version = *seen_version_};
+  }
+  return LeaseAction{.kind = LeaseAction::Kind::kRead};
+}
+
+void OrderLease::Hold(MonotonicTime now,
+                      std::uint64_t version,
+                      MonotonicTime counted_from) {
+  CHECK_INVARIANT("fencing",
+                  !authority_ || version > authority_->fencing_number,
+                  "renew order lease: version " + std::to_string(version));
+  const MonotonicTime unfenced_from =
+      authority_ ? authority_->unfenced_from : now + options_.longest_flight;
+  authority_ = {.fencing_number = version,
+                .valid_until = counted_from + options_.lease,
+                .unfenced_from = unfenced_from};
+  write_in_doubt_ = false;
+  first_doubt_sent_.reset();
+  absent_ = false;
+  seen_version_.reset();
+}
+
+void OrderLease::Lose() {
+  authority_.reset();
+  seen_version_.reset();
+  absent_ = false;
+}
+
+void OrderLease::OnRead(MonotonicTime now, std::optional<LeaseObject> object) {
+  outstanding_ = false;
+  const bool after_lost_write = write_in_doubt_;
+  write_in_doubt_ = false;
+  if (!object) {
+    Lose();
+    absent_ = true;
+    next_call_ = now;
+    return;
+  }
+  if (object->holder == options_.self) {
+    if (authority_ && object->version == authority_->fencing_number) {
+      // The lost renewal was not applied, or not yet. It is sent again.
+      next_call_ = now;
+      return;
+    }
+    if (after_lost_write) {
+      Hold(now, object->version, first_doubt_sent_.value_or(write_sent_));
+      return;
+    }
+  }
+  if (authority_) {
+    Lose();
+  }
+  if (seen_version_ != object->version) {
+    seen_version_ = object->version;
+    seen_since_ = now;
+  }
+  absent_ = false;
+}
+
+void OrderLease::OnReadFailed(MonotonicTime /*now*/) {
+  outstanding_ = false;
+}
+
+void OrderLease::OnWritten(MonotonicTime now,
+                           LeaseWriteResult result,
+                           std::uint64_t version) {
+  outstanding_ = false;
+  switch (result) {
+    case LeaseWriteResult::kApplied:
+      Hold(now, version, write_sent_);
+      break;
+    case LeaseWriteResult::kConflict:
+      Lose();
+      next_call_ = now;
+      break;
+    case LeaseWriteResult::kNotApplied:
+      break;
+    case LeaseWriteResult::kUnknown:
+      write_in_doubt_ = true;
+      first_doubt_sent_ = first_doubt_sent_.value_or(write_sent_);
+      next_call_ = now;
+      break;
+  }
+}
+
+void OrderLease::OnOrderRefused() {
+  Lose();
+}
+
+std::optional<OrderAuthority> OrderLease::Authority(MonotonicTime now) const {
+  if (!authority_ || now >= authority_->valid_until) {
+    return std::nullopt;
+  }
+  return authority_;
+}
+
+}  // namespace flamingogauge
