--- a/tests/auto/end_to_end/tst_one_host.cc
+++ b/tests/auto/end_to_end/tst_one_host.cc
@@ -56,6 +56,9 @@
 // A whole entry host in this process, with the echo upstream client.
 class OneHost {
  public:
+  OneHost(const OneHost&) = delete;
+  OneHost& operator=(const OneHost&) = delete;
+
   OneHost() {
     CallersSettings callers;
     callers.server.address = "127.0.0.1:0";
@@ -81,6 +84,9 @@
     }
   }
 
+  // As main does: plugins are destroyed after a drain.
+  ~OneHost() { manager.Shutdown(milliseconds(5000)); }
+
   std::string callers_address() const { return callers_->ListeningAddress(); }
   std::string operators_address() const {
     return operators_->ListeningAddress();
