--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -17,6 +17,7 @@
 #include "plugins/claims/claims_plugin.h"
 #include "plugins/configuration/built_in_document.h"
 #include "plugins/configuration/configuration_plugin.h"
+#include "plugins/crashes/crashes_plugin.h"
 #include "plugins/operators/operators_plugin.h"
 #include "plugins/peers/peers_plugin.h"
 #include "plugins/platform/platform_plugin.h"
@@ -79,6 +80,7 @@
   manager.Add(std::make_unique<PlatformPlugin>(platform));
   manager.Add(std::make_unique<ConfigurationPlugin>(configuration));
   manager.Add(std::make_unique<PeersPlugin>(peers));
+  manager.Add(std::make_unique<CrashesPlugin>(CrashesSettingsFromFlags()));
   manager.Add(std::make_unique<UpstreamsPlugin>(upstreams));
   manager.Add(std::make_unique<ClaimsPlugin>(ClaimsSettingsFromFlags()));
   manager.Add(std::make_unique<SchedulerPlugin>(scheduler));
--- a/src/plugins/scheduler/group_host.cc
+++ b/src/plugins/scheduler/group_host.cc
@@ -198,6 +198,10 @@
                                                            refused->refusal}});
       } else if (const auto* shed = std::get_if<ShedProposal>(&it)) {
         proposals.push_back(*shed);
+      } else if (const auto* crashed = std::get_if<QuarantineAction>(&it)) {
+        if (on_quarantine_) {
+          on_quarantine_(crashed->fingerprint);
+        }
       }
     }
     if (!proposals.empty()) {
--- a/src/plugins/scheduler/group_host.h
+++ b/src/plugins/scheduler/group_host.h
@@ -1,11 +1,13 @@
 #ifndef FLAMINGOGAUGE_PLUGINS_SCHEDULER_GROUP_HOST_H_
 #define FLAMINGOGAUGE_PLUGINS_SCHEDULER_GROUP_HOST_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "libs/scheduling/group_scheduler.h"
@@ -18,6 +20,8 @@
 // its data centre.
 class GroupHost {
  public:
+  using QuarantineHandler = std::function<void(const Fingerprint&)>;
+
   GroupHost(const SchedulerSettings& settings,
             Incarnation incarnation,
             MessageSender& sender);
@@ -34,6 +38,11 @@
                      const std::set<HostId>& members,
                      std::map<std::string, std::vector<HostId>> siblings);
 
+  // Sets what is told of requests that crashed two upstreams.
+  void SetQuarantineHandler(QuarantineHandler handler) {
+    on_quarantine_ = std::move(handler);
+  }
+
   // Remembers the newest clock that a host sent, for the echo.
   void OnClock(const HostId& host, std::chrono::nanoseconds clock);
 
@@ -84,6 +93,7 @@
   const SchedulerSettings& settings_;
   Incarnation incarnation_;
   MessageSender& sender_;
+  QuarantineHandler on_quarantine_;
   std::map<std::string, GroupConfig> configs_;
   std::map<std::string, Hosted> groups_;
   std::set<HostId> members_;
--- a/src/plugins/scheduler/scheduler_core.h
+++ b/src/plugins/scheduler/scheduler_core.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "libs/document/document.h"
@@ -33,6 +34,9 @@
   SchedulerCore& operator=(const SchedulerCore&) = delete;
 
   void SetListener(PermitBroker::Listener listener);
+  void SetQuarantineHandler(GroupHost::QuarantineHandler handler) {
+    groups_.SetQuarantineHandler(std::move(handler));
+  }
   void OnDocument(MonotonicTime now,
                   std::chrono::seconds since_epoch,
                   std::shared_ptr<const Document> document);
--- a/src/plugins/scheduler/scheduler_plugin.cc
+++ b/src/plugins/scheduler/scheduler_plugin.cc
@@ -13,6 +13,7 @@
 #include "libs/services/document_source.h"
 #include "libs/services/membership_view.h"
 #include "libs/services/peer_transport.h"
+#include "libs/services/quarantine_service.h"
 #include "libs/services/upstream_client.h"
 #include "plugins/scheduler/scheduler_core.h"
 
@@ -204,6 +205,13 @@
         d_->Transmit(to, std::move(payload));
       });
   d_->core->SetListener(d_->listener);
+  if (Result<QuarantineService*> quarantine =
+          registry.Find<QuarantineService>(QuarantineService::kServiceName)) {
+    d_->core->SetQuarantineHandler(
+        [service = quarantine.value()](const Fingerprint& fingerprint) {
+          service->Quarantine(fingerprint);
+        });
+  }
   if (Result<PeerTransport*> transport =
           registry.Find<PeerTransport>(PeerTransport::kServiceName)) {
     d_->transport = transport.value();
--- a/tests/auto/end_to_end/deployment.h
+++ b/tests/auto/end_to_end/deployment.h
@@ -47,6 +47,7 @@
     return engines_.at(index).address;
   }
   const std::string& service_address() const { return service_.address; }
+  const std::string& platform_address() const { return platform_.address; }
 
   TestAnswer AskOperators(std::size_t host,
                           const std::string& method,
