--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -1,6 +1,7 @@
 #include "app/serve_command.h"
 
 #include <gflags/gflags.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -44,8 +45,8 @@
 constexpr timespec kSignalPoll{.tv_sec = 0, .tv_nsec = 20000000};
 
 const Logger& Log() {
-  static const Logger logger("main");
-  return logger;
+  static const Logger kLogger("main");
+  return kLogger;
 }
 
 sigset_t StopSignals() {
@@ -56,6 +57,15 @@
   return signals;
 }
 
+// A connection takes two descriptors, and the usual soft limit is 1024.
+void RaiseDescriptorLimit() {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
 // Adds each plugin after those on whose services it depends.
 void AddPlugins(PluginManager& manager) {
   PlatformSettings platform = PlatformSettingsFromFlags();
@@ -115,6 +125,7 @@
   const sigset_t signals = StopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  RaiseDescriptorLimit();
   PluginManager manager;
   AddPlugins(manager);
   const Result<void> started = manager.Start();
--- a/src/libs/metrics/metrics_registry.cc
+++ b/src/libs/metrics/metrics_registry.cc
@@ -1,13 +1,16 @@
 #include "libs/metrics/metrics_registry.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <cmath>
 #include <cstdio>
 #include <utility>
+#include <vector>
 
 namespace flamingogauge {
 namespace {
@@ -16,6 +19,8 @@
 
 constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
 
+constexpr std::size_t kExactSamples = 64;
+
 std::string FormatNumber(double value) {
   std::array<char, 32> buf{};
   std::snprintf(buf.data(), buf.size(), "%.10g", value);
@@ -55,7 +60,12 @@
       : accumulator_(accumulators::tag::extended_p_square::probabilities =
                          kQuantiles) {}
 
-  void Add(double sample) { accumulator_(sample); }
+  void Add(double sample) {
+    accumulator_(sample);
+    if (first_.size() < kExactSamples) {
+      first_.push_back(sample);
+    }
+  }
 
   std::string Expose(const std::string& name, const std::string& label) const {
     std::string text;
@@ -63,7 +73,7 @@
     for (std::size_t it = 0; it < kQuantiles.size(); ++it) {
       text += Line(name,
                    prefix + "quantile=\"" + FormatNumber(kQuantiles[it]) + "\"",
-                   accumulators::extended_p_square(accumulator_)[it]);
+                   Quantile(it));
     }
     text += Line(name + "_sum", label, accumulators::sum(accumulator_));
     text += Line(name + "_count", label,
@@ -72,6 +82,20 @@
   }
 
  private:
+  // The P-square estimate is of no use for a few samples, of which the nearest
+  // rank is taken instead.
+  double Quantile(std::size_t index) const {
+    if (accumulators::count(accumulator_) > kExactSamples) {
+      return accumulators::extended_p_square(accumulator_)[index];
+    }
+    std::vector<double> sorted = first_;
+    std::sort(sorted.begin(), sorted.end());
+    const double rank =
+        std::ceil(kQuantiles[index] * static_cast<double>(sorted.size()));
+    return sorted.at(static_cast<std::size_t>(rank) - 1);
+  }
+
+  std::vector<double> first_;
   accumulators::accumulator_set<
       double,
       accumulators::stats<accumulators::tag::count,
--- a/src/plugins/callers/callers_plugin.cc
+++ b/src/plugins/callers/callers_plugin.cc
@@ -47,8 +47,9 @@
   intake_ = intake.value();
   server_ = std::make_unique<HttpServer>(
       settings_.server,
-      [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
-        Handle(std::move(request), std::move(exchange));
+      [this](HttpRequest request,
+             const std::shared_ptr<HttpExchange>& exchange) {
+        Handle(std::move(request), exchange);
       },
       FormatError);
   Result<void> started = server_->Start();
@@ -59,7 +60,7 @@
 }
 
 void CallersPlugin::Handle(HttpRequest request,
-                           std::shared_ptr<HttpExchange> exchange) {
+                           const std::shared_ptr<HttpExchange>& exchange) {
   const RequestId id =
       intake_->Submit({.method = std::move(request.method),
                        .path = std::move(request.path),
--- a/src/plugins/callers/callers_plugin.h
+++ b/src/plugins/callers/callers_plugin.h
@@ -31,7 +31,8 @@
   std::string ListeningAddress() const;
 
  private:
-  void Handle(HttpRequest request, std::shared_ptr<HttpExchange> exchange);
+  void Handle(HttpRequest request,
+              const std::shared_ptr<HttpExchange>& exchange);
 
   const CallersSettings settings_;
   const Logger log_{"callers"};
--- a/src/plugins/operators/document_endpoints.cc
+++ b/src/plugins/operators/document_endpoints.cc
@@ -84,8 +84,9 @@
 void DocumentEndpoints::Handle(const HttpRequest& request,
                                const std::shared_ptr<HttpExchange>& exchange) {
   if (request.method == "GET" && request.path == "/document/history") {
-    editor_->GetHistory(
-        [exchange](Result<std::string> text) { SendResult(*exchange, text); });
+    editor_->GetHistory([exchange](const Result<std::string>& text) {
+      SendResult(*exchange, text);
+    });
   } else if (request.method == "GET" && request.path == "/document") {
     HandleGet(request, exchange);
   } else if (request.method == "POST" && request.path.size() > kPrefix.size()) {
@@ -108,7 +109,7 @@
                       "revision is " + text + ", allowed is a whole number");
     return;
   }
-  editor_->GetText(*revision, [exchange](Result<std::string> document) {
+  editor_->GetText(*revision, [exchange](const Result<std::string>& document) {
     SendResult(*exchange, document);
   });
 }
@@ -131,7 +132,7 @@
                   .text = request.body,
                   .expected_revision = *revision,
                   .author = author},
-                 [exchange](Result<EditOutcome> outcome) {
+                 [exchange](const Result<EditOutcome>& outcome) {
                    SendOutcome(*exchange, outcome);
                  });
 }
--- a/src/plugins/operators/operators_plugin.cc
+++ b/src/plugins/operators/operators_plugin.cc
@@ -98,7 +98,8 @@
                          .max_request_bytes = 16U << 20U,
                          .max_connections = 256,
                          .max_outstanding_bytes = 32U << 20U},
-      [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
+      [this](const HttpRequest& request,
+             const std::shared_ptr<HttpExchange>& exchange) {
         Handle(request, exchange);
       },
       FormatError);
--- a/src/plugins/requests/request_table.cc
+++ b/src/plugins/requests/request_table.cc
@@ -63,7 +63,7 @@
 void RequestTable::Submit(const RequestId& id,
                           SubmitMessage message,
                           MonotonicTime now) {
-  const auto refuse = [this, &id, &message](Refusal refusal) {
+  const auto refuse = [this, &id, &message](const Refusal& refusal) {
     metrics_->CountRefusal(refusal.kind);
     message.sink->SendRefusal(id, refusal);
   };
@@ -131,16 +131,16 @@
   if (timeout == request->timeout) {
     return;
   }
-  timeouts_.erase({request->timeout, id});
+  timeouts_.erase({request->timeout, id.sequence});
   request->timeout = timeout;
   if (timeout != MonotonicTime::max()) {
-    timeouts_.emplace(timeout, id);
+    timeouts_.emplace(std::pair(timeout, id.sequence), id);
   }
 }
 
 void RequestTable::HandleTimeouts(MonotonicTime now) {
-  while (!timeouts_.empty() && timeouts_.begin()->first <= now) {
-    const auto [timeout, id] = *timeouts_.begin();
+  while (!timeouts_.empty() && timeouts_.begin()->first.first <= now) {
+    const RequestId id = timeouts_.begin()->second;
     timeouts_.erase(timeouts_.begin());
     const auto found = requests_.find(id);
     if (found != requests_.end()) {
@@ -152,7 +152,8 @@
 }
 
 MonotonicTime RequestTable::NextTimeout() const {
-  return timeouts_.empty() ? MonotonicTime::max() : timeouts_.begin()->first;
+  return timeouts_.empty() ? MonotonicTime::max()
+                           : timeouts_.begin()->first.first;
 }
 
 void RequestTable::Drain(MonotonicTime now) {
--- a/src/plugins/requests/request_table.h
+++ b/src/plugins/requests/request_table.h
@@ -3,8 +3,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -106,7 +106,8 @@
   RequestMetrics* const metrics_;
   const std::size_t max_requests_;
   std::unordered_map<RequestId, ActivePointer> requests_;
-  std::set<std::pair<MonotonicTime, RequestId>> timeouts_;
+  // By time and sequence number.
+  std::map<std::pair<MonotonicTime, std::uint64_t>, RequestId> timeouts_;
   MonotonicTime now_;
 };
 
--- a/tests/auto/end_to_end/deployment.cc
+++ b/tests/auto/end_to_end/deployment.cc
@@ -18,7 +18,7 @@
 constexpr char kToken[] = "operators-token";
 constexpr std::chrono::seconds kTimeLimit{20};
 
-std::string Required(std::optional<std::string> value,
+std::string Required(const std::optional<std::string>& value,
                      const ChildProcess& process) {
   if (!value) {
     FAIL(process.Output());
--- a/tests/auto/end_to_end/tst_processes.cc
+++ b/tests/auto/end_to_end/tst_processes.cc
@@ -232,6 +232,56 @@
   CHECK(Executions(deployment.service_address())["by_key"]["key-2"] == 1);
 }
 
+// Guards against bytes of an abandoned answer on a connection that took over
+// its descriptor, through all parts of a real host (I3).
+TEST_CASE("callers that connect after hang-ups get their own answers") {
+  Deployment deployment(
+      {.engine_arguments = {"--decode_tokens_per_second=2000"},
+       .max_concurrency = 500});
+  std::atomic<int> wrong = 0;
+  std::vector<std::thread> callers;
+  for (int it = 0; it < 8; ++it) {
+    callers.emplace_back([&deployment, &wrong, it] {
+      for (int round = 0; round < 25; ++round) {
+        const std::string name =
+            std::to_string(it) + " in round " + std::to_string(round);
+        TestConnection abandoned(deployment.host(0).callers);
+        abandoned.Send(ChatRequest("abandoned " + name, true, 200));
+        abandoned.ReadUntil("content");
+        abandoned.Reset();
+        const TestAnswer answer = Ask(deployment.host(0).callers,
+                                      ChatRequest("next " + name, true, 20));
+        wrong += IsWhole(answer, "next " + name, 20) ? 0 : 1;
+      }
+    });
+  }
+  for (std::thread& it : callers) {
+    it.join();
+  }
+  CHECK(wrong == 0);
+}
+
+// Guards against a host without a document that says it is ready, or lets a
+// caller wait, when the platform is down and no other host is known.
+TEST_CASE("a host without a document refuses as not run") {
+  ChildProcess host(
+      FLAMINGOGAUGE_BINARY,
+      {"serve", "--callers_address=127.0.0.1:0",
+       "--operators_address=127.0.0.1:0", "--operators_token=operators-token",
+       "--platform_address=127.0.0.1:1"});
+  const auto callers = host.WaitForOutput("callers: listening on ");
+  const auto operators = host.WaitForOutput("operators: listening on ");
+  REQUIRE(callers.has_value());
+  REQUIRE(operators.has_value());
+  CHECK(Ask(*operators, FormatTestRequest("GET", "/readyz", {}, "")).status ==
+        503);
+  const TestAnswer answer = Ask(*callers, ChatRequest("early", true, 5));
+  CHECK(answer.status == 503);
+  CHECK(answer.headers.at("flamingogauge-run-status") == "not-run");
+  host.Signal(SIGTERM);
+  CHECK(host.Wait(kExitTimeLimit) == 0);
+}
+
 // Guards against a request that waits for ever, or is said to have run, when
 // no upstream serves its model.
 TEST_CASE("a request without an upstream is refused as not run") {
--- a/tests/auto/requests/tst_metrics_registry.cc
+++ b/tests/auto/requests/tst_metrics_registry.cc
@@ -24,6 +24,17 @@
   CHECK(text.find("# TYPE open gauge\nopen 7\n") != std::string::npos);
 }
 
+// Guards against estimates that are meaningless for a few samples.
+TEST_CASE("MetricsRegistry gives exact quantiles of a few samples") {
+  MetricsRegistry registry;
+  for (const double it : {5.0, 1.0, 3.0}) {
+    registry.Observe("seconds", "", it);
+  }
+  const std::string text = registry.Expose();
+  CHECK(text.find("seconds{quantile=\"0.5\"} 3\n") != std::string::npos);
+  CHECK(text.find("seconds{quantile=\"0.99\"} 5\n") != std::string::npos);
+}
+
 // Guards against memory that grows with the number of label values.
 TEST_CASE("MetricsRegistry bounds the number of series") {
   MetricsRegistry registry;
