scheduling: let reports wait for an upstream that caches them

Cause: a report was placed wherever there was room, so its template was computed again on many upstreams and pushed others out of their caches. Change: a long request waits while an upstream without room has 30% more of its prompt cached, until a fifth of its time is used. Baselines do not wait. Reports get their first token later, inside their deadline.

--- a/src/libs/scheduling/group_dispatch.cc
+++ b/src/libs/scheduling/group_dispatch.cc
@@ -39,6 +39,11 @@
 constexpr std::size_t kAlternatives = 16;
 constexpr double kBypassPart = 0.3;
 
+// A long request waits for an upstream that has this much more of its prompt
+// cached, until it has used this part of its time.
+constexpr float kMuchMoreCached = 0.3F;
+constexpr double kCacheWaitPart = 0.2;
+
 double Seconds(std::chrono::microseconds time) {
   return std::chrono::duration<double>(time).count();
 }
@@ -138,6 +143,7 @@
   std::vector<Candidate> candidates;
   bool any_eligible = false;
   bool any_room = false;
+  float cached_elsewhere = 0;
   const double time_left = TimeLeft(now, it);
   for (std::size_t slot = 0; slot < upstreams.size(); ++slot) {
     Candidate candidate = MakeCandidate(now, it, slot, cached[slot]);
@@ -146,6 +152,7 @@
     }
     any_eligible = true;
     if (!policies.admission->HasRoom(candidate, it, room)) {
+      cached_elsewhere = std::max(cached_elsewhere, cached[slot]);
       continue;
     }
     any_room = true;
@@ -161,7 +168,14 @@
     candidates.push_back(candidate);
   }
   if (!candidates.empty()) {
-    Grant(now, it, candidates[policies.placement->Choose(candidates)]);
+    const Candidate& chosen =
+        candidates[policies.placement->Choose(candidates)];
+    if (it.is_long && policies.placement->WaitsForCache() &&
+        cached_elsewhere > cached[chosen.slot] + kMuchMoreCached &&
+        MayWaitForCache(now, it)) {
+      return Placement::kNotNow;
+    }
+    Grant(now, it, chosen);
     return Placement::kPlaced;
   }
   const bool is_restricted = !it.request.excluded.empty() ||
@@ -173,6 +187,13 @@
   return any_room ? Placement::kTooLate : Placement::kNoRoom;
 }
 
+bool GroupScheduler::Private::MayWaitForCache(MonotonicTime now,
+                                              const QueuedRequest& it) const {
+  const double waited =
+      std::chrono::duration<double>(now - it.arrived_at).count();
+  return waited < kCacheWaitPart * (waited + TimeLeft(now, it));
+}
+
 QueuedRequest* GroupScheduler::Private::PreferCached(MonotonicTime now,
                                                      QueuedRequest* head) {
   const double waited =
--- a/src/libs/scheduling/group_policies.h
+++ b/src/libs/scheduling/group_policies.h
@@ -74,6 +74,9 @@
   virtual ~PlacementPolicy() = default;
   // Returns an index into `candidates`, which is not empty.
   virtual std::size_t Choose(const std::vector<Candidate>& candidates) = 0;
+  // Whether a long request may wait for an upstream without room that has much
+  // more of its prompt cached.
+  virtual bool WaitsForCache() const { return false; }
 };
 
 // Baselines.
@@ -97,6 +100,7 @@
       : goodput_weight_(goodput_weight),
         wasted_prefill_weight_(wasted_prefill_weight) {}
   std::size_t Choose(const std::vector<Candidate>& candidates) override;
+  bool WaitsForCache() const override { return wasted_prefill_weight_ > 0; }
 
  private:
   double goodput_weight_;
--- a/src/libs/scheduling/group_scheduler_p.h
+++ b/src/libs/scheduling/group_scheduler_p.h
@@ -81,6 +81,7 @@
   // Grants (group_dispatch.cc).
   void Dispatch(MonotonicTime now);
   Placement TryPlace(MonotonicTime now, QueuedRequest& waiting, Room room);
+  bool MayWaitForCache(MonotonicTime now, const QueuedRequest& waiting) const;
   QueuedRequest* PreferCached(MonotonicTime now, QueuedRequest* head);
   Candidate MakeCandidate(MonotonicTime now,
                           const QueuedRequest& waiting,
