scheduling: weigh an upstream's prefill above own decoding

Cause: the decoding time of a report outweighed its prefill twentyfold in the score, so cached prompts hardly counted in placement. Change: a fifth of the decoding time counts; it is shared by the batch.

--- a/src/libs/scheduling/group_policies.cc
+++ b/src/libs/scheduling/group_policies.cc
@@ -16,6 +16,10 @@
 constexpr double kLongTokenPart = 0.92;
 constexpr double kTokenPart = 1.0;
 
+// The part of its own decoding time that counts against an upstream. Decoding
+// is shared by the batch, while prefill holds up all of it.
+constexpr double kDecodeShare = 0.2;
+
 // A long prompt is not added behind more than this prefill, so that short
 // prompts that arrive next do not wait for several long ones.
 constexpr double kLongPrefillBacklog = 0.15;
@@ -103,7 +107,7 @@
 
 std::size_t ScorePlacement::Choose(const std::vector<Candidate>& candidates) {
   const auto score = [this](const Candidate& it) {
-    return goodput_weight_ * (it.prefill_backlog + it.decode) +
+    return goodput_weight_ * (it.prefill_backlog + kDecodeShare * it.decode) +
            (goodput_weight_ + wasted_prefill_weight_) * it.prefill;
   };
   const auto best =
