--- a/src/libs/http_server/http_server.cc
+++ b/src/libs/http_server/http_server.cc
@@ -3,11 +3,11 @@
 #include <arpa/inet.h>
 #include <pistache/endpoint.h>
 #include <pistache/peer.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <atomic>
 #include <cctype>
-#include <condition_variable>
 #include <mutex>
 #include <thread>
 #include <unordered_map>
@@ -22,7 +22,7 @@
 namespace Http = Pistache::Http;
 
 constexpr char kConnectionData[] = "flamingogauge.connection";
-constexpr std::chrono::milliseconds kSweepInterval{250};
+constexpr std::chrono::milliseconds kCheckInterval{250};
 constexpr std::chrono::milliseconds kDrainInterval{10};
 // Pistache counts its own timeouts from the last request, not from the last
 // answer, and would cut long streams; HttpConnection::Check replaces them.
@@ -54,9 +54,20 @@
   return found == headers.end() ? std::string() : found->second;
 }
 
-// What Pistache keeps with each connection.
+// What belongs to one Pistache connection. It is owned by the server and not by
+// Pistache, which may drop its own objects on any of its threads.
 struct ConnectionData {
-  std::shared_ptr<HttpConnection> connection;
+  ConnectionData(const Pistache::Tcp::Peer& peer,
+                 WritePoller* poller,
+                 const HttpServerSettings& settings)
+      : connection(std::make_shared<HttpConnection>(peer.fd(),
+                                                    peer.getID(),
+                                                    poller,
+                                                    settings)),
+        parser(settings.max_request_bytes) {}
+
+  const std::shared_ptr<HttpConnection> connection;
+  Http::RequestParser parser;
   HttpHeadScanner scanner;
   bool continue_sent = false;
 };
@@ -71,9 +82,12 @@
   Result<void> Start();
   void Drain(std::function<void()> done);
   void Stop();
-  void Sweep();
+  void Run();
+  void OnWritable(std::uint64_t id);
+  void CheckConnections(MonotonicTime now);
+  std::vector<std::shared_ptr<HttpConnection>> Connections() const;
 
-  void Add(std::size_t id, const std::shared_ptr<HttpConnection>& connection);
+  ConnectionData* Add(const std::shared_ptr<Pistache::Tcp::Peer>& peer);
   void Remove(std::size_t id);
   void Handle(const Http::Request& request, ConnectionData& data);
   void Reject(ConnectionData& data, int status, const std::string& text);
@@ -91,12 +105,12 @@
   std::unique_ptr<Http::Endpoint> endpoint_;
   std::uint16_t port_ = 0;
   mutable std::mutex mutex_;
-  std::condition_variable stopped_;
+  WritePoller poller_;
   bool stopping_ = false;
-  std::unordered_map<std::size_t, std::shared_ptr<HttpConnection>> connections_;
+  std::unordered_map<std::size_t, std::unique_ptr<ConnectionData>> connections_;
   HttpServerCounts counts_;
   std::function<void()> on_drained_;
-  std::thread sweeper_;
+  std::thread thread_;
 };
 
 // Replaces Pistache's request handling, which answers on its own in cases that
@@ -111,26 +125,21 @@
                  Http::ResponseWriter /*response*/) override {}
 
   void onConnection(const std::shared_ptr<Pistache::Tcp::Peer>& peer) override {
-    peer->putData(ParserData, std::make_shared<Http::RequestParser>(
-                                  server_->settings().max_request_bytes));
-    auto data = std::make_shared<ConnectionData>();
-    data->connection =
-        std::make_shared<HttpConnection>(peer, server_->settings());
-    peer->putData(kConnectionData, data);
-    server_->Add(peer->getID(), data->connection);
+    // Pointers without ownership.
+    const std::shared_ptr<void> none;
+    ConnectionData* data = server_->Add(peer);
+    peer->putData(kConnectionData, std::shared_ptr<void>(none, data));
+    peer->putData(ParserData, std::shared_ptr<void>(none, &data->parser));
   }
 
   void onDisconnection(
       const std::shared_ptr<Pistache::Tcp::Peer>& peer) override {
-    const auto data = std::static_pointer_cast<ConnectionData>(
-        peer->tryGetData(kConnectionData));
-    if (!data) {
+    auto* data =
+        static_cast<ConnectionData*>(peer->tryGetData(kConnectionData).get());
+    if (data == nullptr) {
       return;
     }
     const std::function<void()> on_gone = data->connection->MarkGone();
-    // Takes queued writes of this descriptor out of the queue before it is
-    // closed and reused.
-    transport()->flush();
     server_->Remove(peer->getID());
     if (on_gone) {
       on_gone();
@@ -140,8 +149,8 @@
   void onInput(const char* buffer,
                std::size_t len,
                const std::shared_ptr<Pistache::Tcp::Peer>& peer) override {
-    const auto data = std::static_pointer_cast<ConnectionData>(
-        peer->getData(kConnectionData));
+    auto* data =
+        static_cast<ConnectionData*>(peer->getData(kConnectionData).get());
     if (data->connection->IsClosing()) {
       return;
     }
@@ -151,13 +160,12 @@
       data->connection->CloseAfterAnswer();
       return;
     }
-    Parse(*data, *getParser(peer), std::string_view(buffer, len));
+    Parse(*data, std::string_view(buffer, len));
   }
 
  private:
-  void Parse(ConnectionData& data,
-             Http::RequestParser& parser,
-             std::string_view bytes) {
+  void Parse(ConnectionData& data, std::string_view bytes) {
+    Http::RequestParser& parser = data.parser;
     data.scanner.Feed(bytes);
     data.connection->NoteInput(data.scanner.head_complete(),
                                std::chrono::steady_clock::now());
@@ -195,6 +203,12 @@
 };
 
 Result<void> HttpServer::Impl::Start() {
+  if (!poller_.IsOpen()) {
+    return Error{.code = ErrorCode::kResourceExhausted,
+                 .step = "listen",
+                 .peer = settings_.address,
+                 .message = "no descriptors are left"};
+  }
   try {
     endpoint_ =
         std::make_unique<Http::Endpoint>(Pistache::Address(settings_.address));
@@ -217,36 +231,31 @@
                  .peer = settings_.address,
                  .message = error.what()};
   }
-  sweeper_ = std::thread([this] { Sweep(); });
+  thread_ = std::thread([this] { Run(); });
   return boost::outcome_v2::success();
 }
 
 void HttpServer::Impl::Drain(std::function<void()> done) {
   std::lock_guard<std::mutex> lock(mutex_);
   for (const auto& [id, it] : connections_) {
-    it->CloseAfterAnswer();
+    it->connection->CloseAfterAnswer();
   }
   on_drained_ = std::move(done);
-  stopped_.notify_all();
+  poller_.Wake();
 }
 
 void HttpServer::Impl::Stop() {
-  std::vector<std::shared_ptr<HttpConnection>> connections;
   {
     std::lock_guard<std::mutex> lock(mutex_);
     if (std::exchange(stopping_, true)) {
       return;
     }
-    for (const auto& [id, it] : connections_) {
-      connections.push_back(it);
-    }
   }
-  stopped_.notify_all();
-  if (sweeper_.joinable()) {
-    sweeper_.join();
+  poller_.Wake();
+  if (thread_.joinable()) {
+    thread_.join();
   }
-  // No write may be queued on a transport that is being destroyed.
-  for (const auto& it : connections) {
+  for (const auto& it : Connections()) {
     const std::function<void()> on_gone = it->MarkGone();
     if (on_gone) {
       on_gone();
@@ -258,57 +267,100 @@
   }
 }
 
-void HttpServer::Impl::Sweep() {
+void HttpServer::Impl::Run() {
+  auto next_check = std::chrono::steady_clock::now();
   std::unique_lock<std::mutex> lock(mutex_);
   while (!stopping_) {
-    stopped_.wait_for(lock, on_drained_ ? kDrainInterval : kSweepInterval);
-    std::vector<std::shared_ptr<HttpConnection>> connections;
-    connections.reserve(connections_.size());
-    for (const auto& [id, it] : connections_) {
-      connections.push_back(it);
-    }
+    const auto interval = on_drained_ ? kDrainInterval : kCheckInterval;
     lock.unlock();
-    std::uint64_t slow = 0;
-    std::uint64_t timed_out = 0;
-    bool busy = false;
+    for (const std::uint64_t it : poller_.Wait(interval)) {
+      OnWritable(it);
+    }
     const auto now = std::chrono::steady_clock::now();
-    for (const auto& it : connections) {
-      const ConnectionVerdict verdict = it->Check(now);
-      slow += verdict == ConnectionVerdict::kSlowReader ? 1 : 0;
-      timed_out += verdict == ConnectionVerdict::kTimedOut ? 1 : 0;
-      busy = busy || it->IsBusy();
+    if (now >= next_check) {
+      CheckConnections(now);
+      next_check = now + interval;
     }
-    connections.clear();
     lock.lock();
-    if (on_drained_ && !busy) {
-      const std::function<void()> on_drained =
-          std::exchange(on_drained_, nullptr);
-      lock.unlock();
-      on_drained();
-      lock.lock();
+  }
+}
+
+void HttpServer::Impl::OnWritable(std::uint64_t id) {
+  std::shared_ptr<HttpConnection> connection;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = connections_.find(id);
+    if (found != connections_.end()) {
+      connection = found->second->connection;
     }
+  }
+  if (connection) {
+    connection->OnWritable();
+  }
+}
+
+std::vector<std::shared_ptr<HttpConnection>> HttpServer::Impl::Connections()
+    const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<std::shared_ptr<HttpConnection>> connections;
+  connections.reserve(connections_.size());
+  for (const auto& [id, it] : connections_) {
+    connections.push_back(it->connection);
+  }
+  return connections;
+}
+
+void HttpServer::Impl::CheckConnections(MonotonicTime now) {
+  std::uint64_t slow = 0;
+  std::uint64_t timed_out = 0;
+  bool busy = false;
+  for (const auto& it : Connections()) {
+    const ConnectionVerdict verdict = it->Check(now);
+    slow += verdict == ConnectionVerdict::kSlowReader ? 1 : 0;
+    timed_out += verdict == ConnectionVerdict::kTimedOut ? 1 : 0;
+    busy = busy || it->IsBusy();
+  }
+  std::function<void()> on_drained;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
     counts_.dropped_slow_readers += slow;
     counts_.timed_out += timed_out;
+    if (!busy) {
+      on_drained = std::exchange(on_drained_, nullptr);
+    }
+  }
+  if (on_drained) {
+    on_drained();
   }
 }
 
-void HttpServer::Impl::Add(std::size_t id,
-                           const std::shared_ptr<HttpConnection>& connection) {
+ConnectionData* HttpServer::Impl::Add(
+    const std::shared_ptr<Pistache::Tcp::Peer>& peer) {
+  auto owned = std::make_unique<ConnectionData>(*peer, &poller_, settings_);
+  ConnectionData* data = owned.get();
   bool accepted = false;
   {
     std::lock_guard<std::mutex> lock(mutex_);
-    accepted = !stopping_ && connections_.size() < settings_.max_connections;
-    connections_[id] = connection;
+    accepted = !stopping_ && data->connection->IsOpen() &&
+               connections_.size() < settings_.max_connections;
+    connections_[peer->getID()] = std::move(owned);
     counts_.rejected += accepted ? 0 : 1;
   }
   if (!accepted) {
-    connection->Abort();
+    data->connection->Abort();
+    ::shutdown(peer->fd(), SHUT_RDWR);
   }
+  return data;
 }
 
 void HttpServer::Impl::Remove(std::size_t id) {
+  std::unique_ptr<ConnectionData> removed;
   std::lock_guard<std::mutex> lock(mutex_);
-  connections_.erase(id);
+  const auto found = connections_.find(id);
+  if (found != connections_.end()) {
+    removed = std::move(found->second);
+    connections_.erase(found);
+  }
 }
 
 void HttpServer::Impl::Handle(const Http::Request& request,
