membership: halve the heartbeats of gateways

Cause: with 13 data centres the busiest gateway sent 13365 B/s, headers included, over the bound of 11 KB/s.

--- a/src/libs/membership/membership_options.h
+++ b/src/libs/membership/membership_options.h
@@ -9,12 +9,15 @@
 // See section 7 of docs/design.md.
 struct MembershipOptions {
   std::chrono::milliseconds heartbeat_interval{500};
-  std::chrono::milliseconds gateway_interval{1000};
+  // Between two heartbeats of one pair of gateways. The two pairs of two data
+  // centres together make one a second; one a second for each pair would take
+  // a gateway of 13 data centres beyond 11 KB/s.
+  std::chrono::milliseconds gateway_interval{2000};
   // Between two heartbeats to one neighbour while changes wait for it.
   std::chrono::milliseconds push_interval{100};
   // Silence after which a new connection is opened.
   std::chrono::milliseconds silence_limit{1500};
-  std::chrono::milliseconds gateway_silence_limit{3000};
+  std::chrono::milliseconds gateway_silence_limit{4500};
   // Silence on the new connection after which a verdict is given.
   std::chrono::milliseconds probe_limit{1000};
   // Time for the refutation of a suspicion.
--- a/src/libs/membership/membership_tick.cc
+++ b/src/libs/membership/membership_tick.cc
@@ -17,6 +17,8 @@
 // Hosts probed at once before a data centre counts as out of reach.
 constexpr std::size_t kFirstProbes = 3;
 constexpr std::chrono::seconds kNeighbourRetention{60};
+// An interval that never ends.
+constexpr std::chrono::hours kOnlyNews{100000};
 
 }  // namespace
 
@@ -37,6 +39,7 @@
   UpdateTopology(now);
   SendHeartbeats(topology_.successors, options_.heartbeat_interval, now);
   SendHeartbeats(topology_.remote_gateways, options_.gateway_interval, now);
+  SendHeartbeats(topology_.remote_starters, kOnlyNews, now);
   ContactUnknown(now);
   ForgetNeighbours(now);
   table_.Forget(now - options_.tombstone_retention, options_.max_entries);
--- a/src/libs/membership/topology.cc
+++ b/src/libs/membership/topology.cc
@@ -34,24 +34,27 @@
 }
 
 // Of two data centres the one with the lower name starts the exchanges.
-std::vector<HostId> RemoteGateways(const Member& self,
-                                   const Topology& topology) {
-  const std::vector<HostId>& own = topology.gateways.at(self.data_centre);
+void AddRemoteGateways(const Member& self, Topology* topology) {
+  const std::vector<HostId>& own = topology->gateways.at(self.data_centre);
   const auto here = std::find(own.begin(), own.end(), self.host);
-  std::vector<HostId> result;
   if (here == own.end()) {
-    return result;
+    return;
   }
+  topology->is_gateway = true;
   const auto position = static_cast<std::size_t>(here - own.begin());
-  for (const auto& [data_centre, gateways] : topology.gateways) {
-    for (std::size_t n = 0;
-         data_centre > self.data_centre && n < gateways.size(); ++n) {
+  for (const auto& [data_centre, gateways] : topology->gateways) {
+    if (data_centre == self.data_centre) {
+      continue;
+    }
+    std::vector<HostId>& list = data_centre > self.data_centre
+                                    ? topology->remote_gateways
+                                    : topology->remote_starters;
+    for (std::size_t n = 0; n < gateways.size(); ++n) {
       if (ArePaired(position, own.size(), n, gateways.size())) {
-        result.push_back(gateways[n]);
+        list.push_back(gateways[n]);
       }
     }
   }
-  return result;
 }
 
 }  // namespace
@@ -82,10 +85,7 @@
     order.resize(std::min(order.size(), options.gateways));
     topology.gateways.emplace(data_centre, std::move(order));
   }
-  const std::vector<HostId>& own = topology.gateways.at(self.data_centre);
-  topology.is_gateway =
-      std::find(own.begin(), own.end(), self.host) != own.end();
-  topology.remote_gateways = RemoteGateways(self, topology);
+  AddRemoteGateways(self, &topology);
   return topology;
 }
 
--- a/src/libs/membership/topology.h
+++ b/src/libs/membership/topology.h
@@ -18,8 +18,10 @@
   // The gateways of each data centre, the first in rendezvous order.
   std::map<DataCentreId, std::vector<HostId>> gateways;
   bool is_gateway = false;
-  // Gateways of other data centres with which this host starts exchanges.
+  // Gateways of other data centres with which this host starts exchanges, and
+  // those that start them; the latter are only sent news.
   std::vector<HostId> remote_gateways;
+  std::vector<HostId> remote_starters;
 };
 
 Topology ComputeTopology(const Member& self,
