peers: ping only links that carry calls

Cause: links between gateways were pinged between their heartbeats, three needless calls in 2 s each.

--- a/src/plugins/peers/link_table.cc
+++ b/src/plugins/peers/link_table.cc
@@ -164,6 +164,9 @@
         const auto it = links_.find(address);
         if (it != links_.end()) {
           it->second.last_used = timer_.now();
+          if (channel != kMembershipChannel) {
+            it->second.last_called = timer_.now();
+          }
         }
         return CallOn(address, kj::mv(connection), channel, payload);
       })
@@ -193,7 +196,8 @@
       (link->is_ping_pending && silence > kSilenceLimit)) {
     return false;
   }
-  if (silence < kPingInterval || unused > kPingRetention ||
+  if (silence < kPingInterval ||
+      timer_.now() - link->last_called > kPingRetention ||
       link->is_ping_pending) {
     return true;
   }
--- a/src/plugins/peers/link_table.h
+++ b/src/plugins/peers/link_table.h
@@ -17,6 +17,8 @@
 
 // The channel of empty calls that only show that a connection works.
 inline constexpr char kPingChannel[] = "peers.ping";
+// The channel of heartbeats; short, because it is sent with each of them.
+inline constexpr char kMembershipChannel[] = "hb";
 
 // The one outgoing connection to each address. Open connections that have been
 // used lately carry a heartbeat; one that stays silent is given up, so that the
@@ -50,6 +52,8 @@
     kj::Maybe<kj::ForkedPromise<kj::Own<PeerConnection>>> opening;
     kj::TimePoint last_received = kj::origin<kj::TimePoint>();
     kj::TimePoint last_used = kj::origin<kj::TimePoint>();
+    // Heartbeats do not count: the membership watches their links itself.
+    kj::TimePoint last_called = kj::origin<kj::TimePoint>();
     bool is_ping_pending = false;
   };
 
--- a/src/plugins/peers/peer_node.cc
+++ b/src/plugins/peers/peer_node.cc
@@ -9,8 +9,6 @@
 namespace flamingogauge {
 namespace {
 
-// Short, because it is sent with every heartbeat.
-constexpr char kMembershipChannel[] = "hb";
 constexpr std::chrono::milliseconds kHeartbeatTimeLimit{1000};
 // How long a handler may take to reply; longer than any call's time limit.
 constexpr auto kReplyTimeLimit = 120 * kj::SECONDS;
--- a/tests/auto/membership/tst_membership.cc
+++ b/tests/auto/membership/tst_membership.cc
@@ -139,6 +139,49 @@
   }
 }
 
+// Guards against a host that wakes from a pause and declares a host dead whose
+// refutation it has not yet received.
+TEST_CASE("A pause does not count as time for a refutation") {
+  const MonotonicTime start{std::chrono::hours(1)};
+  const auto entry = [](const HostId& host, MemberState state) {
+    return MemberEntry{
+        .member = {.host = host,
+                   .data_centre = "dc",
+                   .region = "r",
+                   .peer_address = host,
+                   .incarnation = {.high = 1,
+                                   .low = static_cast<std::uint64_t>(host[0])},
+                   .state = state},
+        .epoch = 1,
+        .unreachable = {}};
+  };
+  Membership membership(entry("a", MemberState::kAlive).member, 1, {}, start);
+  Heartbeat heartbeat{.from = "b",
+                      .incarnation = {.high = 1, .low = 'b'},
+                      .changes = {entry("b", MemberState::kAlive),
+                                  entry("x", MemberState::kSuspected)}};
+  membership.OnRequest(heartbeat, start);
+  heartbeat.changes.clear();
+  const auto state_after = [&](milliseconds time) {
+    membership.OnRequest(heartbeat, start + time);
+    membership.Tick(start + time);
+    const auto members = membership.view();
+    return members->back().state;
+  };
+  CHECK(state_after(milliseconds(500)) == MemberState::kSuspected);
+  CHECK(state_after(seconds(100)) == MemberState::kSuspected);
+  milliseconds time = seconds(100);
+  while (time < seconds(102)) {
+    time += milliseconds(50);
+    CHECK(state_after(time) == MemberState::kSuspected);
+  }
+  while (time < seconds(105)) {
+    time += milliseconds(50);
+    state_after(time);
+  }
+  CHECK(state_after(time) == MemberState::kDead);
+}
+
 // Guards against a leaving host that keeps being chosen for new work.
 TEST_CASE("A leaving host is known as leaving everywhere within 2 s") {
   MembershipNetwork network(6);
