platform: free tasks and watches that share their runner

AddressSanitizer reported 7.4 MB leaked by the configuration tests: tasks of the virtual runner and callbacks of pending watches hold the runner. The store drops its watches at its end, and test clusters drop their tasks.

--- a/src/libs/platform/in_memory_object_store.cc
+++ b/src/libs/platform/in_memory_object_store.cc
@@ -181,7 +181,13 @@
 InMemoryObjectStore::InMemoryObjectStore(TaskRunner& runner, std::uint64_t seed)
     : state_(std::make_shared<State>(runner, seed)) {}
 
-InMemoryObjectStore::~InMemoryObjectStore() = default;
+InMemoryObjectStore::~InMemoryObjectStore() {
+  // Tasks that wait on the runner share the state, so the callbacks of pending
+  // watches would otherwise live as long as the runner.
+  std::vector<Waiter> dropped;
+  std::lock_guard<std::mutex> lock(state_->mutex);
+  dropped.swap(state_->waiters);
+}
 
 void InMemoryObjectStore::Get(std::string key, ObjectCallback callback) {
   State* state = state_.get();
--- a/src/libs/platform/virtual_task_runner.cc
+++ b/src/libs/platform/virtual_task_runner.cc
@@ -26,6 +26,11 @@
   return true;
 }
 
+void VirtualTaskRunner::DropTasks() {
+  std::map<Position, Task> dropped;
+  dropped.swap(tasks_);
+}
+
 void VirtualTaskRunner::RunFor(Duration duration) {
   const MonotonicTime end = now_ + duration;
   while (!tasks_.empty() && tasks_.begin()->first.first <= end) {
--- a/src/libs/platform/virtual_task_runner.h
+++ b/src/libs/platform/virtual_task_runner.h
@@ -21,6 +21,10 @@
   // none is left.
   bool RunOne();
 
+  // Drops the tasks that wait. They may share the runner, which would otherwise
+  // never be freed.
+  void DropTasks();
+
   // Runs all tasks of the next `duration` and moves the clock to its end.
   void RunFor(Duration duration);
 
--- a/tests/auto/configuration/cluster_fixture.cc
+++ b/tests/auto/configuration/cluster_fixture.cc
@@ -166,7 +166,10 @@
   ShareMembership();
 }
 
-Cluster::~Cluster() = default;
+Cluster::~Cluster() {
+  hosts_.clear();
+  runner->DropTasks();
+}
 
 void Cluster::StartHost(const HostId& host, const DataCentreId& data_centre) {
   StopHost(host);
