orders: give engines the models of the document

Cause: nothing ordered engines to load or unload models. Change: a planner without I/O (one order for each upstream after a fresh read under the same lease, unloads first, loads within the weight store's rate), the plugin around lease and planner, model endpoints in the fake engine, and a test that kills the holder. The lease is checked again just before an order leaves. Adapters, versions and role changes are not ordered yet.

--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -20,6 +20,7 @@
 #include "plugins/configuration/configuration_plugin.h"
 #include "plugins/crashes/crashes_plugin.h"
 #include "plugins/operators/operators_plugin.h"
+#include "plugins/orders/orders_plugin.h"
 #include "plugins/peers/peers_plugin.h"
 #include "plugins/platform/platform_plugin.h"
 #include "plugins/requests/requests_plugin.h"
@@ -75,10 +76,12 @@
   UpstreamsSettings upstreams = UpstreamsSettingsFromFlags();
   OperatorsSettings operators = OperatorsSettingsFromFlags();
   SchedulerSettings scheduler = SchedulerSettingsFromFlags();
+  OrdersSettings orders = OrdersSettingsFromFlags();
   scheduler.host = peers.host;
   if (FLAGS_embedded) {
     platform.address.clear();
     upstreams.echo = true;
+    orders.enabled = false;
     if (configuration.initial_document.empty()) {
       configuration.initial_document_text =
           BuiltInDocument(kNoAddress, peers.data_centre);
@@ -96,6 +99,7 @@
   manager.Add(std::make_unique<SchedulerPlugin>(scheduler));
   manager.Add(std::make_unique<RequestsPlugin>(RequestsSettingsFromFlags()));
   manager.Add(std::make_unique<CallersPlugin>(CallersSettingsFromFlags()));
+  manager.Add(std::make_unique<OrdersPlugin>(orders));
   manager.Add(std::make_unique<OperatorsPlugin>(operators));
 }
 
--- /dev/null
+++ b/src/plugins/orders/orders_settings.cc
@@ -0,0 +1,71 @@
+#include "plugins/orders/orders_settings.h"
+
+#include <gflags/gflags.h>
+
+#include <cstdint>
+#include <string>
+
+DEFINE_bool(orders,
+            true,
+            "order upstreams to load and unload models as the document says");
+DEFINE_int64(orders_lease_ms,
+             10000,
+             "lease of the host that gives orders, 1000 to 600000 ms");
+DEFINE_int64(orders_longest_flight_ms,
+             30000,
+             "longest time from the check of the lease to the execution of an "
+             "order, 100 to 600000 ms");
+DEFINE_int64(orders_read_interval_ms,
+             30000,
+             "time between comparisons of an upstream's models with the "
+             "document, 100 to 3600000 ms");
+DEFINE_double(orders_loads_per_minute,
+              6,
+              "loads from the weight store by a data centre, 0.01 to 10000");
+
+namespace flamingogauge {
+namespace {
+
+struct Range {
+  const char* flag;
+  double value;
+  double low;
+  double high;
+};
+
+}  // namespace
+
+Result<void> CheckOrdersSettings(const OrdersSettings& settings) {
+  const Range ranges[] = {
+      {"orders_lease_ms", static_cast<double>(settings.lease.count()), 1000,
+       600000},
+      {"orders_longest_flight_ms",
+       static_cast<double>(settings.longest_flight.count()), 100, 600000},
+      {"orders_read_interval_ms",
+       static_cast<double>(settings.read_interval.count()), 100, 3600000},
+      {"orders_loads_per_minute", settings.loads_per_minute, 0.01, 10000},
+  };
+  for (const Range& it : ranges) {
+    if (it.value < it.low || it.value > it.high) {
+      return Error{.code = ErrorCode::kInvalidArgument,
+                   .step = "check settings",
+                   .peer = std::string("--") + it.flag,
+                   .message = "value " + std::to_string(it.value) +
+                              "; allowed: " + std::to_string(it.low) + " to " +
+                              std::to_string(it.high)};
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
+OrdersSettings OrdersSettingsFromFlags() {
+  return {
+      .enabled = FLAGS_orders,
+      .lease = std::chrono::milliseconds(FLAGS_orders_lease_ms),
+      .longest_flight =
+          std::chrono::milliseconds(FLAGS_orders_longest_flight_ms),
+      .read_interval = std::chrono::milliseconds(FLAGS_orders_read_interval_ms),
+      .loads_per_minute = FLAGS_orders_loads_per_minute};
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/plugins/orders/orders_settings.h
@@ -0,0 +1,26 @@
+#ifndef FLAMINGOGAUGE_PLUGINS_ORDERS_ORDERS_SETTINGS_H_
+#define FLAMINGOGAUGE_PLUGINS_ORDERS_ORDERS_SETTINGS_H_
+
+#include <chrono>
+
+#include "libs/kernel/error.h"
+
+namespace flamingogauge {
+
+struct OrdersSettings {
+  // False leaves the models of all upstreams to others.
+  bool enabled = true;
+  std::chrono::milliseconds lease{10000};
+  std::chrono::milliseconds longest_flight{30000};
+  std::chrono::milliseconds read_interval{30000};
+  double loads_per_minute = 6;
+};
+
+// Returns kInvalidArgument with the flag, the value and the allowed range.
+Result<void> CheckOrdersSettings(const OrdersSettings& settings);
+
+OrdersSettings OrdersSettingsFromFlags();
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_PLUGINS_ORDERS_ORDERS_SETTINGS_H_
--- a/tests/auto/end_to_end/deployment.cc
+++ b/tests/auto/end_to_end/deployment.cc
@@ -37,7 +37,7 @@
   service_ = StartFake(FLAMINGOGAUGE_FAKE_SERVICE, options.service_arguments);
   const std::string file = WriteDocument(options);
   for (int it = 0; it < options.hosts; ++it) {
-    StartHost(it + 1, file);
+    StartHost(it + 1, file, options.host_arguments);
   }
   for (Host& it : hosts_) {
     it.peers = Required(it.process->WaitForOutput("listens for peers on "),
@@ -61,7 +61,9 @@
   return fake;
 }
 
-void Deployment::StartHost(int number, const std::string& document_file) {
+void Deployment::StartHost(int number,
+                           const std::string& document_file,
+                           const std::vector<std::string>& more_arguments) {
   std::string seeds;
   if (!hosts_.empty()) {
     Host& first = hosts_.front();
@@ -69,17 +71,21 @@
                      *first.process);
     seeds = seeds.substr(0, seeds.find(','));
   }
-  hosts_.push_back(
-      {.process = std::make_unique<ChildProcess>(
-           FLAMINGOGAUGE_BINARY,
-           std::vector<std::string>{
-               "serve", "--host_id=h" + std::to_string(number),
-               "--data_centre=dc", "--region=r", "--peer_listen=127.0.0.1:0",
-               "--peer_seeds=" + seeds, "--callers_address=127.0.0.1:0",
-               "--operators_address=127.0.0.1:0",
-               std::string("--operators_token=") + kToken,
-               "--platform_address=" + platform_.address,
-               "--initial_document=" + document_file})});
+  std::vector<std::string> arguments{"serve",
+                                     "--host_id=h" + std::to_string(number),
+                                     "--data_centre=dc",
+                                     "--region=r",
+                                     "--peer_listen=127.0.0.1:0",
+                                     "--peer_seeds=" + seeds,
+                                     "--callers_address=127.0.0.1:0",
+                                     "--operators_address=127.0.0.1:0",
+                                     std::string("--operators_token=") + kToken,
+                                     "--platform_address=" + platform_.address,
+                                     "--initial_document=" + document_file};
+  arguments.insert(arguments.end(), more_arguments.begin(),
+                   more_arguments.end());
+  hosts_.push_back({.process = std::make_unique<ChildProcess>(
+                        FLAMINGOGAUGE_BINARY, arguments)});
 }
 
 std::string Deployment::WriteDocument(const DeploymentOptions& options) const {
--- a/tests/auto/end_to_end/deployment.h
+++ b/tests/auto/end_to_end/deployment.h
@@ -16,6 +16,7 @@
   int engines = 1;
   std::vector<std::string> engine_arguments;
   std::vector<std::string> service_arguments;
+  std::vector<std::string> host_arguments;
   int max_concurrency = 64;
   // Milliseconds from acceptance to the end of an answer.
   int deadline_ms = 30000;
@@ -62,7 +63,9 @@
 
   static Fake StartFake(const std::string& program,
                         const std::vector<std::string>& arguments);
-  void StartHost(int number, const std::string& document_file);
+  void StartHost(int number,
+                 const std::string& document_file,
+                 const std::vector<std::string>& more_arguments);
   std::string WriteDocument(const DeploymentOptions& options) const;
 
   Fake platform_;
--- a/tests/fakes/fake_engine/fake_engine_handler.cc
+++ b/tests/fakes/fake_engine/fake_engine_handler.cc
@@ -109,6 +109,10 @@
                            QueryValue(request, "after").c_str(), nullptr, 10)));
   } else if (path == "/executions") {
     SendJson(response, state_->ExecutionsJson());
+  } else if (path == "/models") {
+    SendJson(response, models_->Json());
+  } else if (path == "/orders") {
+    HandleOrder(request, response);
   } else if (path == "/fault") {
     HandleFault(request, response);
   } else {
@@ -149,6 +153,21 @@
   }
 }
 
+void FakeEngineHandler::HandleOrder(const Http::Request& request,
+                                    Http::ResponseWriter& response) {
+  switch (models_->Obey(request.body())) {
+    case FakeEngineModels::Result::kDone:
+      SendJson(response, "{}");
+      break;
+    case FakeEngineModels::Result::kOldNumber:
+      response.send(Http::Code::Conflict, "an old fencing number\n");
+      break;
+    case FakeEngineModels::Result::kInvalid:
+      response.send(Http::Code::Bad_Request, "not an order\n");
+      break;
+  }
+}
+
 void FakeEngineHandler::HandleFault(const Http::Request& request,
                                     Http::ResponseWriter& response) {
   const auto json = nlohmann::json::parse(request.body(), nullptr, false);
--- a/tests/fakes/fake_engine/fake_engine_handler.h
+++ b/tests/fakes/fake_engine/fake_engine_handler.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 
+#include "tests/fakes/fake_engine/fake_engine_models.h"
 #include "tests/fakes/fake_engine/fake_engine_state.h"
 
 namespace flamingogauge {
@@ -29,10 +30,15 @@
                   Pistache::Http::ResponseWriter& response);
   void HandleStream(const Pistache::Http::Request& request,
                     Pistache::Http::ResponseWriter& response);
+  void HandleOrder(const Pistache::Http::Request& request,
+                   Pistache::Http::ResponseWriter& response);
   void HandleFault(const Pistache::Http::Request& request,
                    Pistache::Http::ResponseWriter& response);
 
   std::shared_ptr<FakeEngineState> state_;
+  // Shared by the copies that Pistache makes for its threads.
+  std::shared_ptr<FakeEngineModels> models_ =
+      std::make_shared<FakeEngineModels>();
   std::function<void()> crash_;
 };
 
