--- /dev/null
+++ b/tools/load/measure.sh
@@ -0,0 +1,133 @@
+#!/usr/bin/env bash
+# Measures one entry host in front of fake engines on loopback addresses, as
+# docs/measurements.md describes.
+#
+# usage: tools/load/measure.sh BUILD_DIR latency|cpu|memory|stumpfwerk|jernpleje
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+
+build=${1:?build directory, for example build/release}
+what=${2:?latency, cpu, memory, stumpfwerk or jernpleje}
+seed=${SEED:-1}
+dir=$(mktemp -d)
+pids=()
+stop_all() {
+  for pid in "${pids[@]}"; do
+    kill "$pid" 2>/dev/null || true
+  done
+  wait
+  rm -rf "$dir"
+}
+trap stop_all EXIT
+
+# start NAME PROGRAM ARGS...: starts a fake and prints the address from the
+# first line of its output.
+start() {
+  local name=$1
+  shift
+  "$@" >"$dir/$name.out" 2>"$dir/$name.err" &
+  pids+=($!)
+  for _ in $(seq 100); do
+    if [ -s "$dir/$name.out" ]; then
+      return
+    fi
+    sleep 0.05
+  done
+  echo "measure: $name did not start" >&2
+  exit 1
+}
+
+engine_flags=(--max_concurrency=100000 --threads=2)
+case $what in
+# Slower engines are taken for overloaded, and their requests are shed.
+memory) engine_flags+=(--decode_tokens_per_second=20) ;;
+stumpfwerk | jernpleje)
+  engine_flags=(--max_concurrency=64 --threads=2
+    --prefill_tokens_per_second=8000 --decode_tokens_per_second=60)
+  ;;
+esac
+engines=()
+count=$([ "$what" = stumpfwerk ] && echo 4 || ([ "$what" = jernpleje ] && echo 6 || echo 1))
+for i in $(seq "$count"); do
+  start "engine$i" "$build/tests/fakes/fake_engine/flamingogauge-fake-engine" \
+    "${engine_flags[@]}"
+  engines+=("$(head -1 "$dir/engine$i.out")")
+done
+start service "$build/tests/fakes/fake_service/flamingogauge-fake-service"
+service=$(head -1 "$dir/service.out")
+
+concurrency=$([ "$count" -gt 1 ] && echo 64 || echo 4000)
+upstreams=""
+for i in $(seq "$count"); do
+  upstreams+="{\"id\":\"engine-$i\",\"kind\":\"engine\",\"targets\":[\"m\"],\"data_centre\":\"local\",\"address\":\"${engines[$((i - 1))]}\",\"generation\":\"a\",\"token_capacity\":100000000,\"max_concurrency\":$concurrency},"
+done
+hash=$(printf %s key | sha256sum | cut -d' ' -f1)
+cat >"$dir/document.json" <<EOF
+{"tiers":[{"name":"urgent","first_token_target_ms":1000,"deadline_ms":20000},
+          {"name":"normal","first_token_target_ms":10000,"deadline_ms":60000},
+          {"name":"bulk","first_token_target_ms":20000,"deadline_ms":60000}],
+ "workspaces":[{"id":"w","key_hashes":["$hash"],"default_tier":0,"highest_tier":0}],
+ "models":[{"id":"m","max_context_tokens":200000}],
+ "services":[{"id":"booking"}],
+ "upstreams":[$upstreams
+   {"id":"booking-1","kind":"service","targets":["booking"],"data_centre":"local","address":"$service","max_concurrency":64}],
+ "regions":{"data_centres":[{"id":"local","region":"local","host_slots":1}]}}
+EOF
+
+callers=127.0.0.1:${CALLERS_PORT:-18080}
+"$build/src/app/flamingogauge" serve --initial_document="$dir/document.json" \
+  --callers_address="$callers" --operators_address=127.0.0.1:0 \
+  --operators_token=measure-token --platform_calls_per_second=10000 \
+  2>"$dir/host.err" &
+host=$!
+pids+=("$host")
+for _ in $(seq 100); do
+  grep -q " started" "$dir/host.err" && break
+  sleep 0.05
+done
+
+list=$(IFS=,; echo "${engines[*]}")
+load=("$build/tools/load/flamingogauge-load" --targets="$callers"
+  --count_engines="$list" --count_services="$service" --seed="$seed"
+  --tier_names=urgent,normal,bulk --max_open=10000)
+ticks() { awk '{print $14 + $15}' "/proc/$host/stat"; }
+rss() { awk '/VmRSS/ {print $2}' "/proc/$host/status"; }
+
+status=0
+case $what in
+latency)
+  "${load[@]}" --rate=100 --duration_s=1 >/dev/null || true
+  "${load[@]}" --direct="$list" --rate=1000 --duration_s=10 || status=$?
+  ;;
+cpu)
+  "${load[@]}" --rate=100 --duration_s=1 >/dev/null || true
+  before=$(ticks)
+  "${load[@]}" --rate=500 --duration_s=10 >"$dir/load.out" || status=$?
+  after=$(ticks)
+  cat "$dir/load.out"
+  sent=$(awk '/ hosts /{print $4}' "$dir/load.out")
+  hz=$(getconf CLK_TCK)
+  awk -v t=$((after - before)) -v n="$sent" -v hz="$hz" 'BEGIN {
+    printf "host: %.2f s of processor time for %d requests, %.0f requests/s per core\n", t / hz, n, n * hz / t }'
+  ;;
+memory)
+  "${load[@]}" --rate=100 --duration_s=1 --output_tokens=1 >/dev/null || true
+  before=$(rss)
+  "${load[@]}" --rate=250 --duration_s=4 --output_tokens=200 \
+    --prompt_tokens="${PROMPT_TOKENS:-64}" >"$dir/load.out" &
+  loader=$!
+  sleep 5
+  open=$(ss -Htn state established "( sport = :${callers##*:} )" | wc -l)
+  after=$(rss)
+  wait "$loader" || status=$?
+  cat "$dir/load.out"
+  echo "host: $before KB before, $after KB with $open open connections of callers"
+  awk -v m=$((after - before)) -v n="$open" 'BEGIN {
+    printf "host: %.1f KB per open stream\n", m / n }'
+  ;;
+stumpfwerk | jernpleje)
+  "${load[@]}" --workload="$what" --rate="${RATE:-20}" --duration_s=30 ||
+    status=$?
+  ;;
+esac
+exit "$status"
