--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -1,6 +1,7 @@
 #include "app/serve_command.h"
 
 #include <gflags/gflags.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -17,6 +18,7 @@
 #include "plugins/claims/claims_plugin.h"
 #include "plugins/configuration/built_in_document.h"
 #include "plugins/configuration/configuration_plugin.h"
+#include "plugins/crashes/crashes_plugin.h"
 #include "plugins/operators/operators_plugin.h"
 #include "plugins/peers/peers_plugin.h"
 #include "plugins/platform/platform_plugin.h"
@@ -44,8 +46,8 @@
 constexpr timespec kSignalPoll{.tv_sec = 0, .tv_nsec = 20000000};
 
 const Logger& Log() {
-  static const Logger logger("main");
-  return logger;
+  static const Logger kLogger("main");
+  return kLogger;
 }
 
 sigset_t StopSignals() {
@@ -56,6 +58,15 @@
   return signals;
 }
 
+// A connection takes two descriptors, and the usual soft limit is 1024.
+void RaiseDescriptorLimit() {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
 // Adds each plugin after those on whose services it depends.
 void AddPlugins(PluginManager& manager) {
   PlatformSettings platform = PlatformSettingsFromFlags();
@@ -79,6 +90,7 @@
   manager.Add(std::make_unique<PlatformPlugin>(platform));
   manager.Add(std::make_unique<ConfigurationPlugin>(configuration));
   manager.Add(std::make_unique<PeersPlugin>(peers));
+  manager.Add(std::make_unique<CrashesPlugin>(CrashesSettingsFromFlags()));
   manager.Add(std::make_unique<UpstreamsPlugin>(upstreams));
   manager.Add(std::make_unique<ClaimsPlugin>(ClaimsSettingsFromFlags()));
   manager.Add(std::make_unique<SchedulerPlugin>(scheduler));
@@ -115,6 +127,7 @@
   const sigset_t signals = StopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  RaiseDescriptorLimit();
   PluginManager manager;
   AddPlugins(manager);
   const Result<void> started = manager.Start();
