kernel: check setting ranges in one place

Cause: seven plugins have their own loop over ranges with their own wording. Change: CheckSettingRanges in the kernel, used by claims and orders; the others follow.

--- a/src/plugins/claims/claims_settings.cc
+++ b/src/plugins/claims/claims_settings.cc
@@ -2,7 +2,7 @@
 
 #include <gflags/gflags.h>
 
-#include <string>
+#include "libs/kernel/setting_range.h"
 
 DEFINE_uint64(claims_max_attempts,
               4096,
@@ -18,47 +18,18 @@
               "epochs for which a claim is kept, 2 to 1000");
 
 namespace flamingogauge {
-namespace {
-
-Result<void> CheckRange(const std::string& flag,
-                        std::int64_t value,
-                        std::int64_t lowest,
-                        std::int64_t highest) {
-  if (value >= lowest && value <= highest) {
-    return boost::outcome_v2::success();
-  }
-  return Error{.code = ErrorCode::kInvalidArgument,
-               .step = "check settings",
-               .message = "--" + flag + "=" + std::to_string(value) +
-                          " is not between " + std::to_string(lowest) +
-                          " and " + std::to_string(highest)};
-}
-
-}  // namespace
 
 Result<void> CheckClaimsSettings(const ClaimsSettings& settings) {
-  struct Range {
-    const char* flag;
-    std::int64_t value;
-    std::int64_t lowest;
-    std::int64_t highest;
-  };
-  const Range ranges[] = {
-      {"claims_max_attempts", static_cast<std::int64_t>(settings.max_attempts),
-       1, 65536},
-      {"claims_acquire_time_limit_ms", settings.acquire_time_limit.count(), 50,
-       60000},
-      {"claims_epoch_length_min", settings.epoch_length.count(), 1, 1440},
+  return CheckSettingRanges({
+      {"claims_max_attempts", static_cast<double>(settings.max_attempts), 1,
+       65536},
+      {"claims_acquire_time_limit_ms",
+       static_cast<double>(settings.acquire_time_limit.count()), 50, 60000},
+      {"claims_epoch_length_min",
+       static_cast<double>(settings.epoch_length.count()), 1, 1440},
       {"claims_retention_epochs",
-       static_cast<std::int64_t>(settings.retention_epochs), 2, 1000},
-  };
-  for (const Range& it : ranges) {
-    Result<void> checked = CheckRange(it.flag, it.value, it.lowest, it.highest);
-    if (!checked) {
-      return checked.error();
-    }
-  }
-  return boost::outcome_v2::success();
+       static_cast<double>(settings.retention_epochs), 2, 1000},
+  });
 }
 
 ClaimsSettings ClaimsSettingsFromFlags() {
--- a/src/plugins/orders/orders_settings.cc
+++ b/src/plugins/orders/orders_settings.cc
@@ -2,8 +2,7 @@
 
 #include <gflags/gflags.h>
 
-#include <cstdint>
-#include <string>
+#include "libs/kernel/setting_range.h"
 
 DEFINE_bool(orders,
             true,
@@ -24,19 +23,9 @@
               "loads from the weight store by a data centre, 0.01 to 10000");
 
 namespace flamingogauge {
-namespace {
-
-struct Range {
-  const char* flag;
-  double value;
-  double low;
-  double high;
-};
-
-}  // namespace
 
 Result<void> CheckOrdersSettings(const OrdersSettings& settings) {
-  const Range ranges[] = {
+  return CheckSettingRanges({
       {"orders_lease_ms", static_cast<double>(settings.lease.count()), 1000,
        600000},
       {"orders_longest_flight_ms",
@@ -44,18 +33,7 @@
       {"orders_read_interval_ms",
        static_cast<double>(settings.read_interval.count()), 100, 3600000},
       {"orders_loads_per_minute", settings.loads_per_minute, 0.01, 10000},
-  };
-  for (const Range& it : ranges) {
-    if (it.value < it.low || it.value > it.high) {
-      return Error{.code = ErrorCode::kInvalidArgument,
-                   .step = "check settings",
-                   .peer = std::string("--") + it.flag,
-                   .message = "value " + std::to_string(it.value) +
-                              "; allowed: " + std::to_string(it.low) + " to " +
-                              std::to_string(it.high)};
-    }
-  }
-  return boost::outcome_v2::success();
+  });
 }
 
 OrdersSettings OrdersSettingsFromFlags() {
