claims: take rate and retention from the document

Cause: the document's claims_per_second and claim_retention_ms had no effect, and a flag set another retention. Change: each host takes an equal part of the rate among the live hosts; the retention is rounded up to whole epochs; the flag is gone. While views of the live hosts differ, the sum may exceed the rate; the store's own limit still holds.

--- a/src/libs/claims/claim_epoch_clock.cc
+++ b/src/libs/claims/claim_epoch_clock.cc
@@ -32,6 +32,13 @@
   return epoch_ && now - first_seen_ >= options_.epoch_length;
 }
 
+void ClaimEpochClock::SetRetention(std::chrono::milliseconds retention) {
+  const std::chrono::milliseconds length = options_.epoch_length;
+  options_.retention_epochs =
+      static_cast<std::uint64_t>((retention + length).count() - 1) /
+      static_cast<std::uint64_t>(length.count());
+}
+
 bool ClaimEpochClock::IsExpired(std::uint64_t claim_epoch) const {
   return epoch_ && *epoch_ > claim_epoch + options_.retention_epochs;
 }
--- a/src/libs/claims/claim_epoch_clock.h
+++ b/src/libs/claims/claim_epoch_clock.h
@@ -28,6 +28,9 @@
  public:
   explicit ClaimEpochClock(ClaimEpochOptions options) : options_(options) {}
 
+  // Sets the retention; it is rounded up to whole epochs.
+  void SetRetention(std::chrono::milliseconds retention);
+
   // The epoch object was read by a request sent at `requested_at` and answered
   // at `answered_at`. A lower epoch than a known one is an old answer and is
   // ignored.
--- a/src/plugins/claims/claim_events.h
+++ b/src/plugins/claims/claim_events.h
@@ -3,12 +3,14 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "libs/claims/claim_attempt.h"
+#include "libs/document/document.h"
 #include "libs/kernel/bounded_ring.h"
 #include "libs/kernel/time.h"
 #include "libs/services/claim_service.h"
@@ -51,6 +53,9 @@
   MonotonicTime requested_at;
   Result<StoredObject> object;
 };
+struct DocumentEvent {
+  std::shared_ptr<const Document> document;
+};
 // A call of the sweep ended.
 struct SweepListedEvent {
   std::vector<std::string> keys;
@@ -74,6 +79,7 @@
                                 WrittenEvent,
                                 ReadEvent,
                                 EpochEvent,
+                                DocumentEvent,
                                 SweepListedEvent,
                                 SweepReadEvent,
                                 SweepDeletedEvent,
--- a/src/plugins/claims/claims_plugin.cc
+++ b/src/plugins/claims/claims_plugin.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "libs/services/document_source.h"
 #include "plugins/claims/claim_events.h"
 #include "plugins/claims/claims_worker.h"
 
@@ -32,7 +33,10 @@
   }
   Result<MembershipView*> membership =
       registry.Find<MembershipView>(MembershipView::kServiceName);
-  worker_->Start(store.value(), membership ? membership.value() : nullptr);
+  Result<DocumentSource*> documents =
+      registry.Find<DocumentSource>(DocumentSource::kServiceName);
+  worker_->Start(store.value(), membership ? membership.value() : nullptr,
+                 documents ? documents.value() : nullptr);
   return boost::outcome_v2::success();
 }
 
--- a/src/plugins/claims/claims_settings.cc
+++ b/src/plugins/claims/claims_settings.cc
@@ -13,9 +13,6 @@
 DEFINE_int32(claims_epoch_length_min,
              60,
              "length of a retention epoch, 1 to 1440 minutes");
-DEFINE_uint64(claims_retention_epochs,
-              24,
-              "epochs for which a claim is kept, 2 to 1000");
 
 namespace flamingogauge {
 
@@ -27,8 +24,6 @@
        static_cast<double>(settings.acquire_time_limit.count()), 50, 60000},
       {"claims_epoch_length_min",
        static_cast<double>(settings.epoch_length.count()), 1, 1440},
-      {"claims_retention_epochs",
-       static_cast<double>(settings.retention_epochs), 2, 1000},
   });
 }
 
@@ -38,7 +33,6 @@
       .acquire_time_limit =
           std::chrono::milliseconds(FLAGS_claims_acquire_time_limit_ms),
       .epoch_length = std::chrono::minutes(FLAGS_claims_epoch_length_min),
-      .retention_epochs = FLAGS_claims_retention_epochs,
   };
 }
 
--- a/src/plugins/claims/claims_settings.h
+++ b/src/plugins/claims/claims_settings.h
@@ -3,7 +3,6 @@
 
 #include <chrono>
 #include <cstddef>
-#include <cstdint>
 
 #include "libs/kernel/error.h"
 
@@ -14,7 +13,6 @@
   std::size_t max_attempts = 4096;
   std::chrono::milliseconds acquire_time_limit{2000};
   std::chrono::minutes epoch_length{60};
-  std::uint64_t retention_epochs = 24;
 };
 
 // Returns kInvalidArgument with the flag, the value and the allowed range.
--- a/src/plugins/claims/claims_worker.cc
+++ b/src/plugins/claims/claims_worker.cc
@@ -78,18 +78,33 @@
   return {.high = next(), .low = next()};
 }
 
+bool ClaimsWorker::TakeClaim(MonotonicTime now) {
+  if (!follows_document_) {
+    return true;
+  }
+  // Each host takes an equal part of the rate. Views of who is alive differ for
+  // seconds, in which the sum may exceed the rate by the hosts in dispute.
+  const double hosts =
+      static_cast<double>(std::max<std::size_t>(1, LiveHosts().size()));
+  claim_rate_.Refill(now, claims_per_second_ / hosts);
+  return claim_rate_.TrySpend(1);
+}
+
 void ClaimsWorker::Handle(AcquireEvent& event, MonotonicTime now) {
   const RequestId id = event.request.id;
   const std::optional<std::uint64_t> epoch = epoch_clock_.EpochForClaim(now);
-  if (!epoch) {
+  const bool in_rate = epoch && TakeClaim(now);
+  if (!in_rate) {
     attempt_count_.fetch_sub(1);
     ++counts_.refused;
     event.callback(
         {.verdict = ClaimVerdict::kRefused,
          .refusal = {.kind = RefusalKind::kUnavailable,
                      .run_status = RunStatus::kAttemptNotRun,
-                     .message = "claim (platform store): the store is out of "
-                                "reach",
+                     .message = epoch ? "claim: the rate of claims is used up "
+                                        "(limits.claims_per_second)"
+                                      : "claim (platform store): the store is "
+                                        "out of reach",
                      .retry_after = std::chrono::milliseconds(1000)}});
     return;
   }
@@ -311,18 +326,29 @@
   }
 }
 
+void ClaimsWorker::Handle(DocumentEvent& event, MonotonicTime /*now*/) {
+  claims_per_second_ = event.document->limits.claims_per_second;
+  epoch_clock_.SetRetention(event.document->limits.claim_retention);
+}
+
+std::vector<HostId> ClaimsWorker::LiveHosts() const {
+  std::vector<HostId> live;
+  if (membership_ != nullptr) {
+    for (const Member& it : *membership_->Current()) {
+      if (it.state == MemberState::kAlive) {
+        live.push_back(it.host);
+      }
+    }
+  }
+  return live;
+}
+
 void ClaimsWorker::Sweep(MonotonicTime now) {
   if (membership_ == nullptr) {
     return;
   }
-  std::vector<HostId> live;
-  for (const Member& it : *membership_->Current()) {
-    if (it.state == MemberState::kAlive) {
-      live.push_back(it.host);
-    }
-  }
   const std::optional<SweepAction> action =
-      sweeper_.OnTime(now, membership_->Self().host, live);
+      sweeper_.OnTime(now, membership_->Self().host, LiveHosts());
   if (!action) {
     return;
   }
--- a/src/plugins/claims/claims_worker.h
+++ b/src/plugins/claims/claims_worker.h
@@ -18,7 +18,9 @@
 #include "libs/claims/claim_epoch_clock.h"
 #include "libs/claims/claim_sweeper.h"
 #include "libs/kernel/log.h"
+#include "libs/limits/rate_bucket.h"
 #include "libs/services/claim_service.h"
+#include "libs/services/document_source.h"
 #include "libs/services/membership_view.h"
 #include "libs/services/object_store.h"
 #include "plugins/claims/claim_events.h"
@@ -43,15 +45,25 @@
       : settings_(settings),
         ring_(std::make_shared<ClaimEventRing>((settings.max_attempts + 1) *
                                                kEventsPerAttempt)),
-        epoch_clock_({.epoch_length = settings.epoch_length,
-                      .retention_epochs = settings.retention_epochs}) {}
+        epoch_clock_({.epoch_length = settings.epoch_length}) {}
 
   ~ClaimsWorker();
 
-  void Start(ObjectStore* store, MembershipView* membership) {
+  // `membership` and `documents` may be null: owners then count as alive, and
+  // claims have no rate.
+  void Start(ObjectStore* store,
+             MembershipView* membership,
+             DocumentSource* documents) {
     store_ = store;
     membership_ = membership;
+    follows_document_ = documents != nullptr;
     thread_ = std::thread([this] { Run(); });
+    if (documents != nullptr) {
+      documents->Subscribe([ring = ring_](
+                               std::shared_ptr<const Document> document) {
+        PostClaimEvent(*ring, DocumentEvent{.document = std::move(document)});
+      });
+    }
   }
 
   void Acquire(ClaimRequest request, ClaimService::AcquireCallback callback);
@@ -84,6 +96,7 @@
   void Handle(WrittenEvent& event, MonotonicTime now);
   void Handle(ReadEvent& event, MonotonicTime now);
   void Handle(EpochEvent& event, MonotonicTime now);
+  void Handle(DocumentEvent& event, MonotonicTime now);
   void Handle(SweepListedEvent& event, MonotonicTime now);
   void Handle(SweepReadEvent& event, MonotonicTime now);
   void Handle(SweepDeletedEvent& event, MonotonicTime now);
@@ -95,6 +108,8 @@
   void OnTime(MonotonicTime now);
   void KeepEpoch(MonotonicTime now);
   void Sweep(MonotonicTime now);
+  bool TakeClaim(MonotonicTime now);
+  std::vector<HostId> LiveHosts() const;
   bool MayBeAlive(const Incarnation& owner) const;
   ClaimToken NewToken();
   void FinishDrainIfIdle();
@@ -118,6 +133,11 @@
   bool epoch_outstanding_ = false;
   MonotonicTime next_epoch_read_ = std::chrono::steady_clock::now();
   ClaimSweeper sweeper_{{}};
+  // False without a DocumentSource; claims then have no rate.
+  bool follows_document_ = false;
+  // Claims a second of all hosts together; 0 until the first document.
+  double claims_per_second_ = 0;
+  RateBucket claim_rate_;
   std::random_device entropy_;
   std::function<void()> drained_;
 };
--- a/tests/auto/claims/tst_claim_epoch_clock.cc
+++ b/tests/auto/claims/tst_claim_epoch_clock.cc
@@ -41,5 +41,23 @@
   CHECK_FALSE(clock.MayAdvance(kStart + minutes(129)));
 }
 
+// Guards against a retention that is rounded down, which would delete claims
+// early.
+TEST_CASE("ClaimEpochClock rounds the retention up to whole epochs") {
+  struct Row {
+    minutes retention;
+    std::uint64_t newest_expired;
+  };
+  for (const Row& row : {Row{minutes(120), 97}, Row{minutes(121), 96},
+                         Row{minutes(24 * 60), 75}}) {
+    CAPTURE(row.retention.count());
+    ClaimEpochClock clock({.epoch_length = minutes(60)});
+    clock.SetRetention(row.retention);
+    clock.OnRead(kStart, kStart, 100);
+    CHECK(clock.IsExpired(row.newest_expired));
+    CHECK_FALSE(clock.IsExpired(row.newest_expired + 1));
+  }
+}
+
 }  // namespace
 }  // namespace flamingogauge
