--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -18,7 +18,9 @@
 #include "plugins/claims/claims_plugin.h"
 #include "plugins/configuration/built_in_document.h"
 #include "plugins/configuration/configuration_plugin.h"
+#include "plugins/crashes/crashes_plugin.h"
 #include "plugins/operators/operators_plugin.h"
+#include "plugins/orders/orders_plugin.h"
 #include "plugins/peers/peers_plugin.h"
 #include "plugins/platform/platform_plugin.h"
 #include "plugins/requests/requests_plugin.h"
@@ -74,10 +76,12 @@
   UpstreamsSettings upstreams = UpstreamsSettingsFromFlags();
   OperatorsSettings operators = OperatorsSettingsFromFlags();
   SchedulerSettings scheduler = SchedulerSettingsFromFlags();
+  OrdersSettings orders = OrdersSettingsFromFlags();
   scheduler.host = peers.host;
   if (FLAGS_embedded) {
     platform.address.clear();
     upstreams.echo = true;
+    orders.enabled = false;
     if (configuration.initial_document.empty()) {
       configuration.initial_document_text =
           BuiltInDocument(kNoAddress, peers.data_centre);
@@ -89,11 +93,13 @@
   manager.Add(std::make_unique<PlatformPlugin>(platform));
   manager.Add(std::make_unique<ConfigurationPlugin>(configuration));
   manager.Add(std::make_unique<PeersPlugin>(peers));
+  manager.Add(std::make_unique<CrashesPlugin>(CrashesSettingsFromFlags()));
   manager.Add(std::make_unique<UpstreamsPlugin>(upstreams));
   manager.Add(std::make_unique<ClaimsPlugin>(ClaimsSettingsFromFlags()));
   manager.Add(std::make_unique<SchedulerPlugin>(scheduler));
   manager.Add(std::make_unique<RequestsPlugin>(RequestsSettingsFromFlags()));
   manager.Add(std::make_unique<CallersPlugin>(CallersSettingsFromFlags()));
+  manager.Add(std::make_unique<OrdersPlugin>(orders));
   manager.Add(std::make_unique<OperatorsPlugin>(operators));
 }
 
--- a/src/plugins/peers/link_table.cc
+++ b/src/plugins/peers/link_table.cc
@@ -10,8 +10,8 @@
 constexpr auto kPingInterval = 500 * kj::MILLISECONDS;
 // Silence after which a connection counts as dead, although TCP reports none.
 constexpr auto kSilenceLimit = 1500 * kj::MILLISECONDS;
-// A link without calls is pinged for this long, and then closed.
-constexpr auto kPingRetention = 10 * kj::SECONDS;
+// A link without calls is pinged for this long, and closed later.
+constexpr auto kPingRetention = 2 * kj::SECONDS;
 constexpr auto kIdleLimit = 30 * kj::SECONDS;
 
 // Rejects the promise in whose continuation it is called.
@@ -164,6 +164,9 @@
         const auto it = links_.find(address);
         if (it != links_.end()) {
           it->second.last_used = timer_.now();
+          if (channel != kMembershipChannel) {
+            it->second.last_called = timer_.now();
+          }
         }
         return CallOn(address, kj::mv(connection), channel, payload);
       })
@@ -193,7 +196,8 @@
       (link->is_ping_pending && silence > kSilenceLimit)) {
     return false;
   }
-  if (silence < kPingInterval || unused > kPingRetention ||
+  if (silence < kPingInterval ||
+      timer_.now() - link->last_called > kPingRetention ||
       link->is_ping_pending) {
     return true;
   }
--- a/tests/auto/end_to_end/deployment.h
+++ b/tests/auto/end_to_end/deployment.h
@@ -16,6 +16,7 @@
   int engines = 1;
   std::vector<std::string> engine_arguments;
   std::vector<std::string> service_arguments;
+  std::vector<std::string> host_arguments;
   int max_concurrency = 64;
   // Milliseconds from acceptance to the end of an answer.
   int deadline_ms = 30000;
@@ -47,6 +48,7 @@
     return engines_.at(index).address;
   }
   const std::string& service_address() const { return service_.address; }
+  const std::string& platform_address() const { return platform_.address; }
 
   TestAnswer AskOperators(std::size_t host,
                           const std::string& method,
@@ -61,7 +63,9 @@
 
   static Fake StartFake(const std::string& program,
                         const std::vector<std::string>& arguments);
-  void StartHost(int number, const std::string& document_file);
+  void StartHost(int number,
+                 const std::string& document_file,
+                 const std::vector<std::string>& more_arguments);
   std::string WriteDocument(const DeploymentOptions& options) const;
 
   Fake platform_;
--- a/tests/auto/membership/tst_membership.cc
+++ b/tests/auto/membership/tst_membership.cc
@@ -83,6 +83,23 @@
   }
 }
 
+// Guards against a new process that gives way to its dead predecessor, because
+// its clock is behind and nobody could reach it at its start.
+TEST_CASE("A new process that was cut off at first replaces the old one") {
+  for (const milliseconds cut_off : {milliseconds(2000), milliseconds(15000)}) {
+    MembershipNetwork network(8);
+    AddHosts(&network, 2, 6);
+    network.RunFor(seconds(6));
+    network.Stop(7);
+    network.host(7).partition = 1;
+    network.Start(7, milliseconds(-90000));
+    network.RunFor(cut_off);
+    network.host(7).partition = 0;
+    network.RunFor(seconds(10));
+    CHECK(network.IsConverged());
+  }
+}
+
 // Guards against verdicts on the hosts of a data centre that is only out of
 // reach, and against a data centre that does not come back.
 TEST_CASE("Hosts of an unreachable data centre are suspected, never dead") {
@@ -139,6 +156,49 @@
   }
 }
 
+// Guards against a host that wakes from a pause and declares a host dead whose
+// refutation it has not yet received.
+TEST_CASE("A pause does not count as time for a refutation") {
+  const MonotonicTime start{std::chrono::hours(1)};
+  const auto entry = [](const HostId& host, MemberState state) {
+    return MemberEntry{
+        .member = {.host = host,
+                   .data_centre = "dc",
+                   .region = "r",
+                   .peer_address = host,
+                   .incarnation = {.high = 1,
+                                   .low = static_cast<std::uint64_t>(host[0])},
+                   .state = state},
+        .epoch = 1,
+        .unreachable = {}};
+  };
+  Membership membership(entry("a", MemberState::kAlive).member, 1, {}, start);
+  Heartbeat heartbeat{.from = "b",
+                      .incarnation = {.high = 1, .low = 'b'},
+                      .changes = {entry("b", MemberState::kAlive),
+                                  entry("x", MemberState::kSuspected)}};
+  membership.OnRequest(heartbeat, start);
+  heartbeat.changes.clear();
+  const auto state_after = [&](milliseconds time) {
+    membership.OnRequest(heartbeat, start + time);
+    membership.Tick(start + time);
+    const auto members = membership.view();
+    return members->back().state;
+  };
+  CHECK(state_after(milliseconds(500)) == MemberState::kSuspected);
+  CHECK(state_after(seconds(100)) == MemberState::kSuspected);
+  milliseconds time = seconds(100);
+  while (time < seconds(102)) {
+    time += milliseconds(50);
+    CHECK(state_after(time) == MemberState::kSuspected);
+  }
+  while (time < seconds(105)) {
+    time += milliseconds(50);
+    state_after(time);
+  }
+  CHECK(state_after(time) == MemberState::kDead);
+}
+
 // Guards against a leaving host that keeps being chosen for new work.
 TEST_CASE("A leaving host is known as leaving everywhere within 2 s") {
   MembershipNetwork network(6);
