scheduler: hold workspaces to their limits

Cause: the limits of the document were not enforced. Change: each host holds requests and tokens a second of a workspace to its slot and what it borrows, and refuses with kWorkspaceLimit naming the limit. The owner of a workspace's limit is the first host in rendezvous order; only workspaces in use are polled.

--- a/src/libs/protocol/scheduler.capnp
+++ b/src/libs/protocol/scheduler.capnp
@@ -91,6 +91,25 @@
       query @21 :UInt64;
       offers @22 :Bool;
     }
+    # Between a host and the owner of a workspace limit.
+    limit @23 :SchedulerLimit;
+  }
+}
+
+# One step of lending. Times come back to the host that measured them.
+struct SchedulerLimit {
+  workspace @0 :Text;
+  # 0 requests a second, 1 tokens a second.
+  kind @1 :UInt8;
+  amount @2 :Float64;
+  timeNs @3 :Int64;
+  union {
+    borrow @4 :Void;
+    # How long the loan lasts from timeNs.
+    loanNs @5 :Int64;
+    # The incarnation of the owner that asks.
+    ask @6 :Peer.Bits128;
+    consent @7 :Peer.Bits128;
   }
 }
 
--- a/src/plugins/scheduler/entry_requests.cc
+++ b/src/plugins/scheduler/entry_requests.cc
@@ -68,6 +68,13 @@
   }
 }
 
+bool EntryRequests::HasRequest(const RequestId& id) const {
+  return pending_.contains(id) ||
+         std::any_of(permits_.begin(), permits_.end(), [&id](const auto& it) {
+           return it.second.permit.request == id;
+         });
+}
+
 void EntryRequests::OnGrant(MonotonicTime now,
                             const HostId& from,
                             const std::string& target,
--- a/src/plugins/scheduler/entry_requests.h
+++ b/src/plugins/scheduler/entry_requests.h
@@ -43,6 +43,9 @@
   // Renews permits, sends again what has no answer, and ends what is late.
   void Advance(MonotonicTime now);
 
+  // True while the request waits or holds a permit.
+  bool HasRequest(const RequestId& id) const;
+
   std::size_t pending_count() const { return pending_.size(); }
   std::size_t permit_count() const { return permits_.size(); }
 
--- a/src/plugins/scheduler/scheduler_codec.cc
+++ b/src/plugins/scheduler/scheduler_codec.cc
@@ -100,6 +100,69 @@
   return it;
 }
 
+std::int64_t ToNanoseconds(Duration time) {
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(time).count();
+}
+
+MonotonicTime ReadTime(std::int64_t nanoseconds) {
+  return MonotonicTime(std::chrono::duration_cast<Duration>(
+      std::chrono::nanoseconds(nanoseconds)));
+}
+
+struct LimitWriter {
+  wire::SchedulerLimit::Builder to;
+
+  void operator()(const BorrowRequest& it) {
+    to.setAmount(it.amount);
+    to.setTimeNs(ToNanoseconds(it.sent_at.time_since_epoch()));
+    to.setBorrow();
+  }
+  void operator()(const Loan& it) {
+    to.setAmount(it.amount);
+    to.setTimeNs(ToNanoseconds(it.request.sent_at.time_since_epoch()));
+    to.setLoanNs(ToNanoseconds(it.valid_for));
+  }
+  void operator()(const LendingAsk& it) {
+    to.setTimeNs(ToNanoseconds(it.asked_at.time_since_epoch()));
+    Write(to.initAsk(), it.owner.high, it.owner.low);
+  }
+  void operator()(const LendingConsent& it) {
+    to.setAmount(it.amount);
+    to.setTimeNs(ToNanoseconds(it.ask.asked_at.time_since_epoch()));
+    Write(to.initConsent(), it.ask.owner.high, it.ask.owner.low);
+  }
+};
+
+LimitMessage ReadLimit(wire::SchedulerLimit::Reader from) {
+  LimitMessage message{.workspace = ReadText(from.getWorkspace()),
+                       .kind = ReadEnum(from.getKind(), LimitKind::kTokens)};
+  const MonotonicTime time = ReadTime(from.getTimeNs());
+  const auto owner = [](wire::Bits128::Reader id) {
+    return Incarnation{.high = id.getHigh(), .low = id.getLow()};
+  };
+  switch (from.which()) {
+    case wire::SchedulerLimit::BORROW:
+      message.step = BorrowRequest{.sent_at = time, .amount = from.getAmount()};
+      break;
+    case wire::SchedulerLimit::LOAN_NS:
+      message.step = Loan{.request = {.sent_at = time},
+                          .amount = from.getAmount(),
+                          .valid_for = std::chrono::duration_cast<Duration>(
+                              std::chrono::nanoseconds(from.getLoanNs()))};
+      break;
+    case wire::SchedulerLimit::ASK:
+      message.step =
+          LendingAsk{.owner = owner(from.getAsk()), .asked_at = time};
+      break;
+    case wire::SchedulerLimit::CONSENT:
+      message.step = LendingConsent{
+          .ask = {.owner = owner(from.getConsent()), .asked_at = time},
+          .amount = from.getAmount()};
+      break;
+  }
+  return message;
+}
+
 struct BodyWriter {
   Builder to;
 
@@ -177,6 +240,12 @@
     answer.setQuery(it.query);
     answer.setOffers(it.offers);
   }
+  void operator()(const LimitMessage& it) {
+    auto limit = to.initLimit();
+    limit.setWorkspace(it.workspace.c_str());
+    limit.setKind(static_cast<std::uint8_t>(it.kind));
+    std::visit(LimitWriter{limit}, it.step);
+  }
 };
 
 PermitOutcome ReadOutcome(wire::SchedulerOutcome::Reader from) {
@@ -268,6 +337,9 @@
       message.body = ShedAnswerMessage{from.getShedAnswer().getQuery(),
                                        from.getShedAnswer().getOffers()};
       break;
+    case wire::SchedulerMessage::LIMIT:
+      message.body = ReadLimit(from.getLimit());
+      break;
   }
   return message;
 }
--- a/src/plugins/scheduler/scheduler_core.cc
+++ b/src/plugins/scheduler/scheduler_core.cc
@@ -11,6 +11,9 @@
 namespace flamingogauge {
 namespace {
 
+// When a request that exceeds a limit should come again.
+constexpr std::chrono::milliseconds kLimitRetryAfter{1000};
+
 std::chrono::nanoseconds ClockOf(MonotonicTime now) {
   return std::chrono::duration_cast<std::chrono::nanoseconds>(
       now.time_since_epoch());
@@ -29,10 +32,32 @@
     : settings_(std::move(settings)),
       transmit_(std::move(transmit)),
       entry_(settings_, *this),
-      groups_(settings_, incarnation, *this) {}
+      groups_(settings_, incarnation, *this),
+      limiter_(incarnation,
+               settings_.host,
+               settings_.limit_slot < 0
+                   ? std::nullopt
+                   : std::optional<std::uint32_t>(
+                         static_cast<std::uint32_t>(settings_.limit_slot)),
+               *this) {}
 
 void SchedulerCore::SetListener(PermitBroker::Listener listener) {
-  entry_.SetListener(std::move(listener));
+  listener_ = std::move(listener);
+  entry_.SetListener({.on_granted = listener_.on_granted,
+                      .on_refused = [this](RequestId id, Refusal refusal) {
+                        Release(id, 0);
+                        if (listener_.on_refused) {
+                          listener_.on_refused(id, std::move(refusal));
+                        }
+                      }});
+}
+
+void SchedulerCore::Release(const RequestId& id, std::uint32_t output_tokens) {
+  const auto it = admitted_.find(id);
+  if (it != admitted_.end()) {
+    limiter_.OnEnded(it->second, output_tokens);
+    admitted_.erase(it);
+  }
 }
 
 void SchedulerCore::OnDocument(MonotonicTime now,
@@ -41,6 +66,7 @@
   document_ = std::move(document);
   groups_.SetConfigs(now, GroupsOfDocument(*document_, settings_.data_centre,
                                            now, since_epoch));
+  limiter_.SetDocument(document_);
   Assign(now);
   HandleLocal(now);
 }
@@ -98,6 +124,7 @@
     }
   }
   const auto& here = live.at(settings_.data_centre);
+  limiter_.SetMembers(here);
   groups_.SetAssignment(now, mine, {here.begin(), here.end()},
                         std::move(siblings));
   schedulers_ = schedulers;
@@ -105,17 +132,37 @@
 }
 
 void SchedulerCore::Request(MonotonicTime now, PermitRequest request) {
+  if (!admitted_.contains(request.id)) {
+    const std::optional<std::string> exceeded = limiter_.Admit(now, request);
+    if (exceeded.has_value()) {
+      if (listener_.on_refused) {
+        listener_.on_refused(
+            request.id, {.kind = RefusalKind::kWorkspaceLimit,
+                         .run_status = RunStatus::kAttemptNotRun,
+                         .message = "schedule: workspace " + request.workspace +
+                                    " exceeds its limit: " + *exceeded,
+                         .retry_after = kLimitRetryAfter});
+      }
+      return;
+    }
+    admitted_[request.id] = request.workspace;
+  }
   entry_.Request(now, std::move(request));
   HandleLocal(now);
 }
 
 void SchedulerCore::Cancel(MonotonicTime now, const RequestId& id) {
+  Release(id, 0);
   entry_.Cancel(id);
   HandleLocal(now);
 }
 
 void SchedulerCore::Report(MonotonicTime now, const PermitOutcome& outcome) {
   entry_.Report(outcome);
+  // The unused second permit of a request ends nothing.
+  if (!entry_.HasRequest(outcome.request)) {
+    Release(outcome.request, outcome.output_tokens);
+  }
   HandleLocal(now);
 }
 
@@ -154,6 +201,8 @@
   } else if (const auto* redirect =
                  std::get_if<RedirectMessage>(&message.body)) {
     entry_.OnRedirect(now, *redirect);
+  } else if (auto* limit = std::get_if<LimitMessage>(&message.body)) {
+    limiter_.OnMessage(now, from, std::move(*limit));
   } else {
     groups_.OnMessage(now, from, std::move(message));
   }
@@ -170,6 +219,7 @@
 void SchedulerCore::Advance(MonotonicTime now) {
   entry_.Advance(now);
   groups_.Advance(now);
+  limiter_.Advance(now);
   HandleLocal(now);
 }
 
--- a/src/plugins/scheduler/scheduler_core.h
+++ b/src/plugins/scheduler/scheduler_core.h
@@ -16,6 +16,7 @@
 #include "plugins/scheduler/entry_requests.h"
 #include "plugins/scheduler/group_host.h"
 #include "plugins/scheduler/scheduler_settings.h"
+#include "plugins/scheduler/workspace_limiter.h"
 
 namespace flamingogauge {
 
@@ -65,13 +66,20 @@
  private:
   void Send(const HostId& host, SchedulerMessage message) override;
   void Assign(MonotonicTime now);
+  // The request will get no further permit; its output is charged.
+  void Release(const RequestId& id, std::uint32_t output_tokens);
   void HandleLocal(MonotonicTime now);
   void Handle(MonotonicTime now, const HostId& from, SchedulerMessage message);
 
+  PermitBroker::Listener listener_;
+
   SchedulerSettings settings_;
   Transmit transmit_;
   EntryRequests entry_;
   GroupHost groups_;
+  WorkspaceLimiter limiter_;
+  // The workspaces of this host's requests, until their end.
+  std::unordered_map<RequestId, WorkspaceId> admitted_;
   std::shared_ptr<const Document> document_;
   // Null when there is no membership; this host is then alone.
   std::shared_ptr<const MemberList> members_;
--- a/src/plugins/scheduler/scheduler_messages.h
+++ b/src/plugins/scheduler/scheduler_messages.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "libs/limits/limit_types.h"
 #include "libs/model/permit.h"
 #include "libs/model/refusal.h"
 #include "libs/scheduling/group_types.h"
@@ -56,6 +57,15 @@
   bool offers = false;
 };
 
+enum class LimitKind : std::uint8_t { kRequests, kTokens };
+
+// Between a host and the owner of one limit of a workspace.
+struct LimitMessage {
+  WorkspaceId workspace;
+  LimitKind kind = LimitKind::kRequests;
+  std::variant<BorrowRequest, Loan, LendingAsk, LendingConsent> step;
+};
+
 struct SchedulerMessage {
   // The group's target; empty where the message does not concern a group.
   std::string target;
@@ -68,7 +78,8 @@
                RefuseMessage,
                RedirectMessage,
                ShedQueryMessage,
-               ShedAnswerMessage>
+               ShedAnswerMessage,
+               LimitMessage>
       body;
 };
 
--- a/src/plugins/scheduler/scheduler_settings.cc
+++ b/src/plugins/scheduler/scheduler_settings.cc
@@ -14,10 +14,15 @@
 DEFINE_uint64(scheduler_permit_margin_ms,
               1000,
               "added before the slot of a silent permit is freed");
+DEFINE_int32(scheduler_limit_slot,
+             -1,
+             "this host's position among all host slots, or -1");
 
 namespace flamingogauge {
 namespace {
 
+constexpr std::int32_t kLargestSlot = 9999;
+
 Result<void> CheckRange(const char* flag,
                         std::uint64_t value,
                         std::uint64_t low,
@@ -58,6 +63,14 @@
       return checked;
     }
   }
+  if (settings.limit_slot < -1 || settings.limit_slot > kLargestSlot) {
+    return Error{
+        .code = ErrorCode::kInvalidArgument,
+        .step = "check settings",
+        .message =
+            "--scheduler_limit_slot=" + std::to_string(settings.limit_slot) +
+            " is not between -1 and " + std::to_string(kLargestSlot)};
+  }
   return boost::outcome_v2::success();
 }
 
@@ -69,6 +82,7 @@
       std::chrono::milliseconds(FLAGS_scheduler_permit_ttl_ms);
   settings.permit_margin =
       std::chrono::milliseconds(FLAGS_scheduler_permit_margin_ms);
+  settings.limit_slot = FLAGS_scheduler_limit_slot;
   return settings;
 }
 
--- a/src/plugins/scheduler/scheduler_settings.h
+++ b/src/plugins/scheduler/scheduler_settings.h
@@ -23,6 +23,9 @@
   std::chrono::milliseconds permit_time_to_live{2000};
   std::chrono::milliseconds permit_margin{1000};
   std::uint64_t seed = 1;
+  // This host's position among all host slots of the document, or -1. Hosts
+  // with a position share the remainder of concurrency limits.
+  std::int32_t limit_slot = -1;
 };
 
 // Returns an error that names the flag, the value and the allowed range.
--- a/tests/auto/scheduling/tst_scheduling_parts.cc
+++ b/tests/auto/scheduling/tst_scheduling_parts.cc
@@ -88,6 +88,20 @@
   CHECK(detector.state(0) == StragglerState::kNormal);
 }
 
+// Guards against a group of two that stops both, one after the other.
+TEST_CASE("StragglerDetector keeps the better half of two in use") {
+  StragglerDetector detector;
+  detector.Resize(2);
+  for (int round = 0; round < 20; ++round) {
+    detector.AddSample(kStart, 0, 10);
+  }
+  CHECK(detector.state(0) == StragglerState::kStopped);
+  for (int round = 0; round < 60; ++round) {
+    detector.AddSample(kStart, 1, 50);
+  }
+  CHECK(detector.state(1) != StragglerState::kStopped);
+}
+
 // Guards against a stale report that counts a request twice or hides load of
 // other origin.
 TEST_CASE("UpstreamState corrects a stale load report") {
