--- a/src/libs/commandline/command_context.cc
+++ b/src/libs/commandline/command_context.cc
@@ -63,8 +63,12 @@
 
 int ReportFaults(const DocumentFaults& faults) {
   for (const DocumentFault& it : faults) {
-    std::fprintf(stderr, "%s%s: %s: allowed is %s\n", it.section.c_str(),
-                 it.path.c_str(), it.value.c_str(), it.allowed.c_str());
+    // These say what is wrong instead of what is allowed.
+    const bool is_sentence = it.allowed.starts_with("unknown") ||
+                             it.allowed.starts_with("is missing");
+    std::fprintf(stderr, "%s%s: %s: %s%s\n", it.section.c_str(),
+                 it.path.c_str(), it.value.c_str(),
+                 is_sentence ? "" : "allowed is ", it.allowed.c_str());
   }
   return ReportError(kInvalidDocument,
                      std::to_string(faults.size()) +
--- a/src/libs/document/revision_rules.cc
+++ b/src/libs/document/revision_rules.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "libs/document/chunks.h"
+
 namespace flamingogauge {
 namespace {
 
@@ -49,8 +51,8 @@
          std::to_string(it->second.changed_in) + " by " +
          it->second.changed_by + ", after revision " +
          std::to_string(expected_revision) +
-         ", on which this edit is based; read the newest revision, " +
-         std::to_string(current.revision) + ", and edit that";
+         ", on which this edit is based; the newest revision is " +
+         std::to_string(current.revision);
 }
 
 std::optional<std::uint64_t> FindEdit(const Manifest& manifest,
@@ -86,4 +88,23 @@
   return next;
 }
 
+std::vector<DocumentObject> FirstRevision(const Document& document,
+                                          const std::string& author) {
+  std::vector<DocumentObject> objects;
+  ReplacedSections replaced;
+  for (const std::string_view section : kSectionNames) {
+    std::vector<std::string>& hashes = replaced[std::string(section)];
+    for (Chunk& it : SplitSection(section, WriteElements(document, section))) {
+      hashes.push_back(it.hash);
+      objects.push_back(
+          {.key = kChunkPrefix + it.hash, .value = std::move(it.text)});
+    }
+  }
+  objects.push_back(
+      {.key = kManifestKey,
+       .value = WriteManifest(NextManifest(
+           nullptr, "", replaced, {.edit_id = "first", .author = author}))});
+  return objects;
+}
+
 }  // namespace flamingogauge
--- a/src/libs/document/revision_rules.h
+++ b/src/libs/document/revision_rules.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "libs/document/document.h"
 #include "libs/document/manifest.h"
 
 namespace flamingogauge {
@@ -47,6 +48,19 @@
                       const ReplacedSections& replaced,
                       RevisionRecord record);
 
+// An object of the store.
+struct DocumentObject {
+  std::string key;
+  std::string value;
+};
+
+inline constexpr char kManifestKey[] = "document/manifest";
+inline constexpr char kChunkPrefix[] = "document/chunks/";
+
+// The objects that hold a valid document as the first revision.
+std::vector<DocumentObject> FirstRevision(const Document& document,
+                                          const std::string& author);
+
 }  // namespace flamingogauge
 
 #endif  // FLAMINGOGAUGE_LIBS_DOCUMENT_REVISION_RULES_H_
--- a/src/plugins/configuration/core_context.h
+++ b/src/plugins/configuration/core_context.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "libs/document/revision_rules.h"
 #include "libs/kernel/log.h"
 #include "libs/kernel/random.h"
 #include "libs/kernel/time.h"
@@ -20,9 +21,6 @@
 
 namespace flamingogauge {
 
-inline constexpr char kManifestKey[] = "document/manifest";
-inline constexpr char kChunkPrefix[] = "document/chunks/";
-
 // What the parts of the configuration core share. All of it is used on the
 // runner only.
 struct CoreContext {
--- a/tests/auto/configuration/tst_hosts.cc
+++ b/tests/auto/configuration/tst_hosts.cc
@@ -16,6 +16,7 @@
 #include "plugins/platform/platform_plugin.h"
 #include "tests/auto/document/sample_document.h"
 #include "tests/fakes/fake_platform/fake_platform.h"
+#include "tests/fakes/fake_platform/load_objects.h"
 
 namespace flamingogauge {
 namespace {
@@ -112,6 +113,19 @@
   CHECK(third.Current()->policy.goodput_weight == 7);
 }
 
+// Guards against a fake platform that loads a document in another form than
+// hosts write it.
+TEST_CASE("A host follows the document that the fake platform has loaded") {
+  FakePlatform platform;
+  const auto objects =
+      LoadObjects(std::string(FLAMINGOGAUGE_DOCS) + "/examples/jernpleje.json");
+  REQUIRE(objects.has_value());
+  platform.Load(objects.value());
+  TestHost host("h1", platform.address(), {});
+  REQUIRE(host.WaitFor(1));
+  CHECK(host.Current()->upstreams.size() == 21);
+}
+
 // Guards against a host that cannot take the first section of a document, and
 // against a start that needs a document in the store.
 TEST_CASE("A deployment without a document accepts its first section") {
--- a/tests/fakes/fake_platform/load_objects.cc
+++ b/tests/fakes/fake_platform/load_objects.cc
@@ -4,6 +4,10 @@
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <utility>
+
+#include "libs/document/document_json.h"
+#include "libs/document/revision_rules.h"
 
 namespace flamingogauge {
 namespace {
@@ -20,6 +24,23 @@
   return {std::istreambuf_iterator<char>(file), {}};
 }
 
+// Turns a whole document into the objects of its first revision.
+Result<std::vector<StoredObject>> LoadDocument(const std::string& path,
+                                               const std::string& text) {
+  const ReadOutcome outcome = ReadDocument(text);
+  if (!outcome.faults.empty()) {
+    const DocumentFault& fault = outcome.faults.front();
+    return LoadError(path,
+                     fault.section + fault.path + " must be " + fault.allowed);
+  }
+  std::vector<StoredObject> objects;
+  for (DocumentObject& it : FirstRevision(outcome.document, "fake_platform")) {
+    objects.push_back(
+        {.key = std::move(it.key), .value = std::move(it.value), .version = 0});
+  }
+  return objects;
+}
+
 }  // namespace
 
 Result<std::vector<StoredObject>> LoadObjects(const std::string& path) {
@@ -42,6 +63,9 @@
   if (!json.is_object()) {
     return LoadError(path, "is not a JSON object of keys and values");
   }
+  if (json.contains("tiers")) {
+    return LoadDocument(path, json.dump());
+  }
   for (const auto& [key, value] : json.items()) {
     objects.push_back(
         {.key = key,
--- a/tests/fakes/fake_platform/load_objects.h
+++ b/tests/fakes/fake_platform/load_objects.h
@@ -10,7 +10,7 @@
 namespace flamingogauge {
 
 // Reads objects from a directory, where each file's relative path is its key,
-// or from a JSON file that maps keys to values.
+// or from a JSON file that holds a whole document or maps keys to values.
 Result<std::vector<StoredObject>> LoadObjects(const std::string& path);
 
 }  // namespace flamingogauge
