--- a/src/libs/kernel/setting_range.h
+++ b/src/libs/kernel/setting_range.h
@@ -16,6 +16,16 @@
   double highest;
 };
 
+// Describes the range of a number, or of a time in the unit of its type.
+template <typename T>
+SettingRange RangeOf(const char* flag, T value, double lowest, double highest) {
+  if constexpr (requires { value.count(); }) {
+    return {flag, static_cast<double>(value.count()), lowest, highest};
+  } else {
+    return {flag, static_cast<double>(value), lowest, highest};
+  }
+}
+
 // Returns kInvalidArgument for the first setting outside its range; the
 // message names the flag, the value and the range.
 Result<void> CheckSettingRanges(std::initializer_list<SettingRange> ranges);
--- a/src/plugins/callers/callers_settings.cc
+++ b/src/plugins/callers/callers_settings.cc
@@ -2,7 +2,7 @@
 
 #include <gflags/gflags.h>
 
-#include <string>
+#include "libs/kernel/setting_range.h"
 
 namespace {
 
@@ -38,25 +38,6 @@
               "how long a caller may take no byte of an answer");
 
 namespace flamingogauge {
-namespace {
-
-Result<void> CheckRange(const char* flag,
-                        std::uint64_t value,
-                        std::uint64_t lowest,
-                        std::uint64_t highest) {
-  if (value >= lowest && value <= highest) {
-    return boost::outcome_v2::success();
-  }
-  return Error{.code = ErrorCode::kInvalidArgument,
-               .step = "check settings",
-               .message = std::string("--") + flag + " is " +
-                          std::to_string(value) + ", allowed is " +
-                          std::to_string(lowest) + " to " +
-                          std::to_string(highest)};
-}
-
-}  // namespace
-
 CallersSettings CallersSettingsFromFlags() {
   using std::chrono::milliseconds;
   HttpServerSettings server;
@@ -73,40 +54,24 @@
 }
 
 Result<void> CheckSettings(const CallersSettings& settings) {
-  struct Row {
-    const char* flag;
-    std::uint64_t value;
-    std::uint64_t lowest;
-    std::uint64_t highest;
-  };
   const HttpServerSettings& server = settings.server;
-  const auto milliseconds = [](std::chrono::milliseconds time) {
-    return static_cast<std::uint64_t>(time.count());
-  };
-  constexpr std::uint64_t kHour = 3600000;
-  for (const Row& row :
-       {Row{"callers_threads", static_cast<std::uint64_t>(server.threads), 1,
-            64},
-        Row{"callers_max_request_bytes", server.max_request_bytes, 1024,
-            1U << 30U},
-        Row{"callers_max_connections", server.max_connections, 1, 1U << 20U},
-        Row{"callers_max_outstanding_bytes", server.max_outstanding_bytes,
-            server.resume_bytes, 1U << 30U},
-        Row{"callers_head_time_limit_ms", milliseconds(server.head_time_limit),
-            1, kHour},
-        Row{"callers_request_time_limit_ms",
-            milliseconds(server.request_time_limit), 1, kHour},
-        Row{"callers_idle_time_limit_ms", milliseconds(server.idle_time_limit),
-            1, kHour},
-        Row{"callers_stall_time_limit_ms",
-            milliseconds(server.stall_time_limit), 1, kHour}}) {
-    Result<void> checked =
-        CheckRange(row.flag, row.value, row.lowest, row.highest);
-    if (!checked) {
-      return checked;
-    }
-  }
-  return CheckListenAddress("callers_address", server.address);
+  constexpr double kHour = 3600000;
+  constexpr double kGibibyte = 1U << 30U;
+  Result<void> checked = CheckSettingRanges({
+      RangeOf("callers_threads", server.threads, 1, 64),
+      RangeOf("callers_max_request_bytes", server.max_request_bytes, 1024,
+              kGibibyte),
+      RangeOf("callers_max_connections", server.max_connections, 1, 1U << 20U),
+      RangeOf("callers_max_outstanding_bytes", server.max_outstanding_bytes,
+              static_cast<double>(server.resume_bytes), kGibibyte),
+      RangeOf("callers_head_time_limit_ms", server.head_time_limit, 1, kHour),
+      RangeOf("callers_request_time_limit_ms", server.request_time_limit, 1,
+              kHour),
+      RangeOf("callers_idle_time_limit_ms", server.idle_time_limit, 1, kHour),
+      RangeOf("callers_stall_time_limit_ms", server.stall_time_limit, 1, kHour),
+  });
+  return checked ? CheckListenAddress("callers_address", server.address)
+                 : checked;
 }
 
 }  // namespace flamingogauge
--- a/src/plugins/claims/claims_settings.cc
+++ b/src/plugins/claims/claims_settings.cc
@@ -18,12 +18,10 @@
 
 Result<void> CheckClaimsSettings(const ClaimsSettings& settings) {
   return CheckSettingRanges({
-      {"claims_max_attempts", static_cast<double>(settings.max_attempts), 1,
-       65536},
-      {"claims_acquire_time_limit_ms",
-       static_cast<double>(settings.acquire_time_limit.count()), 50, 60000},
-      {"claims_epoch_length_min",
-       static_cast<double>(settings.epoch_length.count()), 1, 1440},
+      RangeOf("claims_max_attempts", settings.max_attempts, 1, 65536),
+      RangeOf("claims_acquire_time_limit_ms", settings.acquire_time_limit, 50,
+              60000),
+      RangeOf("claims_epoch_length_min", settings.epoch_length, 1, 1440),
   });
 }
 
--- a/src/plugins/orders/orders_settings.cc
+++ b/src/plugins/orders/orders_settings.cc
@@ -26,13 +26,11 @@
 
 Result<void> CheckOrdersSettings(const OrdersSettings& settings) {
   return CheckSettingRanges({
-      {"orders_lease_ms", static_cast<double>(settings.lease.count()), 1000,
-       600000},
-      {"orders_longest_flight_ms",
-       static_cast<double>(settings.longest_flight.count()), 100, 600000},
-      {"orders_read_interval_ms",
-       static_cast<double>(settings.read_interval.count()), 100, 3600000},
-      {"orders_loads_per_minute", settings.loads_per_minute, 0.01, 10000},
+      RangeOf("orders_lease_ms", settings.lease, 1000, 600000),
+      RangeOf("orders_longest_flight_ms", settings.longest_flight, 100, 600000),
+      RangeOf("orders_read_interval_ms", settings.read_interval, 100, 3600000),
+      RangeOf("orders_loads_per_minute", settings.loads_per_minute, 0.01,
+              10000),
   });
 }
 
--- a/src/plugins/upstreams/upstreams_settings.cc
+++ b/src/plugins/upstreams/upstreams_settings.cc
@@ -2,9 +2,7 @@
 
 #include <gflags/gflags.h>
 
-#include <array>
-#include <cstdint>
-#include <string>
+#include "libs/kernel/setting_range.h"
 
 DEFINE_uint64(upstreams_max_calls, 4096, "calls to upstreams at the same time");
 DEFINE_int32(upstreams_max_resumes,
@@ -30,45 +28,20 @@
               "polls of all engines together, a second");
 
 namespace flamingogauge {
-namespace {
-
-struct Range {
-  const char* flag;
-  std::int64_t value;
-  std::int64_t lowest;
-  std::int64_t highest;
-};
-
-}  // namespace
-
 Result<void> CheckUpstreamsSettings(const UpstreamsSettings& settings) {
-  const std::array<Range, 8> ranges{{
-      {"upstreams_max_calls", static_cast<std::int64_t>(settings.max_calls), 1,
-       65536},
-      {"upstreams_max_resumes", settings.max_resumes, 0, 16},
-      {"upstreams_resume_backoff_ms", settings.resume_backoff.count(), 1,
-       10000},
-      {"upstreams_max_idle_connections",
-       static_cast<std::int64_t>(settings.max_idle_connections), 1, 16384},
-      {"upstreams_max_idle_time_s", settings.max_idle_time.count(), 1, 3600},
-      {"upstreams_poll_period_ms", settings.poll_period.count(), 10, 600000},
-      {"upstreams_poll_time_limit_ms", settings.poll_time_limit.count(), 10,
-       60000},
-      {"upstreams_max_polls_per_second",
-       static_cast<std::int64_t>(settings.max_polls_per_second), 1, 10000},
-  }};
-  for (const Range& it : ranges) {
-    if (it.value < it.lowest || it.value > it.highest) {
-      return Error{.code = ErrorCode::kInvalidArgument,
-                   .step = "check settings",
-                   .message = "--" + std::string(it.flag) + "=" +
-                              std::to_string(it.value) +
-                              " is outside the allowed range " +
-                              std::to_string(it.lowest) + " to " +
-                              std::to_string(it.highest)};
-    }
-  }
-  return boost::outcome_v2::success();
+  return CheckSettingRanges({
+      RangeOf("upstreams_max_calls", settings.max_calls, 1, 65536),
+      RangeOf("upstreams_max_resumes", settings.max_resumes, 0, 16),
+      RangeOf("upstreams_resume_backoff_ms", settings.resume_backoff, 1, 10000),
+      RangeOf("upstreams_max_idle_connections", settings.max_idle_connections,
+              1, 16384),
+      RangeOf("upstreams_max_idle_time_s", settings.max_idle_time, 1, 3600),
+      RangeOf("upstreams_poll_period_ms", settings.poll_period, 10, 600000),
+      RangeOf("upstreams_poll_time_limit_ms", settings.poll_time_limit, 10,
+              60000),
+      RangeOf("upstreams_max_polls_per_second", settings.max_polls_per_second,
+              1, 10000),
+  });
 }
 
 UpstreamsSettings UpstreamsSettingsFromFlags() {
--- a/tests/auto/upstreams/tst_upstreams_plugin.cc
+++ b/tests/auto/upstreams/tst_upstreams_plugin.cc
@@ -95,7 +95,7 @@
   const auto checked = CheckUpstreamsSettings(settings);
   REQUIRE(!checked);
   CHECK(checked.error().message ==
-        "--upstreams_max_calls=0 is outside the allowed range 1 to 65536");
+        "--upstreams_max_calls is 0, allowed is 1 to 65536");
 }
 
 // Guards against an echo client that breaks the observer's order of calls.
