services: classify store writes in one place

Cause: claims and orders had the same enumeration and the same mapping of store errors; two plugins named member states alike. Change: StoreWriteResult and ToStoreWriteResult in services, ToString of MemberState in model.

--- a/src/libs/claims/claim_attempt.cc
+++ b/src/libs/claims/claim_attempt.cc
@@ -271,23 +271,23 @@
 }
 
 Actions ClaimAttempt::Impl::OnWritten(MonotonicTime now,
-                                      ClaimWriteResult result,
+                                      StoreWriteResult result,
                                       std::uint64_t version) {
   operation_outstanding_ = false;
   if (state_ == State::kFinished || state_ == State::kOwned) {
     return {};
   }
-  if (result == ClaimWriteResult::kUnknown) {
+  if (result == StoreWriteResult::kUnknown) {
     earlier_write_in_doubt_ = true;
-  } else if (result != ClaimWriteResult::kApplied) {
+  } else if (result != StoreWriteResult::kApplied) {
     write_in_doubt_ = earlier_write_in_doubt_;
   }
-  if (result == ClaimWriteResult::kApplied) {
+  if (result == StoreWriteResult::kApplied) {
     return state_ == State::kAcquiring ? BecomeOwner(now, version)
                                        : Settled(true);
   }
   if (state_ == State::kAcquiring) {
-    if (result != ClaimWriteResult::kNotApplied) {
+    if (result != StoreWriteResult::kNotApplied) {
       return Read();
     }
     if (answered_) {
@@ -303,7 +303,7 @@
     WaitBeforeNextRead(now);
     return {};
   }
-  if (result == ClaimWriteResult::kConflict) {
+  if (result == StoreWriteResult::kConflict) {
     return Read();
   }
   if (now >= settle_until_) {
@@ -405,7 +405,7 @@
 }
 
 Actions ClaimAttempt::OnWritten(MonotonicTime now,
-                                ClaimWriteResult result,
+                                StoreWriteResult result,
                                 std::uint64_t version) {
   return impl_->OnWritten(now, result, version);
 }
--- a/src/libs/claims/claim_attempt.h
+++ b/src/libs/claims/claim_attempt.h
@@ -11,20 +11,10 @@
 #include "libs/claims/claim_record.h"
 #include "libs/kernel/time.h"
 #include "libs/services/claim_service.h"
+#include "libs/services/store_write_result.h"
 
 namespace flamingogauge {
 
-// How a write to the store ended, as far as the writer knows.
-enum class ClaimWriteResult {
-  kApplied,
-  // Another version or an existing object stood in the way.
-  kConflict,
-  // The store did not apply the write.
-  kNotApplied,
-  // The answer was lost; the write may be applied now or later.
-  kUnknown,
-};
-
 enum class ClaimReadResult { kFound, kAbsent, kUnavailable };
 
 // Writes the record if the key is absent.
@@ -97,7 +87,7 @@
   // The outstanding create or update ended. `version` is the object's new
   // version for kApplied.
   Actions OnWritten(MonotonicTime now,
-                    ClaimWriteResult result,
+                    StoreWriteResult result,
                     std::uint64_t version);
 
   // The outstanding read ended. `claim` is set for kFound. `owner_alive` tells
--- a/src/libs/claims/claim_attempt_p.h
+++ b/src/libs/claims/claim_attempt_p.h
@@ -26,7 +26,7 @@
 
   Actions Start(MonotonicTime now);
   Actions OnWritten(MonotonicTime now,
-                    ClaimWriteResult result,
+                    StoreWriteResult result,
                     std::uint64_t version);
   Actions OnRead(MonotonicTime now,
                  ClaimReadResult result,
--- a/src/libs/model/member.h
+++ b/src/libs/model/member.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include "libs/model/ids.h"
 
@@ -10,6 +11,9 @@
 
 enum class MemberState { kAlive, kSuspected, kLeaving, kDead };
 
+// For example "alive".
+std::string_view ToString(MemberState state);
+
 // One entry host as another sees it.
 struct Member {
   HostId host;
--- a/src/libs/orders/order_lease.cc
+++ b/src/libs/orders/order_lease.cc
@@ -95,20 +95,20 @@
 }
 
 void OrderLease::OnWritten(MonotonicTime now,
-                           LeaseWriteResult result,
+                           StoreWriteResult result,
                            std::uint64_t version) {
   outstanding_ = false;
   switch (result) {
-    case LeaseWriteResult::kApplied:
+    case StoreWriteResult::kApplied:
       Hold(now, version, write_sent_);
       break;
-    case LeaseWriteResult::kConflict:
+    case StoreWriteResult::kConflict:
       Lose();
       next_call_ = now;
       break;
-    case LeaseWriteResult::kNotApplied:
+    case StoreWriteResult::kNotApplied:
       break;
-    case LeaseWriteResult::kUnknown:
+    case StoreWriteResult::kUnknown:
       write_in_doubt_ = true;
       first_doubt_sent_ = first_doubt_sent_.value_or(write_sent_);
       next_call_ = now;
--- a/src/libs/orders/order_lease.h
+++ b/src/libs/orders/order_lease.h
@@ -7,6 +7,7 @@
 
 #include "libs/kernel/time.h"
 #include "libs/model/ids.h"
+#include "libs/services/store_write_result.h"
 
 namespace flamingogauge {
 
@@ -36,8 +37,6 @@
   MonotonicTime unfenced_from;
 };
 
-enum class LeaseWriteResult { kApplied, kConflict, kNotApplied, kUnknown };
-
 struct LeaseAction {
   enum class Kind { kRead, kCreate, kUpdate };
   Kind kind = Kind::kRead;
@@ -68,7 +67,7 @@
 
   // The outstanding write ended; `version` is the new version for kApplied.
   void OnWritten(MonotonicTime now,
-                 LeaseWriteResult result,
+                 StoreWriteResult result,
                  std::uint64_t version);
 
   // An upstream refused an order because it had seen a higher number.
--- a/src/plugins/claims/claim_events.cc
+++ b/src/plugins/claims/claim_events.cc
@@ -24,23 +24,6 @@
   return "claims/" + Sha256Hex(text);
 }
 
-ClaimWriteResult ToWriteResult(const Result<StoredObject>& result) {
-  if (result) {
-    return ClaimWriteResult::kApplied;
-  }
-  switch (result.error().code) {
-    case ErrorCode::kAlreadyExists:
-    case ErrorCode::kVersionMismatch:
-    case ErrorCode::kNotFound:
-      return ClaimWriteResult::kConflict;
-    case ErrorCode::kUnavailable:
-    case ErrorCode::kResourceExhausted:
-      return ClaimWriteResult::kNotApplied;
-    default:
-      return ClaimWriteResult::kUnknown;
-  }
-}
-
 ReadEvent ToReadEvent(RequestId id, const Result<StoredObject>& result) {
   if (!result) {
     const bool absent = result.error().code == ErrorCode::kNotFound;
--- a/src/plugins/claims/claim_events.h
+++ b/src/plugins/claims/claim_events.h
@@ -40,7 +40,7 @@
 };
 struct WrittenEvent {
   RequestId id;
-  ClaimWriteResult result;
+  StoreWriteResult result;
   std::uint64_t version;
 };
 struct ReadEvent {
@@ -95,8 +95,7 @@
 // idempotency key.
 std::string ClaimKey(const ClaimRequest& request);
 
-// Translates the end of a store call into the words of the claims library.
-ClaimWriteResult ToWriteResult(const Result<StoredObject>& result);
+// Classifies the end of a read of a claim.
 ReadEvent ToReadEvent(RequestId id, const Result<StoredObject>& result);
 
 }  // namespace flamingogauge
--- a/src/plugins/claims/claims_worker.cc
+++ b/src/plugins/claims/claims_worker.cc
@@ -207,7 +207,7 @@
                            id](const Result<StoredObject>& result) {
     PostClaimEvent(
         *ring, WrittenEvent{.id = id,
-                            .result = ToWriteResult(result),
+                            .result = ToStoreWriteResult(result),
                             .version = result ? result.value().version : 0});
   };
   if (auto* create = std::get_if<CreateClaimAction>(&action)) {
--- a/src/plugins/operators/operators_plugin.cc
+++ b/src/plugins/operators/operators_plugin.cc
@@ -29,20 +29,6 @@
   return digest;
 }
 
-const char* NameOf(MemberState state) {
-  switch (state) {
-    case MemberState::kAlive:
-      return "alive";
-    case MemberState::kSuspected:
-      return "suspected";
-    case MemberState::kLeaving:
-      return "leaving";
-    case MemberState::kDead:
-      return "dead";
-  }
-  return "unknown";
-}
-
 HttpServer::ErrorAnswer FormatError(int /*status*/, const std::string& text) {
   return {.content_type = kJsonType,
           .body = Json{{"error", {{"message", text}}}}.dump(
@@ -220,7 +206,7 @@
     }
     status["members"].push_back({{"host", it.host},
                                  {"data_centre", it.data_centre},
-                                 {"state", NameOf(it.state)},
+                                 {"state", ToString(it.state)},
                                  {"document_revision", it.document_revision}});
   }
   return status.dump();
--- a/src/plugins/orders/orders_worker.cc
+++ b/src/plugins/orders/orders_worker.cc
@@ -20,23 +20,6 @@
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
 
-LeaseWriteResult ToWriteResult(const Result<StoredObject>& result) {
-  if (result) {
-    return LeaseWriteResult::kApplied;
-  }
-  switch (result.error().code) {
-    case ErrorCode::kAlreadyExists:
-    case ErrorCode::kVersionMismatch:
-    case ErrorCode::kNotFound:
-      return LeaseWriteResult::kConflict;
-    case ErrorCode::kUnavailable:
-    case ErrorCode::kResourceExhausted:
-      return LeaseWriteResult::kNotApplied;
-    default:
-      return LeaseWriteResult::kUnknown;
-  }
-}
-
 }  // namespace
 
 OrdersWorker::OrdersWorker(const OrdersSettings& settings,
@@ -196,7 +179,7 @@
 }
 
 void OrdersWorker::Handle(const LeaseWrittenEvent& event, MonotonicTime now) {
-  lease_.OnWritten(now, ToWriteResult(event.object),
+  lease_.OnWritten(now, ToStoreWriteResult(event.object),
                    event.object ? event.object.value().version : 0);
 }
 
--- a/src/plugins/peers/peer_node.cc
+++ b/src/plugins/peers/peer_node.cc
@@ -31,20 +31,6 @@
           .count());
 }
 
-std::string_view StateName(MemberState state) {
-  switch (state) {
-    case MemberState::kAlive:
-      return "alive";
-    case MemberState::kSuspected:
-      return "suspected";
-    case MemberState::kLeaving:
-      return "leaving";
-    case MemberState::kDead:
-      return "dead";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 PeerNode::PeerNode(kj::AsyncIoContext& io,
@@ -275,7 +261,7 @@
     const auto found = before.find(it.host);
     if (found == before.end() || found->second->incarnation != it.incarnation ||
         found->second->state != it.state) {
-      log_.Info("host " + it.host + " is " + std::string(StateName(it.state)));
+      log_.Info("host " + it.host + " is " + std::string(ToString(it.state)));
     }
   }
 }
--- a/tests/auto/claims/claims_world.cc
+++ b/tests/auto/claims/claims_world.cc
@@ -188,7 +188,7 @@
   }
 }
 
-ClaimWriteResult ClaimsWorld::Apply(
+StoreWriteResult ClaimsWorld::Apply(
     std::size_t key,
     const ClaimRecord& record,
     std::optional<std::uint64_t> expected_version) {
@@ -197,13 +197,13 @@
                            ? stored && stored->version == *expected_version
                            : !stored;
   if (!matches) {
-    return ClaimWriteResult::kConflict;
+    return StoreWriteResult::kConflict;
   }
   stored = VersionedClaim{.record = record, .version = next_version_++};
   if (record.state == ClaimState::kReleased) {
     keys_[key].executions_at_release = keys_[key].executions;
   }
-  return ClaimWriteResult::kApplied;
+  return StoreWriteResult::kApplied;
 }
 
 void ClaimsWorld::Write(std::size_t host,
@@ -211,7 +211,7 @@
                         const ClaimRecord& record,
                         std::optional<std::uint64_t> expected_version) {
   const std::size_t key = Find(host, id)->key;
-  const auto report = [this, host, id](ClaimWriteResult result,
+  const auto report = [this, host, id](StoreWriteResult result,
                                        std::uint64_t version) {
     OnHost(host, RandomDelay(), [this, host, id, result, version] {
       if (Attempt* attempt = Find(host, id)) {
@@ -220,18 +220,18 @@
     });
   };
   if (StoreIsDown() && random_.NextBool(0.5)) {
-    report(ClaimWriteResult::kNotApplied, 0);
+    report(StoreWriteResult::kNotApplied, 0);
     return;
   }
   const bool answer_lost = random_.NextBool(StoreIsDown() ? 0.8 : 0.2);
   if (answer_lost) {
-    report(ClaimWriteResult::kUnknown, 0);
+    report(StoreWriteResult::kUnknown, 0);
     if (random_.NextBool(0.5)) {
       return;
     }
   }
   At(RandomDelay(), [this, key, record, expected_version, answer_lost, report] {
-    const ClaimWriteResult applied = Apply(key, record, expected_version);
+    const StoreWriteResult applied = Apply(key, record, expected_version);
     if (!answer_lost) {
       report(applied, next_version_ - 1);
     }
--- a/tests/auto/claims/claims_world.h
+++ b/tests/auto/claims/claims_world.h
@@ -90,7 +90,7 @@
              std::uint64_t id,
              const ClaimRecord& record,
              std::optional<std::uint64_t> expected_version);
-  ClaimWriteResult Apply(std::size_t key,
+  StoreWriteResult Apply(std::size_t key,
                          const ClaimRecord& record,
                          std::optional<std::uint64_t> expected_version);
   void ReadKey(std::size_t host, std::uint64_t id);
--- a/tests/auto/claims/tst_claim_attempt.cc
+++ b/tests/auto/claims/tst_claim_attempt.cc
@@ -79,7 +79,7 @@
     ClaimAttempt attempt(Options());
     REQUIRE(FindAction<CreateClaimAction>(attempt.Start(kStart)) != nullptr);
     REQUIRE(FindAction<ReadClaimAction>(attempt.OnWritten(
-                kStart, ClaimWriteResult::kConflict, 0)) != nullptr);
+                kStart, StoreWriteResult::kConflict, 0)) != nullptr);
     const Actions actions =
         attempt.OnRead(kStart, ClaimReadResult::kFound,
                        OtherClaim(row.state, row.fingerprint), row.owner_alive);
@@ -105,7 +105,7 @@
 TEST_CASE("A joined ClaimAttempt shares the refusal of the first attempt") {
   ClaimAttempt attempt(Options());
   attempt.Start(kStart);
-  attempt.OnWritten(kStart, ClaimWriteResult::kConflict, 0);
+  attempt.OnWritten(kStart, StoreWriteResult::kConflict, 0);
   attempt.OnRead(kStart, ClaimReadResult::kFound,
                  OtherClaim(ClaimState::kClaimed, kFingerprint), true);
   attempt.OnTime(kStart + seconds(1));
@@ -138,7 +138,7 @@
     CAPTURE(row.name);
     ClaimAttempt attempt(Options());
     attempt.Start(kStart);
-    attempt.OnWritten(kStart, ClaimWriteResult::kUnknown, 0);
+    attempt.OnWritten(kStart, StoreWriteResult::kUnknown, 0);
     VersionedClaim claim = OtherClaim(ClaimState::kClaimed, kFingerprint);
     if (row.own_token) {
       claim.record.token = kOwnToken;
@@ -170,14 +170,14 @@
   CHECK_FALSE(attempt.IsFinished());
 
   const Actions late =
-      attempt.OnWritten(limit + seconds(1), ClaimWriteResult::kApplied, 9);
+      attempt.OnWritten(limit + seconds(1), StoreWriteResult::kApplied, 9);
   CHECK_FALSE(attempt.IsOwned());
   CHECK(FindAction<AnswerClaimAction>(late) == nullptr);
   const auto* update = FindAction<UpdateClaimAction>(late);
   REQUIRE(update != nullptr);
   CHECK(update->record.state == ClaimState::kReleased);
   CHECK(update->expected_version == 9);
-  attempt.OnWritten(limit + seconds(1), ClaimWriteResult::kApplied, 10);
+  attempt.OnWritten(limit + seconds(1), StoreWriteResult::kApplied, 10);
   CHECK(attempt.IsFinished());
 }
 
@@ -185,28 +185,28 @@
 TEST_CASE("ClaimAttempt reports a release only as far as it is confirmed") {
   struct Row {
     const char* name;
-    ClaimWriteResult write;
+    StoreWriteResult write;
     std::optional<ClaimState> read_state;
     bool read_own_token;
     bool confirmed;
   };
   const Row rows[] = {
-      {"applied", ClaimWriteResult::kApplied, std::nullopt, true, true},
-      {"lost answer, applied", ClaimWriteResult::kUnknown,
+      {"applied", StoreWriteResult::kApplied, std::nullopt, true, true},
+      {"lost answer, applied", StoreWriteResult::kUnknown,
        ClaimState::kReleased, true, true},
-      {"conflict, claimed by another", ClaimWriteResult::kConflict,
+      {"conflict, claimed by another", StoreWriteResult::kConflict,
        ClaimState::kClaimed, false, false},
   };
   for (const Row& row : rows) {
     CAPTURE(row.name);
     ClaimAttempt attempt(Options());
     attempt.Start(kStart);
-    attempt.OnWritten(kStart, ClaimWriteResult::kApplied, 1);
+    attempt.OnWritten(kStart, StoreWriteResult::kApplied, 1);
     REQUIRE(attempt.IsOwned());
     attempt.Release(kStart);
     Actions actions = attempt.OnWritten(kStart, row.write, 2);
     if (row.read_state) {
-      if (row.write == ClaimWriteResult::kUnknown) {
+      if (row.write == StoreWriteResult::kUnknown) {
         CHECK(FindAction<ReleaseEndedAction>(actions) == nullptr);
         actions = attempt.OnTime(kStart + seconds(1));
       }
@@ -229,12 +229,12 @@
 TEST_CASE("ClaimAttempt writes an outcome until it is confirmed") {
   ClaimAttempt attempt(Options());
   attempt.Start(kStart);
-  attempt.OnWritten(kStart, ClaimWriteResult::kApplied, 1);
+  attempt.OnWritten(kStart, StoreWriteResult::kApplied, 1);
   Actions actions = attempt.Record(kStart, {.status = 201, .body = "ok"});
   MonotonicTime now = kStart;
   for (int it = 0; it < 5; ++it) {
     REQUIRE(FindAction<UpdateClaimAction>(actions) != nullptr);
-    attempt.OnWritten(now, ClaimWriteResult::kNotApplied, 0);
+    attempt.OnWritten(now, StoreWriteResult::kNotApplied, 0);
     REQUIRE(attempt.NextWake().has_value());
     now = *attempt.NextWake();
     REQUIRE(FindAction<ReadClaimAction>(attempt.OnTime(now)) != nullptr);
@@ -246,7 +246,7 @@
   REQUIRE(update != nullptr);
   CHECK(update->record.state == ClaimState::kDone);
   CHECK(update->record.outcome.body == "ok");
-  attempt.OnWritten(now, ClaimWriteResult::kApplied, 6);
+  attempt.OnWritten(now, StoreWriteResult::kApplied, 6);
   CHECK(attempt.IsFinished());
 }
 
--- a/tests/auto/orders/tst_order_lease.cc
+++ b/tests/auto/orders/tst_order_lease.cc
@@ -141,14 +141,14 @@
     const bool answer_lost = random_.NextBool(0.15);
     if (answer_lost) {
       OnHost(host, RandomDelay(), [this, host] {
-        hosts_[host].lease->OnWritten(now_, LeaseWriteResult::kUnknown, 0);
+        hosts_[host].lease->OnWritten(now_, StoreWriteResult::kUnknown, 0);
       });
       if (random_.NextBool(0.5)) {
         return;
       }
     }
     At(now_ + RandomDelay(), [this, host, action, answer_lost] {
-      const LeaseWriteResult result = Apply(host, action);
+      const StoreWriteResult result = Apply(host, action);
       const std::uint64_t version = object_ ? object_->version : 0;
       if (!answer_lost) {
         OnHost(host, RandomDelay(), [this, host, result, version] {
@@ -158,13 +158,13 @@
     });
   }
 
-  LeaseWriteResult Apply(std::size_t host, const LeaseAction& action) {
+  StoreWriteResult Apply(std::size_t host, const LeaseAction& action) {
     const bool matches =
         action.kind == LeaseAction::Kind::kCreate
             ? !object_
             : object_ && object_->version == action.expected_version;
     if (!matches) {
-      return LeaseWriteResult::kConflict;
+      return StoreWriteResult::kConflict;
     }
     const std::uint64_t version = object_ ? object_->version + 1 : 1;
     if (!object_ || object_->holder != hosts_[host].incarnation) {
@@ -172,7 +172,7 @@
       holder_first_number_ = version;
     }
     object_ = {.holder = hosts_[host].incarnation, .version = version};
-    return LeaseWriteResult::kApplied;
+    return StoreWriteResult::kApplied;
   }
 
   Random random_;
@@ -220,16 +220,16 @@
   lease.OnTime(start);
   lease.OnRead(start, std::nullopt);
   lease.OnTime(start);
-  lease.OnWritten(start, LeaseWriteResult::kApplied, 1);
+  lease.OnWritten(start, StoreWriteResult::kApplied, 1);
   const MonotonicTime renewal = start + seconds(3);
   REQUIRE(lease.OnTime(renewal)->kind == LeaseAction::Kind::kUpdate);
-  lease.OnWritten(renewal, LeaseWriteResult::kUnknown, 0);
+  lease.OnWritten(renewal, StoreWriteResult::kUnknown, 0);
   const MonotonicTime again = start + seconds(8);
   REQUIRE(lease.OnTime(again)->kind == LeaseAction::Kind::kRead);
   lease.OnRead(again,
                LeaseObject{.holder = {.high = 1, .low = 1}, .version = 1});
   REQUIRE(lease.OnTime(again)->kind == LeaseAction::Kind::kUpdate);
-  lease.OnWritten(again, LeaseWriteResult::kUnknown, 0);
+  lease.OnWritten(again, StoreWriteResult::kUnknown, 0);
   REQUIRE(lease.OnTime(again)->kind == LeaseAction::Kind::kRead);
   lease.OnRead(again,
                LeaseObject{.holder = {.high = 1, .low = 1}, .version = 2});
@@ -245,7 +245,7 @@
   REQUIRE(lease.OnTime(start)->kind == LeaseAction::Kind::kRead);
   lease.OnRead(start, std::nullopt);
   REQUIRE(lease.OnTime(start)->kind == LeaseAction::Kind::kCreate);
-  lease.OnWritten(start + seconds(2), LeaseWriteResult::kApplied, 1);
+  lease.OnWritten(start + seconds(2), StoreWriteResult::kApplied, 1);
   CHECK(lease.Authority(start + seconds(9)).has_value());
   CHECK_FALSE(lease.Authority(start + seconds(10)).has_value());
   CHECK(lease.Authority(start + seconds(2))->unfenced_from ==
--- a/tools/membership/measure_roles.cc
+++ b/tools/membership/measure_roles.cc
@@ -252,14 +252,14 @@
                               .fingerprint = {.high = 4, .low = n},
                               .deadline = kStart + seconds(30)}));
       count(attempts.back()->Start(kStart));
-      count(attempts.back()->OnWritten(kStart, ClaimWriteResult::kApplied, 1));
+      count(attempts.back()->OnWritten(kStart, StoreWriteResult::kApplied, 1));
     }
     const double held = HeapKib() - heap;
     for (const auto& it : attempts) {
       count(it->Record(kStart, {.status = 200,
                                 .content_type = "application/json",
                                 .body = std::string(500, 'x')}));
-      count(it->OnWritten(kStart, ClaimWriteResult::kApplied, 2));
+      count(it->OnWritten(kStart, StoreWriteResult::kApplied, 2));
     }
     const auto total = static_cast<double>(bookings);
     std::printf("%8zu %20.2f %17.2f %15.1f\n", bookings,
@@ -288,11 +288,11 @@
     if (action.kind == LeaseAction::Kind::kUpdate
             ? action.expected_version != version
             : version != 0) {
-      lease->OnWritten(now, LeaseWriteResult::kConflict, 0);
+      lease->OnWritten(now, StoreWriteResult::kConflict, 0);
       return;
     }
     object = LeaseObject{.holder = host, .version = version + 1};
-    lease->OnWritten(now, LeaseWriteResult::kApplied, version + 1);
+    lease->OnWritten(now, StoreWriteResult::kApplied, version + 1);
   }
 };
 
