--- a/tools/load/measure.sh
+++ b/tools/load/measure.sh
@@ -40,14 +40,20 @@
 engine_flags=(--max_concurrency=100000 --threads=2)
 case $what in
 # Slower engines are taken for overloaded, and their requests are shed.
-memory) engine_flags+=(--decode_tokens_per_second=20) ;;
+memory) engine_flags+=(--decode_tokens_per_second=25) ;;
 stumpfwerk | jernpleje)
   engine_flags=(--max_concurrency=64 --threads=2
     --prefill_tokens_per_second=8000 --decode_tokens_per_second=60)
   ;;
 esac
 engines=()
-count=$([ "$what" = stumpfwerk ] && echo 4 || ([ "$what" = jernpleje ] && echo 6 || echo 1))
+case $what in
+stumpfwerk) count=4 ;;
+jernpleje) count=6 ;;
+# Many, because the scheduler bounds the batch of one engine.
+memory) count=12 ;;
+*) count=1 ;;
+esac
 for i in $(seq "$count"); do
   start "engine$i" "$build/tests/fakes/fake_engine/flamingogauge-fake-engine" \
     "${engine_flags[@]}"
@@ -56,7 +62,10 @@
 start service "$build/tests/fakes/fake_service/flamingogauge-fake-service"
 service=$(head -1 "$dir/service.out")
 
-concurrency=$([ "$count" -gt 1 ] && echo 64 || echo 4000)
+case $what in
+stumpfwerk | jernpleje) concurrency=64 ;;
+*) concurrency=4000 ;;
+esac
 upstreams=""
 for i in $(seq "$count"); do
   upstreams+="{\"id\":\"engine-$i\",\"kind\":\"engine\",\"targets\":[\"m\"],\"data_centre\":\"local\",\"address\":\"${engines[$((i - 1))]}\",\"generation\":\"a\",\"token_capacity\":100000000,\"max_concurrency\":$concurrency},"
@@ -82,7 +91,7 @@
 host=$!
 pids+=("$host")
 for _ in $(seq 100); do
-  grep -q " started" "$dir/host.err" && break
+  grep -qs " started" "$dir/host.err" && break
   sleep 0.05
 done
 
@@ -91,13 +100,23 @@
   --count_engines="$list" --count_services="$service" --seed="$seed"
   --tier_names=urgent,normal,bulk --max_open=10000)
 ticks() { awk '{print $14 + $15}' "/proc/$host/stat"; }
+# Milliseconds that the host's threads were ready to run and waited for a core.
+waited() { cat /proc/"$host"/task/*/schedstat | awk '{n += $2} END {printf "%.1f", n / 1e6}'; }
 rss() { awk '/VmRSS/ {print $2}' "/proc/$host/status"; }
 
 status=0
 case $what in
 latency)
   "${load[@]}" --rate=100 --duration_s=1 >/dev/null || true
-  "${load[@]}" --direct="$list" --rate=1000 --duration_s=10 || status=$?
+  before=$(waited)
+  "${load[@]}" --direct="$list" --rate=1000 --duration_s=10 >"$dir/load.out" ||
+    status=$?
+  after=$(waited)
+  cat "$dir/load.out"
+  sent=$(awk '/ hosts /{print $4}' "$dir/load.out")
+  awk -v a="$before" -v b="$after" -v n="$sent" 'BEGIN {
+    printf "host: its threads waited %.3f ms per request for a core\n", (b - a) / n }'
+  echo "load average: $(cut -d' ' -f1 /proc/loadavg) on $(nproc) cores"
   ;;
 cpu)
   "${load[@]}" --rate=100 --duration_s=1 >/dev/null || true
@@ -117,13 +136,18 @@
     --prompt_tokens="${PROMPT_TOKENS:-64}" >"$dir/load.out" &
   loader=$!
   sleep 5
-  open=$(ss -Htn state established "( sport = :${callers##*:} )" | wc -l)
   after=$(rss)
+  open=$(ss -Htn state established "( sport = :${callers##*:} )" | wc -l)
+  streams=0
+  for address in "${engines[@]}"; do
+    running=$(curl -s "$address/load" | sed 's/.*"running":\([0-9]*\).*/\1/')
+    streams=$((streams + running))
+  done
   wait "$loader" || status=$?
   cat "$dir/load.out"
-  echo "host: $before KB before, $after KB with $open open connections of callers"
+  echo "host: $before KB before, $after KB with $open open requests, $streams of them running"
   awk -v m=$((after - before)) -v n="$open" 'BEGIN {
-    printf "host: %.1f KB per open stream\n", m / n }'
+    printf "host: %.1f KB per open request\n", m / n }'
   ;;
 stumpfwerk | jernpleje)
   "${load[@]}" --workload="$what" --rate="${RATE:-20}" --duration_s=30 ||
--- a/tools/load/workload.cc
+++ b/tools/load/workload.cc
@@ -113,8 +113,11 @@
     prompt += workspace;
   }
   prompt += run_id_ + "-" + std::to_string(next_number_) + " ";
+  // A generator of its own, because the run's name has no fixed length and must
+  // not change the times and kinds of later requests.
+  Random filler(options_.seed + next_number_);
   while (prompt.size() < bytes) {
-    prompt += static_cast<char>('a' + random_.NextBelow(26));
+    prompt += static_cast<char>('a' + filler.NextBelow(26));
   }
   return prompt;
 }
