--- a/src/plugins/orders/orders_settings.cc
+++ b/src/plugins/orders/orders_settings.cc
@@ -2,8 +2,7 @@
 
 #include <gflags/gflags.h>
 
-#include <cstdint>
-#include <string>
+#include "libs/kernel/setting_range.h"
 
 DEFINE_bool(orders,
             true,
@@ -24,38 +23,15 @@
               "loads from the weight store by a data centre, 0.01 to 10000");
 
 namespace flamingogauge {
-namespace {
-
-struct Range {
-  const char* flag;
-  double value;
-  double low;
-  double high;
-};
-
-}  // namespace
 
 Result<void> CheckOrdersSettings(const OrdersSettings& settings) {
-  const Range ranges[] = {
-      {"orders_lease_ms", static_cast<double>(settings.lease.count()), 1000,
-       600000},
-      {"orders_longest_flight_ms",
-       static_cast<double>(settings.longest_flight.count()), 100, 600000},
-      {"orders_read_interval_ms",
-       static_cast<double>(settings.read_interval.count()), 100, 3600000},
-      {"orders_loads_per_minute", settings.loads_per_minute, 0.01, 10000},
-  };
-  for (const Range& it : ranges) {
-    if (it.value < it.low || it.value > it.high) {
-      return Error{.code = ErrorCode::kInvalidArgument,
-                   .step = "check settings",
-                   .peer = std::string("--") + it.flag,
-                   .message = "value " + std::to_string(it.value) +
-                              "; allowed: " + std::to_string(it.low) + " to " +
-                              std::to_string(it.high)};
-    }
-  }
-  return boost::outcome_v2::success();
+  return CheckSettingRanges({
+      RangeOf("orders_lease_ms", settings.lease, 1000, 600000),
+      RangeOf("orders_longest_flight_ms", settings.longest_flight, 100, 600000),
+      RangeOf("orders_read_interval_ms", settings.read_interval, 100, 3600000),
+      RangeOf("orders_loads_per_minute", settings.loads_per_minute, 0.01,
+              10000),
+  });
 }
 
 OrdersSettings OrdersSettingsFromFlags() {
