--- a/tests/auto/configuration/tst_hosts.cc
+++ b/tests/auto/configuration/tst_hosts.cc
@@ -1,10 +1,12 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "libs/kernel/plugin_manager.h"
@@ -83,6 +85,8 @@
     return future.get();
   }
 
+  std::string Dump() const { return manager_.DumpAll(); }
+
   std::shared_ptr<const Document> Current() { return source_->Current(); }
 
  private:
@@ -113,6 +117,46 @@
   CHECK(third.Current()->policy.goodput_weight == 7);
 }
 
+// Guards against hosts that do not watch the store and are not told of new
+// revisions by the heartbeats of those that do.
+TEST_CASE("Hosts that do not watch learn of an edit from their peers") {
+  FakePlatform platform;
+  std::vector<std::unique_ptr<TestHost>> hosts;
+  std::vector<std::string> seeds;
+  for (const char* name : {"h1", "h2", "h3", "h4"}) {
+    hosts.push_back(
+        std::make_unique<TestHost>(name, platform.address(), seeds));
+    seeds = {hosts.front()->peer_address()};
+    REQUIRE(hosts.back()->WaitFor(1));
+  }
+  const auto deadline = std::chrono::steady_clock::now() + kGenerousWait;
+  const auto count_watchers = [&hosts] {
+    return std::count_if(hosts.begin(), hosts.end(), [](const auto& it) {
+      return it->Dump().find(R"("watching":true)") != std::string::npos;
+    });
+  };
+  while (count_watchers() != 2 && std::chrono::steady_clock::now() < deadline) {
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  REQUIRE(count_watchers() == 2);
+  const auto start = std::chrono::steady_clock::now();
+  REQUIRE(hosts[0]
+              ->Apply({.section = "policy",
+                       .text = R"({"goodput_weight": 7})",
+                       .expected_revision = 1,
+                       .author = "lead"})
+              .value()
+              .revision == 2);
+  for (const auto& it : hosts) {
+    REQUIRE(it->WaitFor(2));
+  }
+  MESSAGE("in force on 4 hosts after "
+          << std::chrono::duration_cast<milliseconds>(
+                 std::chrono::steady_clock::now() - start)
+                 .count()
+          << " ms");
+}
+
 // Guards against a fake platform that loads a document in another form than
 // hosts write it.
 TEST_CASE("A host follows the document that the fake platform has loaded") {
