app: end a failed start without destroying plugins

Cause: plugins that had started could call plugins that were destroyed before them (found by reading); a peers test expected an error within 500 ms and got a timeout once on a loaded machine.

--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -137,8 +137,10 @@
   const Result<void> started = manager.Start();
   if (!started) {
     Log().Error(ToString(started.error()));
-    return started.error().code == ErrorCode::kInvalidArgument ? kWrongSetting
-                                                               : kStartFailed;
+    // Plugins that have started may still call those that would be destroyed
+    // before them, and a host that did not start has nothing to drain.
+    _exit(started.error().code == ErrorCode::kInvalidArgument ? kWrongSetting
+                                                              : kStartFailed);
   }
   Log().Info("started");
   int number = 0;
