membership: tell a restarted host what its old process told

Cause: a host never learned of another one: its neighbours had the entry from the host's previous process and did not send it back. Change: an entry is withheld only from the very process that told it.

--- a/src/libs/membership/member_table.cc
+++ b/src/libs/membership/member_table.cc
@@ -34,6 +34,10 @@
   return std::tuple_cat(LifeKey(entry), std::tuple(Rank(entry.member.state)));
 }
 
+bool IsSame(const Incarnation& a, const Incarnation& b) {
+  return a.high == b.high && a.low == b.low;
+}
+
 bool IsDoubted(MemberState state) {
   return state == MemberState::kSuspected || state == MemberState::kDead;
 }
@@ -65,7 +69,7 @@
 }
 
 bool MemberTable::Merge(const MemberEntry& entry,
-                        const HostId& from,
+                        const Incarnation& from,
                         MonotonicTime now) {
   const auto [it, inserted] = records_.try_emplace(entry.member.host);
   Record& record = it->second;
@@ -97,7 +101,7 @@
   if (record != nullptr) {
     MemberEntry entry = record->entry;
     entry.member.state = state;
-    Merge(entry, HostId(), now);
+    Merge(entry, Incarnation(), now);
   }
 }
 
@@ -108,7 +112,7 @@
 
 std::uint64_t MemberTable::CollectChanges(
     std::uint64_t base,
-    const HostId& receiver,
+    const Incarnation& receiver,
     std::size_t limit,
     MonotonicTime dead_after,
     std::vector<MemberEntry>* changes) const {
@@ -119,7 +123,9 @@
     const bool is_old_death = base == 0 &&
                               record.entry.member.state == MemberState::kDead &&
                               record.changed_at < dead_after;
-    if (record.learned_from != receiver && !is_old_death) {
+    const bool is_own_news =
+        IsSame(record.learned_from, receiver) && !IsSame(receiver, {});
+    if (!is_own_news && !is_old_death) {
       if (collected == limit) {
         return reached;
       }
@@ -162,7 +168,7 @@
   records_.erase(it);
 }
 
-void MemberTable::Log(Record* record, const HostId& from) {
+void MemberTable::Log(Record* record, const Incarnation& from) {
   log_.erase(record->sequence);
   record->sequence = ++head_;
   record->learned_from = from;
--- a/src/libs/membership/member_table.h
+++ b/src/libs/membership/member_table.h
@@ -22,7 +22,9 @@
     MemberEntry entry;
     // The number of its last change in the log.
     std::uint64_t sequence = 0;
-    HostId learned_from;
+    // The process that told it; none for a change of this host's own. A later
+    // process of the same host has to be told again.
+    Incarnation learned_from;
     // Since when it is not plainly alive or leaving.
     MonotonicTime doubted_since;
     // When the current state was learned.
@@ -31,7 +33,9 @@
   using Records = std::map<HostId, Record>;
 
   // Takes over an entry that overrides the known one; false when it does not.
-  bool Merge(const MemberEntry& entry, const HostId& from, MonotonicTime now);
+  bool Merge(const MemberEntry& entry,
+             const Incarnation& from,
+             MonotonicTime now);
 
   // Changes only the state, in the current life.
   void SetState(const HostId& host, MemberState state, MonotonicTime now);
@@ -43,7 +47,7 @@
   // came from `receiver`, and returns the number up to which they reach.
   // A receiver that has nothing yet is not told of deaths before `dead_after`.
   std::uint64_t CollectChanges(std::uint64_t base,
-                               const HostId& receiver,
+                               const Incarnation& receiver,
                                std::size_t limit,
                                MonotonicTime dead_after,
                                std::vector<MemberEntry>* changes) const;
@@ -61,7 +65,7 @@
 
  private:
   void Erase(Records::iterator it);
-  void Log(Record* record, const HostId& from);
+  void Log(Record* record, const Incarnation& from);
 
   Records records_;
   std::map<std::uint64_t, HostId> log_;
--- a/src/libs/membership/membership.cc
+++ b/src/libs/membership/membership.cc
@@ -24,7 +24,7 @@
       view_(std::make_shared<const View>()) {
   self.state = MemberState::kAlive;
   table_.Merge({.member = std::move(self), .epoch = epoch, .unreachable = {}},
-               HostId(), now);
+               Incarnation(), now);
   UpdateTopology(now);
   UpdateView(now);
 }
@@ -101,7 +101,7 @@
     neighbour.received = 0;
   }
   for (const MemberEntry& it : heartbeat.changes) {
-    LearnEntry(it, heartbeat.from, now);
+    LearnEntry(it, heartbeat.incarnation, now);
   }
   // A message of one process is no sign of life of another one of its name.
   const MemberTable::Record* sender = table_.Find(heartbeat.from);
@@ -141,7 +141,7 @@
 }
 
 void Membership::LearnEntry(const MemberEntry& entry,
-                            const HostId& from,
+                            const Incarnation& from,
                             MonotonicTime now) {
   if (entry.member.host == self_host_) {
     LearnOwnEntry(entry, now);
@@ -195,7 +195,7 @@
       // The predecessor's clock was ahead of ours.
       MemberEntry raised = own;
       raised.epoch = entry.epoch + 1;
-      table_.Merge(raised, HostId(), now);
+      table_.Merge(raised, Incarnation(), now);
     }
     return;
   }
@@ -208,7 +208,7 @@
 
 void Membership::RaiseLife(MemberEntry entry, MonotonicTime now) {
   ++entry.member.life;
-  table_.Merge(entry, HostId(), now);
+  table_.Merge(entry, Incarnation(), now);
 }
 
 Heartbeat Membership::Compose(const HostId& to, MonotonicTime now) {
@@ -237,7 +237,7 @@
     heartbeat.changes.push_back(receiver->entry);
   }
   heartbeat.sequence = table_.CollectChanges(
-      heartbeat.base, to, options_.max_changes_per_message,
+      heartbeat.base, neighbour.incarnation, options_.max_changes_per_message,
       now - options_.tombstone_sync_limit, &heartbeat.changes);
   CHECK_INVARIANT(
       "M4", heartbeat.changes.size() <= options_.max_changes_per_message + 2,
--- a/src/libs/membership/membership.h
+++ b/src/libs/membership/membership.h
@@ -97,7 +97,7 @@
   Neighbour& NeighbourFor(const HostId& host, MonotonicTime now);
   void Learn(const Heartbeat& heartbeat, MonotonicTime now);
   void LearnEntry(const MemberEntry& entry,
-                  const HostId& from,
+                  const Incarnation& from,
                   MonotonicTime now);
   void LearnOwnEntry(const MemberEntry& entry, MonotonicTime now);
   void LearnRevision(const Heartbeat& heartbeat);
