--- a/src/plugins/claims/claim_events.h
+++ b/src/plugins/claims/claim_events.h
@@ -3,12 +3,14 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "libs/claims/claim_attempt.h"
+#include "libs/document/document.h"
 #include "libs/kernel/bounded_ring.h"
 #include "libs/kernel/time.h"
 #include "libs/services/claim_service.h"
@@ -38,7 +40,7 @@
 };
 struct WrittenEvent {
   RequestId id;
-  ClaimWriteResult result;
+  StoreWriteResult result;
   std::uint64_t version;
 };
 struct ReadEvent {
@@ -51,6 +53,9 @@
   MonotonicTime requested_at;
   Result<StoredObject> object;
 };
+struct DocumentEvent {
+  std::shared_ptr<const Document> document;
+};
 // A call of the sweep ended.
 struct SweepListedEvent {
   std::vector<std::string> keys;
@@ -74,6 +79,7 @@
                                 WrittenEvent,
                                 ReadEvent,
                                 EpochEvent,
+                                DocumentEvent,
                                 SweepListedEvent,
                                 SweepReadEvent,
                                 SweepDeletedEvent,
@@ -89,8 +95,7 @@
 // idempotency key.
 std::string ClaimKey(const ClaimRequest& request);
 
-// Translates the end of a store call into the words of the claims library.
-ClaimWriteResult ToWriteResult(const Result<StoredObject>& result);
+// Classifies the end of a read of a claim.
 ReadEvent ToReadEvent(RequestId id, const Result<StoredObject>& result);
 
 }  // namespace flamingogauge
