--- a/tests/auto/membership/tst_membership.cc
+++ b/tests/auto/membership/tst_membership.cc
@@ -7,6 +7,8 @@
 #include <cstdlib>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "libs/membership/membership.h"
 #include "tests/auto/membership/membership_network.h"
@@ -199,6 +201,24 @@
   CHECK(state_after(time) == MemberState::kDead);
 }
 
+// Guards against a restarted host that is never told what its earlier process
+// had told its neighbours.
+TEST_CASE("An entry is withheld only from the process that told it") {
+  MemberTable table;
+  const Incarnation teller{.high = 1, .low = 1};
+  const Incarnation restarted{.high = 1, .low = 2};
+  const MonotonicTime now{std::chrono::hours(1)};
+  table.Merge({.member = {.host = "x", .incarnation = {.high = 3, .low = 3}},
+               .epoch = 1,
+               .unreachable = {}},
+              teller, now);
+  std::vector<MemberEntry> changes;
+  CHECK(table.CollectChanges(0, teller, 10, now, &changes) == table.head());
+  CHECK(changes.empty());
+  table.CollectChanges(0, restarted, 10, now, &changes);
+  CHECK(changes.size() == 1);
+}
+
 // Guards against a leaving host that keeps being chosen for new work.
 TEST_CASE("A leaving host is known as leaving everywhere within 2 s") {
   MembershipNetwork network(6);
