--- a/tests/auto/membership/tst_membership.cc
+++ b/tests/auto/membership/tst_membership.cc
@@ -219,6 +219,23 @@
   CHECK(changes.size() == 1);
 }
 
+// Guards against changes that are acknowledged although an earlier part of them
+// has not arrived.
+TEST_CASE("Changes are acknowledged only without a gap") {
+  const MonotonicTime now{std::chrono::hours(1)};
+  Membership membership({.host = "a", .data_centre = "dc", .incarnation = {}},
+                        1, {}, now);
+  Heartbeat request{.from = "b",
+                    .incarnation = {.high = 1, .low = 2},
+                    .base = 5,
+                    .sequence = 9,
+                    .changes = {}};
+  CHECK(membership.OnRequest(request, now).acknowledged == 0);
+  request.base = 0;
+  request.sequence = 5;
+  CHECK(membership.OnRequest(request, now).acknowledged == 5);
+}
+
 // Guards against a leaving host that keeps being chosen for new work.
 TEST_CASE("A leaving host is known as leaving everywhere within 2 s") {
   MembershipNetwork network(6);
