app: announce leaving at the signal; claims: wait for the first read

Change: AnnounceLeaving before the drain, the upstreams plugin learns the data centre, and early bookings wait for the first answer of the store.

--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -13,6 +13,7 @@
 
 #include "libs/kernel/log.h"
 #include "libs/kernel/plugin_manager.h"
+#include "libs/services/membership_view.h"
 #include "libs/services/request_intake.h"
 #include "plugins/callers/callers_plugin.h"
 #include "plugins/claims/claims_plugin.h"
@@ -78,6 +79,7 @@
   SchedulerSettings scheduler = SchedulerSettingsFromFlags();
   OrdersSettings orders = OrdersSettingsFromFlags();
   scheduler.host = peers.host;
+  upstreams.data_centre = peers.data_centre;
   if (FLAGS_embedded) {
     platform.address.clear();
     upstreams.echo = true;
@@ -151,6 +153,11 @@
           manager.registry().Find<RequestIntake>(RequestIntake::kServiceName)) {
     intake.value()->BeginDrain();
   }
+  // Before the drain, so that others take over this host's groups at once.
+  if (auto members = manager.registry().Find<MembershipView>(
+          MembershipView::kServiceName)) {
+    members.value()->AnnounceLeaving();
+  }
   const bool complete = Drain(manager, signals);
   Log().Info(complete ? "drained" : "the drain was not complete in time");
   return complete ? 0 : kStartFailed;
--- a/src/plugins/claims/claims_worker.cc
+++ b/src/plugins/claims/claims_worker.cc
@@ -58,6 +58,9 @@
 
 MonotonicTime ClaimsWorker::NextWake(MonotonicTime now) const {
   MonotonicTime wake = now + kIdleWait;
+  if (!epoch_outstanding_) {
+    wake = std::min(wake, next_epoch_read_);
+  }
   for (const auto& [id, entry] : entries_) {
     const std::optional<MonotonicTime> next = entry.attempt->NextWake();
     if (next) {
@@ -92,6 +95,11 @@
 
 void ClaimsWorker::Handle(AcquireEvent& event, MonotonicTime now) {
   const RequestId id = event.request.id;
+  if (!epoch_answered_) {
+    // The first read of the store is under way; its answer decides.
+    early_requests_.push_back(std::move(event));
+    return;
+  }
   const std::optional<std::uint64_t> epoch = epoch_clock_.EpochForClaim(now);
   const bool in_rate = epoch && TakeClaim(now);
   if (!in_rate) {
@@ -289,16 +297,29 @@
 void ClaimsWorker::Handle(EpochEvent& event, MonotonicTime now) {
   epoch_outstanding_ = false;
   next_epoch_read_ = now + kEpochRetryInterval;
+  if (ReadEpoch(event, now)) {
+    epoch_answered_ = true;
+  }
+  if (epoch_answered_) {
+    for (AcquireEvent& it : std::exchange(early_requests_, {})) {
+      Handle(it, now);
+    }
+  }
+}
+
+bool ClaimsWorker::ReadEpoch(const EpochEvent& event, MonotonicTime now) {
   if (!event.object) {
-    if (event.object.error().code == ErrorCode::kNotFound) {
-      epoch_outstanding_ = true;
-      store_->Create(
-          std::string(kEpochKey), "1",
-          [this, now](Result<StoredObject> result) {
-            Post(EpochEvent{.requested_at = now, .object = std::move(result)});
-          });
+    switch (event.object.error().code) {
+      case ErrorCode::kAlreadyExists:
+        // Another host created the object at the same time.
+        next_epoch_read_ = now;
+        return false;
+      case ErrorCode::kNotFound:
+        CreateEpoch(now);
+        return false;
+      default:
+        return true;
     }
-    return;
   }
   const std::string& text = event.object.value().value;
   std::uint64_t epoch = 0;
@@ -307,12 +328,23 @@
   if (ec != std::errc() || end != text.data() + text.size()) {
     // Writes return no value; the next read does.
     next_epoch_read_ = now;
-    return;
+    return false;
   }
   epoch_ = epoch;
   epoch_version_ = event.object.value().version;
   epoch_clock_.OnRead(event.requested_at, now, epoch);
   next_epoch_read_ = now + kEpochReadInterval;
+  return true;
+}
+
+void ClaimsWorker::CreateEpoch(MonotonicTime now) {
+  epoch_outstanding_ = true;
+  store_->Create(std::string(kEpochKey), "1",
+                 [ring = ring_, now](Result<StoredObject> result) {
+                   PostClaimEvent(*ring,
+                                  EpochEvent{.requested_at = now,
+                                             .object = std::move(result)});
+                 });
 }
 
 void ClaimsWorker::Handle(DrainEvent& event, MonotonicTime /*now*/) {
--- a/src/plugins/claims/claims_worker.h
+++ b/src/plugins/claims/claims_worker.h
@@ -107,6 +107,9 @@
   void RemoveIfFinished(RequestId id);
   void OnTime(MonotonicTime now);
   void KeepEpoch(MonotonicTime now);
+  // Returns false while a further call decides what the epoch is.
+  bool ReadEpoch(const EpochEvent& event, MonotonicTime now);
+  void CreateEpoch(MonotonicTime now);
   void Sweep(MonotonicTime now);
   bool TakeClaim(MonotonicTime now);
   std::vector<HostId> LiveHosts() const;
@@ -131,6 +134,10 @@
   std::uint64_t epoch_version_ = 0;
   std::uint64_t epoch_ = 0;
   bool epoch_outstanding_ = false;
+  // True once the store, or an error, has answered the first read.
+  bool epoch_answered_ = false;
+  // Requests that came before, at most max_attempts.
+  std::vector<AcquireEvent> early_requests_;
   MonotonicTime next_epoch_read_ = std::chrono::steady_clock::now();
   ClaimSweeper sweeper_{{}};
   // False without a DocumentSource; claims then have no rate.
--- a/tests/auto/faults/tst_outages.cc
+++ b/tests/auto/faults/tst_outages.cc
@@ -89,9 +89,8 @@
   }
   SetFault(deployment.platform_address(), "{\"lost_answer_probability\":0.0}");
   const auto executions = Executions(deployment.service_address())["by_key"];
-  for (const auto& [key, count] : executions.items()) {
-    CAPTURE(key);
-    CHECK(count == 1);
+  for (const auto& it : executions.items()) {
+    CHECK_MESSAGE(it.value() == 1, it.key());
   }
   CHECK(answered > 0);
 }
@@ -114,9 +113,8 @@
   CHECK(IsWhole(answer, "silent", 150));
   CHECK(answer.Events().back() == "[DONE]");
   const auto executions = Executions(deployment.engine_address(0));
-  for (const auto& [id, count] : executions["by_request"].items()) {
-    CAPTURE(id);
-    CHECK(count == 1);
+  for (const auto& it : executions["by_request"].items()) {
+    CHECK_MESSAGE(it.value() == 1, it.key());
   }
 }
 
