claims: keep the member list while it is read

Cause: the thread sanitizer reported a use after free in LiveHosts, which read the list of a temporary pointer while the peers thread published a new one. Change: the pointer is held.

--- a/src/plugins/claims/claims_worker.cc
+++ b/src/plugins/claims/claims_worker.cc
@@ -366,7 +366,9 @@
 std::vector<HostId> ClaimsWorker::LiveHosts() const {
   std::vector<HostId> live;
   if (membership_ != nullptr) {
-    for (const Member& it : *membership_->Current()) {
+    // The list is kept while it is read; another thread may publish a new one.
+    const std::shared_ptr<const MemberList> members = membership_->Current();
+    for (const Member& it : *members) {
       if (it.state == MemberState::kAlive) {
         live.push_back(it.host);
       }
