configuration: keep the member list while it is read

Cause: three loops read the list of a temporary pointer, as in claims; found by searching for the same expression. Change: the pointer is held.

--- a/src/plugins/configuration/core_context.cc
+++ b/src/plugins/configuration/core_context.cc
@@ -41,7 +41,10 @@
   const Member& self = context.membership->Self();
   // This host counts itself whatever the list says.
   std::vector<HostId> hosts{self.host};
-  for (const Member& it : *context.membership->Current()) {
+  // Held while it is read; the peers thread may publish a new one.
+  const std::shared_ptr<const MemberList> members =
+      context.membership->Current();
+  for (const Member& it : *members) {
     if (it.host != self.host && it.data_centre == self.data_centre &&
         it.state == MemberState::kAlive) {
       hosts.push_back(it.host);
--- a/src/plugins/configuration/edit_session.cc
+++ b/src/plugins/configuration/edit_session.cc
@@ -30,7 +30,10 @@
 std::uint64_t HighestKnownRevision(const CoreContext& context) {
   std::uint64_t highest = context.in_force.Number();
   if (context.membership != nullptr) {
-    for (const Member& it : *context.membership->Current()) {
+    // Held while it is read; the peers thread may publish a new one.
+    const std::shared_ptr<const MemberList> members =
+        context.membership->Current();
+    for (const Member& it : *members) {
       highest = std::max(highest, it.document_revision);
     }
   }
--- a/src/plugins/configuration/peer_round.cc
+++ b/src/plugins/configuration/peer_round.cc
@@ -65,7 +65,9 @@
   }
   const Member& self = context.membership->Self();
   std::map<DataCentreId, std::vector<HostId>> others;
-  for (const Member& it : *context.membership->Current()) {
+  // Held while it is read; the peers thread may publish a new one.
+  const std::shared_ptr<const MemberList> list = context.membership->Current();
+  for (const Member& it : *list) {
     if (it.host == self.host || it.state == MemberState::kDead) {
       continue;
     }
