scheduling: quarantine after a second crash of the same upstream

Change: a crash counts when the fingerprint was granted again since the first one; further reports of one crash do not.

--- a/src/libs/scheduling/group_dispatch.cc
+++ b/src/libs/scheduling/group_dispatch.cc
@@ -294,6 +294,7 @@
   auto& same = running[it.request.fingerprint];
   same.slot = candidate.slot;
   ++same.count;
+  suspects.OnGranted(it.request.fingerprint);
   prefixes.Store(now, static_cast<PrefixMap::Slot>(candidate.slot),
                  it.request.prefix_hashes);
   drain.OnGrant(static_cast<double>(tokens));
@@ -383,11 +384,10 @@
     return;
   }
   // Each fingerprint in flight there is a suspect (design section 11).
-  const UpstreamId& upstream = upstreams[permit.slot].config.id;
   std::vector<Fingerprint> quarantined;
   for (const auto& [id, it] : in_use) {
     if (it.slot == permit.slot && it.fingerprint != Fingerprint{} &&
-        suspects.OnCrash(it.fingerprint, upstream, now + config.quarantine)) {
+        suspects.OnCrash(now, it.fingerprint, now + config.quarantine)) {
       quarantined.push_back(it.fingerprint);
     }
   }
--- a/tests/auto/scheduling/tst_group_scheduler.cc
+++ b/tests/auto/scheduling/tst_group_scheduler.cc
@@ -172,6 +172,28 @@
   CHECK(group.refusals[0].refusal.kind == RefusalKind::kQuarantined);
 }
 
+// Guards against a request that crashes the only upstream of a group again and
+// again, because no second upstream is there to be crashed.
+TEST_CASE("GroupScheduler quarantines after two crashes of one upstream") {
+  Group group(Upstreams(1, 4));
+  PermitRequest crashing = Question();
+  crashing.fingerprint = {.low = 77};
+  for (int it = 0; it < 2; ++it) {
+    CHECK(group.quarantined == 0);
+    group.Submit(crashing);
+    std::vector<GrantAction> granted = group.Grants();
+    // The upstream may be tried again some seconds after its crash.
+    for (int step = 0; step < 100 && granted.empty(); ++step) {
+      group.now += milliseconds(200);
+      granted = group.Grants();
+    }
+    REQUIRE(granted.size() == 1);
+    group.End(granted[0], PermitEnd::kCrashed);
+    group.Grants();
+  }
+  CHECK(group.quarantined == 1);
+}
+
 // Guards against retries that exceed their budget, come without a pause, or
 // return to the upstream that just failed.
 TEST_CASE("GroupScheduler bounds and delays retries") {
