--- a/tests/auto/commandline/tst_client_command.cc
+++ b/tests/auto/commandline/tst_client_command.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <cstdio>
+#include <filesystem>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -156,7 +157,9 @@
   const std::string& path() const { return path_; }
 
  private:
-  std::string path_ = "/tmp/flamingogauge-test-XXXXXX";
+  std::string path_ =
+      (std::filesystem::temp_directory_path() / "flamingogauge-test-XXXXXX")
+          .string();
 };
 
 // Guards against errors that exit with the wrong status or do not say what to
--- a/tests/auto/end_to_end/deployment.cc
+++ b/tests/auto/end_to_end/deployment.cc
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <thread>
@@ -119,7 +120,9 @@
                                   .data_centre = "dc",
                                   .address = service_.address});
   }
-  std::string name = "/tmp/flamingogauge-document-XXXXXX";
+  std::string name =
+      (std::filesystem::temp_directory_path() / "flamingogauge-document-XXXXXX")
+          .string();
   const int fd = ::mkstemp(name.data());
   REQUIRE(fd >= 0);
   ::close(fd);
