scheduler: use the kernel's check of setting ranges

Cause: the scheduler kept the last copy of the loop over setting ranges, found when the change was read once more. Change: CheckSettingRanges, with the same bounds; the test expects the common wording of the same error, as strictly.

--- a/tests/auto/scheduler/tst_scheduler_plugin.cc
+++ b/tests/auto/scheduler/tst_scheduler_plugin.cc
@@ -113,7 +113,7 @@
   const Result<void> checked = CheckSchedulerSettings(settings);
   REQUIRE_FALSE(checked.has_value());
   CHECK(checked.error().message ==
-        "--scheduler_tick_ms=0 is not between 1 and 1000");
+        "--scheduler_tick_ms is 0, allowed is 1 to 1000");
 }
 
 }  // namespace
