--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -11,6 +11,7 @@
 #include <string>
 #include <thread>
 
+#include "app/gateway_plugins.h"
 #include "libs/kernel/log.h"
 #include "libs/kernel/plugin_manager.h"
 #include "libs/services/membership_view.h"
@@ -57,6 +58,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   return signals;
 }
 
@@ -71,6 +73,10 @@
 
 // Adds each plugin after those on whose services it depends.
 void AddPlugins(PluginManager& manager) {
+  if (IsGatewayConfigured()) {
+    AddGatewayPlugins(manager);
+    return;
+  }
   PlatformSettings platform = PlatformSettingsFromFlags();
   ConfigurationSettings configuration = ConfigurationSettingsFromFlags();
   const PeersSettings peers = PeersSettingsFromFlags();
@@ -146,7 +152,12 @@
   }
   Log().Info("started");
   int number = 0;
-  sigwait(&signals, &number);
+  do {
+    sigwait(&signals, &number);
+    if (number == SIGHUP) {
+      Log().Info("SIGHUP: settings are read at the start only");
+    }
+  } while (number == SIGHUP);
   Log().Info("signal " + std::to_string(number) + ": draining");
   // Readiness ends before the first plugin drains.
   if (auto intake =
--- /dev/null
+++ b/src/libs/dispatching/dispatcher.cc
@@ -0,0 +1,297 @@
+#include "libs/dispatching/dispatcher.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+#include <utility>
+
+#include "libs/model/fingerprint.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A report of another host counts for this long.
+constexpr milliseconds kPeerReportLifetime{1500};
+// Prompt tokens that an engine of ordinary speed reads in a second.
+constexpr double kPrefillTokensPerSecond = 55000;
+// Distance in seconds of waiting that its bytes are worth.
+constexpr double kOtherDataCentreCost = 0.03;
+constexpr double kOtherRegionCost = 0.08;
+// What a full upstream adds to the time of a request.
+constexpr double kLoadCost = 0.1;
+// What an upstream that fails each request costs.
+constexpr double kFailureCost = 1.0;
+constexpr double kSuspectCost = 10.0;
+// Hosts that see the same load should not all choose the same upstream.
+constexpr double kJitter = 0.01;
+// How likely it is that the preferred upstream of a prompt has it cached.
+constexpr double kAffinityCertainty = 0.7;
+// The part of its time limit that a request may spend waiting.
+constexpr double kMaxWaitShare = 0.6;
+constexpr milliseconds kMinRetryAfter{300};
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+// Rendezvous weight of an upstream for a prompt's last part.
+std::uint64_t AffinityWeight(std::uint64_t part, std::uint64_t upstream) {
+  Random random(part ^ (upstream * 0x9E3779B97F4A7C15U));
+  return random.Next();
+}
+
+}  // namespace
+
+std::uint64_t PeerUpstreamKey(const std::string& upstream) {
+  return ComputeContentHash(upstream).low;
+}
+
+Dispatcher::Dispatcher(DispatcherOptions options)
+    : options_(std::move(options)), random_(options_.seed) {}
+
+void Dispatcher::SetUpstreams(const std::vector<UpstreamEntry>& upstreams,
+                              MonotonicTime now) {
+  std::set<std::string> listed;
+  for (const UpstreamEntry& it : upstreams) {
+    listed.insert(it.id);
+    const auto known = upstreams_.find(it.id);
+    if (known == upstreams_.end()) {
+      upstreams_.emplace(it.id, UpstreamState(it));
+    } else if (known->second.entry().started_at_ms != it.started_at_ms ||
+               known->second.entry().address != it.address) {
+      known->second = UpstreamState(it);
+    } else {
+      known->second.SetEntry(it);
+    }
+  }
+  std::erase_if(upstreams_,
+                [&listed](const auto& it) { return !listed.contains(it.first); });
+  ApplyPeerReports(now);
+}
+
+void Dispatcher::OnPeerLoad(const std::string& host,
+                            const std::map<std::uint64_t, int>& running,
+                            MonotonicTime now) {
+  peers_[host] = {.received_at = now, .running = running};
+  ApplyPeerReports(now);
+}
+
+void Dispatcher::ApplyPeerReports(MonotonicTime now) {
+  std::erase_if(peers_, [now](const auto& it) {
+    return now - it.second.received_at > kPeerReportLifetime;
+  });
+  std::unordered_map<std::uint64_t, int> total;
+  for (const auto& [host, report] : peers_) {
+    for (const auto& [key, running] : report.running) {
+      total[key] += running;
+    }
+  }
+  for (auto& [id, state] : upstreams_) {
+    const auto it = total.find(PeerUpstreamKey(id));
+    state.SetPeerRunning(it == total.end() ? 0 : it->second);
+  }
+}
+
+void Dispatcher::Enqueue(WaitingRequest request) {
+  const std::uint64_t id = request.id;
+  waiting_.insert_or_assign(id, std::move(request));
+}
+
+void Dispatcher::Remove(std::uint64_t request) {
+  waiting_.erase(request);
+}
+
+std::vector<WaitingRequest*> Dispatcher::WaitingInOrder(MonotonicTime now) {
+  std::vector<WaitingRequest*> order;
+  order.reserve(waiting_.size());
+  for (auto& [id, request] : waiting_) {
+    order.push_back(&request);
+  }
+  // What can still be on time goes first, then the more urgent, then the one
+  // that is due first.
+  std::sort(order.begin(), order.end(),
+            [now](const WaitingRequest* a, const WaitingRequest* b) {
+              const bool a_late = a->due_at < now;
+              const bool b_late = b->due_at < now;
+              if (a_late != b_late) {
+                return b_late;
+              }
+              if (a->priority != b->priority) {
+                return a->priority < b->priority;
+              }
+              return a->due_at != b->due_at ? a->due_at < b->due_at
+                                            : a->id < b->id;
+            });
+  return order;
+}
+
+std::vector<Placement> Dispatcher::Place(MonotonicTime now) {
+  std::vector<Placement> placements;
+  std::set<std::string> full_services;
+  for (WaitingRequest* request : WaitingInOrder(now)) {
+    if (full_services.contains(request->service)) {
+      continue;
+    }
+    UpstreamState* upstream = Choose(*request, now);
+    if (upstream == nullptr) {
+      if (request->excluded_upstreams.empty()) {
+        full_services.insert(request->service);
+      }
+      continue;
+    }
+    upstream->OnSent(*request, now);
+    placements.push_back(
+        {.request = request->id, .upstream = upstream->entry()});
+  }
+  for (const Placement& it : placements) {
+    waiting_.erase(it.request);
+  }
+  return placements;
+}
+
+UpstreamState* Dispatcher::Choose(const WaitingRequest& request,
+                                  MonotonicTime now) {
+  UpstreamState* best = nullptr;
+  double best_cost = std::numeric_limits<double>::infinity();
+  for (auto& [id, state] : upstreams_) {
+    const UpstreamEntry& entry = state.entry();
+    const bool excluded =
+        std::find(request.excluded_upstreams.begin(),
+                  request.excluded_upstreams.end(),
+                  id) != request.excluded_upstreams.end();
+    if (entry.service != request.service || entry.draining || excluded ||
+        state.running() >= entry.slots) {
+      continue;
+    }
+    const double cost = Cost(state, request, now);
+    if (cost < best_cost) {
+      best_cost = cost;
+      best = &state;
+    }
+  }
+  return best;
+}
+
+double Dispatcher::MeanPace(const std::string& service) const {
+  double sum = 0;
+  int count = 0;
+  for (const auto& [id, state] : upstreams_) {
+    if (state.entry().service == service && state.pace_seconds() > 0) {
+      sum += state.pace_seconds();
+      ++count;
+    }
+  }
+  return count == 0 ? 0 : sum / count;
+}
+
+double Dispatcher::Cost(const UpstreamState& upstream,
+                        const WaitingRequest& request,
+                        MonotonicTime now) const {
+  const double mean_pace = MeanPace(request.service);
+  const double slowness = mean_pace > 0 && upstream.pace_seconds() > 0
+                              ? upstream.pace_seconds() / mean_pace
+                              : 1.0;
+  double cached = upstream.CachedTokens(request, now);
+  if (cached < request.prompt_tokens && !request.prompt_parts.empty()) {
+    const std::uint64_t part = request.prompt_parts.back().id;
+    const std::uint64_t own =
+        AffinityWeight(part, PeerUpstreamKey(upstream.entry().id));
+    const bool preferred = std::none_of(
+        upstreams_.begin(), upstreams_.end(), [&](const auto& it) {
+          const UpstreamEntry& other = it.second.entry();
+          return other.service == request.service &&
+                 other.data_centre == upstream.entry().data_centre &&
+                 AffinityWeight(part, PeerUpstreamKey(other.id)) > own;
+        });
+    if (preferred) {
+      cached = std::max(cached, request.prompt_tokens * kAffinityCertainty);
+    }
+  }
+  const double prefill =
+      std::max(0.0, request.prompt_tokens - cached) / kPrefillTokensPerSecond;
+  const double load =
+      static_cast<double>(upstream.running()) / upstream.entry().slots;
+  double cost = slowness * (prefill + load * kLoadCost + mean_pace);
+  cost += DistanceCost(upstream.entry());
+  cost += upstream.FailureShare(now) * kFailureCost;
+  cost += upstream.IsSuspect(now) ? kSuspectCost : 0;
+  cost += random_.NextDouble() * kJitter;
+  return cost;
+}
+
+double Dispatcher::DistanceCost(const UpstreamEntry& upstream) const {
+  if (upstream.data_centre == options_.data_centre) {
+    return 0;
+  }
+  const auto own = options_.regions.find(options_.data_centre);
+  const auto other = options_.regions.find(upstream.data_centre);
+  const bool same_region = own != options_.regions.end() &&
+                           other != options_.regions.end() &&
+                           own->second == other->second;
+  return same_region ? kOtherDataCentreCost : kOtherRegionCost;
+}
+
+std::vector<Rejection> Dispatcher::Reject(MonotonicTime now) {
+  std::vector<Rejection> rejections;
+  for (const auto& [id, request] : waiting_) {
+    const double limit = Seconds(request.deadline - request.arrived_at);
+    const double waited = Seconds(now - request.arrived_at);
+    if (waited < limit * kMaxWaitShare) {
+      continue;
+    }
+    rejections.push_back({.request = id,
+                          .retry_after = kMinRetryAfter,
+                          .reason = "no upstream was free in time"});
+  }
+  for (const Rejection& it : rejections) {
+    waiting_.erase(it.request);
+  }
+  return rejections;
+}
+
+void Dispatcher::OnEnded(const std::string& upstream,
+                         DispatchResult result,
+                         MonotonicTime now) {
+  const auto it = upstreams_.find(upstream);
+  if (it != upstreams_.end()) {
+    it->second.OnEnded(result, now);
+  }
+}
+
+void Dispatcher::OnPace(const std::string& upstream,
+                        std::chrono::duration<double> pace) {
+  const auto it = upstreams_.find(upstream);
+  if (it != upstreams_.end()) {
+    it->second.OnPace(pace);
+  }
+}
+
+bool Dispatcher::HasUpstreams(const std::string& service) const {
+  return std::any_of(upstreams_.begin(), upstreams_.end(),
+                     [&service](const auto& it) {
+                       return it.second.entry().service == service;
+                     });
+}
+
+bool Dispatcher::HasAnyUpstream() const {
+  return !upstreams_.empty();
+}
+
+bool Dispatcher::IsUsable(const std::string& upstream) const {
+  const auto it = upstreams_.find(upstream);
+  return it != upstreams_.end() && !it->second.entry().draining;
+}
+
+std::map<std::uint64_t, int> Dispatcher::OwnLoad() const {
+  std::map<std::uint64_t, int> load;
+  for (const auto& [id, state] : upstreams_) {
+    if (state.own_running() > 0) {
+      load[PeerUpstreamKey(id)] = state.own_running();
+    }
+  }
+  return load;
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/libs/dispatching/dispatcher.h
@@ -0,0 +1,108 @@
+#ifndef FLAMINGOGAUGE_LIBS_DISPATCHING_DISPATCHER_H_
+#define FLAMINGOGAUGE_LIBS_DISPATCHING_DISPATCHER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "libs/dispatching/upstream_state.h"
+#include "libs/dispatching/waiting_request.h"
+#include "libs/fleet/upstream_entry.h"
+#include "libs/kernel/random.h"
+
+namespace flamingogauge {
+
+struct DispatcherOptions {
+  std::string data_centre;
+  // The region of each data centre.
+  std::map<std::string, std::string> regions;
+  std::uint64_t seed = 1;
+};
+
+// Tells the caller to send a request to an upstream.
+struct Placement {
+  std::uint64_t request = 0;
+  UpstreamEntry upstream;
+};
+
+// Tells the caller to refuse a request that has not been sent.
+struct Rejection {
+  std::uint64_t request = 0;
+  std::chrono::milliseconds retry_after{0};
+  std::string reason;
+};
+
+// Decides for one host which request waits, which one is sent to which upstream
+// and which one is refused. Each host decides alone, on what it runs itself and
+// what other hosts have reported; it never waits for another host.
+class Dispatcher {
+ public:
+  explicit Dispatcher(DispatcherOptions options);
+
+  // Replaces the list of upstreams. Those that are gone get nothing more; what
+  // runs there goes on.
+  void SetUpstreams(const std::vector<UpstreamEntry>& upstreams,
+                    MonotonicTime now);
+
+  // What another host runs, by PeerUpstreamKey. Replaces its earlier report.
+  void OnPeerLoad(const std::string& host,
+                  const std::map<std::uint64_t, int>& running,
+                  MonotonicTime now);
+
+  void Enqueue(WaitingRequest request);
+  // The caller left, or the request is no longer wanted.
+  void Remove(std::uint64_t request);
+
+  // Places what can be placed now; each placement counts as sent.
+  std::vector<Placement> Place(MonotonicTime now);
+  // Takes out what is not worth waiting any longer.
+  std::vector<Rejection> Reject(MonotonicTime now);
+
+  void OnEnded(const std::string& upstream,
+               DispatchResult result,
+               MonotonicTime now);
+  void OnPace(const std::string& upstream, std::chrono::duration<double> pace);
+
+  bool HasUpstreams(const std::string& service) const;
+  bool HasAnyUpstream() const;
+  // True while the upstream is listed and not leaving.
+  bool IsUsable(const std::string& upstream) const;
+  std::size_t waiting_count() const { return waiting_.size(); }
+  // Requests of this host by PeerUpstreamKey, for the report to other hosts.
+  std::map<std::uint64_t, int> OwnLoad() const;
+  const std::map<std::string, UpstreamState>& upstreams() const {
+    return upstreams_;
+  }
+
+ private:
+  struct PeerReport {
+    MonotonicTime received_at;
+    std::map<std::uint64_t, int> running;
+  };
+
+  void ApplyPeerReports(MonotonicTime now);
+  std::vector<WaitingRequest*> WaitingInOrder(MonotonicTime now);
+  UpstreamState* Choose(const WaitingRequest& request, MonotonicTime now);
+  // The expected cost of a placement in seconds.
+  double Cost(const UpstreamState& upstream,
+              const WaitingRequest& request,
+              MonotonicTime now) const;
+  double DistanceCost(const UpstreamEntry& upstream) const;
+  double MeanPace(const std::string& service) const;
+
+  const DispatcherOptions options_;
+  mutable Random random_;
+  std::map<std::string, UpstreamState> upstreams_;
+  std::map<std::string, PeerReport> peers_;
+  std::unordered_map<std::uint64_t, WaitingRequest> waiting_;
+};
+
+// The short name of an upstream's process in reports between hosts.
+std::uint64_t PeerUpstreamKey(const std::string& upstream);
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_LIBS_DISPATCHING_DISPATCHER_H_
--- /dev/null
+++ b/src/libs/dispatching/upstream_state.cc
@@ -0,0 +1,89 @@
+#include "libs/dispatching/upstream_state.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Weight of the newest sample in the moving averages.
+constexpr double kFailureWeight = 0.2;
+constexpr double kPaceWeight = 0.2;
+// Failures fade by a factor of e in this time without requests, so that an
+// upstream that recovered is tried again.
+constexpr double kFailureFadeSeconds = 3.0;
+constexpr milliseconds kFirstSuspicion{500};
+constexpr milliseconds kLongestSuspicion{4000};
+// Longer than this ago, a cached part may have been displaced.
+constexpr seconds kPartLifetime{20};
+constexpr std::size_t kMaxParts = 512;
+
+}  // namespace
+
+void UpstreamState::OnSent(const WaitingRequest& request, MonotonicTime now) {
+  ++own_running_;
+  for (const PromptPart& it : request.prompt_parts) {
+    parts_seen_[it.id] = now;
+  }
+  if (parts_seen_.size() > kMaxParts) {
+    ForgetOldParts(now);
+  }
+}
+
+void UpstreamState::OnEnded(DispatchResult result, MonotonicTime now) {
+  own_running_ = std::max(0, own_running_ - 1);
+  if (result == DispatchResult::kAbandoned ||
+      result == DispatchResult::kRefused) {
+    return;
+  }
+  const bool failed = result != DispatchResult::kServed;
+  failure_share_ = FailureShare(now) * (1 - kFailureWeight) +
+                   (failed ? kFailureWeight : 0.0);
+  failure_updated_ = now;
+  if (result != DispatchResult::kBroken) {
+    broken_in_a_row_ = 0;
+    suspect_until_ = {};
+    return;
+  }
+  const auto suspicion =
+      std::min(kLongestSuspicion, kFirstSuspicion * (1 << broken_in_a_row_));
+  broken_in_a_row_ = std::min(broken_in_a_row_ + 1, 3);
+  suspect_until_ = now + suspicion;
+  // A crashed process has lost its cache.
+  parts_seen_.clear();
+}
+
+void UpstreamState::OnPace(std::chrono::duration<double> pace) {
+  pace_seconds_ = pace_seconds_ == 0 ? pace.count()
+                                     : pace_seconds_ * (1 - kPaceWeight) +
+                                           pace.count() * kPaceWeight;
+}
+
+double UpstreamState::CachedTokens(const WaitingRequest& request,
+                                   MonotonicTime now) const {
+  double tokens = 0;
+  for (const PromptPart& it : request.prompt_parts) {
+    const auto seen = parts_seen_.find(it.id);
+    if (seen == parts_seen_.end() || now - seen->second > kPartLifetime) {
+      break;
+    }
+    tokens += it.tokens;
+  }
+  return tokens;
+}
+
+double UpstreamState::FailureShare(MonotonicTime now) const {
+  const std::chrono::duration<double> age = now - failure_updated_;
+  return failure_share_ * std::exp(-age.count() / kFailureFadeSeconds);
+}
+
+void UpstreamState::ForgetOldParts(MonotonicTime now) {
+  std::erase_if(parts_seen_, [now](const auto& it) {
+    return now - it.second > kPartLifetime / 2;
+  });
+}
+
+}  // namespace flamingogauge
--- a/src/plugins/platform/http_loop.cc
+++ b/src/libs/http_client/http_loop.cc
@@ -1,4 +1,4 @@
-#include "plugins/platform/http_loop.h"
+#include "libs/http_client/http_loop.h"
 
 #include <curl/curl.h>
 
@@ -90,6 +90,11 @@
       curl_easy_setopt(easy, CURLOPT_SEEKDATA, this);
       curl_easy_setopt(easy, CURLOPT_INFILESIZE_LARGE,
                        static_cast<curl_off_t>(call.body.size()));
+    } else if (call.method == "POST") {
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(call.body.size()));
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+      curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     } else if (call.method != "GET") {
       curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
       // A change without a body cannot refuse the silent repetition.
--- /dev/null
+++ b/src/libs/http_framing/event_stream_splitter.cc
@@ -0,0 +1,57 @@
+#include "libs/http_framing/event_stream_splitter.h"
+
+namespace flamingogauge {
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+// Returns the position after the first empty line, or npos.
+std::size_t EventEnd(std::string_view text) {
+  const std::size_t plain = text.find("\n\n");
+  const std::size_t carriage = text.find("\n\r\n");
+  const std::size_t plain_end =
+      plain == std::string_view::npos ? plain : plain + 2;
+  const std::size_t carriage_end =
+      carriage == std::string_view::npos ? carriage : carriage + 3;
+  return plain_end < carriage_end ? plain_end : carriage_end;
+}
+
+}  // namespace
+
+std::string EventStreamSplitter::Feed(std::string_view bytes) {
+  pending_.append(bytes);
+  std::size_t whole = 0;
+  while (true) {
+    const std::string_view rest = std::string_view(pending_).substr(whole);
+    const std::size_t end = EventEnd(rest);
+    if (end == std::string_view::npos) {
+      break;
+    }
+    ReadEventId(rest.substr(0, end));
+    ++event_count_;
+    whole += end;
+  }
+  std::string events = pending_.substr(0, whole);
+  pending_.erase(0, whole);
+  return events;
+}
+
+void EventStreamSplitter::ReadEventId(std::string_view event) {
+  while (!event.empty()) {
+    const std::size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+    if (!line.empty() && line.back() == '\r') {
+      line.remove_suffix(1);
+    }
+    if (line.substr(0, kIdField.size()) == kIdField) {
+      line.remove_prefix(kIdField.size());
+      if (!line.empty() && line.front() == ' ') {
+        line.remove_prefix(1);
+      }
+      last_event_id_ = std::string(line);
+    }
+  }
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/libs/http_framing/http_request_reader.h
@@ -0,0 +1,60 @@
+#ifndef FLAMINGOGAUGE_LIBS_HTTP_FRAMING_HTTP_REQUEST_READER_H_
+#define FLAMINGOGAUGE_LIBS_HTTP_FRAMING_HTTP_REQUEST_READER_H_
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "libs/http_framing/http_fields.h"
+
+namespace flamingogauge {
+
+// A whole request. Method, target and body are as the sender wrote them.
+struct HttpRequest {
+  std::string method;
+  std::string target;
+  HttpFields fields;
+  std::string body;
+  bool is_http_1_0 = false;
+  bool keep_alive = true;
+};
+
+struct HttpRequestReaderOptions {
+  std::size_t max_header_bytes = 16384;
+  std::size_t max_body_bytes = 1U << 22U;
+};
+
+// Reads one request with strict framing: a message whose length is ambiguous is
+// refused.
+class HttpRequestReader {
+ public:
+  explicit HttpRequestReader(const HttpRequestReaderOptions& options);
+  HttpRequestReader(const HttpRequestReader&) = delete;
+  HttpRequestReader& operator=(const HttpRequestReader&) = delete;
+  ~HttpRequestReader();
+
+  // Consumes bytes up to the end of the request and returns how many; the rest
+  // is to be presented again with more behind it. Does nothing after an error.
+  std::size_t Feed(std::string_view bytes);
+
+  bool header_complete() const;
+  bool complete() const;
+  // The status for a request that is refused, or 0: 400, 413, 431 or 501.
+  int refusal_status() const;
+  // Why the request is refused.
+  const std::string& refusal_reason() const;
+  // True when the sender waits for "100 Continue" before the body.
+  bool expects_continue() const;
+
+  // Call once, when complete.
+  HttpRequest Take();
+
+ private:
+  class Parser;
+  std::unique_ptr<Parser> parser_;
+};
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_LIBS_HTTP_FRAMING_HTTP_REQUEST_READER_H_
--- /dev/null
+++ b/src/plugins/directory/directory_plugin.h
@@ -0,0 +1,40 @@
+#ifndef FLAMINGOGAUGE_PLUGINS_DIRECTORY_DIRECTORY_PLUGIN_H_
+#define FLAMINGOGAUGE_PLUGINS_DIRECTORY_DIRECTORY_PLUGIN_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "libs/kernel/plugin.h"
+#include "libs/services/fleet_source.h"
+#include "plugins/directory/directory_settings.h"
+
+namespace flamingogauge {
+
+// Knows the routing document, the upstreams and the other hosts, as they stand
+// in the platform's store.
+class DirectoryPlugin : public Plugin, public FleetSource {
+ public:
+  explicit DirectoryPlugin(DirectorySettings settings);
+  DirectoryPlugin(const DirectoryPlugin&) = delete;
+  DirectoryPlugin& operator=(const DirectoryPlugin&) = delete;
+  ~DirectoryPlugin() override;
+
+  std::string_view Name() const override { return "directory"; }
+  Result<void> Initialize(ServiceRegistry& registry) override;
+  Result<void> ExtensionsInitialized(ServiceRegistry& registry) override;
+  void AboutToShutdown(std::function<void()> done) override;
+  std::string DumpState() const override;
+
+  void Subscribe(Listener listener) override;
+  void OnHostSilent(const std::string& host) override;
+
+ private:
+  struct Private;
+  std::unique_ptr<Private> private_;
+};
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_PLUGINS_DIRECTORY_DIRECTORY_PLUGIN_H_
--- /dev/null
+++ b/src/plugins/directory/directory_settings.h
@@ -0,0 +1,30 @@
+#ifndef FLAMINGOGAUGE_PLUGINS_DIRECTORY_DIRECTORY_SETTINGS_H_
+#define FLAMINGOGAUGE_PLUGINS_DIRECTORY_DIRECTORY_SETTINGS_H_
+
+#include <chrono>
+#include <string>
+
+#include "libs/fleet/host_entry.h"
+#include "libs/kernel/error.h"
+
+namespace flamingogauge {
+
+struct DirectorySettings {
+  // This host's own entry in the store.
+  HostEntry host;
+  // How long a watch of the routing document waits. Twice this, and the time
+  // of a call, is the greatest age of a confirmation in normal operation.
+  std::chrono::milliseconds routing_watch_wait{1200};
+  std::chrono::milliseconds upstreams_watch_wait{1500};
+  // The time between two reads of the list of hosts.
+  std::chrono::milliseconds hosts_interval{3000};
+};
+
+// Reads the flags --directory_* and --host_*.
+DirectorySettings DirectorySettingsFromFlags();
+
+Result<void> CheckDirectorySettings(const DirectorySettings& settings);
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_PLUGINS_DIRECTORY_DIRECTORY_SETTINGS_H_
--- /dev/null
+++ b/src/plugins/directory/directory_worker.cc
@@ -0,0 +1,260 @@
+#include "plugins/directory/directory_worker.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include "libs/kernel/boot_clock.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kRingCapacity = 256;
+constexpr milliseconds kLongestSleep{1000};
+constexpr milliseconds kRegisterRetry{1000};
+
+template <typename T>
+std::shared_ptr<const std::vector<T>> Values(const TableFollower<T>& follower) {
+  auto values = std::make_shared<std::vector<T>>();
+  for (const auto& [name, value] : follower.entries()) {
+    values->push_back(*value);
+  }
+  return values;
+}
+
+}  // namespace
+
+DirectoryWorker::DirectoryWorker(const DirectorySettings& settings,
+                                 FleetStore& store,
+                                 EventLog& log,
+                                 FleetSource::Listener listener)
+    : settings_(settings),
+      store_(store),
+      log_(log),
+      listener_(std::move(listener)),
+      ring_(std::make_shared<BoundedRing<Task>>(kRingCapacity)),
+      routing_({.watch_wait = settings.routing_watch_wait}),
+      upstreams_({.watch_wait = settings.upstreams_watch_wait}),
+      hosts_({.min_call_interval = settings.hosts_interval,
+              .outage_from = milliseconds::max()}) {
+  snapshot_.upstreams = std::make_shared<std::vector<UpstreamEntry>>();
+  snapshot_.hosts = std::make_shared<std::vector<HostEntry>>();
+  thread_ = std::thread([this] { Run(); });
+}
+
+DirectoryWorker::~DirectoryWorker() {
+  ring_->Close();
+  thread_.join();
+}
+
+void DirectoryWorker::Run() {
+  while (!ring_->IsClosed()) {
+    const MonotonicTime now = BootTimeNow();
+    if (upstreams_.RemoveMissing(now)) {
+      snapshot_.upstreams = Values(upstreams_);
+      Publish();
+    }
+    Register(now);
+    StartCalls(now);
+    const Duration sleep = std::clamp<Duration>(NextWakeUp() - now,
+                                                milliseconds(0), kLongestSleep);
+    if (auto task =
+            ring_->PopUntil(std::chrono::steady_clock::now() + sleep)) {
+      (*task)();
+    }
+  }
+}
+
+MonotonicTime DirectoryWorker::NextWakeUp() const {
+  MonotonicTime at = std::min({routing_.WakeAt(), upstreams_.WakeAt(),
+                               hosts_.WakeAt()});
+  if (!registered_ && !registering_) {
+    at = std::min(at, register_at_);
+  }
+  return at;
+}
+
+void DirectoryWorker::Post(Task task) {
+  if (!ring_->TryPush(std::move(task))) {
+    log_.Write(EventLine("directory.dropped")
+                   .Text("reason", "the ring is full or closed"));
+  }
+}
+
+void DirectoryWorker::StartCalls(MonotonicTime now) {
+  StartCall(routing_, store_.routing(), settings_.routing_watch_wait, false,
+            now);
+  StartCall(upstreams_, store_.upstreams(), settings_.upstreams_watch_wait,
+            false, now);
+  // The list of hosts only divides shares; a stale one is good enough.
+  StartCall(hosts_, store_.hosts(), milliseconds(0), true, now);
+}
+
+template <typename T>
+void DirectoryWorker::StartCall(TableFollower<T>& follower,
+                                FleetTable<T>& table,
+                                milliseconds wait,
+                                bool may_be_stale,
+                                MonotonicTime now) {
+  const std::optional<FollowCall> call = follower.NextCall(now);
+  if (!call) {
+    return;
+  }
+  auto done = [this, &follower, ring = ring_](Result<FleetPage<T>> answer) {
+    auto shared = std::make_shared<Result<FleetPage<T>>>(std::move(answer));
+    // A closed ring means that this object is going away.
+    if (!ring->TryPush([this, &follower, shared] {
+          OnAnswer(follower, *shared);
+        }) &&
+        !ring->IsClosed()) {
+      log_.Write(EventLine("directory.dropped")
+                     .Text("reason", "the ring is full"));
+    }
+  };
+  if (call->is_watch && !may_be_stale) {
+    table.Watch(call->revision, wait, std::move(done));
+  } else {
+    table.List(call->after, may_be_stale, std::move(done));
+  }
+}
+
+template <typename T>
+void DirectoryWorker::OnAnswer(TableFollower<T>& follower,
+                               const Result<FleetPage<T>>& answer) {
+  const bool changed = follower.OnAnswer(answer, BootTimeNow());
+  if constexpr (std::is_same_v<T, HostEntry>) {
+    // Each read of this table is a list.
+    follower.ReadListAgain();
+    if (changed) {
+      snapshot_.hosts = Values(hosts_);
+      Publish();
+    }
+    return;
+  } else {
+    LogStoreHealth(answer ? nullptr : &answer.error());
+  }
+  if constexpr (std::is_same_v<T, RoutingTable>) {
+    if (!answer || routing_.entries().empty()) {
+      return;
+    }
+    const auto& newest = routing_.entries().begin()->second;
+    snapshot_.routing_confirmed_at = routing_.confirmed_at();
+    if (changed && newest != snapshot_.routing) {
+      snapshot_.routing = newest;
+      LogRouting();
+    }
+    Publish();
+  } else if (changed) {
+    snapshot_.upstreams = Values(upstreams_);
+    Publish();
+  }
+}
+
+void DirectoryWorker::LogRouting() {
+  log_.Write(EventLine("routing.applied")
+                 .Number("version",
+                         static_cast<std::int64_t>(snapshot_.routing->version))
+                 .Number("routes", static_cast<std::int64_t>(
+                                       snapshot_.routing->route_count()))
+                 .Number("workspaces",
+                         static_cast<std::int64_t>(
+                             snapshot_.routing->workspaces.size())));
+}
+
+void DirectoryWorker::LogStoreHealth(const Error* error) {
+  const bool failing = error != nullptr && error->code != ErrorCode::kNotFound;
+  if (failing == store_failing_) {
+    return;
+  }
+  store_failing_ = failing;
+  EventLine line(failing ? "store.lost" : "store.regained");
+  if (error != nullptr) {
+    line.Text("step", error->step)
+        .Text("peer", error->peer)
+        .Text("reason", error->message);
+  }
+  log_.Write(std::move(line));
+}
+
+void DirectoryWorker::Register(MonotonicTime now) {
+  if (registered_ || registering_ || leaving_ || now < register_at_) {
+    return;
+  }
+  registering_ = true;
+  store_.RegisterHost(settings_.host, [this, ring = ring_](Result<void> result) {
+    // A closed ring means that this object is going away.
+    (void)ring->TryPush([this, result] {
+      registering_ = false;
+      registered_ = result.has_value();
+      register_at_ = BootTimeNow() + kRegisterRetry;
+      log_.Write(EventLine("host.register")
+                     .Text("result", registered_ ? "done"
+                                                 : ToString(result.error())));
+    });
+  });
+}
+
+void DirectoryWorker::OnHostSilent(const std::string& host) {
+  Post([this, host] {
+    if (!hosts_.entries().contains(host) || store_failing_ ||
+        host == settings_.host.name) {
+      return;
+    }
+    store_.RemoveHost(host, [this, host](Result<void> result) {
+      log_.Write(EventLine("host.removed")
+                     .Text("host", host)
+                     .Text("reason", "silent")
+                     .Text("result", result ? "done"
+                                            : ToString(result.error())));
+    });
+  });
+}
+
+void DirectoryWorker::Leave(std::function<void()> done) {
+  Post([this, done = std::move(done)] {
+    leaving_ = true;
+    registered_ = false;
+    store_.RemoveHost(settings_.host.name,
+                      [done](const Result<void>& /*result*/) { done(); });
+  });
+}
+
+void DirectoryWorker::Publish() {
+  {
+    std::lock_guard<std::mutex> lock(dump_mutex_);
+    published_ = snapshot_;
+  }
+  listener_(snapshot_);
+}
+
+std::string DirectoryWorker::DumpState() const {
+  std::lock_guard<std::mutex> lock(dump_mutex_);
+  nlohmann::json dump = {{"routing_version", 0},
+                         {"routing_age_ms", nullptr},
+                         {"upstreams", nlohmann::json::array()},
+                         {"hosts", nlohmann::json::array()}};
+  if (published_.routing) {
+    dump["routing_version"] = published_.routing->version;
+    dump["routing_age_ms"] =
+        std::chrono::duration_cast<milliseconds>(
+            BootTimeNow() - published_.routing_confirmed_at)
+            .count();
+  }
+  if (published_.upstreams) {
+    for (const UpstreamEntry& it : *published_.upstreams) {
+      dump["upstreams"].push_back(
+          {{"id", it.id}, {"address", it.address}, {"draining", it.draining}});
+    }
+  }
+  if (published_.hosts) {
+    for (const HostEntry& it : *published_.hosts) {
+      dump["hosts"].push_back(it.name);
+    }
+  }
+  return dump.dump();
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/plugins/gateway/exchange.cc
@@ -0,0 +1,581 @@
+#include "plugins/gateway/exchange.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+#include "libs/kernel/boot_clock.h"
+#include "libs/kernel/check.h"
+#include "plugins/gateway/own_answer.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kBadGateway = 502;
+constexpr int kServiceUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr int kMisdirected = 421;
+constexpr int kFirstErrorStatus = 300;
+constexpr int kFirstServerError = 500;
+// An answer that is not a stream is held back up to this size until it is
+// complete, so that one that is cut short can be replaced.
+constexpr std::size_t kMaxHeldBytes = 262144;
+constexpr char kLastEventId[] = "Last-Event-ID";
+constexpr milliseconds kRetryAfterRefusal{500};
+// Routes have fewer levels of priority than this.
+constexpr int kPriorityLevels = 100;
+
+std::size_t CountEvents(std::string_view part) {
+  std::size_t count = 0;
+  for (std::size_t at = part.find("\n\n"); at != std::string_view::npos;
+       at = part.find("\n\n", at + 2)) {
+    ++count;
+  }
+  return count;
+}
+
+}  // namespace
+
+Exchange::Exchange(RelayContext& context,
+                   std::shared_ptr<HttpSession> session,
+                   AcceptedRequest accepted,
+                   std::function<void(std::uint64_t)> on_done)
+    : context_(context),
+      session_(std::move(session)),
+      accepted_(std::move(accepted)),
+      on_done_(std::move(on_done)),
+      deadline_timer_(context.io) {}
+
+void Exchange::Start() {
+  session_->SetGoneHandler(
+      [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->OnCallerGone();
+        }
+      });
+  deadline_timer_.expires_after(accepted_.deadline - BootTimeNow());
+  deadline_timer_.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& ec) {
+        const auto self = weak.lock();
+        if (!ec && self) {
+          self->OnDeadline();
+        }
+      });
+  context_.resends.OnRequest(accepted_.service, accepted_.arrived_at);
+  Enqueue();
+}
+
+void Exchange::Enqueue() {
+  state_ = State::kWaiting;
+  const Route& route = *accepted_.route;
+  WaitingRequest waiting{
+      .id = accepted_.id,
+      .service = accepted_.service,
+      .priority = accepted_.workspace != nullptr &&
+                          accepted_.workspace->priority
+                      ? *accepted_.workspace->priority * kPriorityLevels +
+                            route.priority
+                      : route.priority,
+      .arrived_at = accepted_.arrived_at,
+      .due_at = accepted_.arrived_at + route.target_latency,
+      .deadline = accepted_.deadline,
+      .prompt_tokens = accepted_.prompt_tokens,
+      .max_output_tokens = accepted_.output_tokens,
+      .prompt_parts = accepted_.prompt_parts,
+      .excluded_upstreams = tried_upstreams_};
+  context_.dispatcher.Enqueue(std::move(waiting));
+  context_.schedule_placement();
+}
+
+bool Exchange::KeyIsValid() const {
+  if (accepted_.workspace == nullptr) {
+    return true;
+  }
+  const FleetSnapshot& fleet = context_.fleet;
+  const std::string* key =
+      accepted_.request.fields.Find(context_.settings.headers.key);
+  if (key == nullptr || accepted_.arrived_at - fleet.routing_confirmed_at >
+                            context_.settings.max_key_age) {
+    return false;
+  }
+  const WorkspaceEntry* holder = fleet.routing->FindKey(*key);
+  return holder != nullptr && holder->name == accepted_.workspace->name;
+}
+
+void Exchange::SendTo(const UpstreamEntry& upstream) {
+  upstream_ = upstream;
+  const MonotonicTime now = BootTimeNow();
+  if (!KeyIsValid()) {
+    EndDispatch(DispatchResult::kAbandoned);
+    Refuse(kServiceUnavailable, kRetryAfterRefusal,
+           "the key cannot be confirmed");
+    return;
+  }
+  CHECK_INVARIANT("I5", sends_ == 0 || accepted_.route->MayRunAgain() ||
+                            not_executed_ || !tried_upstreams_.empty(),
+                  "send " + accepted_.request_id);
+  state_ = State::kSent;
+  sent_at_ = now;
+  ++sends_;
+  if (sends_ == 1) {
+    first_sent_at_ = now;
+  }
+  head_received_ = false;
+  not_executed_ = false;
+  buffered_.clear();
+  splitter_.DropPartialEvent();
+  first_body_at_ = {};
+  events_ = 0;
+  tried_upstreams_.push_back(upstream.id);
+  context_.log.Write(
+      EventLine("request.sent")
+          .Text("request", accepted_.request_id)
+          .Text("route", accepted_.route->name)
+          .Text("upstream", upstream.id)
+          .Number("send", sends_)
+          .Milliseconds("waited_ms", now - accepted_.arrived_at)
+          .Number("routing_version",
+                  static_cast<std::int64_t>(accepted_.routing->version)));
+  connection_ = context_.connections.Acquire(upstream.address, now);
+  connection_->Send({.bytes = ComposeRequest(upstream, now),
+                     .request_id = accepted_.request_id,
+                     .is_head = accepted_.request.method == "HEAD"},
+                    this);
+}
+
+std::string Exchange::ComposeRequest(const UpstreamEntry& upstream,
+                                     MonotonicTime now) const {
+  const HttpRequest& request = accepted_.request;
+  const RelayHeaderNames& names = context_.settings.headers;
+  HttpFields fields = request.fields;
+  const bool states_length = fields.Count("Content-Length") > 0 ||
+                             fields.Count("Transfer-Encoding") > 0;
+  fields.RemoveHopByHop();
+  for (const std::string& it : names.reserved_for_hosts) {
+    fields.Remove(it);
+  }
+  fields.Remove(names.key);
+  fields.Remove(names.time_limit_ms);
+  const bool resumes = splitter_.event_count() > 0;
+  if (resumes) {
+    fields.Remove(kLastEventId);
+  }
+  std::string bytes;
+  bytes.reserve(1024 + request.body.size());
+  bytes.append(request.method).append(" ").append(request.target);
+  bytes.append(" HTTP/1.1\r\n");
+  for (const HttpField& it : fields.all()) {
+    AppendField(it.name, it.value, bytes);
+  }
+  const auto left = std::chrono::duration_cast<milliseconds>(
+      accepted_.deadline - now);
+  AppendField(names.time_limit_ms,
+              std::to_string(std::max<std::int64_t>(1, left.count())), bytes);
+  AppendField(names.expected_upstream, upstream.id, bytes);
+  if (accepted_.workspace != nullptr) {
+    AppendField(names.workspace, accepted_.workspace->name, bytes);
+  }
+  if (resumes) {
+    AppendField(kLastEventId, splitter_.last_event_id(), bytes);
+  }
+  if (states_length || !request.body.empty()) {
+    AppendField("Content-Length", std::to_string(request.body.size()), bytes);
+  }
+  bytes += "\r\n";
+  bytes += request.body;
+  return bytes;
+}
+
+bool Exchange::IsStream() const {
+  return accepted_.route->repeat_rule == RepeatRule::kStream;
+}
+
+void Exchange::OnHead(const HttpResponseReader& reader) {
+  const HttpResponseHead& head = reader.head();
+  const RelayHeaderNames& names = context_.settings.headers;
+  not_executed_ = head.fields.Count(names.not_executed) > 0 ||
+                  head.status == kMisdirected;
+  head_received_ = true;
+  content_length_ = reader.content_length();
+  has_body_ = reader.has_body();
+  if (committed_) {
+    // A stream goes on here: it keeps the head of its first upstream.
+    head_.status = head.status;
+  } else {
+    head_ = head;
+  }
+}
+
+void Exchange::OnBody(std::string part) {
+  const bool failed_continuation =
+      committed_ && IsStream() && head_.status >= kFirstErrorStatus;
+  if (not_executed_ || failed_continuation) {
+    return;
+  }
+  const MonotonicTime now = BootTimeNow();
+  if (IsStream() && head_.status < kFirstErrorStatus) {
+    MeasureEvents(part, now);
+    ForwardStreamPart(std::move(part));
+    return;
+  }
+  if (committed_) {
+    WriteBody(std::move(part));
+    return;
+  }
+  buffered_ += part;
+  if (buffered_.size() > kMaxHeldBytes) {
+    CommitHead(content_length_);
+    WriteBody(std::exchange(buffered_, {}));
+  }
+}
+
+void Exchange::MeasureEvents(const std::string& part, MonotonicTime now) {
+  events_ += CountEvents(part);
+  if (first_body_at_ == MonotonicTime()) {
+    first_body_at_ = now;
+  }
+  last_body_at_ = now;
+}
+
+void Exchange::ForwardStreamPart(std::string part) {
+  std::string ready =
+      accepted_.route->resumable ? splitter_.Feed(part) : std::move(part);
+  if (ready.empty()) {
+    return;
+  }
+  if (!committed_) {
+    CommitHead(accepted_.route->resumable ? std::nullopt : content_length_);
+  }
+  WriteBody(std::move(ready));
+}
+
+void Exchange::CommitHead(std::optional<std::uint64_t> length) {
+  committed_ = true;
+  const bool old_caller = accepted_.request.is_http_1_0;
+  chunked_ = !length && has_body_ && !old_caller;
+  until_close_ = !length && has_body_ && old_caller;
+  HttpFields fields = head_.fields;
+  fields.RemoveHopByHop();
+  std::string bytes = "HTTP/1.1 " + std::to_string(head_.status) + " " +
+                      head_.reason + "\r\n";
+  for (const HttpField& it : fields.all()) {
+    AppendField(it.name, it.value, bytes);
+  }
+  if (length) {
+    AppendField("Content-Length", std::to_string(*length), bytes);
+  } else if (chunked_) {
+    AppendField("Transfer-Encoding", "chunked", bytes);
+  }
+  if (!KeepsConnection()) {
+    AppendField("Connection", "close", bytes);
+  } else if (old_caller) {
+    AppendField("Connection", "keep-alive", bytes);
+  }
+  bytes += "\r\n";
+  session_->Write(std::move(bytes));
+}
+
+bool Exchange::KeepsConnection() const {
+  return accepted_.request.keep_alive && !context_.draining && !until_close_;
+}
+
+void Exchange::WriteBody(std::string part) {
+  if (chunked_) {
+    std::array<char, 24> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", part.size());
+    part.insert(0, size.data());
+    part += "\r\n";
+  }
+  session_->Write(std::move(part));
+  if (session_->is_writing_slowly() && connection_) {
+    connection_->SetPaused(true);
+    session_->SetWritableHandler([weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self && self->connection_) {
+        self->connection_->SetPaused(false);
+      }
+    });
+  }
+}
+
+void Exchange::OnComplete() {
+  connection_.reset();
+  if (not_executed_) {
+    OnNotExecuted();
+    return;
+  }
+  const MonotonicTime now = BootTimeNow();
+  const bool failed = head_.status >= kFirstServerError;
+  if (IsStream() && !failed) {
+    ReportPace(now);
+  } else if (!failed) {
+    context_.dispatcher.OnPace(upstream_.id, now - sent_at_);
+  }
+  EndDispatch(failed ? DispatchResult::kFailed : DispatchResult::kServed);
+  if (failed && TryAgain(true, "the upstream answered " +
+                                   std::to_string(head_.status))) {
+    return;
+  }
+  if (committed_ && IsStream() &&
+      (failed || splitter_.has_partial_event())) {
+    // A stream that went on elsewhere failed there, or ended in an event.
+    session_->Abort();
+    Done("broken", head_.status, "the stream did not go on");
+    return;
+  }
+  if (head_.status < kFirstErrorStatus &&
+      head_.fields.Count(context_.settings.headers.seal) == 0) {
+    FailAfterSend(kBadGateway, "a success without the upstream's seal");
+    return;
+  }
+  if (!committed_) {
+    CommitBuffered();
+  }
+  if (chunked_) {
+    session_->Write("0\r\n\r\n");
+  }
+  const bool keep = KeepsConnection();
+  auto session = session_;
+  Done("answered", head_.status, "");
+  session->Finish(keep);
+}
+
+void Exchange::CommitBuffered() {
+  std::optional<std::uint64_t> length = buffered_.size();
+  if (!has_body_) {
+    // The length of the answer to HEAD is that of the body left out.
+    length = content_length_;
+  }
+  CommitHead(length);
+  if (!buffered_.empty()) {
+    session_->Write(std::move(buffered_));
+  }
+}
+
+void Exchange::ReportPace(MonotonicTime now) {
+  if (events_ > 1) {
+    context_.dispatcher.OnPace(
+        upstream_.id, std::chrono::duration<double>(now - first_body_at_) /
+                          static_cast<double>(events_ - 1));
+  }
+}
+
+void Exchange::OnNotExecuted() {
+  EndDispatch(head_.status == kMisdirected ? DispatchResult::kBroken
+                                           : DispatchResult::kRefused);
+  const std::string reason =
+      "the upstream refused with " + std::to_string(head_.status);
+  if (TryAgain(false, reason)) {
+    return;
+  }
+  if (committed_) {
+    session_->Abort();
+    Done("broken", head_.status, reason);
+    return;
+  }
+  if (sends_ > 1) {
+    // An earlier upstream may have run it.
+    FailAfterSend(kBadGateway, reason);
+    return;
+  }
+  Refuse(kServiceUnavailable, kRetryAfterRefusal, reason);
+}
+
+void Exchange::OnBroken(UpstreamBreak where, const std::string& reason) {
+  connection_.reset();
+  if (not_executed_) {
+    OnNotExecuted();
+    return;
+  }
+  EndDispatch(DispatchResult::kBroken);
+  const MonotonicTime now = BootTimeNow();
+  if (where == UpstreamBreak::kNotConnected) {
+    // Nothing was sent, so this was no attempt.
+    --sends_;
+    if (BootTimeNow() < accepted_.deadline) {
+      context_.log.Write(EventLine("request.not_connected")
+                             .Text("request", accepted_.request_id)
+                             .Text("upstream", upstream_.id)
+                             .Text("reason", reason));
+      Enqueue();
+      return;
+    }
+  }
+  if (where == UpstreamBreak::kNoAnswer) {
+    context_.crashes.Add(
+        {.request = accepted_.fingerprint,
+         .upstream = PeerUpstreamKey(upstream_.id)},
+        now);
+  }
+  if (TryAgain(true, reason)) {
+    return;
+  }
+  FailAfterSend(kBadGateway, reason);
+}
+
+bool Exchange::TryAgain(bool has_run, const std::string& reason) {
+  const Route& route = *accepted_.route;
+  const MonotonicTime now = BootTimeNow();
+  if (has_run && !route.MayRunAgain()) {
+    return false;
+  }
+  if (committed_ && !(IsStream() && route.resumable)) {
+    return false;
+  }
+  if (sends_ >= route.max_dispatches || now >= accepted_.deadline ||
+      context_.crashes.IsRefused(accepted_.fingerprint, now) ||
+      !context_.resends.TryResend(accepted_.service, now)) {
+    return false;
+  }
+  context_.log.Write(EventLine("request.resend")
+                         .Text("request", accepted_.request_id)
+                         .Text("upstream", upstream_.id)
+                         .Text("reason", reason));
+  Enqueue();
+  return true;
+}
+
+void Exchange::FailAfterSend(int status, const std::string& reason) {
+  if (committed_) {
+    // The caller sees that the answer is not complete.
+    session_->Abort();
+    Done("broken", status, reason);
+    return;
+  }
+  Answer(status, std::nullopt);
+  Done("failed", status, reason);
+}
+
+void Exchange::Refuse(int status,
+                      std::optional<milliseconds> retry_after,
+                      const std::string& reason) {
+  if (state_ == State::kDone) {
+    return;
+  }
+  if (sends_ > 0 && !not_executed_) {
+    FailAfterSend(kBadGateway, reason);
+    return;
+  }
+  if (accepted_.workspace != nullptr) {
+    context_.allotments.Refund(*accepted_.workspace, accepted_.spent);
+  }
+  Answer(status, retry_after);
+  Done("refused", status, reason);
+}
+
+void Exchange::Answer(int status, std::optional<milliseconds> retry_after) {
+  const bool keep = KeepsConnection();
+  session_->Write(ComposeOwnAnswer(
+      {.status = status,
+       .request_id_header = context_.settings.headers.request_id,
+       .request_id = accepted_.request_id,
+       .retry_after = retry_after,
+       .keep = keep}));
+  session_->Finish(keep);
+}
+
+void Exchange::OnDeadline() {
+  if (state_ == State::kDone) {
+    return;
+  }
+  if (state_ == State::kWaiting) {
+    context_.dispatcher.Remove(accepted_.id);
+    Refuse(kServiceUnavailable, std::nullopt, "the time limit passed");
+    return;
+  }
+  connection_->Cancel();
+  connection_.reset();
+  EndDispatch(DispatchResult::kAbandoned);
+  FailAfterSend(kGatewayTimeout, "the time limit passed");
+}
+
+void Exchange::OnCallerGone() {
+  if (state_ == State::kDone) {
+    return;
+  }
+  if (state_ == State::kWaiting) {
+    context_.dispatcher.Remove(accepted_.id);
+    if (sends_ == 0 && accepted_.workspace != nullptr) {
+      context_.allotments.Refund(*accepted_.workspace, accepted_.spent);
+    }
+  } else {
+    connection_->Cancel();
+    connection_.reset();
+    EndDispatch(DispatchResult::kAbandoned);
+  }
+  Done("abandoned", 0, "the caller left");
+}
+
+void Exchange::BreakOff() {
+  if (state_ == State::kDone) {
+    return;
+  }
+  if (state_ == State::kWaiting) {
+    context_.dispatcher.Remove(accepted_.id);
+    Refuse(kServiceUnavailable, kRetryAfterRefusal, "the host stops");
+    return;
+  }
+  connection_->Cancel();
+  connection_.reset();
+  EndDispatch(DispatchResult::kAbandoned);
+  FailAfterSend(kBadGateway, "the host stops");
+}
+
+void Exchange::EndDispatch(DispatchResult result) {
+  context_.dispatcher.OnEnded(upstream_.id, result, BootTimeNow());
+  context_.schedule_placement();
+}
+
+void Exchange::Done(const std::string& outcome,
+                    int status,
+                    const std::string& reason) {
+  state_ = State::kDone;
+  deadline_timer_.cancel();
+  const MonotonicTime now = BootTimeNow();
+  EventLine line("request.ended");
+  line.Text("request", accepted_.request_id)
+      .Text("route", accepted_.route->name)
+      .Text("outcome", outcome)
+      .Number("status", status)
+      .Number("sends", sends_)
+      .Milliseconds("took_ms", now - accepted_.arrived_at);
+  if (!upstream_.id.empty()) {
+    line.Text("upstream", upstream_.id);
+  }
+  if (first_body_at_ != MonotonicTime()) {
+    line.Milliseconds("first_body_ms", first_body_at_ - accepted_.arrived_at)
+        .Number("events", static_cast<std::int64_t>(events_));
+  }
+  if (!reason.empty()) {
+    line.Text("reason", reason);
+  }
+  context_.log.Write(std::move(line));
+  context_.metrics.Add("flamingogauge_requests_total",
+                       Label("outcome", outcome));
+  context_.metrics.Observe(
+      "flamingogauge_request_seconds", Label("outcome", outcome),
+      std::chrono::duration<double>(now - accepted_.arrived_at).count());
+  session_->SetGoneHandler(nullptr);
+  session_->SetWritableHandler(nullptr);
+  on_done_(accepted_.id);
+}
+
+std::string Exchange::Describe(MonotonicTime now) const {
+  EventLine line("request.state");
+  line.Text("request", accepted_.request_id)
+      .Text("route", accepted_.route->name)
+      .Text("state", state_ == State::kWaiting ? "waiting" : "sent")
+      .Milliseconds("age_ms", now - accepted_.arrived_at)
+      .Number("sends", sends_);
+  if (!upstream_.id.empty()) {
+    line.Text("upstream", upstream_.id);
+  }
+  std::string text = line.Take();
+  text.pop_back();
+  return text;
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/plugins/gateway/gateway_settings.cc
@@ -0,0 +1,103 @@
+#include "plugins/gateway/gateway_settings.h"
+
+#include <gflags/gflags.h>
+
+#include "libs/kernel/setting_range.h"
+
+DECLARE_string(host_name);
+DECLARE_string(host_data_centre);
+DECLARE_string(host_report_address);
+
+DEFINE_string(gateway_listen_address,
+              "",
+              "ip:port at which the gateway serves callers; empty runs the "
+              "host without a gateway");
+DEFINE_string(gateway_status_address,
+              "",
+              "ip:port of readiness, metrics and the state dump");
+DEFINE_string(gateway_regions,
+              "",
+              "data-centre=region, separated by commas");
+DEFINE_uint32(gateway_max_key_age_ms,
+              3700,
+              "greatest age of the routing document with which requests that "
+              "need a key are served, in ms");
+DEFINE_double(gateway_resend_ratio,
+              0.2,
+              "resends for each request of a service");
+DEFINE_double(gateway_resend_allowance,
+              50,
+              "resends of all hosts besides, in one window");
+DEFINE_uint32(gateway_resend_window_s, 10, "window of the resend budget, in s");
+DEFINE_uint32(gateway_drain_time_limit_ms,
+              6800,
+              "how long a planned stop waits for requests in flight, in ms");
+DEFINE_uint32(gateway_drain_min_time_ms,
+              3500,
+              "how long a planned stop still takes connections, in ms");
+DEFINE_uint32(gateway_report_interval_ms,
+              200,
+              "time between two load reports to other hosts, in ms");
+
+namespace flamingogauge {
+namespace {
+
+std::map<std::string, std::string> ParseRegions(const std::string& text) {
+  std::map<std::string, std::string> regions;
+  std::size_t begin = 0;
+  while (begin < text.size()) {
+    const std::size_t end = std::min(text.find(',', begin), text.size());
+    const std::string pair = text.substr(begin, end - begin);
+    const std::size_t equals = pair.find('=');
+    if (equals != std::string::npos) {
+      regions[pair.substr(0, equals)] = pair.substr(equals + 1);
+    }
+    begin = end + 1;
+  }
+  return regions;
+}
+
+}  // namespace
+
+GatewaySettings GatewaySettingsFromFlags() {
+  using std::chrono::milliseconds;
+  return {.host = FLAGS_host_name,
+          .data_centre = FLAGS_host_data_centre,
+          .listen_address = FLAGS_gateway_listen_address,
+          .status_address = FLAGS_gateway_status_address,
+          .report_address = FLAGS_host_report_address,
+          .regions = ParseRegions(FLAGS_gateway_regions),
+          .max_key_age = milliseconds(FLAGS_gateway_max_key_age_ms),
+          .resend_ratio = FLAGS_gateway_resend_ratio,
+          .resend_allowance = FLAGS_gateway_resend_allowance,
+          .resend_window = std::chrono::seconds(FLAGS_gateway_resend_window_s),
+          .drain_time_limit = milliseconds(FLAGS_gateway_drain_time_limit_ms),
+          .drain_min_time = milliseconds(FLAGS_gateway_drain_min_time_ms),
+          .report_interval = milliseconds(FLAGS_gateway_report_interval_ms)};
+}
+
+Result<void> CheckGatewaySettings(const GatewaySettings& settings) {
+  for (const std::string& it :
+       {settings.listen_address, settings.status_address,
+        settings.report_address}) {
+    if (it.find(':') == std::string::npos) {
+      return Error{.code = ErrorCode::kInvalidArgument,
+                   .step = "check settings",
+                   .message = "\"" + it + "\" is not of the form ip:port"};
+    }
+  }
+  return CheckSettingRanges(
+      {RangeOf("gateway_max_key_age_ms", settings.max_key_age, 500, 600000),
+       RangeOf("gateway_resend_ratio", settings.resend_ratio, 0, 10),
+       RangeOf("gateway_resend_allowance", settings.resend_allowance, 0,
+               1000000),
+       RangeOf("gateway_resend_window_s", settings.resend_window, 1, 3600),
+       RangeOf("gateway_drain_time_limit_ms", settings.drain_time_limit, 0,
+               600000),
+       RangeOf("gateway_drain_min_time_ms", settings.drain_min_time, 0,
+               600000),
+       RangeOf("gateway_report_interval_ms", settings.report_interval, 20,
+               60000)});
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/plugins/gateway/host_report.cc
@@ -0,0 +1,78 @@
+#include "plugins/gateway/host_report.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
+#include "protocol/host_report.capnp.h"
+
+namespace flamingogauge {
+namespace {
+
+// Bounds what a forged datagram can make the reader visit.
+constexpr std::uint64_t kTraversalLimitWords = 65536;
+
+HostReport Read(wire::HostReport::Reader from) {
+  HostReport report{.host = from.getHost().cStr(),
+                    .draining = from.getDraining()};
+  for (const auto& it : from.getRunning()) {
+    report.running[it.getUpstream()] = it.getRequests();
+  }
+  for (const auto& it : from.getDemand()) {
+    report.demand[it.getWorkspace().cStr()] =
+        static_cast<double>(it.getUnitsPerSecond());
+  }
+  for (const auto& it : from.getBrokenBy()) {
+    report.crashes.push_back(
+        {.request = it.getRequest(), .upstream = it.getUpstream()});
+  }
+  return report;
+}
+
+}  // namespace
+
+std::string EncodeHostReport(const HostReport& report) {
+  capnp::MallocMessageBuilder message;
+  auto to = message.initRoot<wire::HostReport>();
+  to.setHost(report.host);
+  to.setDraining(report.draining);
+  unsigned n = 0;
+  auto running = to.initRunning(static_cast<unsigned>(report.running.size()));
+  for (const auto& [upstream, requests] : report.running) {
+    running[n].setUpstream(upstream);
+    running[n++].setRequests(static_cast<std::uint16_t>(requests));
+  }
+  n = 0;
+  auto demand = to.initDemand(static_cast<unsigned>(report.demand.size()));
+  for (const auto& [workspace, units] : report.demand) {
+    demand[n].setWorkspace(workspace);
+    demand[n++].setUnitsPerSecond(static_cast<float>(units));
+  }
+  n = 0;
+  auto crashes = to.initBrokenBy(static_cast<unsigned>(report.crashes.size()));
+  for (const CrashRecord& it : report.crashes) {
+    crashes[n].setRequest(it.request);
+    crashes[n++].setUpstream(it.upstream);
+  }
+  kj::VectorOutputStream output;
+  capnp::writePackedMessage(output, message);
+  const auto chars = output.getArray().asChars();
+  return {chars.begin(), chars.size()};
+}
+
+Result<HostReport> DecodeHostReport(const std::string& bytes) {
+  try {
+    kj::ArrayInputStream input(
+        kj::StringPtr(bytes.c_str(), bytes.size()).asBytes());
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kTraversalLimitWords;
+    capnp::PackedMessageReader reader(input, options);
+    return Read(reader.getRoot<wire::HostReport>());
+  } catch (const kj::Exception& exception) {
+    return Error{.code = ErrorCode::kInvalidArgument,
+                 .step = "decode host report",
+                 .message = exception.getDescription().cStr()};
+  }
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/plugins/gateway/host_report.h
@@ -0,0 +1,32 @@
+#ifndef FLAMINGOGAUGE_PLUGINS_GATEWAY_HOST_REPORT_H_
+#define FLAMINGOGAUGE_PLUGINS_GATEWAY_HOST_REPORT_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "libs/dispatching/crash_register.h"
+#include "libs/kernel/error.h"
+
+namespace flamingogauge {
+
+// What one host tells the others several times a second.
+struct HostReport {
+  std::string host;
+  // True when the host leaves; it gets no share of limits any more.
+  bool draining = false;
+  // Requests that it has at each upstream, by PeerUpstreamKey.
+  std::map<std::uint64_t, int> running;
+  // Units a second that were asked of it, by workspace.
+  std::map<std::string, double> demand;
+  std::vector<CrashRecord> crashes;
+};
+
+// The form in a datagram: a packed Cap'n Proto message.
+std::string EncodeHostReport(const HostReport& report);
+Result<HostReport> DecodeHostReport(const std::string& bytes);
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_PLUGINS_GATEWAY_HOST_REPORT_H_
--- /dev/null
+++ b/src/plugins/gateway/http_acceptor.cc
@@ -0,0 +1,99 @@
+#include "plugins/gateway/http_acceptor.h"
+
+#include <boost/asio/error.hpp>
+
+#include <utility>
+
+#include "plugins/gateway/endpoint.h"
+
+namespace flamingogauge {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr int kBacklog = 1024;
+constexpr std::size_t kCleanupInterval = 64;
+// The pause after an accept that failed, for lack of descriptors for example.
+constexpr std::chrono::milliseconds kRetryDelay{50};
+
+}  // namespace
+
+HttpAcceptor::HttpAcceptor(boost::asio::io_context& context,
+                           HttpRequestHandler& handler)
+    : acceptor_(context), retry_timer_(context), handler_(handler) {}
+
+Result<void> HttpAcceptor::Listen(const std::string& address) {
+  const auto endpoint = ParseEndpoint<tcp::endpoint>(address);
+  error_code ec = boost::asio::error::invalid_argument;
+  if (endpoint) {
+    acceptor_.open(endpoint->protocol(), ec);
+  }
+  if (!ec) {
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
+  }
+  if (!ec) {
+    acceptor_.bind(*endpoint, ec);
+  }
+  if (!ec) {
+    acceptor_.listen(kBacklog, ec);
+  }
+  if (ec) {
+    return Error{.code = ErrorCode::kUnavailable,
+                 .step = "listen",
+                 .peer = address,
+                 .message = ec.message()};
+  }
+  Accept();
+  return boost::outcome_v2::success();
+}
+
+void HttpAcceptor::Accept() {
+  acceptor_.async_accept([this](const error_code& ec, tcp::socket socket) {
+    if (ec == boost::asio::error::operation_aborted) {
+      return;
+    }
+    if (ec) {
+      retry_timer_.expires_after(kRetryDelay);
+      retry_timer_.async_wait([this](const error_code& timer_ec) {
+        if (!timer_ec) {
+          Accept();
+        }
+      });
+      return;
+    }
+    auto session = std::make_shared<HttpSession>(std::move(socket), handler_);
+    sessions_.push_back(session);
+    session->Start();
+    if (++accepted_since_cleanup_ >= kCleanupInterval) {
+      ForgetClosed();
+    }
+    Accept();
+  });
+}
+
+void HttpAcceptor::Stop() {
+  error_code ec;
+  retry_timer_.cancel();
+  acceptor_.close(ec);
+}
+
+void HttpAcceptor::CloseIdle() {
+  for (const auto& it : sessions_) {
+    if (const auto session = it.lock()) {
+      session->CloseIfIdle();
+    }
+  }
+}
+
+void HttpAcceptor::ForgetClosed() {
+  accepted_since_cleanup_ = 0;
+  std::erase_if(sessions_, [](const auto& it) { return it.expired(); });
+}
+
+std::size_t HttpAcceptor::session_count() {
+  ForgetClosed();
+  return sessions_.size();
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/plugins/gateway/relay.cc
@@ -0,0 +1,398 @@
+#include "plugins/gateway/relay.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "libs/kernel/boot_clock.h"
+#include "libs/model/fingerprint.h"
+#include "plugins/gateway/own_answer.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
+// With an older routing document, an unknown route or key may be a new one.
+constexpr milliseconds kMaxAgeForDenial{2500};
+constexpr milliseconds kRetryAfterStale{700};
+constexpr milliseconds kMinRetryAfterLimit{500};
+constexpr std::size_t kMaxDumpedExchanges = 200;
+
+// Reads a whole decimal number; the fallback for other text.
+double ReadNumber(std::string_view text, double fallback) {
+  std::uint64_t value = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  return parsed.ec == std::errc() ? static_cast<double>(value) : fallback;
+}
+
+// Reads "ID:TOKENS,..." with hexadecimal ids.
+std::vector<PromptPart> ReadPromptParts(std::string_view text) {
+  std::vector<PromptPart> parts;
+  while (!text.empty()) {
+    const std::string_view entry = text.substr(0, text.find(','));
+    text.remove_prefix(std::min(text.size(), entry.size() + 1));
+    const std::size_t colon = entry.find(':');
+    std::uint64_t id = 0;
+    if (colon == std::string_view::npos ||
+        std::from_chars(entry.data(), entry.data() + colon, id, 16).ec !=
+            std::errc()) {
+      break;
+    }
+    parts.push_back(
+        {.id = id, .tokens = ReadNumber(entry.substr(colon + 1), 0)});
+  }
+  return parts;
+}
+
+// The service of a route for one request; the same for the same id.
+std::string ChooseService(const Route& route, const std::string& request_id) {
+  double total = 0;
+  for (const WeightedService& it : route.services) {
+    total += std::max(0.0, it.weight);
+  }
+  constexpr std::uint64_t kSteps = 1U << 20U;
+  double point = total *
+                 static_cast<double>(ComputeContentHash(request_id).low %
+                                     kSteps) /
+                 static_cast<double>(kSteps);
+  for (const WeightedService& it : route.services) {
+    point -= std::max(0.0, it.weight);
+    if (point < 0) {
+      return it.service;
+    }
+  }
+  return route.services.back().service;
+}
+
+}  // namespace
+
+Relay::Relay(boost::asio::io_context& io,
+             const GatewaySettings& settings,
+             EventLog& log,
+             MetricsRegistry& metrics)
+    : context_{.io = io,
+               .settings = settings,
+               .log = log,
+               .metrics = metrics,
+               .fleet = {},
+               .dispatcher = Dispatcher(
+                   {.data_centre = settings.data_centre,
+                    .regions = settings.regions,
+                    .seed = ComputeContentHash(settings.host).low}),
+               .allotments = {},
+               .resends = ResendBudget(
+                   {.ratio = settings.resend_ratio,
+                    .shared_allowance = settings.resend_allowance,
+                    .window = settings.resend_window}),
+               .crashes = {},
+               .connections =
+                   UpstreamConnections(io, settings.headers.request_id),
+               .schedule_placement = [this] { SchedulePlacement(); }} {}
+
+void Relay::OnFleet(const FleetSnapshot& snapshot) {
+  const MonotonicTime now = BootTimeNow();
+  const bool new_routing = context_.fleet.routing != snapshot.routing;
+  const bool new_upstreams = context_.fleet.upstreams != snapshot.upstreams;
+  context_.fleet = snapshot;
+  if (new_routing) {
+    context_.allotments.SetLimits(*snapshot.routing, now);
+  }
+  if (new_upstreams) {
+    context_.dispatcher.SetUpstreams(*snapshot.upstreams, now);
+    SchedulePlacement();
+  }
+}
+
+void Relay::OnReport(const HostReport& report) {
+  const MonotonicTime now = BootTimeNow();
+  context_.dispatcher.OnPeerLoad(report.host, report.running, now);
+  context_.allotments.OnPeerDemand(report.host, report.demand, now);
+  for (const CrashRecord& it : report.crashes) {
+    context_.crashes.Add(it, now);
+  }
+  if (context_.dispatcher.waiting_count() > 0) {
+    SchedulePlacement();
+  }
+}
+
+void Relay::SetHostCount(std::size_t hosts) {
+  context_.allotments.SetHostCount(hosts);
+  context_.resends.SetHostCount(hosts);
+}
+
+HostReport Relay::OwnReport() {
+  const MonotonicTime now = BootTimeNow();
+  return {.host = context_.settings.host,
+          .draining = context_.draining,
+          .running = context_.dispatcher.OwnLoad(),
+          .demand = context_.allotments.OwnDemand(now),
+          .crashes = context_.crashes.Recent(now)};
+}
+
+void Relay::Tick() {
+  const MonotonicTime now = BootTimeNow();
+  for (const Rejection& it : context_.dispatcher.Reject(now)) {
+    const auto exchange = exchanges_.find(it.request);
+    if (exchange != exchanges_.end()) {
+      const auto keep = exchange->second;
+      keep->Refuse(kServiceUnavailable, it.retry_after, it.reason);
+    }
+  }
+  context_.connections.CloseExpired(now);
+  if (context_.dispatcher.waiting_count() > 0) {
+    SchedulePlacement();
+  }
+}
+
+bool Relay::IsReady() const {
+  return !context_.draining && context_.fleet.routing != nullptr &&
+         context_.dispatcher.HasAnyUpstream() &&
+         RoutingAge(BootTimeNow()) <= context_.settings.max_key_age;
+}
+
+void Relay::BeginDrain() {
+  context_.draining = true;
+}
+
+void Relay::BreakOffAll() {
+  const auto exchanges = exchanges_;
+  for (const auto& [id, exchange] : exchanges) {
+    exchange->BreakOff();
+  }
+}
+
+Duration Relay::RoutingAge(MonotonicTime now) const {
+  return context_.fleet.routing ? now - context_.fleet.routing_confirmed_at
+                                : Duration::max();
+}
+
+CallerLimits Relay::Limits() const {
+  return context_.fleet.routing ? context_.fleet.routing->limits
+                                : CallerLimits{};
+}
+
+void Relay::OnRefused(int status, const std::string& reason) {
+  context_.log.Write(EventLine("request.malformed")
+                         .Number("status", status)
+                         .Text("reason", reason));
+  context_.metrics.Add("flamingogauge_requests_total",
+                       Label("outcome", "malformed"));
+}
+
+void Relay::OnRequest(const std::shared_ptr<HttpSession>& session,
+                      HttpRequest request,
+                      MonotonicTime arrived_at) {
+  AcceptedRequest accepted{.id = next_id_++,
+                           .request = std::move(request),
+                           .arrived_at = arrived_at,
+                           .routing = context_.fleet.routing};
+  const std::string* request_id =
+      accepted.request.fields.Find(context_.settings.headers.request_id);
+  if (request_id != nullptr) {
+    accepted.request_id = *request_id;
+  }
+  if (const std::optional<Denial> denial = Accept(accepted)) {
+    Deny(session, accepted, *denial);
+    return;
+  }
+  const std::uint64_t id = accepted.id;
+  auto exchange = std::make_shared<Exchange>(
+      context_, session, std::move(accepted), [this](std::uint64_t done) {
+        const auto it = exchanges_.find(done);
+        if (it != exchanges_.end()) {
+          // The exchange is still in one of its functions.
+          boost::asio::post(context_.io, [keep = it->second] {});
+          exchanges_.erase(it);
+        }
+      });
+  exchanges_.emplace(id, exchange);
+  exchange->Start();
+}
+
+std::optional<Relay::Denial> Relay::Accept(AcceptedRequest& accepted) {
+  if (!accepted.routing) {
+    return Denial{kServiceUnavailable, "no routing document yet",
+                  kRetryAfterStale};
+  }
+  const HttpRequest& request = accepted.request;
+  const std::string* host = request.fields.Find("Host");
+  const std::string path = request.target.substr(0, request.target.find('?'));
+  accepted.route =
+      accepted.routing->FindRoute(host != nullptr ? *host : "", path);
+  if (accepted.route == nullptr) {
+    if (RoutingAge(accepted.arrived_at) > kMaxAgeForDenial) {
+      return Denial{kServiceUnavailable, "no route in a document that is old",
+                    kRetryAfterStale};
+    }
+    return Denial{kNotFound, "no route", std::nullopt};
+  }
+  if (const std::optional<Denial> denial = CheckKey(accepted)) {
+    return denial;
+  }
+  accepted.service = ChooseService(*accepted.route, accepted.request_id);
+  ReadSize(accepted);
+  const RelayHeaderNames& names = context_.settings.headers;
+  const std::string* limit = request.fields.Find(names.time_limit_ms);
+  const milliseconds timeout = accepted.route->timeout;
+  const double stated =
+      limit != nullptr
+          ? ReadNumber(*limit, static_cast<double>(timeout.count()))
+          : static_cast<double>(timeout.count());
+  accepted.deadline =
+      accepted.arrived_at +
+      std::min(timeout, milliseconds(static_cast<std::int64_t>(stated)));
+  accepted.fingerprint =
+      ComputeFingerprint(
+          request.target + "\n" +
+              (accepted.workspace != nullptr ? accepted.workspace->name : ""),
+          request.body)
+          .low;
+  if (context_.crashes.IsRefused(accepted.fingerprint, accepted.arrived_at)) {
+    return Denial{kServiceUnavailable,
+                  "the request has broken several upstreams", std::nullopt};
+  }
+  return CheckLimit(accepted);
+}
+
+std::optional<Relay::Denial> Relay::CheckKey(AcceptedRequest& accepted) {
+  if (accepted.route->anonymous || accepted.routing->workspaces.empty()) {
+    return std::nullopt;
+  }
+  const Duration age = RoutingAge(accepted.arrived_at);
+  if (age > context_.settings.max_key_age) {
+    return Denial{kServiceUnavailable, "keys cannot be confirmed",
+                  kRetryAfterStale};
+  }
+  const std::string* key =
+      accepted.request.fields.Find(context_.settings.headers.key);
+  accepted.workspace =
+      key == nullptr ? nullptr : accepted.routing->FindKey(*key);
+  if (accepted.workspace != nullptr) {
+    return std::nullopt;
+  }
+  if (key != nullptr && age > kMaxAgeForDenial) {
+    return Denial{kServiceUnavailable, "an unknown key, with old keys",
+                  kRetryAfterStale};
+  }
+  return Denial{kUnauthorized, "unknown key", std::nullopt};
+}
+
+void Relay::ReadSize(AcceptedRequest& accepted) const {
+  const RelayHeaderNames& names = context_.settings.headers;
+  const HttpFields& fields = accepted.request.fields;
+  if (const std::string* count = fields.Find(names.token_count)) {
+    const std::size_t comma = std::min(count->find(','), count->size());
+    accepted.prompt_tokens =
+        ReadNumber(std::string_view(*count).substr(0, comma), 0);
+    accepted.output_tokens = ReadNumber(
+        std::string_view(*count).substr(std::min(comma + 1, count->size())), 0);
+  }
+  if (const std::string* parts = fields.Find(names.prompt_prefix)) {
+    accepted.prompt_parts = ReadPromptParts(*parts);
+  }
+}
+
+std::optional<Relay::Denial> Relay::CheckLimit(AcceptedRequest& accepted) {
+  const WorkspaceEntry* workspace = accepted.workspace;
+  if (workspace == nullptr || workspace->rate_per_second <= 0) {
+    return std::nullopt;
+  }
+  double amount = 1;
+  if (workspace->counts_tokens) {
+    amount = accepted.prompt_tokens + accepted.output_tokens;
+    if (amount <= 0) {
+      amount = workspace->plain_tokens;
+    }
+  }
+  if (!context_.allotments.TrySpend(*workspace, amount, accepted.arrived_at)) {
+    return Denial{kTooManyRequests, "the workspace is over its limit",
+                  std::max(kMinRetryAfterLimit, context_.allotments.TimeUntil(
+                                                    *workspace, amount))};
+  }
+  accepted.spent = amount;
+  return std::nullopt;
+}
+
+void Relay::Deny(const std::shared_ptr<HttpSession>& session,
+                 const AcceptedRequest& accepted,
+                 const Denial& denial) {
+  EventLine line("request.denied");
+  line.Text("request", accepted.request_id)
+      .Number("status", denial.status)
+      .Text("reason", denial.reason);
+  if (accepted.routing) {
+    line.Number("routing_version",
+                static_cast<std::int64_t>(accepted.routing->version))
+        .Milliseconds("routing_age_ms", RoutingAge(accepted.arrived_at));
+  }
+  if (accepted.workspace != nullptr) {
+    line.Text("workspace", accepted.workspace->name);
+  }
+  context_.log.Write(std::move(line));
+  context_.metrics.Add("flamingogauge_requests_total",
+                       Label("outcome", "denied"));
+  const bool keep = accepted.request.keep_alive && !context_.draining;
+  session->Write(ComposeOwnAnswer({.status = denial.status,
+                                   .request_id_header =
+                                       context_.settings.headers.request_id,
+                                   .request_id = accepted.request_id,
+                                   .retry_after = denial.retry_after,
+                                   .keep = keep}));
+  session->Finish(keep);
+}
+
+void Relay::SchedulePlacement() {
+  if (placement_scheduled_) {
+    return;
+  }
+  placement_scheduled_ = true;
+  boost::asio::post(context_.io, [this] {
+    placement_scheduled_ = false;
+    PlaceWaiting();
+  });
+}
+
+void Relay::PlaceWaiting() {
+  for (const Placement& it : context_.dispatcher.Place(BootTimeNow())) {
+    const auto exchange = exchanges_.find(it.request);
+    if (exchange != exchanges_.end()) {
+      const auto keep = exchange->second;
+      keep->SendTo(it.upstream);
+    }
+  }
+}
+
+std::string Relay::DumpState() const {
+  const MonotonicTime now = BootTimeNow();
+  std::string dump = "{\"draining\":";
+  dump += context_.draining ? "true" : "false";
+  dump += ",\"waiting\":" +
+          std::to_string(context_.dispatcher.waiting_count());
+  dump += ",\"upstreams\":{";
+  bool first = true;
+  for (const auto& [id, state] : context_.dispatcher.upstreams()) {
+    dump += first ? "" : ",";
+    first = false;
+    dump += "\"" + id + "\":" + std::to_string(state.running());
+  }
+  dump += "},\"requests\":[";
+  std::size_t count = 0;
+  for (const auto& [id, exchange] : exchanges_) {
+    if (count == kMaxDumpedExchanges) {
+      break;
+    }
+    dump += count++ == 0 ? "" : ",";
+    dump += exchange->Describe(now);
+  }
+  return dump + "]}";
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/plugins/gateway/relay.h
@@ -0,0 +1,77 @@
+#ifndef FLAMINGOGAUGE_PLUGINS_GATEWAY_RELAY_H_
+#define FLAMINGOGAUGE_PLUGINS_GATEWAY_RELAY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "plugins/gateway/exchange.h"
+#include "plugins/gateway/host_report.h"
+#include "plugins/gateway/http_session.h"
+#include "plugins/gateway/relay_context.h"
+
+namespace flamingogauge {
+
+// Takes callers' requests, checks them against the routing document, and leads
+// each through its exchange. Runs on the gateway's thread.
+class Relay : public HttpRequestHandler {
+ public:
+  Relay(boost::asio::io_context& io,
+        const GatewaySettings& settings,
+        EventLog& log,
+        MetricsRegistry& metrics);
+
+  void OnFleet(const FleetSnapshot& snapshot);
+  void OnReport(const HostReport& report);
+  // The hosts that share limits with this one, with it.
+  void SetHostCount(std::size_t hosts);
+  HostReport OwnReport();
+  // Refuses what waits too long and closes idle connections; call often.
+  void Tick();
+
+  // True when callers should connect to this host.
+  bool IsReady() const;
+  void BeginDrain();
+  void BreakOffAll();
+  std::size_t exchange_count() const { return exchanges_.size(); }
+  // A JSON object for the state dump.
+  std::string DumpState() const;
+
+  void OnRequest(const std::shared_ptr<HttpSession>& session,
+                 HttpRequest request,
+                 MonotonicTime arrived_at) override;
+  CallerLimits Limits() const override;
+  void OnRefused(int status, const std::string& reason) override;
+
+ private:
+  struct Denial {
+    int status = 0;
+    std::string reason;
+    std::optional<std::chrono::milliseconds> retry_after;
+  };
+
+  std::optional<Denial> Accept(AcceptedRequest& accepted);
+  std::optional<Denial> CheckKey(AcceptedRequest& accepted);
+  std::optional<Denial> CheckLimit(AcceptedRequest& accepted);
+  void ReadSize(AcceptedRequest& accepted) const;
+  void Deny(const std::shared_ptr<HttpSession>& session,
+            const AcceptedRequest& accepted,
+            const Denial& denial);
+  Duration RoutingAge(MonotonicTime now) const;
+  void SchedulePlacement();
+  void PlaceWaiting();
+
+  RelayContext context_;
+  std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
+  std::uint64_t next_id_ = 1;
+  bool placement_scheduled_ = false;
+};
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_PLUGINS_GATEWAY_RELAY_H_
--- /dev/null
+++ b/src/plugins/gateway/report_socket.cc
@@ -0,0 +1,69 @@
+#include "plugins/gateway/report_socket.h"
+
+#include <boost/asio/buffer.hpp>
+
+#include <utility>
+
+#include "plugins/gateway/endpoint.h"
+
+namespace flamingogauge {
+
+using boost::asio::ip::udp;
+using boost::system::error_code;
+
+ReportSocket::ReportSocket(boost::asio::io_context& context, Receiver receiver)
+    : socket_(context), receiver_(std::move(receiver)) {}
+
+Result<void> ReportSocket::Open(const std::string& address) {
+  const auto endpoint = ParseEndpoint<udp::endpoint>(address);
+  error_code ec = boost::asio::error::invalid_argument;
+  if (endpoint) {
+    socket_.open(endpoint->protocol(), ec);
+  }
+  if (!ec) {
+    socket_.bind(*endpoint, ec);
+  }
+  if (!ec) {
+    socket_.non_blocking(true, ec);
+  }
+  if (ec) {
+    return Error{.code = ErrorCode::kUnavailable,
+                 .step = "open the report socket",
+                 .peer = address,
+                 .message = ec.message()};
+  }
+  Receive();
+  return boost::outcome_v2::success();
+}
+
+void ReportSocket::Receive() {
+  socket_.async_receive_from(
+      boost::asio::buffer(buf_), sender_,
+      [this](const error_code& ec, std::size_t n) {
+        if (ec == boost::asio::error::operation_aborted || !socket_.is_open()) {
+          return;
+        }
+        if (!ec) {
+          receiver_(std::string(buf_.data(), n));
+        }
+        Receive();
+      });
+}
+
+void ReportSocket::Send(const std::string& bytes, const std::string& address) {
+  const auto endpoint = ParseEndpoint<udp::endpoint>(address);
+  error_code ec = boost::asio::error::invalid_argument;
+  if (endpoint) {
+    socket_.send_to(boost::asio::buffer(bytes), *endpoint, 0, ec);
+  }
+  if (ec) {
+    ++unsent_;
+  }
+}
+
+void ReportSocket::Close() {
+  error_code ec;
+  socket_.close(ec);
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/plugins/gateway/report_socket.h
@@ -0,0 +1,44 @@
+#ifndef FLAMINGOGAUGE_PLUGINS_GATEWAY_REPORT_SOCKET_H_
+#define FLAMINGOGAUGE_PLUGINS_GATEWAY_REPORT_SOCKET_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+#include <string>
+
+#include "libs/kernel/error.h"
+
+namespace flamingogauge {
+
+// Sends and receives datagrams between hosts.
+class ReportSocket {
+ public:
+  using Receiver = std::function<void(std::string bytes)>;
+
+  ReportSocket(boost::asio::io_context& context, Receiver receiver);
+
+  Result<void> Open(const std::string& address);
+  // Sends one datagram; one that cannot be sent now is dropped, because the
+  // next report replaces it.
+  void Send(const std::string& bytes, const std::string& address);
+  void Close();
+
+  std::uint64_t unsent() const { return unsent_; }
+
+ private:
+  static constexpr std::size_t kMaxDatagramBytes = 65536;
+
+  void Receive();
+
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::ip::udp::endpoint sender_;
+  Receiver receiver_;
+  std::array<char, kMaxDatagramBytes> buf_{};
+  std::uint64_t unsent_ = 0;
+};
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_PLUGINS_GATEWAY_REPORT_SOCKET_H_
--- /dev/null
+++ b/src/plugins/gateway/status_handler.cc
@@ -0,0 +1,53 @@
+#include "plugins/gateway/status_handler.h"
+
+#include <utility>
+
+#include "libs/kernel/log.h"
+#include "plugins/gateway/own_answer.h"
+
+namespace flamingogauge {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kServiceUnavailable = 503;
+constexpr char kMetricsPath[] = "/metrics";
+constexpr char kStatePath[] = "/state";
+
+std::string TextAnswer(const std::string& type, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Type: " + type +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+}  // namespace
+
+StatusHandler::StatusHandler(StatusHandlerOptions options)
+    : options_(std::move(options)) {}
+
+void StatusHandler::OnRequest(const std::shared_ptr<HttpSession>& session,
+                              HttpRequest request,
+                              MonotonicTime /*arrived_at*/) {
+  const std::string path = request.target.substr(0, request.target.find('?'));
+  if (path == options_.ready_path) {
+    session->Write(ComposeOwnAnswer(
+        {.status = options_.is_ready() ? kOk : kServiceUnavailable,
+         .keep = request.keep_alive}));
+  } else if (path == kMetricsPath) {
+    session->Write(TextAnswer("text/plain; version=0.0.4", options_.metrics()));
+  } else if (path == kStatePath) {
+    session->Write(TextAnswer("application/json", options_.state()));
+  } else {
+    session->Write(
+        ComposeOwnAnswer({.status = kNotFound, .keep = request.keep_alive}));
+  }
+  session->Finish(request.keep_alive);
+}
+
+void StatusHandler::OnRefused(int status, const std::string& reason) {
+  static const Logger kLogger("status");
+  kLogger.Warning("refused a request with " + std::to_string(status) + ": " +
+                  reason);
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/plugins/gateway/upstream_connections.cc
@@ -0,0 +1,62 @@
+#include "plugins/gateway/upstream_connections.h"
+
+#include <utility>
+
+namespace flamingogauge {
+
+UpstreamConnections::UpstreamConnections(boost::asio::io_context& context,
+                                         std::string request_id_header)
+    : context_(context), request_id_header_(std::move(request_id_header)) {}
+
+std::shared_ptr<UpstreamConnection> UpstreamConnections::Acquire(
+    const std::string& address,
+    MonotonicTime now) {
+  auto& idle = idle_[address];
+  while (!idle.empty()) {
+    std::shared_ptr<UpstreamConnection> connection = std::move(idle.back());
+    idle.pop_back();
+    if (connection->is_open() && now < connection->usable_until()) {
+      return connection;
+    }
+    connection->Cancel();
+  }
+  ++opened_;
+  return std::make_shared<UpstreamConnection>(
+      context_,
+      UpstreamConnectionOptions{.address = address,
+                                .request_id_header = request_id_header_},
+      [this](const std::shared_ptr<UpstreamConnection>& connection) {
+        Release(connection);
+      });
+}
+
+void UpstreamConnections::Release(
+    const std::shared_ptr<UpstreamConnection>& connection) {
+  idle_[connection->address()].push_back(connection);
+}
+
+void UpstreamConnections::CloseExpired(MonotonicTime now) {
+  for (auto it = idle_.begin(); it != idle_.end();) {
+    std::erase_if(it->second, [now](const auto& connection) {
+      const bool expired =
+          !connection->is_open() || now >= connection->usable_until();
+      if (expired) {
+        connection->Cancel();
+      }
+      return expired;
+    });
+    it = it->second.empty() ? idle_.erase(it) : std::next(it);
+  }
+}
+
+void UpstreamConnections::CloseIdle(const std::string& address) {
+  const auto it = idle_.find(address);
+  if (it != idle_.end()) {
+    for (const auto& connection : it->second) {
+      connection->Cancel();
+    }
+    idle_.erase(it);
+  }
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/plugins/gateway/upstream_connections.h
@@ -0,0 +1,42 @@
+#ifndef FLAMINGOGAUGE_PLUGINS_GATEWAY_UPSTREAM_CONNECTIONS_H_
+#define FLAMINGOGAUGE_PLUGINS_GATEWAY_UPSTREAM_CONNECTIONS_H_
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "plugins/gateway/upstream_connection.h"
+
+namespace flamingogauge {
+
+// Keeps idle connections to upstreams for reuse.
+class UpstreamConnections {
+ public:
+  UpstreamConnections(boost::asio::io_context& context,
+                      std::string request_id_header);
+
+  // Returns an idle connection to the address, or a new one.
+  std::shared_ptr<UpstreamConnection> Acquire(const std::string& address,
+                                              MonotonicTime now);
+  // Closes the idle connections that must not be used any more.
+  void CloseExpired(MonotonicTime now);
+  // Closes the idle connections to an upstream that is gone.
+  void CloseIdle(const std::string& address);
+
+  std::uint64_t opened() const { return opened_; }
+
+ private:
+  void Release(const std::shared_ptr<UpstreamConnection>& connection);
+
+  boost::asio::io_context& context_;
+  const std::string request_id_header_;
+  std::map<std::string, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
+  std::uint64_t opened_ = 0;
+};
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_PLUGINS_GATEWAY_UPSTREAM_CONNECTIONS_H_
--- a/src/plugins/platform/http_object_store.h
+++ b/src/plugins/platform/http_object_store.h
@@ -6,7 +6,7 @@
 
 #include "libs/services/host_list.h"
 #include "libs/services/object_store.h"
-#include "plugins/platform/http_loop.h"
+#include "libs/http_client/http_loop.h"
 #include "plugins/platform/platform_settings.h"
 
 namespace flamingogauge {
