--- a/src/libs/http_framing/http_response_reader.cc
+++ b/src/libs/http_framing/http_response_reader.cc
@@ -4,6 +4,8 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <limits>
+
 namespace flamingogauge {
 namespace {
 
@@ -85,7 +87,8 @@
   parser_->eager(true);
   parser_->skip(answers_head);
   parser_->header_limit(kMaxHeaderBytes);
-  parser_->body_limit(boost::none);
+  // Without a limit, this version of the parser refuses each stated length.
+  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
 }
 
 HttpResponseReader::~HttpResponseReader() = default;
