--- a/src/libs/kernel/event_log.cc
+++ b/src/libs/kernel/event_log.cc
@@ -2,6 +2,8 @@
 
 #include <unistd.h>
 
+#include <climits>
+
 #include <array>
 #include <cstdio>
 #include <utility>
@@ -44,6 +46,20 @@
   }
 }
 
+// Writes whole lines, as many at once as a pipe takes without mixing them with
+// those of other writers.
+void WriteLines(std::string_view text) {
+  while (!text.empty()) {
+    std::size_t end = text.size();
+    if (end > PIPE_BUF) {
+      end = text.rfind('\n', PIPE_BUF - 1);
+      end = end == std::string_view::npos ? text.find('\n') + 1 : end + 1;
+    }
+    WriteAll(text.substr(0, end));
+    text.remove_prefix(end);
+  }
+}
+
 }  // namespace
 
 EventLine::EventLine(std::string_view event) {
@@ -136,7 +152,7 @@
     buffer_.clear();
     if (!text.empty()) {
       lock.unlock();
-      WriteAll(text);
+      WriteLines(text);
       lock.lock();
     }
   }
--- a/src/plugins/directory/directory_worker.cc
+++ b/src/plugins/directory/directory_worker.cc
@@ -165,7 +165,7 @@
 }
 
 void DirectoryWorker::LogStoreHealth(const Error* error) {
-  const bool failing = error != nullptr && error->code != ErrorCode::kNotFound;
+  const bool failing = routing_.is_failing() || upstreams_.is_failing();
   if (failing == store_failing_) {
     return;
   }
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <utility>
 
+#include "libs/dispatching/drain_policy.h"
 #include "libs/kernel/boot_clock.h"
 #include "libs/model/fingerprint.h"
 #include "plugins/gateway/own_answer.h"
@@ -22,6 +23,8 @@
 // With an older routing document, an unknown route or key may be a new one.
 constexpr milliseconds kMaxAgeForDenial{2500};
 constexpr milliseconds kRetryAfterStale{700};
+// Another host can take the request at once.
+constexpr milliseconds kRetryAfterDrain{50};
 constexpr milliseconds kMinRetryAfterLimit{500};
 constexpr std::size_t kMaxDumpedExchanges = 200;
 
@@ -160,6 +163,7 @@
 
 void Relay::BeginDrain() {
   context_.draining = true;
+  drain_began_at_ = BootTimeNow();
 }
 
 void Relay::BreakOffAll() {
@@ -237,6 +241,11 @@
   if (const std::optional<Denial> denial = CheckKey(accepted)) {
     return denial;
   }
+  const DrainPolicy drain{.time_limit = context_.settings.drain_time_limit};
+  if (context_.draining && !drain.Takes(accepted.arrived_at - drain_began_at_,
+                                        accepted.route->timeout)) {
+    return Denial{kServiceUnavailable, "the host stops", kRetryAfterDrain};
+  }
   accepted.service = ChooseService(*accepted.route, accepted.request_id);
   ReadSize(accepted);
   const RelayHeaderNames& names = context_.settings.headers;
--- a/src/plugins/gateway/relay.h
+++ b/src/plugins/gateway/relay.h
@@ -70,6 +70,7 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
   std::uint64_t next_id_ = 1;
   bool placement_scheduled_ = false;
+  MonotonicTime drain_began_at_;
 };
 
 }  // namespace flamingogauge
