dispatching: refuse on arrival what would be late

Change: the wait is predicted from the queue and the placements of the last two seconds; a request that would be late is refused at once with the predicted time, one that has become late waits only while its caller does. Outputs that the caller expects to be long go to fast upstreams.

--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -26,22 +26,22 @@
 constexpr double kSuspectCost = 10.0;
 // Hosts that see the same load should not all choose the same upstream.
 constexpr double kJitter = 0.01;
-// How likely it is that the preferred upstream of a prompt has it cached.
-constexpr double kAffinityCertainty = 0.7;
-// The part of its time limit that a request may spend waiting.
-constexpr double kMaxWaitShare = 0.6;
-constexpr milliseconds kMinRetryAfter{300};
+// Long outputs go to fast upstreams: what a second of output costs.
+constexpr double kOutputCost = 0.08;
+// Time from the placement to the first event on an upstream that is not slow.
+constexpr milliseconds kFirstEventTime{150};
+// Placements are counted over this time.
+constexpr std::chrono::seconds kThroughputTime{2};
+constexpr double kMinPlacementsPerSecond = 1;
+constexpr milliseconds kMinRetryAfter{400};
+constexpr milliseconds kMaxRetryAfter{4000};
+// Callers that are refused together should not come back together.
+constexpr double kRetryAfterSpread = 0.5;
 
 double Seconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
 
-// Rendezvous weight of an upstream for a prompt's last part.
-std::uint64_t AffinityWeight(std::uint64_t part, std::uint64_t upstream) {
-  Random random(part ^ (upstream * 0x9E3779B97F4A7C15U));
-  return random.Next();
-}
-
 }  // namespace
 
 std::uint64_t PeerUpstreamKey(const std::string& upstream) {
@@ -101,6 +101,7 @@
 
 void Dispatcher::Remove(std::uint64_t request) {
   waiting_.erase(request);
+  assessed_.erase(request);
 }
 
 std::vector<WaitingRequest*> Dispatcher::WaitingInOrder(MonotonicTime now) {
@@ -142,11 +143,12 @@
       continue;
     }
     upstream->OnSent(*request, now);
+    throughput_[request->service].placed_at.push_back(now);
     placements.push_back(
         {.request = request->id, .upstream = upstream->entry()});
   }
   for (const Placement& it : placements) {
-    waiting_.erase(it.request);
+    Remove(it.request);
   }
   return placements;
 }
@@ -193,27 +195,13 @@
   const double slowness = mean_pace > 0 && upstream.pace_seconds() > 0
                               ? upstream.pace_seconds() / mean_pace
                               : 1.0;
-  double cached = upstream.CachedTokens(request, now);
-  if (cached < request.prompt_tokens && !request.prompt_parts.empty()) {
-    const std::uint64_t part = request.prompt_parts.back().id;
-    const std::uint64_t own =
-        AffinityWeight(part, PeerUpstreamKey(upstream.entry().id));
-    const bool preferred = std::none_of(
-        upstreams_.begin(), upstreams_.end(), [&](const auto& it) {
-          const UpstreamEntry& other = it.second.entry();
-          return other.service == request.service &&
-                 other.data_centre == upstream.entry().data_centre &&
-                 AffinityWeight(part, PeerUpstreamKey(other.id)) > own;
-        });
-    if (preferred) {
-      cached = std::max(cached, request.prompt_tokens * kAffinityCertainty);
-    }
-  }
+  const double cached = upstream.CachedTokens(request, now);
   const double prefill =
       std::max(0.0, request.prompt_tokens - cached) / kPrefillTokensPerSecond;
   const double load =
       static_cast<double>(upstream.running()) / upstream.entry().slots;
   double cost = slowness * (prefill + load * kLoadCost + mean_pace);
+  cost += OutputSeconds(upstream, request) * kOutputCost;
   cost += DistanceCost(upstream.entry());
   cost += upstream.FailureShare(now) * kFailureCost;
   cost += upstream.IsSuspect(now) ? kSuspectCost : 0;
@@ -221,6 +209,13 @@
   return cost;
 }
 
+double Dispatcher::OutputSeconds(const UpstreamState& upstream,
+                                 const WaitingRequest& request) const {
+  const double pace = upstream.pace_seconds() > 0 ? upstream.pace_seconds()
+                                                  : MeanPace(request.service);
+  return request.expected_output_tokens / options_.tokens_per_event * pace;
+}
+
 double Dispatcher::DistanceCost(const UpstreamEntry& upstream) const {
   if (upstream.data_centre == options_.data_centre) {
     return 0;
@@ -233,24 +228,65 @@
   return same_region ? kOtherDataCentreCost : kOtherRegionCost;
 }
 
+double Dispatcher::PlacementsPerSecond(const std::string& service,
+                                       MonotonicTime now) {
+  std::deque<MonotonicTime>& placed_at = throughput_[service].placed_at;
+  while (!placed_at.empty() && now - placed_at.front() > kThroughputTime) {
+    placed_at.pop_front();
+  }
+  return std::max(kMinPlacementsPerSecond,
+                  static_cast<double>(placed_at.size()) /
+                      Seconds(kThroughputTime));
+}
+
 std::vector<Rejection> Dispatcher::Reject(MonotonicTime now) {
   std::vector<Rejection> rejections;
-  for (const auto& [id, request] : waiting_) {
-    const double limit = Seconds(request.deadline - request.arrived_at);
-    const double waited = Seconds(now - request.arrived_at);
-    if (waited < limit * kMaxWaitShare) {
-      continue;
+  std::map<std::string, double> ahead;
+  for (const WaitingRequest* request : WaitingInOrder(now)) {
+    double& position = ahead[request->service];
+    const double wait =
+        (position + 1) / PlacementsPerSecond(request->service, now);
+    const bool is_new = assessed_.insert(request->id).second;
+    std::optional<Rejection> rejection =
+        Assess(*request, is_new,
+               std::chrono::duration_cast<Duration>(
+                   std::chrono::duration<double>(wait)),
+               now);
+    if (rejection) {
+      rejections.push_back(std::move(*rejection));
+    } else {
+      ++position;
     }
-    rejections.push_back({.request = id,
-                          .retry_after = kMinRetryAfter,
-                          .reason = "no upstream was free in time"});
   }
   for (const Rejection& it : rejections) {
-    waiting_.erase(it.request);
+    Remove(it.request);
   }
   return rejections;
 }
 
+// A request waits as long as it can still be on time. One that would be late is
+// refused on arrival, when its caller loses nothing by coming back; one that
+// has become late waits on only if it can start before its caller leaves.
+std::optional<Rejection> Dispatcher::Assess(const WaitingRequest& request,
+                                            bool is_new,
+                                            Duration expected_wait,
+                                            MonotonicTime now) {
+  const MonotonicTime expected_start = now + expected_wait + kFirstEventTime;
+  const bool arrived_late = request.due_at <= request.arrived_at;
+  const MonotonicTime wanted =
+      is_new && !arrived_late ? request.due_at : request.start_by;
+  if (expected_start <= wanted && now + kFirstEventTime < request.start_by) {
+    return std::nullopt;
+  }
+  const double spread = 1 + random_.NextDouble() * kRetryAfterSpread;
+  const auto retry_after = milliseconds(
+      static_cast<std::int64_t>(Seconds(expected_wait) * 1000 * spread));
+  return Rejection{
+      .request = request.id,
+      .retry_after = std::clamp(retry_after, kMinRetryAfter, kMaxRetryAfter),
+      .reason = is_new ? "would be late" : "no upstream was free in time"};
+}
+
 void Dispatcher::OnEnded(const std::string& upstream,
                          DispatchResult result,
                          MonotonicTime now) {
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -3,9 +3,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "libs/dispatching/upstream_state.h"
@@ -19,6 +22,8 @@
   std::string data_centre;
   // The region of each data centre.
   std::map<std::string, std::string> regions;
+  // Output tokens in one event of a stream.
+  double tokens_per_event = 6;
   std::uint64_t seed = 1;
 };
 
@@ -58,7 +63,8 @@
 
   // Places what can be placed now; each placement counts as sent.
   std::vector<Placement> Place(MonotonicTime now);
-  // Takes out what is not worth waiting any longer.
+  // Takes out what would wait too long. Call after each Place, so that a
+  // request is refused on arrival rather than after a wait in vain.
   std::vector<Rejection> Reject(MonotonicTime now);
 
   void OnEnded(const std::string& upstream,
@@ -83,7 +89,17 @@
     std::map<std::uint64_t, int> running;
   };
 
+  // Placements of one service in the last seconds.
+  struct Throughput {
+    std::deque<MonotonicTime> placed_at;
+  };
+
   void ApplyPeerReports(MonotonicTime now);
+  double PlacementsPerSecond(const std::string& service, MonotonicTime now);
+  std::optional<Rejection> Assess(const WaitingRequest& request,
+                                  bool is_new,
+                                  Duration expected_wait,
+                                  MonotonicTime now);
   std::vector<WaitingRequest*> WaitingInOrder(MonotonicTime now);
   UpstreamState* Choose(const WaitingRequest& request, MonotonicTime now);
   // The expected cost of a placement in seconds.
@@ -92,12 +108,18 @@
               MonotonicTime now) const;
   double DistanceCost(const UpstreamEntry& upstream) const;
   double MeanPace(const std::string& service) const;
+  // Seconds that the output takes there, by the caller's estimate.
+  double OutputSeconds(const UpstreamState& upstream,
+                       const WaitingRequest& request) const;
 
   const DispatcherOptions options_;
   mutable Random random_;
   std::map<std::string, UpstreamState> upstreams_;
   std::map<std::string, PeerReport> peers_;
   std::unordered_map<std::uint64_t, WaitingRequest> waiting_;
+  // Waiting requests that Reject has looked at.
+  std::unordered_set<std::uint64_t> assessed_;
+  std::map<std::string, Throughput> throughput_;
 };
 
 // The short name of an upstream's process in reports between hosts.
--- a/src/libs/dispatching/waiting_request.h
+++ b/src/libs/dispatching/waiting_request.h
@@ -25,10 +25,13 @@
   MonotonicTime arrived_at;
   // Later than this the answer is late, but still wanted.
   MonotonicTime due_at;
-  // Later than this nobody waits for an answer.
+  // Later than this the caller does not wait for a first event any more.
+  MonotonicTime start_by;
+  // Later than this nobody waits for the end of the answer.
   MonotonicTime deadline;
   double prompt_tokens = 0;
-  double max_output_tokens = 0;
+  // The caller's estimate of the output; 0 when there is none.
+  double expected_output_tokens = 0;
   std::vector<PromptPart> prompt_parts;
   // Upstreams that this request was sent to before.
   std::vector<std::string> excluded_upstreams;
--- a/src/libs/http_framing/http_request_reader.cc
+++ b/src/libs/http_framing/http_request_reader.cc
@@ -19,6 +19,19 @@
 constexpr int kHeaderTooLarge = 431;
 constexpr int kHttp10 = 10;
 
+// True when a line of the head ends without a carriage return. The parser
+// would wait for more; another one might see the end of the head there.
+bool HasBareLineFeed(std::string_view bytes) {
+  const std::string_view head = bytes.substr(0, bytes.find("\r\n\r\n"));
+  for (std::size_t at = head.find('\n'); at != std::string_view::npos;
+       at = head.find('\n', at + 1)) {
+    if (at == 0 || head[at - 1] != '\r') {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::string_view View(string_view text) {
   return {text.data(), text.size()};
 }
@@ -50,8 +63,11 @@
         Refuse(kBadRequest, "a transfer coding in HTTP/1.0");
       }
     }
-    if (fields.Count("Content-Length") > 1) {
-      Refuse(kBadRequest, "more than one length");
+    const std::string* length = fields.Find("Content-Length");
+    if (fields.Count("Content-Length") > 1 ||
+        (length != nullptr &&
+         length->find_first_not_of("0123456789") != std::string::npos)) {
+      Refuse(kBadRequest, "not exactly one length");
     }
     if (fields.Count("Host") > 1 ||
         (fields.Count("Host") == 0 && !request.is_http_1_0)) {
@@ -122,6 +138,9 @@
 
 std::size_t HttpRequestReader::Feed(std::string_view bytes) {
   std::size_t used = 0;
+  if (!header_complete() && HasBareLineFeed(bytes)) {
+    parser_->Refuse(kBadRequest, "a line that ends without a return");
+  }
   while (used < bytes.size() && !complete() && refusal_status() == 0) {
     error_code ec;
     const std::size_t n = parser_->put(
@@ -151,7 +170,7 @@
 }
 
 bool HttpRequestReader::complete() const {
-  return parser_->is_done();
+  return parser_->is_done() && parser_->refusal_status == 0;
 }
 
 int HttpRequestReader::refusal_status() const {
--- a/src/libs/relay/header_names.h
+++ b/src/libs/relay/header_names.h
@@ -25,6 +25,8 @@
   std::string seal;
   // "PROMPT,OUTPUT": prompt tokens and the most output tokens.
   std::string token_count;
+  // The caller's estimate of the output tokens.
+  std::string length_hint;
   // "ID:TOKENS,...": the parts of the prompt in order, ids in hexadecimal.
   std::string prompt_prefix;
   // Headers that only hosts may set; removed from what callers send.
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -25,9 +25,22 @@
 constexpr std::size_t kMaxHeldBytes = 262144;
 constexpr char kLastEventId[] = "Last-Event-ID";
 constexpr milliseconds kRetryAfterRefusal{500};
+constexpr milliseconds kMinStreamPatience{2000};
 // Routes have fewer levels of priority than this.
 constexpr int kPriorityLevels = 100;
 
+// Callers leave a stream, also before its first event, after the longest of
+// these times.
+MonotonicTime StartBy(const Route& route, const AcceptedRequest& accepted) {
+  if (route.repeat_rule != RepeatRule::kStream) {
+    return accepted.deadline;
+  }
+  const milliseconds patience =
+      std::max({kMinStreamPatience, route.target_latency * 4,
+                route.max_event_gap * 8});
+  return std::min(accepted.deadline, accepted.arrived_at + patience);
+}
+
 std::size_t CountEvents(std::string_view part) {
   std::size_t count = 0;
   for (std::size_t at = part.find("\n\n"); at != std::string_view::npos;
@@ -80,10 +93,11 @@
                             route.priority
                       : route.priority,
       .arrived_at = accepted_.arrived_at,
-      .due_at = accepted_.arrived_at + route.target_latency,
+      .due_at = accepted_.due_at,
+      .start_by = StartBy(route, accepted_),
       .deadline = accepted_.deadline,
       .prompt_tokens = accepted_.prompt_tokens,
-      .max_output_tokens = accepted_.output_tokens,
+      .expected_output_tokens = accepted_.expected_output_tokens,
       .prompt_parts = accepted_.prompt_parts,
       .excluded_upstreams = tried_upstreams_};
   context_.dispatcher.Enqueue(std::move(waiting));
@@ -136,6 +150,10 @@
           .Text("route", accepted_.route->name)
           .Text("upstream", upstream.id)
           .Number("send", sends_)
+          .Text("workspace", accepted_.workspace != nullptr
+                                 ? accepted_.workspace->name
+                                 : "")
+          .Number("limit_units", static_cast<std::int64_t>(accepted_.spent))
           .Milliseconds("waited_ms", now - accepted_.arrived_at)
           .Number("routing_version",
                   static_cast<std::int64_t>(accepted_.routing->version)));
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -37,6 +37,10 @@
   MonotonicTime deadline;
   double prompt_tokens = 0;
   double output_tokens = 0;
+  // The caller's estimate; 0 when it gave none.
+  double expected_output_tokens = 0;
+  // When the answer, or a stream's first event, is late.
+  MonotonicTime due_at;
   std::vector<PromptPart> prompt_parts;
   // What was spent of the workspace's limit.
   double spent = 0;
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -142,13 +142,6 @@
 
 void Relay::Tick() {
   const MonotonicTime now = BootTimeNow();
-  for (const Rejection& it : context_.dispatcher.Reject(now)) {
-    const auto exchange = exchanges_.find(it.request);
-    if (exchange != exchanges_.end()) {
-      const auto keep = exchange->second;
-      keep->Refuse(kServiceUnavailable, it.retry_after, it.reason);
-    }
-  }
   context_.connections.CloseExpired(now);
   if (context_.dispatcher.waiting_count() > 0) {
     SchedulePlacement();
@@ -255,9 +248,13 @@
       limit != nullptr
           ? ReadNumber(*limit, static_cast<double>(timeout.count()))
           : static_cast<double>(timeout.count());
-  accepted.deadline =
-      accepted.arrived_at +
-      std::min(timeout, milliseconds(static_cast<std::int64_t>(stated)));
+  const milliseconds patience(static_cast<std::int64_t>(stated));
+  accepted.deadline = accepted.arrived_at + std::min(timeout, patience);
+  // The caller's clock began with its first attempt.
+  milliseconds& longest = longest_patience_[accepted.route->name];
+  longest = std::max(longest, patience);
+  accepted.due_at = accepted.arrived_at + accepted.route->target_latency -
+                    (longest - patience);
   accepted.fingerprint =
       ComputeFingerprint(
           request.target + "\n" +
@@ -304,6 +301,9 @@
     accepted.output_tokens = ReadNumber(
         std::string_view(*count).substr(std::min(comma + 1, count->size())), 0);
   }
+  if (const std::string* hint = fields.Find(names.length_hint)) {
+    accepted.expected_output_tokens = ReadNumber(*hint, 0);
+  }
   if (const std::string* parts = fields.Find(names.prompt_prefix)) {
     accepted.prompt_parts = ReadPromptParts(*parts);
   }
@@ -343,7 +343,11 @@
         .Milliseconds("routing_age_ms", RoutingAge(accepted.arrived_at));
   }
   if (accepted.workspace != nullptr) {
-    line.Text("workspace", accepted.workspace->name);
+    line.Text("workspace", accepted.workspace->name)
+        .Number("limit_units_per_second",
+                static_cast<std::int64_t>(accepted.workspace->rate_per_second))
+        .Number("limit_burst",
+                static_cast<std::int64_t>(accepted.workspace->burst));
   }
   context_.log.Write(std::move(line));
   context_.metrics.Add("flamingogauge_requests_total",
@@ -377,6 +381,13 @@
       keep->SendTo(it.upstream);
     }
   }
+  for (const Rejection& it : context_.dispatcher.Reject(BootTimeNow())) {
+    const auto exchange = exchanges_.find(it.request);
+    if (exchange != exchanges_.end()) {
+      const auto keep = exchange->second;
+      keep->Refuse(kServiceUnavailable, it.retry_after, it.reason);
+    }
+  }
 }
 
 std::string Relay::DumpState() const {
--- a/src/plugins/gateway/relay.h
+++ b/src/plugins/gateway/relay.h
@@ -31,7 +31,7 @@
   // The hosts that share limits with this one, with it.
   void SetHostCount(std::size_t hosts);
   HostReport OwnReport();
-  // Refuses what waits too long and closes idle connections; call often.
+  // Looks after waiting requests and idle connections; call often.
   void Tick();
 
   // True when callers should connect to this host.
@@ -70,6 +70,9 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
   std::uint64_t next_id_ = 1;
   bool placement_scheduled_ = false;
+  // The longest time that callers of a route have stated that they wait; one
+  // that states less has waited before.
+  std::unordered_map<std::string, std::chrono::milliseconds> longest_patience_;
   MonotonicTime drain_began_at_;
 };
 
--- /dev/null
+++ b/tests/auto/directory/tst_table_follower.cc
@@ -0,0 +1,163 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "plugins/directory/table_follower.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+
+using Follower = TableFollower<HostEntry>;
+using Page = FleetPage<HostEntry>;
+
+FleetEntry<HostEntry> Entry(const std::string& name) {
+  return {.name = name,
+          .revision = 1,
+          .value = std::make_shared<HostEntry>(HostEntry{.name = name})};
+}
+
+FleetEntry<HostEntry> Removal(const std::string& name) {
+  return {.name = name, .revision = 2, .value = nullptr};
+}
+
+Error StoreError(ErrorCode code) {
+  return {.code = code, .step = "watch", .peer = "store", .message = ""};
+}
+
+// Drives a follower on a clock of its own.
+class Driver {
+ public:
+  FollowCall Call() {
+    now_ = std::max(now_, follower_.WakeAt());
+    const std::optional<FollowCall> call = follower_.NextCall(now_);
+    REQUIRE(call);
+    return *call;
+  }
+  bool Answer(const Result<Page>& answer,
+              milliseconds after = milliseconds(5)) {
+    now_ += after;
+    return follower_.OnAnswer(answer, now_);
+  }
+  void Wait(milliseconds time) { now_ += time; }
+  bool RemoveMissing() { return follower_.RemoveMissing(now_); }
+  std::vector<std::string> Names() const {
+    std::vector<std::string> names;
+    for (const auto& [name, value] : follower_.entries()) {
+      names.push_back(name);
+    }
+    return names;
+  }
+  MonotonicTime now() const { return now_; }
+  const Follower& follower() const { return follower_; }
+
+  void ListAll(const std::vector<std::string>& names, std::uint64_t revision) {
+    Call();
+    Page page{.store_revision = revision};
+    for (const std::string& it : names) {
+      page.entries.push_back(Entry(it));
+    }
+    Answer(page);
+  }
+
+ private:
+  Follower follower_{{}};
+  MonotonicTime now_{std::chrono::hours(1)};
+};
+
+using Names = std::vector<std::string>;
+
+// Guards against entries that a page boundary hides, and against changes that
+// happen while pages are read and are then missed.
+TEST_CASE("a list in pages is watched from the revision of its first page") {
+  Driver driver;
+  CHECK_FALSE(driver.Call().is_watch);
+  driver.Answer(Page{.entries = {Entry("a"), Entry("b")},
+                     .has_more = true,
+                     .store_revision = 10});
+  const FollowCall second = driver.Call();
+  CHECK(second.after == "b");
+  driver.Answer(Page{.entries = {Entry("c")}, .store_revision = 12});
+  CHECK(driver.Names() == Names{"a", "b", "c"});
+  const FollowCall watch = driver.Call();
+  CHECK(watch.is_watch);
+  CHECK(watch.revision == 10);
+}
+
+// Guards against a list of upstreams that stays old after history was dropped.
+TEST_CASE("lost history leads to a new list, which drops what is gone") {
+  Driver driver;
+  driver.ListAll({"a", "b"}, 10);
+  driver.Call();
+  driver.Answer(StoreError(ErrorCode::kNotFound));
+  CHECK_FALSE(driver.Call().is_watch);
+  CHECK(driver.Names() == Names{"a", "b"});
+  CHECK(driver.Answer(Page{.entries = {Entry("b")}, .store_revision = 20}));
+  CHECK(driver.Names() == Names{"b"});
+}
+
+// Guards against upstreams that are thrown away although their entries only
+// lapsed while the store was away, and against those kept for ever.
+TEST_CASE("after an outage missing entries stay for the time of return") {
+  Driver driver;
+  driver.ListAll({"a", "b"}, 10);
+  driver.Call();
+  driver.Answer(StoreError(ErrorCode::kTimeout), milliseconds(2000));
+  driver.Call();
+  driver.Answer(StoreError(ErrorCode::kTimeout), milliseconds(2000));
+  driver.Call();
+  CHECK_FALSE(driver.Answer(
+      Page{.entries = {Removal("a"), Removal("b")}, .store_revision = 30}));
+  CHECK(driver.Names() == Names{"a", "b"});
+  driver.Call();
+  driver.Answer(Page{.entries = {Entry("b")}, .store_revision = 31},
+                milliseconds(500));
+  CHECK_FALSE(driver.RemoveMissing());
+  driver.Wait(milliseconds(2000));
+  CHECK(driver.RemoveMissing());
+  CHECK(driver.Names() == Names{"b"});
+}
+
+// Guards against removals that wait although the store answers.
+TEST_CASE("without an outage a removal counts at once") {
+  Driver driver;
+  driver.ListAll({"a", "b"}, 10);
+  driver.Call();
+  CHECK(driver.Answer(Page{.entries = {Removal("a")}, .store_revision = 11}));
+  CHECK(driver.Names() == Names{"b"});
+}
+
+// Guards against keys that are served with a document that seems fresher than
+// it is: a confirmation is as old as the start of its call.
+TEST_CASE("a confirmation counts from the start of the call") {
+  Driver driver;
+  driver.ListAll({"a"}, 10);
+  const MonotonicTime listed = driver.follower().confirmed_at();
+  driver.Call();
+  const MonotonicTime started = driver.now();
+  CHECK(driver.follower().confirmed_at() == listed);
+  driver.Answer(Page{.store_revision = 10}, milliseconds(1500));
+  CHECK(driver.follower().confirmed_at() == started);
+  driver.Call();
+  driver.Answer(StoreError(ErrorCode::kUnavailable));
+  CHECK(driver.follower().confirmed_at() == started);
+}
+
+// Guards against a storm of changes that becomes a storm of priced calls.
+TEST_CASE("calls keep their distance") {
+  Driver driver;
+  driver.ListAll({"a"}, 10);
+  driver.Call();
+  const MonotonicTime started = driver.now();
+  driver.Answer(Page{.entries = {Entry("b")}, .store_revision = 11});
+  CHECK(driver.follower().WakeAt() - started == milliseconds(200));
+  driver.Call();
+  driver.Answer(StoreError(ErrorCode::kResourceExhausted));
+  CHECK(driver.follower().WakeAt() - driver.now() == milliseconds(400));
+}
+
+}  // namespace
+}  // namespace flamingogauge
--- /dev/null
+++ b/tests/auto/http_framing/tst_event_stream_splitter.cc
@@ -0,0 +1,48 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "libs/http_framing/event_stream_splitter.h"
+
+namespace flamingogauge {
+namespace {
+
+// Guards against a resumed stream that repeats or misses events: only whole
+// events may be forwarded, and the last id must be that of a whole one.
+TEST_CASE("only whole events are handed out") {
+  struct Row {
+    std::string name;
+    std::string text;
+    const char* events;
+    const char* last_id;
+    bool partial;
+  };
+  for (const Row& row : {
+           Row{"whole", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+               "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "2", false},
+           Row{"cut in the id", "id: 1\ndata: a\n\nid: 12", "id: 1\ndata: a\n\n",
+               "1", true},
+           Row{"carriage returns", "id:7\r\ndata: a\r\n\r\n",
+               "id:7\r\ndata: a\r\n\r\n", "7", false},
+           Row{"line before the id", "weight-versions: 3\nid: 4\ndata: a\n\n",
+               "weight-versions: 3\nid: 4\ndata: a\n\n", "4", false},
+       }) {
+    for (const std::size_t piece : {std::size_t{1}, row.text.size()}) {
+      CAPTURE(row.name);
+      CAPTURE(piece);
+      EventStreamSplitter splitter;
+      std::string events;
+      for (std::size_t at = 0; at < row.text.size(); at += piece) {
+        events += splitter.Feed(row.text.substr(at, piece));
+      }
+      CHECK(events == row.events);
+      CHECK(splitter.last_event_id() == row.last_id);
+      CHECK(splitter.has_partial_event() == row.partial);
+      splitter.DropPartialEvent();
+      CHECK_FALSE(splitter.has_partial_event());
+    }
+  }
+}
+
+}  // namespace
+}  // namespace flamingogauge
--- /dev/null
+++ b/tests/auto/routing/tst_routing_table.cc
@@ -0,0 +1,71 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "libs/routing/routing_table.h"
+
+namespace flamingogauge {
+namespace {
+
+RoutingTable SampleTable() {
+  RoutingTable table;
+  table.AddRoute({.name = "root", .host = "A.example", .path_prefix = "/"});
+  table.AddRoute({.name = "one", .host = "a.example", .path_prefix = "/x/"});
+  table.AddRoute({.name = "two", .host = "a.example", .path_prefix = "/x/y/"});
+  table.AddRoute({.name = "other", .host = "b.example", .path_prefix = "/x/"});
+  table.workspaces.push_back({.name = "w"});
+  table.AddKey("secret", 0);
+  return table;
+}
+
+// Guards against a request that runs on the service of another route.
+TEST_CASE("the longest prefix of the host's routes is chosen") {
+  struct Row {
+    const char* host;
+    const char* path;
+    const char* route;
+  };
+  const RoutingTable table = SampleTable();
+  for (const Row& row : {Row{"a.example", "/x/y/z", "two"},
+                         Row{"a.example:8080", "/x/y/", "two"},
+                         Row{"A.EXAMPLE", "/x/y", "one"},
+                         Row{"a.example", "/xy", "root"},
+                         Row{"b.example", "/x/", "other"},
+                         Row{"b.example", "/", ""},
+                         Row{"b.example", "", ""},
+                         Row{"c.example", "/x/", ""}}) {
+    CAPTURE(row.host);
+    CAPTURE(row.path);
+    const Route* route = table.FindRoute(row.host, row.path);
+    CHECK((route == nullptr ? "" : route->name) == row.route);
+  }
+}
+
+// Guards against a key that is accepted although nobody holds it.
+TEST_CASE("only known keys have a workspace") {
+  const RoutingTable table = SampleTable();
+  REQUIRE(table.FindKey("secret") != nullptr);
+  CHECK(table.FindKey("secret")->name == "w");
+  CHECK(table.FindKey("Secret") == nullptr);
+  CHECK(table.FindKey("") == nullptr);
+}
+
+// Guards against a stream that runs twice although it cannot be resumed.
+TEST_CASE("what may run again follows from the kind") {
+  struct Row {
+    RepeatRule rule;
+    bool resumable;
+    bool again;
+  };
+  for (const Row& row : {Row{RepeatRule::kIdempotent, false, true},
+                         Row{RepeatRule::kAtMostOnce, false, false},
+                         Row{RepeatRule::kAtMostOnce, true, false},
+                         Row{RepeatRule::kStream, false, false},
+                         Row{RepeatRule::kStream, true, true}}) {
+    CHECK(Route{.repeat_rule = row.rule, .resumable = row.resumable}
+              .MayRunAgain() == row.again);
+  }
+}
+
+}  // namespace
+}  // namespace flamingogauge
