dispatching: keep one token bucket for all hosts

Cause: each host had a share of a limit that followed its demand; two large requests emptied a share, and requests below the limit were refused. Change: each host keeps a copy of the whole bucket, takes off what others report and what they have probably spent since; unheard hosts keep their part.

--- a/src/libs/dispatching/allotments.cc
+++ b/src/libs/dispatching/allotments.cc
@@ -1,7 +1,6 @@
 #include "libs/dispatching/allotments.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace flamingogauge {
@@ -9,14 +8,20 @@
 
 using std::chrono::milliseconds;
 
+// A host that was not heard for this long is not counted on.
 constexpr milliseconds kPeerLifetime{1500};
-// The time over which demand is averaged.
-constexpr double kDemandSeconds = 1.0;
-// The part of a limit that is shared evenly, so that a host without demand can
-// serve the first requests of a workspace.
-constexpr double kEvenPart = 0.2;
+// A process that starts does not know what was spent before it.
+constexpr double kCreditPartAtStart = 0.5;
+// For this long it takes over what others believe to be left.
+constexpr std::chrono::seconds kLearningTime{2};
+// Weight of the newest report in a host's rate.
+constexpr double kRateWeight = 0.5;
 constexpr milliseconds kLongestWait{10000};
 
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
 }  // namespace
 
 void Allotments::SetLimits(const RoutingTable& table, MonotonicTime now) {
@@ -26,58 +31,86 @@
       continue;
     }
     const auto known = buckets_.find(it.name);
-    Bucket bucket = known == buckets_.end() ? Bucket{} : known->second;
-    const bool is_new = known == buckets_.end();
-    bucket.rate = it.rate_per_second;
-    bucket.burst = it.burst;
-    if (is_new) {
+    Bucket bucket;
+    if (known == buckets_.end()) {
+      bucket.credits = it.burst * kCreditPartAtStart;
       bucket.updated_at = now;
-      bucket.share = Share(it.name, 0, now);
-      bucket.credits = bucket.burst * bucket.share;
+    } else {
+      bucket = known->second;
+      Refill(bucket, now);
     }
-    bucket.credits = std::min(bucket.credits, bucket.burst * bucket.share);
+    bucket.rate = it.rate_per_second;
+    bucket.burst = it.burst;
+    bucket.credits = std::min(bucket.credits, bucket.burst);
     next.emplace(it.name, bucket);
   }
   buckets_ = std::move(next);
 }
 
-void Allotments::OnPeerDemand(const std::string& host,
-                              std::map<std::string, double> demand,
-                              MonotonicTime now) {
-  peers_[host] = {.received_at = now, .demand = std::move(demand)};
+void Allotments::OnPeerUsage(const std::string& host,
+                             std::uint64_t process,
+                             const UsageByWorkspace& usage,
+                             MonotonicTime now) {
+  Peer& peer = peers_[host];
+  const bool is_new = peer.process != process;
+  const double elapsed = std::max(0.05, Seconds(now - peer.heard_at));
+  const bool learning = now - started_at_ < kLearningTime;
+  if (is_new) {
+    peer = {.process = process};
+  }
+  for (const auto& [name, reported] : usage) {
+    PeerUsage& known = peer.usage[name];
+    const double delta = reported.spent - known.spent;
+    known.spent = reported.spent;
+    // What a host had spent before it was first heard is in the credits that
+    // were taken over at the start, or too old to matter.
+    if (!is_new) {
+      known.rate = known.rate * (1 - kRateWeight) +
+                   std::max(0.0, delta) / elapsed * kRateWeight;
+    }
+    const auto bucket = buckets_.find(name);
+    if (bucket == buckets_.end()) {
+      continue;
+    }
+    Refill(bucket->second, now);
+    if (!is_new) {
+      bucket->second.credits -= delta;
+    }
+    if (learning) {
+      bucket->second.credits =
+          std::min(bucket->second.credits, reported.credits);
+    }
+  }
+  peer.heard_at = now;
 }
 
-double Allotments::Share(const std::string& name,
-                         double own_demand,
-                         MonotonicTime now) const {
-  double total = own_demand;
+double Allotments::ReachablePart(MonotonicTime now) const {
   std::size_t heard = 1;
   for (const auto& [host, peer] : peers_) {
-    if (now - peer.received_at > kPeerLifetime) {
-      continue;
-    }
-    ++heard;
-    const auto it = peer.demand.find(name);
-    total += it == peer.demand.end() ? 0 : it->second;
+    heard += now - peer.heard_at <= kPeerLifetime ? 1 : 0;
   }
-  const auto live = static_cast<double>(heard);
-  const double reachable =
-      std::min(1.0, live / static_cast<double>(std::max(host_count_, heard)));
-  const double by_demand = total > 0 ? own_demand / total : 1 / live;
-  return reachable * (kEvenPart / live + (1 - kEvenPart) * by_demand);
+  return std::min(1.0, static_cast<double>(heard) /
+                           static_cast<double>(std::max(host_count_, heard)));
 }
 
-void Allotments::Update(const std::string& name,
-                        Bucket& bucket,
-                        MonotonicTime now) {
-  const double elapsed = std::max(
-      0.0, std::chrono::duration<double>(now - bucket.updated_at).count());
+void Allotments::Refill(Bucket& bucket, MonotonicTime now) const {
+  const double elapsed = std::max(0.0, Seconds(now - bucket.updated_at));
+  const double part = ReachablePart(now);
   bucket.updated_at = now;
-  bucket.demand *= std::exp(-elapsed / kDemandSeconds);
-  bucket.share = Share(name, bucket.demand, now);
-  bucket.credits = std::min(bucket.burst * bucket.share,
-                            bucket.credits + elapsed * bucket.rate *
-                                                 bucket.share);
+  bucket.credits = std::min(bucket.burst * part,
+                            bucket.credits + elapsed * bucket.rate * part);
+}
+
+double Allotments::Unreported(const std::string& workspace,
+                              MonotonicTime now) const {
+  double units = 0;
+  for (const auto& [host, peer] : peers_) {
+    const auto it = peer.usage.find(workspace);
+    if (it != peer.usage.end() && now - peer.heard_at <= kPeerLifetime) {
+      units += it->second.rate * Seconds(now - peer.heard_at);
+    }
+  }
+  return units;
 }
 
 bool Allotments::TrySpend(const WorkspaceEntry& workspace,
@@ -88,13 +121,13 @@
     return true;
   }
   Bucket& bucket = it->second;
-  bucket.demand += amount / kDemandSeconds;
-  Update(workspace.name, bucket, now);
-  // A single request may be larger than the stock; it goes into debt.
-  if (bucket.credits <= 0) {
+  Refill(bucket, now);
+  // A single request may be larger than what is left; it goes into debt.
+  if (bucket.credits - Unreported(workspace.name, now) <= 0) {
     return false;
   }
   bucket.credits -= amount;
+  bucket.own_spent += amount;
   return true;
 }
 
@@ -102,31 +135,32 @@
   const auto it = buckets_.find(workspace.name);
   if (it != buckets_.end()) {
     it->second.credits += amount;
+    it->second.own_spent -= amount;
   }
 }
 
-milliseconds Allotments::TimeUntil(const WorkspaceEntry& workspace,
-                                   double amount) const {
+milliseconds Allotments::TimeUntilCredit(const WorkspaceEntry& workspace,
+                                         MonotonicTime now) {
   const auto it = buckets_.find(workspace.name);
-  if (it == buckets_.end() || it->second.rate * it->second.share <= 0) {
-    return milliseconds(1000);
+  if (it == buckets_.end()) {
+    return milliseconds(0);
   }
-  const Bucket& bucket = it->second;
-  const double missing = std::max(0.0, amount / 2 - bucket.credits);
-  const double wait = missing / (bucket.rate * bucket.share);
+  Refill(it->second, now);
+  const double missing =
+      Unreported(workspace.name, now) - it->second.credits;
+  const double rate = it->second.rate * ReachablePart(now);
+  const double wait = rate > 0 ? std::max(0.0, missing) / rate : 0;
   return std::min(kLongestWait,
                   milliseconds(static_cast<std::int64_t>(wait * 1000)));
 }
 
-std::map<std::string, double> Allotments::OwnDemand(MonotonicTime now) {
-  std::map<std::string, double> demand;
+UsageByWorkspace Allotments::OwnUsage(MonotonicTime now) {
+  UsageByWorkspace usage;
   for (auto& [name, bucket] : buckets_) {
-    Update(name, bucket, now);
-    if (bucket.demand >= 1) {
-      demand[name] = bucket.demand;
-    }
+    Refill(bucket, now);
+    usage[name] = {.spent = bucket.own_spent, .credits = bucket.credits};
   }
-  return demand;
+  return usage;
 }
 
 }  // namespace flamingogauge
--- a/src/libs/protocol/host_report.capnp
+++ b/src/libs/protocol/host_report.capnp
@@ -8,10 +8,12 @@
 struct HostReport {
   host @0 :Text;
   running @1 :List(UpstreamLoad);
-  demand @2 :List(WorkspaceDemand);
+  usage @2 :List(WorkspaceUsage);
   brokenBy @3 :List(CrashRecord);
   # A host that leaves gets no share of limits.
   draining @4 :Bool;
+  # Differs after a restart.
+  process @5 :UInt64;
 }
 
 struct UpstreamLoad {
@@ -20,9 +22,12 @@
   requests @1 :UInt16;
 }
 
-struct WorkspaceDemand {
+struct WorkspaceUsage {
   workspace @0 :Text;
-  unitsPerSecond @1 :Float32;
+  # Units that the host's process has spent since its start.
+  spent @1 :Float64;
+  # What the host believes to be left for all hosts together.
+  credits @2 :Float32;
 }
 
 struct CrashRecord {
--- a/src/plugins/gateway/host_report.cc
+++ b/src/plugins/gateway/host_report.cc
@@ -14,13 +14,15 @@
 
 HostReport Read(wire::HostReport::Reader from) {
   HostReport report{.host = from.getHost().cStr(),
-                    .draining = from.getDraining()};
+                    .draining = from.getDraining(),
+                    .process = from.getProcess()};
   for (const auto& it : from.getRunning()) {
     report.running[it.getUpstream()] = it.getRequests();
   }
-  for (const auto& it : from.getDemand()) {
-    report.demand[it.getWorkspace().cStr()] =
-        static_cast<double>(it.getUnitsPerSecond());
+  for (const auto& it : from.getUsage()) {
+    report.usage[it.getWorkspace().cStr()] = {
+        .spent = it.getSpent(),
+        .credits = static_cast<double>(it.getCredits())};
   }
   for (const auto& it : from.getBrokenBy()) {
     report.crashes.push_back(
@@ -36,6 +38,7 @@
   auto to = message.initRoot<wire::HostReport>();
   to.setHost(report.host);
   to.setDraining(report.draining);
+  to.setProcess(report.process);
   unsigned n = 0;
   auto running = to.initRunning(static_cast<unsigned>(report.running.size()));
   for (const auto& [upstream, requests] : report.running) {
@@ -43,10 +46,11 @@
     running[n++].setRequests(static_cast<std::uint16_t>(requests));
   }
   n = 0;
-  auto demand = to.initDemand(static_cast<unsigned>(report.demand.size()));
-  for (const auto& [workspace, units] : report.demand) {
-    demand[n].setWorkspace(workspace);
-    demand[n++].setUnitsPerSecond(static_cast<float>(units));
+  auto usage = to.initUsage(static_cast<unsigned>(report.usage.size()));
+  for (const auto& [workspace, units] : report.usage) {
+    usage[n].setWorkspace(workspace);
+    usage[n].setSpent(units.spent);
+    usage[n++].setCredits(static_cast<float>(units.credits));
   }
   n = 0;
   auto crashes = to.initBrokenBy(static_cast<unsigned>(report.crashes.size()));
--- a/src/plugins/gateway/host_report.h
+++ b/src/plugins/gateway/host_report.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "libs/dispatching/allotments.h"
 #include "libs/dispatching/crash_register.h"
 #include "libs/kernel/error.h"
 
@@ -18,8 +19,9 @@
   bool draining = false;
   // Requests that it has at each upstream, by PeerUpstreamKey.
   std::map<std::uint64_t, int> running;
-  // Units a second that were asked of it, by workspace.
-  std::map<std::string, double> demand;
+  // Differs after a restart of the host's process.
+  std::uint64_t process = 0;
+  UsageByWorkspace usage;
   std::vector<CrashRecord> crashes;
 };
 
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -90,7 +90,7 @@
                    {.data_centre = settings.data_centre,
                     .regions = settings.regions,
                     .seed = ComputeContentHash(settings.host).low}),
-               .allotments = {},
+               .allotments = Allotments(BootTimeNow()),
                .resends = ResendBudget(
                    {.ratio = settings.resend_ratio,
                     .shared_allowance = settings.resend_allowance,
@@ -98,7 +98,9 @@
                .crashes = {},
                .connections =
                    UpstreamConnections(io, settings.headers.request_id),
-               .schedule_placement = [this] { SchedulePlacement(); }} {}
+               .schedule_placement = [this] { SchedulePlacement(); }},
+      process_(static_cast<std::uint64_t>(
+          BootTimeNow().time_since_epoch().count())) {}
 
 void Relay::OnFleet(const FleetSnapshot& snapshot) {
   const MonotonicTime now = BootTimeNow();
@@ -117,7 +119,8 @@
 void Relay::OnReport(const HostReport& report) {
   const MonotonicTime now = BootTimeNow();
   context_.dispatcher.OnPeerLoad(report.host, report.running, now);
-  context_.allotments.OnPeerDemand(report.host, report.demand, now);
+  context_.allotments.OnPeerUsage(report.host, report.process, report.usage,
+                                  now);
   for (const CrashRecord& it : report.crashes) {
     context_.crashes.Add(it, now);
   }
@@ -136,7 +139,8 @@
   return {.host = context_.settings.host,
           .draining = context_.draining,
           .running = context_.dispatcher.OwnLoad(),
-          .demand = context_.allotments.OwnDemand(now),
+          .process = process_,
+          .usage = context_.allotments.OwnUsage(now),
           .crashes = context_.crashes.Recent(now)};
 }
 
@@ -323,8 +327,9 @@
   }
   if (!context_.allotments.TrySpend(*workspace, amount, accepted.arrived_at)) {
     return Denial{kTooManyRequests, "the workspace is over its limit",
-                  std::max(kMinRetryAfterLimit, context_.allotments.TimeUntil(
-                                                    *workspace, amount))};
+                  std::max(kMinRetryAfterLimit,
+                           context_.allotments.TimeUntilCredit(
+                               *workspace, accepted.arrived_at))};
   }
   accepted.spent = amount;
   return std::nullopt;
--- a/src/plugins/gateway/relay.h
+++ b/src/plugins/gateway/relay.h
@@ -67,6 +67,8 @@
   void PlaceWaiting();
 
   RelayContext context_;
+  // Tells this process from an earlier one of the same host.
+  const std::uint64_t process_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
   std::uint64_t next_id_ = 1;
   bool placement_scheduled_ = false;
