dispatching: send nothing to replaced or suspect upstreams

Change: an upstream at whose address another process answers gets nothing until its entry changes; one that broke requests is tried with one at a time, and only if no other is trusted before its suspicion ends. A request whose sends were all refused before they ran is refused with 503, not 502.

--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -157,6 +157,7 @@
                                   MonotonicTime now) {
   UpstreamState* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
+  const bool avoid_suspects = HasTrusted(request.service, now);
   for (auto& [id, state] : upstreams_) {
     const UpstreamEntry& entry = state.entry();
     const bool excluded =
@@ -164,7 +165,8 @@
                   request.excluded_upstreams.end(),
                   id) != request.excluded_upstreams.end();
     if (entry.service != request.service || entry.draining || excluded ||
-        state.running() >= entry.slots) {
+        state.running() >= state.Limit() ||
+        (avoid_suspects && state.IsSuspect(now))) {
       continue;
     }
     const double cost = Cost(state, request, now);
@@ -176,6 +178,19 @@
   return best;
 }
 
+// While one upstream of the service is trusted, requests wait for it rather than
+// go to one that broke requests; if none is, all are tried.
+bool Dispatcher::HasTrusted(const std::string& service,
+                            MonotonicTime now) const {
+  return std::any_of(upstreams_.begin(), upstreams_.end(),
+                     [&service, now](const auto& it) {
+                       const UpstreamEntry& entry = it.second.entry();
+                       return entry.service == service && !entry.draining &&
+                              it.second.Limit() > 0 &&
+                              !it.second.IsSuspect(now);
+                     });
+}
+
 double Dispatcher::MeanPace(const std::string& service) const {
   double sum = 0;
   int count = 0;
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -101,6 +101,7 @@
                                   Duration expected_wait,
                                   MonotonicTime now);
   std::vector<WaitingRequest*> WaitingInOrder(MonotonicTime now);
+  bool HasTrusted(const std::string& service, MonotonicTime now) const;
   UpstreamState* Choose(const WaitingRequest& request, MonotonicTime now);
   // The expected cost of a placement in seconds.
   double Cost(const UpstreamState& upstream,
--- a/src/libs/dispatching/upstream_state.cc
+++ b/src/libs/dispatching/upstream_state.cc
@@ -23,6 +23,13 @@
 
 }  // namespace
 
+int UpstreamState::Limit() const {
+  if (replaced_) {
+    return 0;
+  }
+  return broken_in_a_row_ > 0 ? 1 : entry_.slots;
+}
+
 void UpstreamState::OnSent(const WaitingRequest& request, MonotonicTime now) {
   ++own_running_;
   for (const PromptPart& it : request.prompt_parts) {
@@ -39,6 +46,10 @@
       result == DispatchResult::kRefused) {
     return;
   }
+  if (result == DispatchResult::kReplaced) {
+    replaced_ = true;
+    return;
+  }
   const bool failed = result != DispatchResult::kServed;
   failure_share_ = FailureShare(now) * (1 - kFailureWeight) +
                    (failed ? kFailureWeight : 0.0);
--- a/src/libs/dispatching/upstream_state.h
+++ b/src/libs/dispatching/upstream_state.h
@@ -21,6 +21,8 @@
   kFailed,
   // No connection, a reset, silence or bytes that are no answer.
   kBroken,
+  // Another process answered at the upstream's address.
+  kReplaced,
   // The caller left or the time was over; says nothing of the upstream.
   kAbandoned,
 };
@@ -35,6 +37,10 @@
   // Takes a new entry of the same process.
   void SetEntry(UpstreamEntry entry) { entry_ = std::move(entry); }
 
+  // The requests that may run there at once, over all hosts. An upstream that
+  // broke requests is tried with a single one; a replaced one gets none.
+  int Limit() const;
+
   // Requests that this host and, as far as is known, other hosts have there.
   int running() const { return own_running_ + peer_running_; }
   int own_running() const { return own_running_; }
@@ -63,6 +69,7 @@
   int own_running_ = 0;
   int peer_running_ = 0;
   int broken_in_a_row_ = 0;
+  bool replaced_ = false;
   double failure_share_ = 0;
   MonotonicTime failure_updated_;
   MonotonicTime suspect_until_;
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -128,10 +128,9 @@
            "the key cannot be confirmed");
     return;
   }
-  CHECK_INVARIANT("I5", sends_ == 0 || accepted_.route->MayRunAgain() ||
-                            not_executed_ || !tried_upstreams_.empty(),
-                  "send " + accepted_.request_id);
   state_ = State::kSent;
+  CHECK_INVARIANT("I5", !may_have_run_ || accepted_.route->MayRunAgain(),
+                  "send " + accepted_.request_id);
   sent_at_ = now;
   ++sends_;
   if (sends_ == 1) {
@@ -382,7 +381,7 @@
 }
 
 void Exchange::OnNotExecuted() {
-  EndDispatch(head_.status == kMisdirected ? DispatchResult::kBroken
+  EndDispatch(head_.status == kMisdirected ? DispatchResult::kReplaced
                                            : DispatchResult::kRefused);
   const std::string reason =
       "the upstream refused with " + std::to_string(head_.status);
@@ -394,8 +393,7 @@
     Done("broken", head_.status, reason);
     return;
   }
-  if (sends_ > 1) {
-    // An earlier upstream may have run it.
+  if (may_have_run_) {
     FailAfterSend(kBadGateway, reason);
     return;
   }
@@ -436,6 +434,7 @@
 
 bool Exchange::TryAgain(bool has_run, const std::string& reason) {
   const Route& route = *accepted_.route;
+  may_have_run_ = may_have_run_ || has_run;
   const MonotonicTime now = BootTimeNow();
   if (has_run && !route.MayRunAgain()) {
     return false;
@@ -473,7 +472,7 @@
   if (state_ == State::kDone) {
     return;
   }
-  if (sends_ > 0 && !not_executed_) {
+  if (may_have_run_) {
     FailAfterSend(kBadGateway, reason);
     return;
   }
@@ -504,6 +503,7 @@
     Refuse(kServiceUnavailable, std::nullopt, "the time limit passed");
     return;
   }
+  may_have_run_ = true;
   connection_->Cancel();
   connection_.reset();
   EndDispatch(DispatchResult::kAbandoned);
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -123,6 +123,8 @@
   HttpResponseHead head_;
   bool head_received_ = false;
   bool not_executed_ = false;
+  // True once a send has ended without proof that nothing ran.
+  bool may_have_run_ = false;
   // The answer's length and whether it has a body, from its head.
   std::optional<std::uint64_t> content_length_;
   bool has_body_ = true;
