gateway: report the load to hosts nearby at once

Cause: hosts saw each other's placements 200 ms late and chose the same free places; on slow runners the overshoot waited beyond its callers' patience. Change: a change of the load is reported to the hosts of the data centre within 15 ms, to all others every 200 ms.

--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -156,6 +156,7 @@
           .Milliseconds("waited_ms", now - accepted_.arrived_at)
           .Number("routing_version",
                   static_cast<std::int64_t>(accepted_.routing->version)));
+  context_.on_load_changed();
   connection_ = context_.connections.Acquire(upstream.address, now);
   connection_->Send({.bytes = ComposeRequest(upstream, now),
                      .request_id = accepted_.request_id,
@@ -407,24 +408,21 @@
     return;
   }
   EndDispatch(DispatchResult::kBroken);
-  const MonotonicTime now = BootTimeNow();
   if (where == UpstreamBreak::kNotConnected) {
     // Nothing was sent, so this was no attempt.
     --sends_;
-    if (BootTimeNow() < accepted_.deadline) {
-      context_.log.Write(EventLine("request.not_connected")
-                             .Text("request", accepted_.request_id)
-                             .Text("upstream", upstream_.id)
-                             .Text("reason", reason));
-      Enqueue();
-      return;
-    }
+    context_.log.Write(EventLine("request.not_connected")
+                           .Text("request", accepted_.request_id)
+                           .Text("upstream", upstream_.id)
+                           .Text("reason", reason));
+    Enqueue();
+    return;
   }
   if (where == UpstreamBreak::kNoAnswer) {
     context_.crashes.Add(
         {.request = accepted_.fingerprint,
          .upstream = PeerUpstreamKey(upstream_.id)},
-        now);
+        BootTimeNow());
   }
   if (TryAgain(true, reason)) {
     return;
@@ -544,6 +542,7 @@
 
 void Exchange::EndDispatch(DispatchResult result) {
   context_.dispatcher.OnEnded(upstream_.id, result, BootTimeNow());
+  context_.on_load_changed();
   context_.schedule_placement();
 }
 
--- a/src/plugins/gateway/gateway_plugin.cc
+++ b/src/plugins/gateway/gateway_plugin.cc
@@ -30,8 +30,9 @@
 constexpr milliseconds kCloseIdleTime{300};
 // A host that was not heard for this long counts as gone for good.
 constexpr std::chrono::seconds kHostSilence{20};
-// Hosts of other data centres get each third report.
-constexpr unsigned kRemoteReportInterval = 3;
+// After a change of the load, hosts of the same data centre hear of it within
+// this time, so that several hosts rarely choose the same free place.
+constexpr milliseconds kLoadReportDelay{15};
 // How long a state dump waits for the gateway's thread.
 constexpr milliseconds kDumpTimeLimit{500};
 
@@ -52,6 +53,7 @@
       work_guard = boost::asio::make_work_guard(io);
   boost::asio::steady_timer tick_timer{io};
   boost::asio::steady_timer report_timer{io};
+  boost::asio::steady_timer load_report_timer{io};
   boost::asio::steady_timer drain_timer{io};
   EventLog* log = nullptr;
   FleetSource* source = nullptr;
@@ -65,7 +67,7 @@
       std::make_shared<std::vector<HostEntry>>();
   std::map<std::string, MonotonicTime> heard_at;
   std::set<std::string> leaving_hosts;
-  unsigned report_number = 0;
+  bool load_report_scheduled = false;
   MonotonicTime drain_began_at;
   std::function<void()> drained;
   std::thread thread;
@@ -74,6 +76,9 @@
   void OnDatagram(const std::string& bytes);
   void Tick();
   void SendReports();
+  void OnLoadChanged();
+  // Sends a report to the hosts of the same data centre, or to all others.
+  void SendReport(bool same_data_centre_only);
   void CheckDrain();
   void CountHosts(MonotonicTime now);
 };
@@ -134,18 +139,35 @@
     if (ec) {
       return;
     }
-    const std::string bytes = EncodeHostReport(relay->OwnReport());
-    const bool remote_turn = ++report_number % kRemoteReportInterval == 0;
-    for (const HostEntry& it : *hosts) {
-      const bool remote = it.data_centre != settings.data_centre;
-      if (it.name != settings.host && (!remote || remote_turn)) {
-        reports->Send(bytes, it.report_address);
-      }
-    }
+    SendReport(false);
     SendReports();
   });
 }
 
+void GatewayPlugin::Private::SendReport(bool same_data_centre_only) {
+  const std::string bytes = EncodeHostReport(relay->OwnReport());
+  for (const HostEntry& it : *hosts) {
+    const bool near = it.data_centre == settings.data_centre;
+    if (it.name != settings.host && (near || !same_data_centre_only)) {
+      reports->Send(bytes, it.report_address);
+    }
+  }
+}
+
+void GatewayPlugin::Private::OnLoadChanged() {
+  if (load_report_scheduled) {
+    return;
+  }
+  load_report_scheduled = true;
+  load_report_timer.expires_after(kLoadReportDelay);
+  load_report_timer.async_wait([this](const boost::system::error_code& ec) {
+    load_report_scheduled = false;
+    if (!ec) {
+      SendReport(true);
+    }
+  });
+}
+
 void GatewayPlugin::Private::CheckDrain() {
   drain_timer.expires_after(kDrainCheckInterval);
   drain_timer.async_wait([this](const boost::system::error_code& ec) {
@@ -207,7 +229,8 @@
   self.source = source.value();
   self.metrics = metrics.value();
   self.relay =
-      std::make_unique<Relay>(self.io, self.settings, *self.log, *self.metrics);
+      std::make_unique<Relay>(self.io, self.settings, *self.log, *self.metrics,
+                              [&self] { self.OnLoadChanged(); });
   self.status = std::make_unique<StatusHandler>(StatusHandlerOptions{
       .ready_path = self.settings.ready_path,
       .is_ready = [&self] { return self.relay->IsReady(); },
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -80,7 +80,8 @@
 Relay::Relay(boost::asio::io_context& io,
              const GatewaySettings& settings,
              EventLog& log,
-             MetricsRegistry& metrics)
+             MetricsRegistry& metrics,
+             std::function<void()> on_load_changed)
     : context_{.io = io,
                .settings = settings,
                .log = log,
@@ -98,7 +99,8 @@
                .crashes = {},
                .connections =
                    UpstreamConnections(io, settings.headers.request_id),
-               .schedule_placement = [this] { SchedulePlacement(); }},
+               .schedule_placement = [this] { SchedulePlacement(); },
+               .on_load_changed = std::move(on_load_changed)},
       process_(static_cast<std::uint64_t>(
           BootTimeNow().time_since_epoch().count())) {}
 
--- a/src/plugins/gateway/relay.h
+++ b/src/plugins/gateway/relay.h
@@ -24,7 +24,8 @@
   Relay(boost::asio::io_context& io,
         const GatewaySettings& settings,
         EventLog& log,
-        MetricsRegistry& metrics);
+        MetricsRegistry& metrics,
+        std::function<void()> on_load_changed);
 
   void OnFleet(const FleetSnapshot& snapshot);
   void OnReport(const HostReport& report);
--- a/src/plugins/gateway/relay_context.h
+++ b/src/plugins/gateway/relay_context.h
@@ -33,6 +33,8 @@
   bool draining = false;
   // Places waiting requests soon, after the current event has been handled.
   std::function<void()> schedule_placement;
+  // Tells the hosts nearby soon what runs where.
+  std::function<void()> on_load_changed;
 };
 
 }  // namespace flamingogauge
