--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -4,6 +4,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+# Lets checkouts in other folders share compiled objects.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 export JOBS=${JOBS:-$(nproc)}
 bash scripts/setup.sh
 
--- a/src/libs/dispatching/allotments.h
+++ b/src/libs/dispatching/allotments.h
@@ -80,7 +80,7 @@
   // What hosts have probably spent since their last reports.
   double Unreported(const std::string& workspace, MonotonicTime now) const;
 
-  const MonotonicTime started_at_;
+  MonotonicTime started_at_;
   std::size_t host_count_ = 1;
   std::map<std::string, Bucket> buckets_;
   std::map<std::string, Peer> peers_;
--- /dev/null
+++ b/tests/auto/dispatching/tst_allotments.cc
@@ -0,0 +1,201 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <deque>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libs/dispatching/allotments.h"
+#include "libs/kernel/random.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr double kRate = 50000;
+constexpr double kBurst = 60000;
+constexpr std::chrono::seconds kWindow{8};
+constexpr milliseconds kStep{10};
+constexpr milliseconds kReportInterval{200};
+
+RoutingTable TableWithLimit(double rate, double burst) {
+  RoutingTable table;
+  table.workspaces.push_back({.name = "w",
+                              .counts_tokens = true,
+                              .rate_per_second = rate,
+                              .burst = burst});
+  return table;
+}
+
+// Several hosts that share one workspace's limit, on one clock.
+class Hosts {
+ public:
+  explicit Hosts(std::size_t count)
+      : table_(TableWithLimit(kRate, kBurst)), process_(count, 1) {
+    for (std::size_t n = 0; n < count; ++n) {
+      hosts_.push_back(NewHost());
+    }
+  }
+
+  // Reports between hosts of different groups are lost.
+  void Partition(std::set<std::size_t> group) { group_ = std::move(group); }
+
+  void Restart(std::size_t host) {
+    hosts_[host] = NewHost();
+    ++process_[host];
+  }
+
+  // Host `host` is asked for `amount`; true when it was admitted.
+  bool Ask(std::size_t host, double amount) {
+    const bool admitted =
+        hosts_[host].TrySpend(table_.workspaces[0], amount, now_);
+    if (admitted) {
+      admitted_.emplace_back(now_, amount);
+    }
+    return admitted;
+  }
+
+  void Advance() {
+    now_ += kStep;
+    if ((now_.time_since_epoch() % kReportInterval).count() == 0) {
+      Exchange();
+    }
+  }
+
+  // The most that was admitted in any window.
+  double LargestWindow() const {
+    double largest = 0;
+    double sum = 0;
+    std::size_t first = 0;
+    for (const auto& [time, amount] : admitted_) {
+      sum += amount;
+      while (time - admitted_[first].first > kWindow) {
+        sum -= admitted_[first++].second;
+      }
+      largest = std::max(largest, sum);
+    }
+    return largest;
+  }
+  double Total() const {
+    double sum = 0;
+    for (const auto& [time, amount] : admitted_) {
+      sum += amount;
+    }
+    return sum;
+  }
+
+ private:
+  Allotments NewHost() {
+    Allotments host(now_);
+    host.SetLimits(table_, now_);
+    host.SetHostCount(process_.size());
+    return host;
+  }
+
+  void Exchange() {
+    for (std::size_t from = 0; from < hosts_.size(); ++from) {
+      const UsageByWorkspace usage = hosts_[from].OwnUsage(now_);
+      for (std::size_t to = 0; to < hosts_.size(); ++to) {
+        if (from != to && group_.contains(from) == group_.contains(to)) {
+          hosts_[to].OnPeerUsage(std::to_string(from), process_[from], usage,
+                                 now_);
+        }
+      }
+    }
+  }
+
+  RoutingTable table_;
+  std::vector<Allotments> hosts_;
+  std::vector<std::uint64_t> process_;
+  std::set<std::size_t> group_;
+  std::vector<std::pair<MonotonicTime, double>> admitted_;
+  MonotonicTime now_{std::chrono::hours(1)};
+};
+
+// The rule of the users' pages: rate times window plus burst, a tenth over, and
+// a fixed slack.
+constexpr double kAllowed = (kRate * 8 + kBurst) * 1.1 + 140000;
+
+// Guards against a workspace that gets more than its limit because each host
+// admits on its own, also when hosts are cut off or restart.
+TEST_CASE("all hosts together stay within the limit") {
+  struct Row {
+    std::string name;
+    std::set<std::size_t> cut_off;
+    bool restarts;
+  };
+  for (const Row& row :
+       {Row{"connected", {}, false}, Row{"one cut off", {0}, false},
+        Row{"half cut off", {0, 1, 2, 3}, false}, Row{"restarts", {}, true}}) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      CAPTURE(row.name);
+      CAPTURE(seed);
+      Random random(seed);
+      Hosts hosts(9);
+      for (int step = 0; step < 3000; ++step) {
+        if (step == 1000) {
+          hosts.Partition(row.cut_off);
+        }
+        if (row.restarts && step % 400 == 399) {
+          hosts.Restart(random.NextBelow(9));
+        }
+        // About six times the limit is asked for, mostly of few hosts.
+        if (random.NextBool(0.3)) {
+          const std::size_t host =
+              random.NextBool(0.6) ? 0 : random.NextBelow(9);
+          hosts.Ask(host, 1000 + static_cast<double>(random.NextBelow(18000)));
+        }
+        hosts.Advance();
+      }
+      CHECK(hosts.LargestWindow() <= kAllowed);
+    }
+  }
+}
+
+// Guards against refusals below the limit: with one share a host, two large
+// requests once emptied the share of a host that others did not use.
+TEST_CASE("one host can use the whole limit") {
+  Hosts hosts(9);
+  double refused = 0;
+  for (int step = 0; step < 3000; ++step) {
+    // 40,000 of 50,000 units a second, in requests of 10,000.
+    if (step % 25 == 0 && step > 200 && !hosts.Ask(0, 10000)) {
+      refused += 10000;
+    }
+    hosts.Advance();
+  }
+  CHECK(refused / (refused + hosts.Total()) < 0.02);
+}
+
+// Guards against a caller that is told to come back before it can be served.
+TEST_CASE("the time until credit follows the debt") {
+  const RoutingTable table = TableWithLimit(1000, 1000);
+  const MonotonicTime now{std::chrono::hours(1)};
+  Allotments host(now);
+  host.SetLimits(table, now);
+  const WorkspaceEntry& workspace = table.workspaces[0];
+  CHECK(host.TimeUntilCredit(workspace, now) == milliseconds(0));
+  REQUIRE(host.TrySpend(workspace, 2500, now));
+  CHECK_FALSE(host.TrySpend(workspace, 1, now));
+  CHECK(host.TimeUntilCredit(workspace, now) == milliseconds(2000));
+  host.Refund(workspace, 2500);
+  CHECK(host.TrySpend(workspace, 1, now));
+}
+
+// Guards against a lowered limit that leaves the old stock.
+TEST_CASE("a lowered limit takes away the stock above it") {
+  const MonotonicTime now{std::chrono::hours(1)};
+  Allotments host(now);
+  host.SetLimits(TableWithLimit(100000, 100000), now);
+  const RoutingTable lower = TableWithLimit(10, 10);
+  host.SetLimits(lower, now);
+  REQUIRE(host.TrySpend(lower.workspaces[0], 11, now));
+  CHECK_FALSE(host.TrySpend(lower.workspaces[0], 1, now));
+}
+
+}  // namespace
+}  // namespace flamingogauge
--- /dev/null
+++ b/tests/auto/dispatching/tst_budgets.cc
@@ -0,0 +1,84 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+
+#include "libs/dispatching/crash_register.h"
+#include "libs/dispatching/drain_policy.h"
+#include "libs/dispatching/resend_budget.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against resends that make an overload worse: nine hosts together must
+// stay within the ratio and the allowance in each window.
+TEST_CASE("resends of all hosts stay within the fleet's budget") {
+  constexpr int kHosts = 9;
+  const ResendBudgetOptions options{
+      .ratio = 0.2, .shared_allowance = 58, .window = seconds(10)};
+  const MonotonicTime start{std::chrono::hours(1)};
+  int requests = 0;
+  int resends = 0;
+  for (int host = 0; host < kHosts; ++host) {
+    ResendBudget budget(options);
+    budget.SetHostCount(kHosts);
+    for (int n = 0; n < 100; ++n) {
+      const MonotonicTime now = start + milliseconds(n * 100);
+      budget.OnRequest("s", now);
+      ++requests;
+      resends += budget.TryResend("s", now) ? 1 : 0;
+    }
+  }
+  CHECK(resends <= options.ratio * requests + options.shared_allowance);
+  CHECK(resends > 0);
+}
+
+// Guards against a budget that stays spent.
+TEST_CASE("the budget returns after its window") {
+  ResendBudget budget({.ratio = 0, .shared_allowance = 2});
+  const MonotonicTime start{std::chrono::hours(1)};
+  CHECK(budget.TryResend("s", start));
+  CHECK_FALSE(budget.TryResend("s", start));
+  CHECK(budget.TryResend("other", start));
+  CHECK(budget.TryResend("s", start + seconds(11)));
+}
+
+// Guards against a request that crashes one upstream after the other.
+TEST_CASE("a request is refused after three upstreams broke under it") {
+  CrashRegister crashes;
+  const MonotonicTime now{std::chrono::hours(1)};
+  crashes.Add({.request = 7, .upstream = 1}, now);
+  crashes.Add({.request = 7, .upstream = 1}, now);
+  crashes.Add({.request = 7, .upstream = 2}, now);
+  CHECK_FALSE(crashes.IsRefused(7, now));
+  crashes.Add({.request = 7, .upstream = 3}, now);
+  CHECK(crashes.IsRefused(7, now));
+  CHECK_FALSE(crashes.IsRefused(8, now));
+  CHECK(crashes.Recent(now).size() == 3);
+  CHECK(crashes.Recent(now + seconds(6)).empty());
+  CHECK_FALSE(crashes.IsRefused(7, now + seconds(61)));
+}
+
+// Guards against requests that a stopping host takes and cannot finish.
+TEST_CASE("a stopping host takes what will end before it does") {
+  struct Row {
+    milliseconds elapsed;
+    milliseconds timeout;
+    bool takes;
+  };
+  const DrainPolicy policy;
+  for (const Row& row : {Row{milliseconds(0), milliseconds(15000), true},
+                         Row{milliseconds(2400), milliseconds(15000), true},
+                         Row{milliseconds(2600), milliseconds(15000), false},
+                         Row{milliseconds(2600), milliseconds(1200), true},
+                         Row{milliseconds(6000), milliseconds(1200), false}}) {
+    CAPTURE(row.elapsed.count());
+    CHECK(policy.Takes(row.elapsed, row.timeout) == row.takes);
+  }
+}
+
+}  // namespace
+}  // namespace flamingogauge
--- /dev/null
+++ b/tests/auto/dispatching/tst_dispatcher.cc
@@ -0,0 +1,150 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "libs/dispatching/dispatcher.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr MonotonicTime kStart{std::chrono::hours(1)};
+
+UpstreamEntry Upstream(const std::string& id,
+                       const std::string& data_centre = "near",
+                       int slots = 2) {
+  return {.id = id,
+          .service = "s",
+          .address = "10.0.0.1:1",
+          .data_centre = data_centre,
+          .slots = slots};
+}
+
+WaitingRequest Request(std::uint64_t id,
+                       int priority = 0,
+                       milliseconds target = seconds(1)) {
+  return {.id = id,
+          .service = "s",
+          .priority = priority,
+          .arrived_at = kStart,
+          .due_at = kStart + target,
+          .start_by = kStart + target * 4,
+          .deadline = kStart + seconds(15)};
+}
+
+Dispatcher MakeDispatcher(const std::vector<UpstreamEntry>& upstreams) {
+  Dispatcher dispatcher(
+      {.data_centre = "near",
+       .regions = {{"near", "a"}, {"next", "a"}, {"far", "b"}}});
+  dispatcher.SetUpstreams(upstreams, kStart);
+  return dispatcher;
+}
+
+std::string PlaceOne(Dispatcher& dispatcher,
+                     std::uint64_t id,
+                     MonotonicTime now = kStart) {
+  dispatcher.Enqueue(Request(id));
+  const std::vector<Placement> placements = dispatcher.Place(now);
+  return placements.empty() ? "" : placements[0].upstream.id;
+}
+
+// Guards against bytes over the paid link while a place nearby is free.
+TEST_CASE("near upstreams are used first, far ones when those are full") {
+  Dispatcher dispatcher =
+      MakeDispatcher({Upstream("far1", "far", 1), Upstream("near1", "near", 1),
+                      Upstream("next1", "next", 1)});
+  CHECK(PlaceOne(dispatcher, 1) == "near1");
+  CHECK(PlaceOne(dispatcher, 2) == "next1");
+  CHECK(PlaceOne(dispatcher, 3) == "far1");
+  CHECK(PlaceOne(dispatcher, 4).empty());
+  dispatcher.OnEnded("next1", DispatchResult::kServed, kStart);
+  CHECK(dispatcher.Place(kStart).size() == 1);
+}
+
+// Guards against more requests at an upstream than it runs at once: what other
+// hosts run there counts, until their report is too old.
+TEST_CASE("places that other hosts take are not free") {
+  Dispatcher dispatcher = MakeDispatcher({Upstream("a")});
+  dispatcher.OnPeerLoad("h2", {{PeerUpstreamKey("a"), 2}}, kStart);
+  CHECK(PlaceOne(dispatcher, 1).empty());
+  dispatcher.OnPeerLoad("h3", {}, kStart + seconds(2));
+  CHECK(dispatcher.Place(kStart + seconds(2)).size() == 1);
+}
+
+// Guards against head-of-line blocking: the order is by what can be on time,
+// then by priority, then by when it is due.
+TEST_CASE("waiting requests are placed in order of urgency") {
+  Dispatcher dispatcher = MakeDispatcher({Upstream("a", "near", 1)});
+  const MonotonicTime now = kStart + milliseconds(600);
+  dispatcher.Enqueue(Request(1, 0, milliseconds(500)));
+  dispatcher.Enqueue(Request(2, 2));
+  dispatcher.Enqueue(Request(3, 1));
+  dispatcher.Enqueue(Request(4, 1, milliseconds(900)));
+  std::vector<std::uint64_t> order;
+  for (int n = 0; n < 4; ++n) {
+    for (const Placement& it : dispatcher.Place(now)) {
+      order.push_back(it.request);
+    }
+    dispatcher.OnEnded("a", DispatchResult::kServed, now);
+  }
+  CHECK(order == std::vector<std::uint64_t>{4, 3, 2, 1});
+}
+
+// Guards against new work for an upstream that leaves, is gone, or whose
+// address another process has taken.
+TEST_CASE("leaving, lost and replaced upstreams get nothing") {
+  Dispatcher dispatcher = MakeDispatcher({Upstream("a")});
+  UpstreamEntry draining = Upstream("a");
+  draining.draining = true;
+  dispatcher.SetUpstreams({draining}, kStart);
+  CHECK(PlaceOne(dispatcher, 1).empty());
+  dispatcher.SetUpstreams({}, kStart);
+  CHECK(dispatcher.Place(kStart).empty());
+  dispatcher.SetUpstreams({Upstream("b")}, kStart);
+  CHECK(dispatcher.Place(kStart).size() == 1);
+  dispatcher.OnEnded("b", DispatchResult::kReplaced, kStart);
+  CHECK(PlaceOne(dispatcher, 2).empty());
+  UpstreamEntry restarted = Upstream("b");
+  restarted.started_at_ms = 5;
+  dispatcher.SetUpstreams({restarted}, kStart);
+  CHECK(dispatcher.Place(kStart).size() == 1);
+}
+
+// Guards against a crashed upstream that draws all requests because it looks
+// free, and against setting all of them aside.
+TEST_CASE("broken upstreams are avoided while another one is trusted") {
+  Dispatcher dispatcher =
+      MakeDispatcher({Upstream("a", "near", 1), Upstream("b", "far", 1)});
+  CHECK(PlaceOne(dispatcher, 1) == "a");
+  dispatcher.OnEnded("a", DispatchResult::kBroken, kStart);
+  CHECK(PlaceOne(dispatcher, 2) == "b");
+  CHECK(PlaceOne(dispatcher, 3).empty());
+  dispatcher.OnEnded("b", DispatchResult::kBroken, kStart);
+  CHECK(dispatcher.Place(kStart).size() == 1);
+}
+
+// Guards against slow upstreams that get the longest outputs, which then run
+// into their time limit.
+TEST_CASE("long outputs go to fast upstreams") {
+  Dispatcher dispatcher = MakeDispatcher(
+      {Upstream("fast", "near", 8), Upstream("slow", "near", 8)});
+  for (int n = 0; n < 20; ++n) {
+    dispatcher.OnPace("fast", milliseconds(15));
+    dispatcher.OnPace("slow", milliseconds(60));
+  }
+  for (std::uint64_t id = 1; id <= 7; ++id) {
+    WaitingRequest request = Request(id);
+    request.expected_output_tokens = 1500;
+    dispatcher.Enqueue(request);
+  }
+  for (const Placement& it : dispatcher.Place(kStart)) {
+    CHECK(it.upstream.id == "fast");
+  }
+}
+
+}  // namespace
+}  // namespace flamingogauge
