dispatching: let late requests wait only where room is left

Change: the expected wait of a late request is taken from the placements less the arrivals that can be on time.

--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -95,6 +95,9 @@
 }
 
 void Dispatcher::Enqueue(WaitingRequest request) {
+  if (request.due_at > request.arrived_at) {
+    throughput_[request.service].arrived_at.push_back(request.arrived_at);
+  }
   const std::uint64_t id = request.id;
   waiting_.insert_or_assign(id, std::move(request));
 }
@@ -243,15 +246,25 @@
   return same_region ? kOtherDataCentreCost : kOtherRegionCost;
 }
 
-double Dispatcher::PlacementsPerSecond(const std::string& service,
-                                       MonotonicTime now) {
-  std::deque<MonotonicTime>& placed_at = throughput_[service].placed_at;
-  while (!placed_at.empty() && now - placed_at.front() > kThroughputTime) {
-    placed_at.pop_front();
+double Dispatcher::PerSecond(std::deque<MonotonicTime>& times,
+                             MonotonicTime now) {
+  while (!times.empty() && now - times.front() > kThroughputTime) {
+    times.pop_front();
+  }
+  return static_cast<double>(times.size()) / Seconds(kThroughputTime);
+}
+
+Duration Dispatcher::ExpectedWait(const WaitingRequest& request,
+                                  double position,
+                                  MonotonicTime now) {
+  Throughput& throughput = throughput_[request.service];
+  double rate = PerSecond(throughput.placed_at, now);
+  if (request.due_at < now) {
+    rate -= PerSecond(throughput.arrived_at, now);
   }
-  return std::max(kMinPlacementsPerSecond,
-                  static_cast<double>(placed_at.size()) /
-                      Seconds(kThroughputTime));
+  const std::chrono::duration<double> wait(
+      (position + 1) / std::max(kMinPlacementsPerSecond, rate));
+  return std::chrono::duration_cast<Duration>(wait);
 }
 
 std::vector<Rejection> Dispatcher::Reject(MonotonicTime now) {
@@ -259,14 +272,9 @@
   std::map<std::string, double> ahead;
   for (const WaitingRequest* request : WaitingInOrder(now)) {
     double& position = ahead[request->service];
-    const double wait =
-        (position + 1) / PlacementsPerSecond(request->service, now);
     const bool is_new = assessed_.insert(request->id).second;
     std::optional<Rejection> rejection =
-        Assess(*request, is_new,
-               std::chrono::duration_cast<Duration>(
-                   std::chrono::duration<double>(wait)),
-               now);
+        Assess(*request, is_new, ExpectedWait(*request, position, now), now);
     if (rejection) {
       rejections.push_back(std::move(*rejection));
     } else {
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -89,13 +89,20 @@
     std::map<std::uint64_t, int> running;
   };
 
-  // Placements of one service in the last seconds.
+  // Arrivals and placements of one service in the last seconds.
   struct Throughput {
+    // Requests that could be on time when they arrived.
+    std::deque<MonotonicTime> arrived_at;
     std::deque<MonotonicTime> placed_at;
   };
 
   void ApplyPeerReports(MonotonicTime now);
-  double PlacementsPerSecond(const std::string& service, MonotonicTime now);
+  static double PerSecond(std::deque<MonotonicTime>& times, MonotonicTime now);
+  // How long the request at `position` will wait. A late one also waits for
+  // those that arrive meanwhile and can be on time.
+  Duration ExpectedWait(const WaitingRequest& request,
+                        double position,
+                        MonotonicTime now);
   std::optional<Rejection> Assess(const WaitingRequest& request,
                                   bool is_new,
                                   Duration expected_wait,
