tests: cover the gateway from callers' and upstreams' sockets

Change: tables of what two scripted upstreams answer and what a caller gets; a document that is taken away no longer ends the process, which a test found.

--- a/src/libs/kernel/event_log.cc
+++ b/src/libs/kernel/event_log.cc
@@ -35,11 +35,11 @@
       .count();
 }
 
-void WriteAll(std::string_view text) {
+void WriteAll(int output, std::string_view text) {
   while (!text.empty()) {
-    const ssize_t n = ::write(STDOUT_FILENO, text.data(), text.size());
+    const ssize_t n = ::write(output, text.data(), text.size());
     if (n <= 0) {
-      // Standard output is gone; there is nowhere left to report it.
+      // The output is gone; there is nowhere left to report it.
       return;
     }
     text.remove_prefix(static_cast<std::size_t>(n));
@@ -48,14 +48,14 @@
 
 // Writes whole lines, as many at once as a pipe takes without mixing them with
 // those of other writers.
-void WriteLines(std::string_view text) {
+void WriteLines(int output, std::string_view text) {
   while (!text.empty()) {
     std::size_t end = text.size();
     if (end > PIPE_BUF) {
       end = text.rfind('\n', PIPE_BUF - 1);
       end = end == std::string_view::npos ? text.find('\n') + 1 : end + 1;
     }
-    WriteAll(text.substr(0, end));
+    WriteAll(output, text.substr(0, end));
     text.remove_prefix(end);
   }
 }
@@ -152,7 +152,7 @@
     buffer_.clear();
     if (!text.empty()) {
       lock.unlock();
-      WriteLines(text);
+      WriteLines(options_.output, text);
       lock.lock();
     }
   }
--- a/src/libs/kernel/event_log.h
+++ b/src/libs/kernel/event_log.h
@@ -36,6 +36,8 @@
   std::size_t max_buffered_bytes = 256U << 10U;
   // Lines above this rate are dropped and counted.
   std::size_t max_lines_per_second = 400;
+  // The descriptor that lines are written to; standard output by default.
+  int output = 1;
   // How long a line may wait before it is written.
   std::chrono::milliseconds flush_interval{200};
 };
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -109,7 +109,7 @@
   const bool new_routing = context_.fleet.routing != snapshot.routing;
   const bool new_upstreams = context_.fleet.upstreams != snapshot.upstreams;
   context_.fleet = snapshot;
-  if (new_routing) {
+  if (new_routing && snapshot.routing) {
     context_.allotments.SetLimits(*snapshot.routing, now);
   }
   if (new_upstreams) {
--- /dev/null
+++ b/tests/auto/gateway/tst_answers.cc
@@ -0,0 +1,206 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "tests/auto/gateway/gateway_host.h"
+#include "tests/support/scripted_server.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+
+const std::string kNotRun =
+    "HTTP/1.1 503 Service Unavailable\r\nReq-Id: id-1\r\nNot-Run: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
+const std::string kMisdirected =
+    "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
+const std::string kFailure =
+    "HTTP/1.1 500 Internal Server Error\r\nReq-Id: id-1\r\nSeal: s9\r\n"
+    "Content-Length: 4\r\n\r\noops";
+const std::string kStreamHead =
+    "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nSeal: s1\r\n"
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string kReset = "reset";
+
+std::string Chunk(const std::string& text) {
+  return "5;x=y\r\n" + text.substr(0, 5) + "\r\n" + [&text] {
+    std::string size = "0";
+    const std::string rest = text.substr(5);
+    char buf[16];
+    std::snprintf(buf, sizeof(buf), "%zx", rest.size());
+    return std::string(buf) + "\r\n" + rest + "\r\n";
+  }();
+}
+
+// Answers the first request of a connection with `bytes` and closes it, by a
+// reset for kReset.
+ScriptedServer::Script AnswerOnce(const std::string& bytes) {
+  return [bytes](ScriptedConnection& connection) {
+    connection.ReadRequest();
+    if (bytes == kReset) {
+      connection.ResetOnClose();
+    } else {
+      connection.Write(bytes);
+    }
+  };
+}
+
+// Guards against answers that are not the upstream's, false promises that a
+// request did not run, and requests that run twice.
+TEST_CASE("an answer is passed on, replaced or tried elsewhere") {
+  struct Row {
+    std::string name;
+    std::string path;
+    // What the first and the second upstream answer.
+    std::string first;
+    std::string second;
+    int status;
+    std::string body;
+    bool complete;
+    std::size_t sends;
+  };
+  const std::string ok = UpstreamAnswer("ok");
+  const std::string cut =
+      "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nSeal: s\r\nContent-Length: "
+      "9\r\n\r\npart";
+  for (const Row& row : {
+           Row{"success", "/once/", ok, ok, 200, "ok", true, 1},
+           Row{"failure of its own", "/once/", kFailure, ok, 500, "oops", true,
+               1},
+           Row{"failure that may be tried again", "/again/", kFailure, ok, 200,
+               "ok", true, 2},
+           Row{"two failures", "/again/", kFailure, kFailure, 500, "oops",
+               true, 2},
+           Row{"refused, one dispatch", "/once/", kNotRun, ok, 503, "", true,
+               1},
+           Row{"refused, two dispatches", "/again/", kNotRun, ok, 200, "ok",
+               true, 2},
+           Row{"refused twice", "/again/", kNotRun, kNotRun, 503, "", true, 2},
+           Row{"another process there", "/again/", kMisdirected, ok, 200, "ok",
+               true, 2},
+           Row{"reset, at most once", "/once/", kReset, ok, 502, "", true, 1},
+           Row{"reset, idempotent", "/again/", kReset, ok, 200, "ok", true, 2},
+           Row{"reset, then refused", "/again/", kReset, kNotRun, 502, "",
+               true, 2},
+           Row{"cut short, at most once", "/once/", cut, ok, 502, "", true, 1},
+           Row{"cut short, idempotent", "/again/", cut, ok, 200, "ok", true,
+               2},
+           Row{"no seal", "/once/",
+               "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nContent-Length: "
+               "2\r\n\r\nok",
+               ok, 502, "", true, 1},
+           Row{"no id", "/once/",
+               "HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok", ok,
+               502, "", true, 1},
+           Row{"bytes that are no answer", "/once/", "garbage\r\n\r\n", ok,
+               502, "", true, 1},
+           Row{"an answer to another request before it", "/once/",
+               UpstreamAnswer("not mine", "id-0") + ok, ok, 200, "ok", true,
+               1},
+           Row{"only an answer to another request", "/once/",
+               UpstreamAnswer("not mine", "id-0"), ok, 502, "", true, 1},
+           Row{"interim answer", "/once/",
+               "HTTP/1.1 100 Continue\r\n\r\n" + ok, ok, 200, "ok", true, 1},
+           Row{"no length", "/once/",
+               "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nSeal: s\r\n\r\nuntil close",
+               ok, 200, "until close", true, 1},
+           Row{"stream", "/stream/",
+               kStreamHead + Chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n", ok,
+               200, "id: 1\ndata: a\n\n", true, 1},
+           Row{"stream cut short", "/stream/",
+               kStreamHead + Chunk("id: 1\ndata: a\n\n"), ok, 200,
+               "id: 1\ndata: a\n\n", false, 1},
+           Row{"stream that never began", "/stream/", kStreamHead, ok, 502, "",
+               true, 1},
+       }) {
+    CAPTURE(row.name);
+    ScriptedServer first({AnswerOnce(row.first)});
+    ScriptedServer second({AnswerOnce(row.second)});
+    GatewayHost host({first.address(), second.address()});
+    const TestAnswer answer = host.Ask("POST", row.path, "body");
+    CHECK(answer.status == row.status);
+    CHECK(answer.body == row.body);
+    CHECK(answer.complete == row.complete);
+    CHECK(first.Requests().size() + second.Requests().size() == row.sends);
+    CHECK(answer.headers.contains("retry-after") == (row.status == 503));
+    CHECK(answer.headers.contains("seal") ==
+          (row.status == 200 || row.status == 500));
+  }
+}
+
+// Guards against pieces that are missing, repeated or joined from two runs.
+TEST_CASE("a resumable stream goes on after its last whole event") {
+  std::string resumed;
+  ScriptedServer first({AnswerOnce(
+      kStreamHead + Chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"))});
+  ScriptedServer second({[&resumed](ScriptedConnection& connection) {
+    connection.ReadRequest();
+    resumed = connection.last_request();
+    connection.Write(kStreamHead + Chunk("id: 3\ndata: c\n\n") +
+                     "0\r\n\r\n");
+  }});
+  GatewayHost host({first.address(), second.address()});
+  const TestAnswer answer = host.Ask("POST", "/resume/", "body");
+  CHECK(answer.status == 200);
+  CHECK(answer.complete);
+  CHECK(answer.body ==
+        "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+  CHECK(resumed.find("Last-Event-ID: 2\r\n") != std::string::npos);
+  CHECK(resumed.find("For-Upstream: u1\r\n") != std::string::npos);
+}
+
+// Guards against a stream that seems complete although it was not resumed.
+TEST_CASE("a resumed stream that fails stays incomplete") {
+  ScriptedServer first(
+      {AnswerOnce(kStreamHead + Chunk("id: 1\ndata: a\n\n"))});
+  ScriptedServer second({AnswerOnce(kFailure)});
+  GatewayHost host({first.address(), second.address()});
+  const TestAnswer answer = host.Ask("POST", "/resume/", "body");
+  CHECK(answer.status == 200);
+  CHECK(answer.body == "id: 1\ndata: a\n\n");
+  CHECK_FALSE(answer.complete);
+}
+
+// Guards against bytes behind an answer that reach the next caller.
+TEST_CASE("extra bytes after an answer end the connection") {
+  const std::string extra = UpstreamAnswer("ok") + UpstreamAnswer("extra");
+  ScriptedServer upstream(
+      {[&extra](ScriptedConnection& connection) {
+         connection.ReadRequest();
+         connection.Write(extra);
+         connection.HoldOpen();
+       },
+       AnswerOnce(UpstreamAnswer("second"))});
+  GatewayHost host({upstream.address()});
+  CHECK(host.Ask("POST", "/once/", "a").body == "ok");
+  CHECK(host.Ask("POST", "/once/", "b").body == "second");
+}
+
+// Guards against callers that wait beyond the route's timeout.
+TEST_CASE("a silent upstream is answered for at the route's timeout") {
+  ScriptedServer upstream({[](ScriptedConnection& connection) {
+    connection.ReadRequest();
+    connection.HoldOpen();
+  }});
+  GatewayHost host({upstream.address()});
+  const auto start = std::chrono::steady_clock::now();
+  CHECK(host.Ask("POST", "/short/", "a").status == 504);
+  const auto took = std::chrono::steady_clock::now() - start;
+  CHECK(took >= milliseconds(290));
+}
+
+// Guards against a refused connection that counts as an attempt.
+TEST_CASE("a request that could not be sent goes elsewhere") {
+  ScriptedServer dead({});
+  const std::string dead_address = dead.address();
+  dead.StopListening();
+  ScriptedServer second({AnswerOnce(UpstreamAnswer("ok"))});
+  GatewayHost host({dead_address, second.address()});
+  CHECK(host.Ask("POST", "/once/", "a").status == 200);
+}
+
+}  // namespace
+}  // namespace flamingogauge
--- /dev/null
+++ b/tests/auto/gateway/tst_gateway_life.cc
@@ -0,0 +1,66 @@
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include "tests/auto/gateway/gateway_host.h"
+#include "tests/support/scripted_server.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against balancers that send callers to a host that cannot serve them.
+TEST_CASE("a host is ready only with a fresh document and upstreams") {
+  ScriptedServer upstream({});
+  GatewayHost without({});
+  CHECK(without.ReadyStatus() == 503);
+  GatewayHost host({upstream.address()});
+  CHECK(host.ReadyStatus() == 200);
+  host.Publish(TestRouting(), seconds(10));
+  CHECK(host.ReadyStatus() == 503);
+  host.Publish(nullptr);
+  CHECK(host.ReadyStatus() == 503);
+}
+
+// Guards against a planned stop that cuts a request, or leaves callers to find
+// out by a closed connection.
+TEST_CASE("a stop finishes what is in progress and tells callers") {
+  std::atomic<bool> release = false;
+  ScriptedServer upstream({[&release](ScriptedConnection& connection) {
+    connection.ReadRequest();
+    while (!release) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    connection.Write(UpstreamAnswer("late"));
+  }});
+  GatewayHost host({upstream.address()});
+  TestConnection busy(host.address());
+  busy.Send(FormatTestRequest("POST", "/once/", TestHeaders(), "a"));
+  TestConnection idle(host.address());
+  while (upstream.Requests().empty()) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  bool complete = false;
+  std::thread stopper([&host, &complete] {
+    complete = host.Shutdown(seconds(30));
+  });
+  while (host.ReadyStatus() == 200) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  release = true;
+  const TestAnswer answer = busy.ReadAnswer();
+  CHECK(answer.status == 200);
+  CHECK(answer.body == "late");
+  CHECK(answer.headers.at("connection") == "close");
+  stopper.join();
+  CHECK(complete);
+  CHECK(idle.ReadsEnd());
+}
+
+}  // namespace
+}  // namespace flamingogauge
--- /dev/null
+++ b/tests/auto/gateway/tst_host_report.cc
@@ -0,0 +1,40 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "plugins/gateway/host_report.h"
+
+namespace flamingogauge {
+namespace {
+
+// Guards against hosts that misread each other's load or usage.
+TEST_CASE("a report is read as it was written") {
+  const HostReport report{.host = "h1",
+                          .draining = true,
+                          .running = {{11, 3}, {12, 65535}},
+                          .process = 77,
+                          .usage = {{"acme", {.spent = 1e9, .credits = -5}}},
+                          .crashes = {{.request = 1, .upstream = 2}}};
+  const Result<HostReport> read = DecodeHostReport(EncodeHostReport(report));
+  REQUIRE(read);
+  CHECK(read.value().host == report.host);
+  CHECK(read.value().draining);
+  CHECK(read.value().running == report.running);
+  CHECK(read.value().process == report.process);
+  CHECK(read.value().usage.at("acme").spent == 1e9);
+  CHECK(read.value().usage.at("acme").credits == -5);
+  CHECK(read.value().crashes == report.crashes);
+}
+
+// Guards against a datagram from elsewhere that ends the process.
+TEST_CASE("other bytes are refused") {
+  const std::string whole = EncodeHostReport({.host = "h1"});
+  for (const std::string& bytes :
+       {std::string(), std::string("hello"), std::string(300, '\xff'),
+        whole.substr(0, whole.size() / 2)}) {
+    CHECK_FALSE(DecodeHostReport(bytes));
+  }
+}
+
+}  // namespace
+}  // namespace flamingogauge
--- a/tests/auto/upstreams/tst_service_faults.cc
+++ b/tests/auto/upstreams/tst_service_faults.cc
@@ -6,7 +6,7 @@
 
 #include "plugins/upstreams/curl_upstream_client.h"
 #include "tests/auto/upstreams/recording_observer.h"
-#include "tests/auto/upstreams/scripted_server.h"
+#include "tests/support/scripted_server.h"
 
 namespace flamingogauge {
 namespace {
--- a/tests/auto/upstreams/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -1,4 +1,4 @@
-#include "tests/auto/upstreams/scripted_server.h"
+#include "tests/support/scripted_server.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -29,6 +29,7 @@
                       : 0;
       if (buffer_.size() >= end + 4 + length) {
         std::string line = buffer_.substr(0, buffer_.find(" HTTP/"));
+        last_request_ = buffer_.substr(0, end + 4 + length);
         buffer_.erase(0, end + 4 + length);
         current_server->RecordRequest(line);
         return line;
--- a/tests/auto/upstreams/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -1,5 +1,5 @@
-#ifndef FLAMINGOGAUGE_TESTS_AUTO_UPSTREAMS_SCRIPTED_SERVER_H_
-#define FLAMINGOGAUGE_TESTS_AUTO_UPSTREAMS_SCRIPTED_SERVER_H_
+#ifndef FLAMINGOGAUGE_TESTS_SUPPORT_SCRIPTED_SERVER_H_
+#define FLAMINGOGAUGE_TESTS_SUPPORT_SCRIPTED_SERVER_H_
 
 #include <functional>
 #include <mutex>
@@ -17,6 +17,8 @@
 
   // Reads one request with its body; returns its first line, or "" at the end.
   std::string ReadRequest();
+  // The head and body of the request that was read last.
+  const std::string& last_request() const { return last_request_; }
   void Write(std::string_view bytes) const;
   // Waits until the client closes the connection or the server stops.
   void HoldOpen() const;
@@ -26,6 +28,7 @@
  private:
   int fd_;
   std::string buffer_;
+  std::string last_request_;
 };
 
 // A TCP server on a loopback port that the kernel chose. The n-th connection
@@ -62,4 +65,4 @@
 
 }  // namespace flamingogauge
 
-#endif  // FLAMINGOGAUGE_TESTS_AUTO_UPSTREAMS_SCRIPTED_SERVER_H_
+#endif  // FLAMINGOGAUGE_TESTS_SUPPORT_SCRIPTED_SERVER_H_
