tests: add a stand-in for the platform's store and tests on it

Change: tests/fakes/fake_object_store speaks objects, revisions, pages, watches, 410 and the conditions of changes, and can refuse, be silent or lose answers.

--- a/src/app/gateway_plugins.cc
+++ b/src/app/gateway_plugins.cc
@@ -22,8 +22,7 @@
   manager.Add(std::make_unique<TelemetryPlugin>(EventLogOptionsFromFlags()));
   manager.Add(std::make_unique<PlatformFleetPlugin>(
       PlatformFleetStoreOptionsFromFlags()));
-  manager.Add(
-      std::make_unique<DirectoryPlugin>(DirectorySettingsFromFlags()));
+  manager.Add(std::make_unique<DirectoryPlugin>(DirectorySettingsFromFlags()));
   manager.Add(std::make_unique<GatewayPlugin>(std::move(gateway)));
 }
 
--- a/src/libs/dispatching/allotments.cc
+++ b/src/libs/dispatching/allotments.cc
@@ -146,8 +146,7 @@
     return milliseconds(0);
   }
   Refill(it->second, now);
-  const double missing =
-      Unreported(workspace.name, now) - it->second.credits;
+  const double missing = Unreported(workspace.name, now) - it->second.credits;
   const double rate = it->second.rate * ReachablePart(now);
   const double wait = rate > 0 ? std::max(0.0, missing) / rate : 0;
   return std::min(kLongestWait,
--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -66,8 +66,9 @@
       known->second.SetEntry(it);
     }
   }
-  std::erase_if(upstreams_,
-                [&listed](const auto& it) { return !listed.contains(it.first); });
+  std::erase_if(upstreams_, [&listed](const auto& it) {
+    return !listed.contains(it.first);
+  });
   ApplyPeerReports(now);
 }
 
@@ -163,10 +164,9 @@
   const bool avoid_suspects = HasTrusted(request.service, now);
   for (auto& [id, state] : upstreams_) {
     const UpstreamEntry& entry = state.entry();
-    const bool excluded =
-        std::find(request.excluded_upstreams.begin(),
-                  request.excluded_upstreams.end(),
-                  id) != request.excluded_upstreams.end();
+    const bool excluded = std::find(request.excluded_upstreams.begin(),
+                                    request.excluded_upstreams.end(),
+                                    id) != request.excluded_upstreams.end();
     if (entry.service != request.service || entry.draining || excluded ||
         state.running() >= state.Limit() ||
         (avoid_suspects && state.IsSuspect(now))) {
@@ -181,17 +181,16 @@
   return best;
 }
 
-// While one upstream of the service is trusted, requests wait for it rather than
-// go to one that broke requests; if none is, all are tried.
+// While one upstream of the service is trusted, requests wait for it rather
+// than go to one that broke requests; if none is, all are tried.
 bool Dispatcher::HasTrusted(const std::string& service,
                             MonotonicTime now) const {
-  return std::any_of(upstreams_.begin(), upstreams_.end(),
-                     [&service, now](const auto& it) {
-                       const UpstreamEntry& entry = it.second.entry();
-                       return entry.service == service && !entry.draining &&
-                              it.second.Limit() > 0 &&
-                              !it.second.IsSuspect(now);
-                     });
+  return std::any_of(
+      upstreams_.begin(), upstreams_.end(), [&service, now](const auto& it) {
+        const UpstreamEntry& entry = it.second.entry();
+        return entry.service == service && !entry.draining &&
+               it.second.Limit() > 0 && !it.second.IsSuspect(now);
+      });
 }
 
 double Dispatcher::MeanPace(const std::string& service) const {
--- a/src/libs/http_framing/http_fields.cc
+++ b/src/libs/http_framing/http_fields.cc
@@ -9,9 +9,9 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> kHopByHop = {
-    "Connection",       "Keep-Alive",          "Proxy-Connection",
-    "Transfer-Encoding", "Content-Length",      "TE",
-    "Trailer",          "Upgrade",             "Expect"};
+    "Connection",        "Keep-Alive",     "Proxy-Connection",
+    "Transfer-Encoding", "Content-Length", "TE",
+    "Trailer",           "Upgrade",        "Expect"};
 
 int Lower(char c) {
   return std::tolower(static_cast<unsigned char>(c));
@@ -60,10 +60,9 @@
 }
 
 std::size_t HttpFields::Count(std::string_view name) const {
-  return static_cast<std::size_t>(
-      std::count_if(fields_.begin(), fields_.end(), [name](const HttpField& it) {
-        return EqualsIgnoreCase(it.name, name);
-      }));
+  return static_cast<std::size_t>(std::count_if(
+      fields_.begin(), fields_.end(),
+      [name](const HttpField& it) { return EqualsIgnoreCase(it.name, name); }));
 }
 
 bool HttpFields::HasToken(std::string_view name, std::string_view token) const {
--- a/src/libs/kernel/event_log.cc
+++ b/src/libs/kernel/event_log.cc
@@ -141,11 +141,11 @@
                              [this] { return stopping_; });
     last = stopping_;
     if (dropped_ != reported_dropped_) {
-      buffer_ += EventLine("log.dropped")
-                     .Number("lines",
-                             static_cast<std::int64_t>(dropped_ -
-                                                       reported_dropped_))
-                     .Take();
+      buffer_ +=
+          EventLine("log.dropped")
+              .Number("lines",
+                      static_cast<std::int64_t>(dropped_ - reported_dropped_))
+              .Take();
       reported_dropped_ = dropped_;
     }
     std::string text = std::move(buffer_);
--- a/src/libs/services/fleet_store.h
+++ b/src/libs/services/fleet_store.h
@@ -49,7 +49,9 @@
 
   // Lists the entries after the name `after`; empty begins at the first. A
   // list that may be stale is cheap and may be seconds old.
-  virtual void List(std::string after, bool may_be_stale, Callback callback) = 0;
+  virtual void List(std::string after,
+                    bool may_be_stale,
+                    Callback callback) = 0;
 
   // Waits for at most `wait` until something changes after `revision`.
   virtual void Watch(std::uint64_t revision,
--- a/src/plugins/directory/directory_plugin.cc
+++ b/src/plugins/directory/directory_plugin.cc
@@ -29,8 +29,7 @@
   return registry.Register<FleetSource>(kServiceName, this);
 }
 
-Result<void> DirectoryPlugin::ExtensionsInitialized(
-    ServiceRegistry& registry) {
+Result<void> DirectoryPlugin::ExtensionsInitialized(ServiceRegistry& registry) {
   Result<FleetStore*> store =
       registry.Find<FleetStore>(FleetStore::kServiceName);
   if (!store) {
@@ -46,9 +45,9 @@
 }
 
 void DirectoryPlugin::Subscribe(Listener listener) {
-  private_->worker = std::make_unique<DirectoryWorker>(
-      private_->settings, *private_->store, *private_->log,
-      std::move(listener));
+  private_->worker =
+      std::make_unique<DirectoryWorker>(private_->settings, *private_->store,
+                                        *private_->log, std::move(listener));
 }
 
 void DirectoryPlugin::OnHostSilent(const std::string& host) {
--- a/src/plugins/directory/directory_worker.cc
+++ b/src/plugins/directory/directory_worker.cc
@@ -61,16 +61,15 @@
     StartCalls(now);
     const Duration sleep = std::clamp<Duration>(NextWakeUp() - now,
                                                 milliseconds(0), kLongestSleep);
-    if (auto task =
-            ring_->PopUntil(std::chrono::steady_clock::now() + sleep)) {
+    if (auto task = ring_->PopUntil(std::chrono::steady_clock::now() + sleep)) {
       (*task)();
     }
   }
 }
 
 MonotonicTime DirectoryWorker::NextWakeUp() const {
-  MonotonicTime at = std::min({routing_.WakeAt(), upstreams_.WakeAt(),
-                               hosts_.WakeAt()});
+  MonotonicTime at =
+      std::min({routing_.WakeAt(), upstreams_.WakeAt(), hosts_.WakeAt()});
   if (!registered_ && !registering_) {
     at = std::min(at, register_at_);
   }
@@ -106,12 +105,11 @@
   auto done = [this, &follower, ring = ring_](Result<FleetPage<T>> answer) {
     auto shared = std::make_shared<Result<FleetPage<T>>>(std::move(answer));
     // A closed ring means that this object is going away.
-    if (!ring->TryPush([this, &follower, shared] {
-          OnAnswer(follower, *shared);
-        }) &&
+    if (!ring->TryPush(
+            [this, &follower, shared] { OnAnswer(follower, *shared); }) &&
         !ring->IsClosed()) {
-      log_.Write(EventLine("directory.dropped")
-                     .Text("reason", "the ring is full"));
+      log_.Write(
+          EventLine("directory.dropped").Text("reason", "the ring is full"));
     }
   };
   if (call->is_watch && !may_be_stale) {
@@ -154,14 +152,14 @@
 }
 
 void DirectoryWorker::LogRouting() {
-  log_.Write(EventLine("routing.applied")
-                 .Number("version",
-                         static_cast<std::int64_t>(snapshot_.routing->version))
-                 .Number("routes", static_cast<std::int64_t>(
-                                       snapshot_.routing->route_count()))
-                 .Number("workspaces",
-                         static_cast<std::int64_t>(
-                             snapshot_.routing->workspaces.size())));
+  log_.Write(
+      EventLine("routing.applied")
+          .Number("version",
+                  static_cast<std::int64_t>(snapshot_.routing->version))
+          .Number("routes",
+                  static_cast<std::int64_t>(snapshot_.routing->route_count()))
+          .Number("workspaces", static_cast<std::int64_t>(
+                                    snapshot_.routing->workspaces.size())));
 }
 
 void DirectoryWorker::LogStoreHealth(const Error* error) {
@@ -184,15 +182,16 @@
     return;
   }
   registering_ = true;
-  store_.RegisterHost(settings_.host, [this, ring = ring_](Result<void> result) {
+  store_.RegisterHost(settings_.host, [this,
+                                       ring = ring_](Result<void> result) {
     // A closed ring means that this object is going away.
     (void)ring->TryPush([this, result] {
       registering_ = false;
       registered_ = result.has_value();
       register_at_ = BootTimeNow() + kRegisterRetry;
-      log_.Write(EventLine("host.register")
-                     .Text("result", registered_ ? "done"
-                                                 : ToString(result.error())));
+      log_.Write(
+          EventLine("host.register")
+              .Text("result", registered_ ? "done" : ToString(result.error())));
     });
   });
 }
@@ -204,11 +203,11 @@
       return;
     }
     store_.RemoveHost(host, [this, host](Result<void> result) {
-      log_.Write(EventLine("host.removed")
-                     .Text("host", host)
-                     .Text("reason", "silent")
-                     .Text("result", result ? "done"
-                                            : ToString(result.error())));
+      log_.Write(
+          EventLine("host.removed")
+              .Text("host", host)
+              .Text("reason", "silent")
+              .Text("result", result ? "done" : ToString(result.error())));
     });
   });
 }
--- a/src/plugins/directory/directory_worker.h
+++ b/src/plugins/directory/directory_worker.h
@@ -46,8 +46,7 @@
                  bool may_be_stale,
                  MonotonicTime now);
   template <typename T>
-  void OnAnswer(TableFollower<T>& follower,
-                const Result<FleetPage<T>>& answer);
+  void OnAnswer(TableFollower<T>& follower, const Result<FleetPage<T>>& answer);
   void Register(MonotonicTime now);
   void Publish();
   void LogStoreHealth(const Error* error);
--- a/src/plugins/directory/table_follower.h
+++ b/src/plugins/directory/table_follower.h
@@ -64,16 +64,14 @@
   // When NextCall or RemoveMissing has something to do, unless an answer comes
   // first.
   MonotonicTime WakeAt() const {
-    MonotonicTime at =
-        in_flight_ ? MonotonicTime::max() : not_before_;
+    MonotonicTime at = in_flight_ ? MonotonicTime::max() : not_before_;
     return missing_.empty() ? at : std::min(at, missing_until_);
   }
 
   // Takes the answer to the call in flight. Returns true when entries changed.
   bool OnAnswer(const Result<FleetPage<T>>& answer, MonotonicTime now) {
     in_flight_ = false;
-    not_before_ =
-        std::max(now, call_started_at_ + options_.min_call_interval);
+    not_before_ = std::max(now, call_started_at_ + options_.min_call_interval);
     if (!answer) {
       OnFailure(answer.error(), now);
       return false;
--- a/src/plugins/gateway/endpoint.h
+++ b/src/plugins/gateway/endpoint.h
@@ -21,8 +21,7 @@
   const char* end = text.data() + text.size();
   const auto parsed = std::from_chars(begin, end, port);
   boost::system::error_code ec;
-  const auto address =
-      boost::asio::ip::make_address(text.substr(0, colon), ec);
+  const auto address = boost::asio::ip::make_address(text.substr(0, colon), ec);
   if (ec || parsed.ec != std::errc() || parsed.ptr != end) {
     return std::nullopt;
   }
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -35,9 +35,8 @@
   if (route.repeat_rule != RepeatRule::kStream) {
     return accepted.deadline;
   }
-  const milliseconds patience =
-      std::max({kMinStreamPatience, route.target_latency * 4,
-                route.max_event_gap * 8});
+  const milliseconds patience = std::max(
+      {kMinStreamPatience, route.target_latency * 4, route.max_event_gap * 8});
   return std::min(accepted.deadline, accepted.arrived_at + patience);
 }
 
@@ -63,12 +62,11 @@
       deadline_timer_(context.io) {}
 
 void Exchange::Start() {
-  session_->SetGoneHandler(
-      [weak = weak_from_this()] {
-        if (const auto self = weak.lock()) {
-          self->OnCallerGone();
-        }
-      });
+  session_->SetGoneHandler([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->OnCallerGone();
+    }
+  });
   deadline_timer_.expires_after(accepted_.deadline - BootTimeNow());
   deadline_timer_.async_wait(
       [weak = weak_from_this()](const boost::system::error_code& ec) {
@@ -87,11 +85,11 @@
   WaitingRequest waiting{
       .id = accepted_.id,
       .service = accepted_.service,
-      .priority = accepted_.workspace != nullptr &&
-                          accepted_.workspace->priority
-                      ? *accepted_.workspace->priority * kPriorityLevels +
-                            route.priority
-                      : route.priority,
+      .priority =
+          accepted_.workspace != nullptr && accepted_.workspace->priority
+              ? *accepted_.workspace->priority * kPriorityLevels +
+                    route.priority
+              : route.priority,
       .arrived_at = accepted_.arrived_at,
       .due_at = accepted_.due_at,
       .start_by = StartBy(route, accepted_),
@@ -149,9 +147,8 @@
           .Text("route", accepted_.route->name)
           .Text("upstream", upstream.id)
           .Number("send", sends_)
-          .Text("workspace", accepted_.workspace != nullptr
-                                 ? accepted_.workspace->name
-                                 : "")
+          .Text("workspace",
+                accepted_.workspace != nullptr ? accepted_.workspace->name : "")
           .Number("limit_units", static_cast<std::int64_t>(accepted_.spent))
           .Milliseconds("waited_ms", now - accepted_.arrived_at)
           .Number("routing_version",
@@ -188,8 +185,8 @@
   for (const HttpField& it : fields.all()) {
     AppendField(it.name, it.value, bytes);
   }
-  const auto left = std::chrono::duration_cast<milliseconds>(
-      accepted_.deadline - now);
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(accepted_.deadline - now);
   AppendField(names.time_limit_ms,
               std::to_string(std::max<std::int64_t>(1, left.count())), bytes);
   AppendField(names.expected_upstream, upstream.id, bytes);
@@ -214,8 +211,8 @@
 void Exchange::OnHead(const HttpResponseReader& reader) {
   const HttpResponseHead& head = reader.head();
   const RelayHeaderNames& names = context_.settings.headers;
-  not_executed_ = head.fields.Count(names.not_executed) > 0 ||
-                  head.status == kMisdirected;
+  not_executed_ =
+      head.fields.Count(names.not_executed) > 0 || head.status == kMisdirected;
   head_received_ = true;
   content_length_ = reader.content_length();
   has_body_ = reader.has_body();
@@ -277,8 +274,8 @@
   until_close_ = !length && has_body_ && old_caller;
   HttpFields fields = head_.fields;
   fields.RemoveHopByHop();
-  std::string bytes = "HTTP/1.1 " + std::to_string(head_.status) + " " +
-                      head_.reason + "\r\n";
+  std::string bytes =
+      "HTTP/1.1 " + std::to_string(head_.status) + " " + head_.reason + "\r\n";
   for (const HttpField& it : fields.all()) {
     AppendField(it.name, it.value, bytes);
   }
@@ -333,12 +330,11 @@
     context_.dispatcher.OnPace(upstream_.id, now - sent_at_);
   }
   EndDispatch(failed ? DispatchResult::kFailed : DispatchResult::kServed);
-  if (failed && TryAgain(true, "the upstream answered " +
-                                   std::to_string(head_.status))) {
+  if (failed &&
+      TryAgain(true, "the upstream answered " + std::to_string(head_.status))) {
     return;
   }
-  if (committed_ && IsStream() &&
-      (failed || splitter_.has_partial_event())) {
+  if (committed_ && IsStream() && (failed || splitter_.has_partial_event())) {
     // A stream that went on elsewhere failed there, or ended in an event.
     session_->Abort();
     Done("broken", head_.status, "the stream did not go on");
@@ -419,10 +415,9 @@
     return;
   }
   if (where == UpstreamBreak::kNoAnswer) {
-    context_.crashes.Add(
-        {.request = accepted_.fingerprint,
-         .upstream = PeerUpstreamKey(upstream_.id)},
-        BootTimeNow());
+    context_.crashes.Add({.request = accepted_.fingerprint,
+                          .upstream = PeerUpstreamKey(upstream_.id)},
+                         BootTimeNow());
   }
   if (TryAgain(true, reason)) {
     return;
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -100,8 +100,7 @@
   void ForwardStreamPart(std::string part);
   void MeasureEvents(const std::string& part, MonotonicTime now);
   void ReportPace(MonotonicTime now);
-  void Answer(int status,
-              std::optional<std::chrono::milliseconds> retry_after);
+  void Answer(int status, std::optional<std::chrono::milliseconds> retry_after);
   void Done(const std::string& outcome, int status, const std::string& reason);
   bool KeepsConnection() const;
 
--- a/src/plugins/gateway/gateway_settings.cc
+++ b/src/plugins/gateway/gateway_settings.cc
@@ -15,9 +15,7 @@
 DEFINE_string(gateway_status_address,
               "",
               "ip:port of readiness, metrics and the state dump");
-DEFINE_string(gateway_regions,
-              "",
-              "data-centre=region, separated by commas");
+DEFINE_string(gateway_regions, "", "data-centre=region, separated by commas");
 DEFINE_uint32(gateway_max_key_age_ms,
               3700,
               "greatest age of the routing document with which requests that "
@@ -94,8 +92,7 @@
        RangeOf("gateway_resend_window_s", settings.resend_window, 1, 3600),
        RangeOf("gateway_drain_time_limit_ms", settings.drain_time_limit, 0,
                600000),
-       RangeOf("gateway_drain_min_time_ms", settings.drain_min_time, 0,
-               600000),
+       RangeOf("gateway_drain_min_time_ms", settings.drain_min_time, 0, 600000),
        RangeOf("gateway_report_interval_ms", settings.report_interval, 20,
                60000)});
 }
--- a/src/plugins/gateway/http_acceptor.cc
+++ b/src/plugins/gateway/http_acceptor.cc
@@ -48,6 +48,14 @@
   return boost::outcome_v2::success();
 }
 
+std::string HttpAcceptor::address() const {
+  error_code ec;
+  const tcp::endpoint endpoint = acceptor_.local_endpoint(ec);
+  return ec ? ""
+            : endpoint.address().to_string() + ":" +
+                  std::to_string(endpoint.port());
+}
+
 void HttpAcceptor::Accept() {
   acceptor_.async_accept([this](const error_code& ec, tcp::socket socket) {
     if (ec == boost::asio::error::operation_aborted) {
--- a/src/plugins/gateway/http_acceptor.h
+++ b/src/plugins/gateway/http_acceptor.h
@@ -20,6 +20,8 @@
   HttpAcceptor(boost::asio::io_context& context, HttpRequestHandler& handler);
 
   Result<void> Listen(const std::string& address);
+  // The "ip:port" that is listened on; useful after port 0.
+  std::string address() const;
   // Takes no more connections.
   void Stop();
   // Closes the connections on which no request is in progress.
--- a/src/plugins/gateway/http_session.cc
+++ b/src/plugins/gateway/http_session.cc
@@ -152,8 +152,7 @@
   sending_.swap(unsent_);
   // Most answers fit into the socket's buffer at once.
   error_code ec;
-  const std::size_t n =
-      socket_.write_some(boost::asio::buffer(sending_), ec);
+  const std::size_t n = socket_.write_some(boost::asio::buffer(sending_), ec);
   if (!ec && n == sending_.size()) {
     OnWritten(ec);
     return;
@@ -165,12 +164,11 @@
     return;
   }
   sending_.erase(0, n);
-  boost::asio::async_write(
-      socket_, boost::asio::buffer(sending_),
-      [self = shared_from_this()](const error_code& write_ec,
-                                  std::size_t /*n*/) {
-        self->OnWritten(write_ec);
-      });
+  boost::asio::async_write(socket_, boost::asio::buffer(sending_),
+                           [self = shared_from_this()](
+                               const error_code& write_ec, std::size_t /*n*/) {
+                             self->OnWritten(write_ec);
+                           });
 }
 
 void HttpSession::OnWritten(const error_code& ec) {
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -62,10 +62,9 @@
     total += std::max(0.0, it.weight);
   }
   constexpr std::uint64_t kSteps = 1U << 20U;
-  double point = total *
-                 static_cast<double>(ComputeContentHash(request_id).low %
-                                     kSteps) /
-                 static_cast<double>(kSteps);
+  double point =
+      total * static_cast<double>(ComputeContentHash(request_id).low % kSteps) /
+      static_cast<double>(kSteps);
   for (const WeightedService& it : route.services) {
     point -= std::max(0.0, it.weight);
     if (point < 0) {
@@ -87,15 +86,15 @@
                .log = log,
                .metrics = metrics,
                .fleet = {},
-               .dispatcher = Dispatcher(
-                   {.data_centre = settings.data_centre,
-                    .regions = settings.regions,
-                    .seed = ComputeContentHash(settings.host).low}),
+               .dispatcher =
+                   Dispatcher({.data_centre = settings.data_centre,
+                               .regions = settings.regions,
+                               .seed = ComputeContentHash(settings.host).low}),
                .allotments = Allotments(BootTimeNow()),
-               .resends = ResendBudget(
-                   {.ratio = settings.resend_ratio,
-                    .shared_allowance = settings.resend_allowance,
-                    .window = settings.resend_window}),
+               .resends =
+                   ResendBudget({.ratio = settings.resend_ratio,
+                                 .shared_allowance = settings.resend_allowance,
+                                 .window = settings.resend_window}),
                .crashes = {},
                .connections =
                    UpstreamConnections(io, settings.headers.request_id),
@@ -328,10 +327,10 @@
     }
   }
   if (!context_.allotments.TrySpend(*workspace, amount, accepted.arrived_at)) {
-    return Denial{kTooManyRequests, "the workspace is over its limit",
-                  std::max(kMinRetryAfterLimit,
-                           context_.allotments.TimeUntilCredit(
-                               *workspace, accepted.arrived_at))};
+    return Denial{
+        kTooManyRequests, "the workspace is over its limit",
+        std::max(kMinRetryAfterLimit, context_.allotments.TimeUntilCredit(
+                                          *workspace, accepted.arrived_at))};
   }
   accepted.spent = amount;
   return std::nullopt;
@@ -360,12 +359,12 @@
   context_.metrics.Add("flamingogauge_requests_total",
                        Label("outcome", "denied"));
   const bool keep = accepted.request.keep_alive && !context_.draining;
-  session->Write(ComposeOwnAnswer({.status = denial.status,
-                                   .request_id_header =
-                                       context_.settings.headers.request_id,
-                                   .request_id = accepted.request_id,
-                                   .retry_after = denial.retry_after,
-                                   .keep = keep}));
+  session->Write(ComposeOwnAnswer(
+      {.status = denial.status,
+       .request_id_header = context_.settings.headers.request_id,
+       .request_id = accepted.request_id,
+       .retry_after = denial.retry_after,
+       .keep = keep}));
   session->Finish(keep);
 }
 
@@ -401,8 +400,7 @@
   const MonotonicTime now = BootTimeNow();
   std::string dump = "{\"draining\":";
   dump += context_.draining ? "true" : "false";
-  dump += ",\"waiting\":" +
-          std::to_string(context_.dispatcher.waiting_count());
+  dump += ",\"waiting\":" + std::to_string(context_.dispatcher.waiting_count());
   dump += ",\"upstreams\":{";
   bool first = true;
   for (const auto& [id, state] : context_.dispatcher.upstreams()) {
--- a/src/plugins/gateway/upstream_connection.cc
+++ b/src/plugins/gateway/upstream_connection.cc
@@ -226,8 +226,8 @@
   const HttpFields& fields = reader_->head().fields;
   const bool reusable = reader_->keep_alive() && request_written_ &&
                         !saw_foreign_answer_ && input_.empty();
-  const auto idle_time = std::chrono::duration_cast<Duration>(
-      IdleTime(fields) * kUsedIdlePart);
+  const auto idle_time =
+      std::chrono::duration_cast<Duration>(IdleTime(fields) * kUsedIdlePart);
   usable_until_ = BootTimeNow() + idle_time;
   request_.bytes.clear();
   if (!reusable) {
--- a/src/plugins/platform/http_object_store.h
+++ b/src/plugins/platform/http_object_store.h
@@ -4,9 +4,9 @@
 #include <string>
 #include <vector>
 
+#include "libs/http_client/http_loop.h"
 #include "libs/services/host_list.h"
 #include "libs/services/object_store.h"
-#include "libs/http_client/http_loop.h"
 #include "plugins/platform/platform_settings.h"
 
 namespace flamingogauge {
--- a/tests/auto/gateway/gateway_host.cc
+++ b/tests/auto/gateway/gateway_host.cc
@@ -104,7 +104,9 @@
   }
   void AboutToShutdown(std::function<void()> done) override { done(); }
   std::string DumpState() const override { return "{}"; }
-  void Subscribe(Listener listener) override { listener_ = std::move(listener); }
+  void Subscribe(Listener listener) override {
+    listener_ = std::move(listener);
+  }
   void OnHostSilent(const std::string& /*host*/) override {}
 
   void Publish(const FleetSnapshot& snapshot) { listener_(snapshot); }
@@ -173,8 +175,7 @@
 }
 
 std::vector<std::string> TestHeaders() {
-  return {"Req-Id: id-1", "Key: key-1",
-          "Limit-Ms: 4000"};
+  return {"Req-Id: id-1", "Key: key-1", "Limit-Ms: 4000"};
 }
 
 std::string UpstreamAnswer(const std::string& body,
--- a/tests/auto/gateway/tst_answers.cc
+++ b/tests/auto/gateway/tst_answers.cc
@@ -72,8 +72,8 @@
                1},
            Row{"failure that may be tried again", "/again/", kFailure, ok, 200,
                "ok", true, 2},
-           Row{"two failures", "/again/", kFailure, kFailure, 500, "oops",
-               true, 2},
+           Row{"two failures", "/again/", kFailure, kFailure, 500, "oops", true,
+               2},
            Row{"refused, one dispatch", "/once/", kNotRun, ok, 503, "", true,
                1},
            Row{"refused, two dispatches", "/again/", kNotRun, ok, 200, "ok",
@@ -83,11 +83,10 @@
                true, 2},
            Row{"reset, at most once", "/once/", kReset, ok, 502, "", true, 1},
            Row{"reset, idempotent", "/again/", kReset, ok, 200, "ok", true, 2},
-           Row{"reset, then refused", "/again/", kReset, kNotRun, 502, "",
-               true, 2},
-           Row{"cut short, at most once", "/once/", cut, ok, 502, "", true, 1},
-           Row{"cut short, idempotent", "/again/", cut, ok, 200, "ok", true,
+           Row{"reset, then refused", "/again/", kReset, kNotRun, 502, "", true,
                2},
+           Row{"cut short, at most once", "/once/", cut, ok, 502, "", true, 1},
+           Row{"cut short, idempotent", "/again/", cut, ok, 200, "ok", true, 2},
            Row{"no seal", "/once/",
                "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nContent-Length: "
                "2\r\n\r\nok",
@@ -95,21 +94,20 @@
            Row{"no id", "/once/",
                "HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok", ok,
                502, "", true, 1},
-           Row{"bytes that are no answer", "/once/", "garbage\r\n\r\n", ok,
-               502, "", true, 1},
+           Row{"bytes that are no answer", "/once/", "garbage\r\n\r\n", ok, 502,
+               "", true, 1},
            Row{"an answer to another request before it", "/once/",
-               UpstreamAnswer("not mine", "id-0") + ok, ok, 200, "ok", true,
-               1},
+               UpstreamAnswer("not mine", "id-0") + ok, ok, 200, "ok", true, 1},
            Row{"only an answer to another request", "/once/",
                UpstreamAnswer("not mine", "id-0"), ok, 502, "", true, 1},
-           Row{"interim answer", "/once/",
-               "HTTP/1.1 100 Continue\r\n\r\n" + ok, ok, 200, "ok", true, 1},
+           Row{"interim answer", "/once/", "HTTP/1.1 100 Continue\r\n\r\n" + ok,
+               ok, 200, "ok", true, 1},
            Row{"no length", "/once/",
                "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nSeal: s\r\n\r\nuntil close",
                ok, 200, "until close", true, 1},
            Row{"stream", "/stream/",
-               kStreamHead + Chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n", ok,
-               200, "id: 1\ndata: a\n\n", true, 1},
+               kStreamHead + Chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n", ok, 200,
+               "id: 1\ndata: a\n\n", true, 1},
            Row{"stream cut short", "/stream/",
                kStreamHead + Chunk("id: 1\ndata: a\n\n"), ok, 200,
                "id: 1\ndata: a\n\n", false, 1},
@@ -139,8 +137,7 @@
   ScriptedServer second({[&resumed](ScriptedConnection& connection) {
     connection.ReadRequest();
     resumed = connection.last_request();
-    connection.Write(kStreamHead + Chunk("id: 3\ndata: c\n\n") +
-                     "0\r\n\r\n");
+    connection.Write(kStreamHead + Chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
   }});
   GatewayHost host({first.address(), second.address()});
   const TestAnswer answer = host.Ask("POST", "/resume/", "body");
@@ -154,8 +151,7 @@
 
 // Guards against a stream that seems complete although it was not resumed.
 TEST_CASE("a resumed stream that fails stays incomplete") {
-  ScriptedServer first(
-      {AnswerOnce(kStreamHead + Chunk("id: 1\ndata: a\n\n"))});
+  ScriptedServer first({AnswerOnce(kStreamHead + Chunk("id: 1\ndata: a\n\n"))});
   ScriptedServer second({AnswerOnce(kFailure)});
   GatewayHost host({first.address(), second.address()});
   const TestAnswer answer = host.Ask("POST", "/resume/", "body");
@@ -167,13 +163,12 @@
 // Guards against bytes behind an answer that reach the next caller.
 TEST_CASE("extra bytes after an answer end the connection") {
   const std::string extra = UpstreamAnswer("ok") + UpstreamAnswer("extra");
-  ScriptedServer upstream(
-      {[&extra](ScriptedConnection& connection) {
-         connection.ReadRequest();
-         connection.Write(extra);
-         connection.HoldOpen();
-       },
-       AnswerOnce(UpstreamAnswer("second"))});
+  ScriptedServer upstream({[&extra](ScriptedConnection& connection) {
+                             connection.ReadRequest();
+                             connection.Write(extra);
+                             connection.HoldOpen();
+                           },
+                           AnswerOnce(UpstreamAnswer("second"))});
   GatewayHost host({upstream.address()});
   CHECK(host.Ask("POST", "/once/", "a").body == "ok");
   CHECK(host.Ask("POST", "/once/", "b").body == "second");
--- a/tests/auto/gateway/tst_gateway_life.cc
+++ b/tests/auto/gateway/tst_gateway_life.cc
@@ -46,9 +46,8 @@
     std::this_thread::sleep_for(milliseconds(1));
   }
   bool complete = false;
-  std::thread stopper([&host, &complete] {
-    complete = host.Shutdown(seconds(30));
-  });
+  std::thread stopper(
+      [&host, &complete] { complete = host.Shutdown(seconds(30)); });
   while (host.ReadyStatus() == 200) {
     std::this_thread::sleep_for(milliseconds(1));
   }
--- a/tests/auto/gateway/tst_requests.cc
+++ b/tests/auto/gateway/tst_requests.cc
@@ -35,7 +35,8 @@
 
 // Guards against requests that are changed on the way, against headers that
 // only hosts may set, and against a key that leaves the host.
-TEST_CASE("a request reaches the upstream unchanged but for the host's headers") {
+TEST_CASE(
+    "a request reaches the upstream unchanged but for the host's headers") {
   RecordingUpstream upstream;
   GatewayHost host({upstream.address()});
   TestConnection connection(host.address());
@@ -87,12 +88,11 @@
            Row{"no route, old", "/none/x", "key-1", milliseconds(3000), true,
                503},
            Row{"unknown key", "/once/x", "key-2", fresh, true, 401},
-           Row{"unknown key, old", "/once/x", "key-2", milliseconds(3000),
-               true, 503},
+           Row{"unknown key, old", "/once/x", "key-2", milliseconds(3000), true,
+               503},
            Row{"keys too old", "/once/x", "key-1", milliseconds(5000), true,
                503},
-           Row{"anonymous", "/open/x", "key-2", milliseconds(60000), true,
-               200},
+           Row{"anonymous", "/open/x", "key-2", milliseconds(60000), true, 200},
            Row{"no document", "/once/x", "key-1", fresh, false, 503},
        }) {
     CAPTURE(row.name);
@@ -101,8 +101,8 @@
     host.Publish(row.has_document ? TestRouting() : nullptr, row.age);
     TestConnection connection(host.address());
     connection.Send(FormatTestRequest(
-        "GET", row.path,
-        {"Req-Id: id-1", "Key: " + row.key, "Limit-Ms: 4000"}, ""));
+        "GET", row.path, {"Req-Id: id-1", "Key: " + row.key, "Limit-Ms: 4000"},
+        ""));
     const TestAnswer answer = connection.ReadAnswer();
     CHECK(answer.status == row.status);
     CHECK(answer.headers.contains("retry-after") == (row.status == 503));
@@ -115,11 +115,10 @@
   ScriptedServer upstream({[](ScriptedConnection& connection) {
     std::string line = connection.ReadRequest();
     while (!line.empty()) {
-      connection.Write(UpstreamAnswer(line, connection.last_request().find(
-                                                "Req-Id: a") !=
-                                                    std::string::npos
-                                                ? "a"
-                                                : "b"));
+      connection.Write(UpstreamAnswer(
+          line, connection.last_request().find("Req-Id: a") != std::string::npos
+                    ? "a"
+                    : "b"));
       line = connection.ReadRequest();
     }
   }});
@@ -148,7 +147,8 @@
   }
   CHECK_FALSE(ended);
   connection.Close();
-  const auto give_up = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  const auto give_up =
+      std::chrono::steady_clock::now() + std::chrono::seconds(10);
   while (!ended && std::chrono::steady_clock::now() < give_up) {
     std::this_thread::sleep_for(milliseconds(1));
   }
--- a/tests/auto/http_framing/tst_event_stream_splitter.cc
+++ b/tests/auto/http_framing/tst_event_stream_splitter.cc
@@ -20,8 +20,8 @@
   for (const Row& row : {
            Row{"whole", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
                "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "2", false},
-           Row{"cut in the id", "id: 1\ndata: a\n\nid: 12", "id: 1\ndata: a\n\n",
-               "1", true},
+           Row{"cut in the id", "id: 1\ndata: a\n\nid: 12",
+               "id: 1\ndata: a\n\n", "1", true},
            Row{"carriage returns", "id:7\r\ndata: a\r\n\r\n",
                "id:7\r\ndata: a\r\n\r\n", "7", false},
            Row{"line before the id", "weight-versions: 3\nid: 4\ndata: a\n\n",
--- a/tests/auto/http_framing/tst_http_request_reader.cc
+++ b/tests/auto/http_framing/tst_http_request_reader.cc
@@ -106,8 +106,9 @@
                "PUT", "/a", "abcde", true},
            Row{"unknown method", "BREW /pot HTTP/1.1\r\nHost: h\r\n\r\n",
                "BREW", "/pot", "", true},
-           Row{"closing", "GET /a HTTP/1.1\r\nHost: h\r\nConnection: "
-                          "close\r\n\r\n",
+           Row{"closing",
+               "GET /a HTTP/1.1\r\nHost: h\r\nConnection: "
+               "close\r\n\r\n",
                "GET", "/a", "", false},
            Row{"old version", "GET /a HTTP/1.0\r\n\r\n", "GET", "/a", "",
                false},
--- a/tests/auto/http_framing/tst_http_response_reader.cc
+++ b/tests/auto/http_framing/tst_http_response_reader.cc
@@ -8,8 +8,8 @@
 namespace {
 
 // Guards against an answer that is cut short and looks whole, and against whole
-// ones that are taken for spoiled: with a limit of none, the parser once refused
-// each answer with a length.
+// ones that are taken for spoiled: with a limit of none, the parser once
+// refused each answer with a length.
 TEST_CASE("answers are complete only with their whole body") {
   struct Row {
     std::string name;
--- /dev/null
+++ b/tests/auto/platform_adapter/tst_directory_on_store.cc
@@ -0,0 +1,134 @@
+#include <doctest/doctest.h>
+
+#include <fcntl.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <string>
+
+#include "libs/kernel/boot_clock.h"
+#include "platform/platform_fleet_store.h"
+#include "plugins/directory/directory_worker.h"
+#include "tests/fakes/fake_object_store/fake_object_store.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr seconds kTimeLimit{20};
+
+std::string Manifest(int version) {
+  return R"({"version":)" + std::to_string(version) + R"(,"routes":[]})";
+}
+
+std::string Upstream(const std::string& state) {
+  return R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":8,)"
+         R"("state":")" +
+         state + "\"}";
+}
+
+// A directory that follows a stand-in store.
+class Directory {
+ public:
+  explicit Directory(const FakeObjectStore& fake)
+      : store_(
+            {.address = fake.address(), .call_time_limit = milliseconds(200)}),
+        worker_({.host = {.name = "h1", .report_address = "10.0.0.1:1"},
+                 .routing_watch_wait = milliseconds(100),
+                 .upstreams_watch_wait = milliseconds(100)},
+                store_,
+                log_,
+                [this](const FleetSnapshot& snapshot) { Take(snapshot); }) {}
+
+  // Waits until a snapshot satisfies the condition.
+  bool WaitFor(const std::function<bool(const FleetSnapshot&)>& condition) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    return changed_.wait_for(
+        lock, kTimeLimit, [this, &condition] { return condition(snapshot_); });
+  }
+  FleetSnapshot snapshot() {
+    std::lock_guard<std::mutex> lock(mutex_);
+    return snapshot_;
+  }
+
+ private:
+  void Take(const FleetSnapshot& snapshot) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    snapshot_ = snapshot;
+    changed_.notify_all();
+  }
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  FleetSnapshot snapshot_;
+  EventLog log_{{.output = ::open("/dev/null", O_WRONLY)}};
+  PlatformFleetStore store_;
+  DirectoryWorker worker_;
+};
+
+bool HasVersion(const FleetSnapshot& snapshot, std::uint64_t version) {
+  return snapshot.routing && snapshot.routing->version == version;
+}
+
+// Guards against a host that keeps an old document or list after the store was
+// away, forgot its history, or lost answers.
+TEST_CASE("a directory catches up after each trouble of the store") {
+  for (const StoreFault fault :
+       {StoreFault::kUnavailable, StoreFault::kTooManyCalls,
+        StoreFault::kSilent, StoreFault::kLosesAnswers}) {
+    CAPTURE(static_cast<int>(fault));
+    FakeObjectStore fake;
+    fake.Put("config", "main", Manifest(1));
+    fake.Put("servers", "a", Upstream("ready"));
+    Directory directory(fake);
+    REQUIRE(directory.WaitFor([](const FleetSnapshot& it) {
+      return HasVersion(it, 1) && it.upstreams->size() == 1;
+    }));
+    fake.SetFault(fault);
+    fake.Put("config", "main", Manifest(2));
+    fake.Put("servers", "a", Upstream("draining"));
+    fake.Put("servers", "b", Upstream("ready"));
+    fake.Compact();
+    fake.SetFault(StoreFault::kNone);
+    CHECK(directory.WaitFor([](const FleetSnapshot& it) {
+      return HasVersion(it, 2) && it.upstreams->size() == 2 &&
+             it.upstreams->at(0).draining;
+    }));
+  }
+}
+
+// Guards against keys that are trusted although no read confirms them.
+TEST_CASE("the confirmation ages while the store does not answer") {
+  FakeObjectStore fake;
+  fake.Put("config", "main", Manifest(1));
+  Directory directory(fake);
+  REQUIRE(directory.WaitFor(
+      [](const FleetSnapshot& it) { return HasVersion(it, 1); }));
+  fake.SetFault(StoreFault::kUnavailable);
+  const MonotonicTime broken_at = BootTimeNow();
+  std::this_thread::sleep_for(milliseconds(500));
+  CHECK(directory.snapshot().routing_confirmed_at <= broken_at);
+  fake.SetFault(StoreFault::kNone);
+  CHECK(directory.WaitFor([broken_at](const FleetSnapshot& it) {
+    return it.routing_confirmed_at > broken_at;
+  }));
+}
+
+// Guards against other hosts that never hear of this one.
+TEST_CASE("a host registers itself, also when the store is away at the start") {
+  FakeObjectStore fake;
+  fake.SetFault(StoreFault::kUnavailable);
+  Directory directory(fake);
+  std::this_thread::sleep_for(milliseconds(100));
+  fake.SetFault(StoreFault::kNone);
+  CHECK(directory.WaitFor([](const FleetSnapshot& it) {
+    return it.hosts && it.hosts->size() == 1 && it.hosts->at(0).name == "h1";
+  }));
+}
+
+}  // namespace
+}  // namespace flamingogauge
--- a/tests/auto/routing/tst_routing_table.cc
+++ b/tests/auto/routing/tst_routing_table.cc
@@ -26,14 +26,12 @@
     const char* route;
   };
   const RoutingTable table = SampleTable();
-  for (const Row& row : {Row{"a.example", "/x/y/z", "two"},
-                         Row{"a.example:8080", "/x/y/", "two"},
-                         Row{"A.EXAMPLE", "/x/y", "one"},
-                         Row{"a.example", "/xy", "root"},
-                         Row{"b.example", "/x/", "other"},
-                         Row{"b.example", "/", ""},
-                         Row{"b.example", "", ""},
-                         Row{"c.example", "/x/", ""}}) {
+  for (const Row& row :
+       {Row{"a.example", "/x/y/z", "two"},
+        Row{"a.example:8080", "/x/y/", "two"}, Row{"A.EXAMPLE", "/x/y", "one"},
+        Row{"a.example", "/xy", "root"}, Row{"b.example", "/x/", "other"},
+        Row{"b.example", "/", ""}, Row{"b.example", "", ""},
+        Row{"c.example", "/x/", ""}}) {
     CAPTURE(row.host);
     CAPTURE(row.path);
     const Route* route = table.FindRoute(row.host, row.path);
