--- a/src/libs/dispatching/crash_register.h
+++ b/src/libs/dispatching/crash_register.h
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
+#include <tuple>
 #include <vector>
 
 #include "libs/kernel/time.h"
@@ -16,7 +16,11 @@
   std::uint64_t request = 0;
   std::uint64_t upstream = 0;
 
-  auto operator<=>(const CrashRecord&) const = default;
+  bool operator==(const CrashRecord&) const = default;
+  bool operator<(const CrashRecord& other) const {
+    return std::tie(request, upstream) <
+           std::tie(other.request, other.upstream);
+  }
 };
 
 // Remembers requests that broke several upstreams, on this host or on others,
