gateway: hold requests of the start; give each type one name

Change: requests wait for the document for at most a second after the start. HttpRequest, UpstreamState and DrainEvent stood for two types each and are renamed; lint fails when a type name is used twice (it listed these three).

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -9,6 +9,7 @@
   grep -v '\.capnp\.')
 clang-format --dry-run --Werror "${files[@]}"
 echo "format: ${#files[@]} files clean"
+python3 scripts/check_type_names.py
 
 # Only sources that the build compiles are linted; headers come with them.
 mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep '\.cc$' |
--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -58,10 +58,10 @@
     listed.insert(it.id);
     const auto known = upstreams_.find(it.id);
     if (known == upstreams_.end()) {
-      upstreams_.emplace(it.id, UpstreamState(it));
+      upstreams_.emplace(it.id, UpstreamView(it));
     } else if (known->second.entry().started_at_ms != it.started_at_ms ||
                known->second.entry().address != it.address) {
-      known->second = UpstreamState(it);
+      known->second = UpstreamView(it);
     } else {
       known->second.SetEntry(it);
     }
@@ -139,7 +139,7 @@
     if (full_services.contains(request->service)) {
       continue;
     }
-    UpstreamState* upstream = Choose(*request, now);
+    UpstreamView* upstream = Choose(*request, now);
     if (upstream == nullptr) {
       if (request->excluded_upstreams.empty()) {
         full_services.insert(request->service);
@@ -157,9 +157,9 @@
   return placements;
 }
 
-UpstreamState* Dispatcher::Choose(const WaitingRequest& request,
-                                  MonotonicTime now) {
-  UpstreamState* best = nullptr;
+UpstreamView* Dispatcher::Choose(const WaitingRequest& request,
+                                 MonotonicTime now) {
+  UpstreamView* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
   const bool avoid_suspects = HasTrusted(request.service, now);
   for (auto& [id, state] : upstreams_) {
@@ -205,7 +205,7 @@
   return count == 0 ? 0 : sum / count;
 }
 
-double Dispatcher::Cost(const UpstreamState& upstream,
+double Dispatcher::Cost(const UpstreamView& upstream,
                         const WaitingRequest& request,
                         MonotonicTime now) const {
   const double mean_pace = MeanPace(request.service);
@@ -226,7 +226,7 @@
   return cost;
 }
 
-double Dispatcher::OutputSeconds(const UpstreamState& upstream,
+double Dispatcher::OutputSeconds(const UpstreamView& upstream,
                                  const WaitingRequest& request) const {
   const double pace = upstream.pace_seconds() > 0 ? upstream.pace_seconds()
                                                   : MeanPace(request.service);
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -11,7 +11,7 @@
 #include <unordered_set>
 #include <vector>
 
-#include "libs/dispatching/upstream_state.h"
+#include "libs/dispatching/upstream_view.h"
 #include "libs/dispatching/waiting_request.h"
 #include "libs/fleet/upstream_entry.h"
 #include "libs/kernel/random.h"
@@ -79,7 +79,7 @@
   std::size_t waiting_count() const { return waiting_.size(); }
   // Requests of this host by PeerUpstreamKey, for the report to other hosts.
   std::map<std::uint64_t, int> OwnLoad() const;
-  const std::map<std::string, UpstreamState>& upstreams() const {
+  const std::map<std::string, UpstreamView>& upstreams() const {
     return upstreams_;
   }
 
@@ -109,20 +109,20 @@
                                   MonotonicTime now);
   std::vector<WaitingRequest*> WaitingInOrder(MonotonicTime now);
   bool HasTrusted(const std::string& service, MonotonicTime now) const;
-  UpstreamState* Choose(const WaitingRequest& request, MonotonicTime now);
+  UpstreamView* Choose(const WaitingRequest& request, MonotonicTime now);
   // The expected cost of a placement in seconds.
-  double Cost(const UpstreamState& upstream,
+  double Cost(const UpstreamView& upstream,
               const WaitingRequest& request,
               MonotonicTime now) const;
   double DistanceCost(const UpstreamEntry& upstream) const;
   double MeanPace(const std::string& service) const;
   // Seconds that the output takes there, by the caller's estimate.
-  double OutputSeconds(const UpstreamState& upstream,
+  double OutputSeconds(const UpstreamView& upstream,
                        const WaitingRequest& request) const;
 
   const DispatcherOptions options_;
   mutable Random random_;
-  std::map<std::string, UpstreamState> upstreams_;
+  std::map<std::string, UpstreamView> upstreams_;
   std::map<std::string, PeerReport> peers_;
   std::unordered_map<std::uint64_t, WaitingRequest> waiting_;
   // Waiting requests that Reject has looked at.
--- a/src/libs/dispatching/upstream_state.cc
+++ b/src/libs/dispatching/upstream_view.cc
@@ -1,4 +1,4 @@
-#include "libs/dispatching/upstream_state.h"
+#include "libs/dispatching/upstream_view.h"
 
 #include <algorithm>
 #include <cmath>
@@ -23,14 +23,14 @@
 
 }  // namespace
 
-int UpstreamState::Limit() const {
+int UpstreamView::Limit() const {
   if (replaced_) {
     return 0;
   }
   return broken_in_a_row_ > 0 ? 1 : entry_.slots;
 }
 
-void UpstreamState::OnSent(const WaitingRequest& request, MonotonicTime now) {
+void UpstreamView::OnSent(const WaitingRequest& request, MonotonicTime now) {
   ++own_running_;
   for (const PromptPart& it : request.prompt_parts) {
     parts_seen_[it.id] = now;
@@ -40,7 +40,7 @@
   }
 }
 
-void UpstreamState::OnEnded(DispatchResult result, MonotonicTime now) {
+void UpstreamView::OnEnded(DispatchResult result, MonotonicTime now) {
   own_running_ = std::max(0, own_running_ - 1);
   if (result == DispatchResult::kAbandoned ||
       result == DispatchResult::kRefused) {
@@ -67,14 +67,14 @@
   parts_seen_.clear();
 }
 
-void UpstreamState::OnPace(std::chrono::duration<double> pace) {
+void UpstreamView::OnPace(std::chrono::duration<double> pace) {
   pace_seconds_ = pace_seconds_ == 0 ? pace.count()
                                      : pace_seconds_ * (1 - kPaceWeight) +
                                            pace.count() * kPaceWeight;
 }
 
-double UpstreamState::CachedTokens(const WaitingRequest& request,
-                                   MonotonicTime now) const {
+double UpstreamView::CachedTokens(const WaitingRequest& request,
+                                  MonotonicTime now) const {
   double tokens = 0;
   for (const PromptPart& it : request.prompt_parts) {
     const auto seen = parts_seen_.find(it.id);
@@ -86,12 +86,12 @@
   return tokens;
 }
 
-double UpstreamState::FailureShare(MonotonicTime now) const {
+double UpstreamView::FailureShare(MonotonicTime now) const {
   const std::chrono::duration<double> age = now - failure_updated_;
   return failure_share_ * std::exp(-age.count() / kFailureFadeSeconds);
 }
 
-void UpstreamState::ForgetOldParts(MonotonicTime now) {
+void UpstreamView::ForgetOldParts(MonotonicTime now) {
   std::erase_if(parts_seen_, [now](const auto& it) {
     return now - it.second > kPartLifetime / 2;
   });
--- a/src/libs/dispatching/upstream_state.h
+++ b/src/libs/dispatching/upstream_view.h
@@ -1,5 +1,5 @@
-#ifndef FLAMINGOGAUGE_LIBS_DISPATCHING_UPSTREAM_STATE_H_
-#define FLAMINGOGAUGE_LIBS_DISPATCHING_UPSTREAM_STATE_H_
+#ifndef FLAMINGOGAUGE_LIBS_DISPATCHING_UPSTREAM_VIEW_H_
+#define FLAMINGOGAUGE_LIBS_DISPATCHING_UPSTREAM_VIEW_H_
 
 #include <chrono>
 #include <cstdint>
@@ -29,9 +29,9 @@
 
 // What one host knows of one upstream: its entry, what runs there, and how it
 // has answered.
-class UpstreamState {
+class UpstreamView {
  public:
-  explicit UpstreamState(UpstreamEntry entry) : entry_(std::move(entry)) {}
+  explicit UpstreamView(UpstreamEntry entry) : entry_(std::move(entry)) {}
 
   const UpstreamEntry& entry() const { return entry_; }
   // Takes a new entry of the same process.
@@ -79,4 +79,4 @@
 
 }  // namespace flamingogauge
 
-#endif  // FLAMINGOGAUGE_LIBS_DISPATCHING_UPSTREAM_STATE_H_
+#endif  // FLAMINGOGAUGE_LIBS_DISPATCHING_UPSTREAM_VIEW_H_
--- a/src/libs/http_framing/http_request_reader.cc
+++ b/src/libs/http_framing/http_request_reader.cc
@@ -40,7 +40,7 @@
 
 class HttpRequestReader::Parser final : public http::basic_parser<true> {
  public:
-  HttpRequest request;
+  ParsedRequest request;
   int refusal_status = 0;
   std::string refusal_reason;
 
@@ -185,7 +185,7 @@
   return parser_->request.fields.HasToken("Expect", "100-continue");
 }
 
-HttpRequest HttpRequestReader::Take() {
+ParsedRequest HttpRequestReader::Take() {
   parser_->request.keep_alive = parser_->keep_alive();
   return std::move(parser_->request);
 }
--- a/src/libs/http_framing/http_request_reader.h
+++ b/src/libs/http_framing/http_request_reader.h
@@ -11,7 +11,7 @@
 namespace flamingogauge {
 
 // A whole request. Method, target and body are as the sender wrote them.
-struct HttpRequest {
+struct ParsedRequest {
   std::string method;
   std::string target;
   HttpFields fields;
@@ -48,7 +48,7 @@
   bool expects_continue() const;
 
   // Call once, when complete.
-  HttpRequest Take();
+  ParsedRequest Take();
 
  private:
   class Parser;
--- a/src/plugins/claims/claim_events.h
+++ b/src/plugins/claims/claim_events.h
@@ -67,7 +67,7 @@
 struct SweepDeletedEvent {
   bool deleted;
 };
-struct DrainEvent {
+struct ClaimDrainEvent {
   std::function<void()> done;
 };
 
@@ -83,7 +83,7 @@
                                 SweepListedEvent,
                                 SweepReadEvent,
                                 SweepDeletedEvent,
-                                DrainEvent>;
+                                ClaimDrainEvent>;
 
 using ClaimEventRing = BoundedRing<ClaimEvent>;
 
--- a/src/plugins/claims/claims_plugin.cc
+++ b/src/plugins/claims/claims_plugin.cc
@@ -41,7 +41,7 @@
 }
 
 void ClaimsPlugin::AboutToShutdown(std::function<void()> done) {
-  worker_->Post(DrainEvent{.done = std::move(done)});
+  worker_->Post(ClaimDrainEvent{.done = std::move(done)});
 }
 
 std::string ClaimsPlugin::DumpState() const {
--- a/src/plugins/claims/claims_worker.cc
+++ b/src/plugins/claims/claims_worker.cc
@@ -347,7 +347,7 @@
                  });
 }
 
-void ClaimsWorker::Handle(DrainEvent& event, MonotonicTime /*now*/) {
+void ClaimsWorker::Handle(ClaimDrainEvent& event, MonotonicTime /*now*/) {
   drained_ = std::move(event.done);
   FinishDrainIfIdle();
 }
--- a/src/plugins/claims/claims_worker.h
+++ b/src/plugins/claims/claims_worker.h
@@ -100,7 +100,7 @@
   void Handle(SweepListedEvent& event, MonotonicTime now);
   void Handle(SweepReadEvent& event, MonotonicTime now);
   void Handle(SweepDeletedEvent& event, MonotonicTime now);
-  void Handle(DrainEvent& event, MonotonicTime now);
+  void Handle(ClaimDrainEvent& event, MonotonicTime now);
 
   void CarryOut(RequestId id, ClaimAttempt::Actions actions);
   void CarryOutOne(RequestId id, Entry& entry, ClaimAction& action);
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -163,7 +163,7 @@
 
 std::string Exchange::ComposeRequest(const UpstreamEntry& upstream,
                                      MonotonicTime now) const {
-  const HttpRequest& request = accepted_.request;
+  const ParsedRequest& request = accepted_.request;
   const RelayHeaderNames& names = context_.settings.headers;
   HttpFields fields = request.fields;
   const bool states_length = fields.Count("Content-Length") > 0 ||
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -24,7 +24,7 @@
 // A request that was accepted, with what was decided on arrival.
 struct AcceptedRequest {
   std::uint64_t id = 0;
-  HttpRequest request;
+  ParsedRequest request;
   MonotonicTime arrived_at;
   // Keeps `route` and `workspace` alive.
   std::shared_ptr<const RoutingTable> routing;
--- a/src/plugins/gateway/http_session.cc
+++ b/src/plugins/gateway/http_session.cc
@@ -122,7 +122,7 @@
   ++timer_setting_;
   receiving_ = false;
   answering_ = true;
-  HttpRequest request = reader_->Take();
+  ParsedRequest request = reader_->Take();
   reader_.reset();
   handler_.OnRequest(shared_from_this(), std::move(request), request_began_at_);
 }
--- a/src/plugins/gateway/http_session.h
+++ b/src/plugins/gateway/http_session.h
@@ -26,7 +26,7 @@
   // A whole request has arrived; its first byte was read at `arrived_at`. The
   // handler answers with the session's Write and Finish.
   virtual void OnRequest(const std::shared_ptr<HttpSession>& session,
-                         HttpRequest request,
+                         ParsedRequest request,
                          MonotonicTime arrived_at) = 0;
 
   // The bounds for the next request.
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -25,6 +25,8 @@
 constexpr milliseconds kRetryAfterStale{700};
 // Another host can take the request at once.
 constexpr milliseconds kRetryAfterDrain{50};
+// How long requests wait for the first document after the start.
+constexpr milliseconds kMaxStartTime{1000};
 constexpr milliseconds kMinRetryAfterLimit{500};
 constexpr std::size_t kMaxDumpedExchanges = 200;
 
@@ -100,8 +102,9 @@
                    UpstreamConnections(io, settings.headers.request_id),
                .schedule_placement = [this] { SchedulePlacement(); },
                .on_load_changed = std::move(on_load_changed)},
-      process_(static_cast<std::uint64_t>(
-          BootTimeNow().time_since_epoch().count())) {}
+      process_(
+          static_cast<std::uint64_t>(BootTimeNow().time_since_epoch().count())),
+      started_at_(BootTimeNow()) {}
 
 void Relay::OnFleet(const FleetSnapshot& snapshot) {
   const MonotonicTime now = BootTimeNow();
@@ -115,6 +118,26 @@
     context_.dispatcher.SetUpstreams(*snapshot.upstreams, now);
     SchedulePlacement();
   }
+  if (!IsStarting()) {
+    HandleEarly();
+  }
+}
+
+// Callers connect as soon as a restarted host listens; its first read of the
+// store takes a round trip more.
+bool Relay::IsStarting() const {
+  const bool knows_enough =
+      context_.fleet.routing && context_.dispatcher.HasAnyUpstream();
+  return !knows_enough && BootTimeNow() - started_at_ < kMaxStartTime;
+}
+
+void Relay::HandleEarly() {
+  for (EarlyRequest& it : std::exchange(early_requests_, {})) {
+    const std::shared_ptr<HttpSession> session = it.session.lock();
+    if (session && session->is_open()) {
+      Handle(session, std::move(it.request), it.arrived_at);
+    }
+  }
 }
 
 void Relay::OnReport(const HostReport& report) {
@@ -147,6 +170,9 @@
 
 void Relay::Tick() {
   const MonotonicTime now = BootTimeNow();
+  if (!early_requests_.empty() && !IsStarting()) {
+    HandleEarly();
+  }
   context_.connections.CloseExpired(now);
   if (context_.dispatcher.waiting_count() > 0) {
     SchedulePlacement();
@@ -190,8 +216,20 @@
 }
 
 void Relay::OnRequest(const std::shared_ptr<HttpSession>& session,
-                      HttpRequest request,
+                      ParsedRequest request,
                       MonotonicTime arrived_at) {
+  if (IsStarting()) {
+    early_requests_.push_back({.session = session,
+                               .request = std::move(request),
+                               .arrived_at = arrived_at});
+    return;
+  }
+  Handle(session, std::move(request), arrived_at);
+}
+
+void Relay::Handle(const std::shared_ptr<HttpSession>& session,
+                   ParsedRequest request,
+                   MonotonicTime arrived_at) {
   AcceptedRequest accepted{.id = next_id_++,
                            .request = std::move(request),
                            .arrived_at = arrived_at,
@@ -224,7 +262,7 @@
     return Denial{kServiceUnavailable, "no routing document yet",
                   kRetryAfterStale};
   }
-  const HttpRequest& request = accepted.request;
+  const ParsedRequest& request = accepted.request;
   const std::string* host = request.fields.Find("Host");
   const std::string path = request.target.substr(0, request.target.find('?'));
   accepted.route =
--- a/src/plugins/gateway/relay.h
+++ b/src/plugins/gateway/relay.h
@@ -44,18 +44,30 @@
   std::string DumpState() const;
 
   void OnRequest(const std::shared_ptr<HttpSession>& session,
-                 HttpRequest request,
+                 ParsedRequest request,
                  MonotonicTime arrived_at) override;
   CallerLimits Limits() const override;
   void OnRefused(int status, const std::string& reason) override;
 
  private:
+  // A request that arrived before this host knew routes and upstreams.
+  struct EarlyRequest {
+    std::weak_ptr<HttpSession> session;
+    ParsedRequest request;
+    MonotonicTime arrived_at;
+  };
   struct Denial {
     int status = 0;
     std::string reason;
     std::optional<std::chrono::milliseconds> retry_after;
   };
 
+  bool IsStarting() const;
+  // Handles the requests that came while the host was starting.
+  void HandleEarly();
+  void Handle(const std::shared_ptr<HttpSession>& session,
+              ParsedRequest request,
+              MonotonicTime arrived_at);
   std::optional<Denial> Accept(AcceptedRequest& accepted);
   std::optional<Denial> CheckKey(AcceptedRequest& accepted);
   std::optional<Denial> CheckLimit(AcceptedRequest& accepted);
@@ -71,6 +83,8 @@
   // Tells this process from an earlier one of the same host.
   const std::uint64_t process_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
+  const MonotonicTime started_at_;
+  std::vector<EarlyRequest> early_requests_;
   std::uint64_t next_id_ = 1;
   bool placement_scheduled_ = false;
   // The longest time that callers of a route have stated that they wait; one
--- a/src/plugins/gateway/status_handler.cc
+++ b/src/plugins/gateway/status_handler.cc
@@ -26,7 +26,7 @@
     : options_(std::move(options)) {}
 
 void StatusHandler::OnRequest(const std::shared_ptr<HttpSession>& session,
-                              HttpRequest request,
+                              ParsedRequest request,
                               MonotonicTime /*arrived_at*/) {
   const std::string path = request.target.substr(0, request.target.find('?'));
   if (path == options_.ready_path) {
--- a/src/plugins/gateway/status_handler.h
+++ b/src/plugins/gateway/status_handler.h
@@ -23,7 +23,7 @@
   explicit StatusHandler(StatusHandlerOptions options);
 
   void OnRequest(const std::shared_ptr<HttpSession>& session,
-                 HttpRequest request,
+                 ParsedRequest request,
                  MonotonicTime arrived_at) override;
   CallerLimits Limits() const override { return {}; }
   void OnRefused(int status, const std::string& reason) override;
--- a/tests/auto/gateway/gateway_host.cc
+++ b/tests/auto/gateway/gateway_host.cc
@@ -115,7 +115,8 @@
   Listener listener_;
 };
 
-GatewayHost::GatewayHost(const std::vector<std::string>& upstream_addresses)
+GatewayHost::GatewayHost(const std::vector<std::string>& upstream_addresses,
+                         bool publish)
     : upstreams_(std::make_shared<std::vector<UpstreamEntry>>()) {
   const GatewaySettings settings = TestSettings();
   address_ = settings.listen_address;
@@ -138,6 +139,9 @@
                            .data_centre = n == 0 ? "d1" : "d2",
                            .slots = 4});
   }
+  if (!publish) {
+    return;
+  }
   Publish(TestRouting());
   const auto give_up = std::chrono::steady_clock::now() + kReadyTimeLimit;
   while (!upstreams_->empty() && ReadyStatus() != 200 &&
--- a/tests/auto/gateway/gateway_host.h
+++ b/tests/auto/gateway/gateway_host.h
@@ -25,9 +25,10 @@
 // A gateway in this process, fed by the test instead of a directory.
 class GatewayHost {
  public:
-  // Starts with the document, and with an upstream "u0", "u1" and so on at each
-  // address.
-  explicit GatewayHost(const std::vector<std::string>& upstream_addresses);
+  // Starts with an upstream "u0", "u1" and so on at each address, and publishes
+  // the document unless told otherwise.
+  explicit GatewayHost(const std::vector<std::string>& upstream_addresses,
+                       bool publish = true);
   GatewayHost(const GatewayHost&) = delete;
   GatewayHost& operator=(const GatewayHost&) = delete;
   ~GatewayHost();
--- a/tests/auto/gateway/tst_gateway_life.cc
+++ b/tests/auto/gateway/tst_gateway_life.cc
@@ -27,6 +27,29 @@
   CHECK(host.ReadyStatus() == 503);
 }
 
+// Guards against refusals by a host that has just started: its callers connect
+// before its first read of the store is answered.
+TEST_CASE("requests that arrive during the start wait for the document") {
+  ScriptedServer upstream({[](ScriptedConnection& connection) {
+    connection.ReadRequest();
+    connection.Write(UpstreamAnswer("ok"));
+  }});
+  GatewayHost host({upstream.address()}, /*publish=*/false);
+  TestConnection connection(host.address());
+  connection.Send(FormatTestRequest("POST", "/once/", TestHeaders(), "a"));
+  std::this_thread::sleep_for(milliseconds(50));
+  host.Publish(TestRouting());
+  CHECK(connection.ReadAnswer().status == 200);
+}
+
+// Guards against callers that wait for a document that does not come.
+TEST_CASE("a host without a document refuses after its start") {
+  GatewayHost host({}, /*publish=*/false);
+  const TestAnswer answer = host.Ask("POST", "/once/", "a");
+  CHECK(answer.status == 503);
+  CHECK(answer.headers.contains("retry-after"));
+}
+
 // Guards against a planned stop that cuts a request, or leaves callers to find
 // out by a closed connection.
 TEST_CASE("a stop finishes what is in progress and tells callers") {
--- a/tests/auto/http_framing/tst_http_request_reader.cc
+++ b/tests/auto/http_framing/tst_http_request_reader.cc
@@ -119,7 +119,7 @@
       HttpRequestReader reader({});
       CHECK(FeedInPieces(reader, row.text, piece) == row.text.size());
       REQUIRE(reader.complete());
-      const HttpRequest request = reader.Take();
+      const ParsedRequest request = reader.Take();
       CHECK(request.method == row.method);
       CHECK(request.target == row.target);
       CHECK(request.body == row.body);
--- a/tests/fakes/fake_object_store/fake_object_store.cc
+++ b/tests/fakes/fake_object_store/fake_object_store.cc
@@ -116,7 +116,7 @@
                          const std::string& name) const;
 
   void OnRequest(const std::shared_ptr<HttpSession>& session,
-                 HttpRequest request,
+                 ParsedRequest request,
                  MonotonicTime arrived_at) override;
   CallerLimits Limits() const override { return {}; }
   void OnRefused(int /*status*/, const std::string& /*reason*/) override {}
@@ -141,7 +141,7 @@
   void Watch(const std::shared_ptr<HttpSession>& session,
              const StoreCall& call);
   void Change(const std::shared_ptr<HttpSession>& session,
-              const HttpRequest& request,
+              const ParsedRequest& request,
               const StoreCall& call);
   std::string EventsAfter(const std::string& kind,
                           std::uint64_t after,
@@ -188,7 +188,7 @@
 
 void FakeObjectStore::Server::OnRequest(
     const std::shared_ptr<HttpSession>& session,
-    HttpRequest request,
+    ParsedRequest request,
     MonotonicTime /*arrived_at*/) {
   ++calls;
   if (fault == StoreFault::kSilent) {
@@ -339,7 +339,7 @@
 
 void FakeObjectStore::Server::Change(
     const std::shared_ptr<HttpSession>& session,
-    const HttpRequest& request,
+    const ParsedRequest& request,
     const StoreCall& call) {
   if (request.method == "DELETE") {
     Answer(session, Remove(call.kind, call.name) ? 200 : 404, "{}");
