commandline: explain a request from its logs; write the platform's pages

Cause: an engineer had to search several logs by hand; the pages described the program without its gateway.

--- a/src/app/gateway_plugins.cc
+++ b/src/app/gateway_plugins.cc
@@ -15,6 +15,18 @@
   return !GatewaySettingsFromFlags().listen_address.empty();
 }
 
+Result<void> CheckGatewayPlugins() {
+  Result<void> checked =
+      CheckPlatformFleetStoreOptions(PlatformFleetStoreOptionsFromFlags());
+  if (checked) {
+    checked = CheckDirectorySettings(DirectorySettingsFromFlags());
+  }
+  if (checked) {
+    checked = CheckGatewaySettings(GatewaySettingsFromFlags());
+  }
+  return checked;
+}
+
 void AddGatewayPlugins(PluginManager& manager) {
   GatewaySettings gateway = GatewaySettingsFromFlags();
   gateway.headers = PlatformHeaderNames();
--- a/src/app/gateway_plugins.h
+++ b/src/app/gateway_plugins.h
@@ -9,6 +9,10 @@
 // that holds the routing document and the list of upstreams.
 bool IsGatewayConfigured();
 
+// Checks the settings of such a host; the error names the flag, its value and
+// what is allowed.
+Result<void> CheckGatewayPlugins();
+
 // Adds the plugins of such a host.
 void AddGatewayPlugins(PluginManager& manager);
 
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -1,20 +1,27 @@
 #include <cstdio>
+#include <iostream>
 #include <string>
 #include <vector>
 
 #include "app/flag_reader.h"
+#include "app/gateway_plugins.h"
 #include "app/serve_command.h"
 #include "libs/commandline/client_command.h"
+#include "libs/commandline/explain_request.h"
 #include "libs/kernel/log.h"
 
 namespace {
 
+constexpr int kFailed = 1;
 constexpr int kUsageError = 2;
 
 constexpr char kUsage[] =
     "usage: flamingogauge <command> [flags]\n"
     "\n"
     "  serve             runs an entry host; --embedded runs one alone\n"
+    "  check-settings    checks the flags of serve without starting it\n"
+    "  explain ID        tells the life of a request from structured logs on\n"
+    "                    standard input\n"
     "  version           prints the version\n"
     "  help              prints this text and the flags of serve\n"
     "\n"
@@ -28,6 +35,35 @@
   return 0;
 }
 
+int Explain(int argc, char** argv) {
+  if (argc != 3) {
+    std::fputs("usage: flamingogauge explain ID < LOGS\n", stderr);
+    return kUsageError;
+  }
+  const std::string story = flamingogauge::ExplainRequest(std::cin, argv[2]);
+  if (story.empty()) {
+    std::fprintf(stderr, "flamingogauge: no line names the request %s\n",
+                 argv[2]);
+    return kFailed;
+  }
+  std::fputs(story.c_str(), stdout);
+  return 0;
+}
+
+int CheckSettings(const std::vector<std::string>& arguments) {
+  flamingogauge::Result<void> checked = flamingogauge::ReadFlags(arguments);
+  if (checked && flamingogauge::IsGatewayConfigured()) {
+    checked = flamingogauge::CheckGatewayPlugins();
+  }
+  if (!checked) {
+    std::fprintf(stderr, "flamingogauge: %s\n",
+                 ToString(checked.error()).c_str());
+    return kUsageError;
+  }
+  std::puts("the settings are in order");
+  return 0;
+}
+
 int Serve(const std::vector<std::string>& arguments) {
   const flamingogauge::Result<void> read = flamingogauge::ReadFlags(arguments);
   if (!read) {
@@ -45,6 +81,12 @@
   if (command == "serve") {
     return Serve({argv + 2, argv + argc});
   }
+  if (command == "check-settings") {
+    return CheckSettings({argv + 2, argv + argc});
+  }
+  if (command == "explain") {
+    return Explain(argc, argv);
+  }
   if (command == "version") {
     std::puts("flamingogauge 0.1.0");
     return 0;
--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -10,10 +10,12 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include "app/gateway_plugins.h"
 #include "libs/kernel/log.h"
 #include "libs/kernel/plugin_manager.h"
+#include "libs/services/event_log_service.h"
 #include "libs/services/membership_view.h"
 #include "libs/services/request_intake.h"
 #include "plugins/callers/callers_plugin.h"
@@ -111,6 +113,13 @@
   manager.Add(std::make_unique<OperatorsPlugin>(operators));
 }
 
+// Writes to the structured log, on hosts that keep one.
+void WriteEvent(PluginManager& manager, EventLine line) {
+  if (auto log = manager.registry().Find<EventLog>(kEventLogService)) {
+    log.value()->Write(std::move(line));
+  }
+}
+
 // Drains in a second thread, so that a second signal can end the process.
 bool Drain(PluginManager& manager, const sigset_t& signals) {
   std::atomic<bool> done = false;
@@ -156,9 +165,14 @@
     sigwait(&signals, &number);
     if (number == SIGHUP) {
       Log().Info("SIGHUP: settings are read at the start only");
+      WriteEvent(manager, EventLine("process.reload")
+                              .Text("result",
+                                    "unchanged: settings are read "
+                                    "at the start only"));
     }
   } while (number == SIGHUP);
   Log().Info("signal " + std::to_string(number) + ": draining");
+  WriteEvent(manager, EventLine("process.stopping").Number("signal", number));
   // Readiness ends before the first plugin drains.
   if (auto intake =
           manager.registry().Find<RequestIntake>(RequestIntake::kServiceName)) {
--- a/src/libs/commandline/client_command.h
+++ b/src/libs/commandline/client_command.h
@@ -12,7 +12,7 @@
 
 // Runs a command for operators; `argv[0]` is the program and `argv[1]` the
 // command. Results go to standard output and errors to standard error. Returns
-// the exit status, see docs/operations.md.
+// the exit status, see docs/OPERATIONS.md.
 int RunClientCommand(int argc, char** argv);
 
 // One line for each command, for the program's help.
--- a/src/libs/commandline/document_commands.cc
+++ b/src/libs/commandline/document_commands.cc
@@ -45,7 +45,7 @@
   if (!document.is_object() || !document.contains(section)) {
     return ReportError(kFailed,
                        "the document has no section " + section +
-                           "; sections are named in docs/operations.md");
+                           "; sections are named in docs/OPERATIONS.md");
   }
   std::puts(document[section].dump(2).c_str());
   return kDone;
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -381,6 +381,9 @@
   line.Text("request", accepted.request_id)
       .Number("status", denial.status)
       .Text("reason", denial.reason);
+  if (accepted.route != nullptr) {
+    line.Text("route", accepted.route->name);
+  }
   if (accepted.routing) {
     line.Number("routing_version",
                 static_cast<std::int64_t>(accepted.routing->version))
--- /dev/null
+++ b/tests/auto/commandline/tst_explain_request.cc
@@ -0,0 +1,35 @@
+#include <doctest/doctest.h>
+
+#include <sstream>
+#include <string>
+
+#include "libs/commandline/explain_request.h"
+
+namespace flamingogauge {
+namespace {
+
+// Guards against a story in which lines are missing, foreign or out of order.
+TEST_CASE("the lines of one request are told in order of time") {
+  std::istringstream logs(
+      "h2 {\"event\":\"request.ended\",\"unix_ms\":1250,\"request\":\"a1\","
+      "\"status\":502,\"reason\":\"Connection reset by peer\"}\n"
+      "not a structured line a1\n"
+      "h2 {\"event\":\"request.sent\",\"unix_ms\":1200,\"request\":\"a1\","
+      "\"upstream\":\"u7\",\"send\":1}\n"
+      "h2 {\"event\":\"request.sent\",\"unix_ms\":1100,\"request\":\"b2\","
+      "\"reason\":\"a1\"}\n"
+      "h2 {\"event\":\"request.sent\",\"unix_ms\":1100,\"request\":\"a1\n");
+  CHECK(ExplainRequest(logs, "a1") ==
+        "+0 ms  h2 request.sent  send=1  upstream=u7\n"
+        "+50 ms  h2 request.ended  reason=Connection reset by peer  "
+        "status=502\n");
+}
+
+// Guards against an empty story that looks like an explanation.
+TEST_CASE("a request that no line names has no story") {
+  std::istringstream logs("{\"event\":\"process.started\",\"unix_ms\":1}\n");
+  CHECK(ExplainRequest(logs, "a1").empty());
+}
+
+}  // namespace
+}  // namespace flamingogauge
