directory: watch the document in short steps, the upstreams in long ones

Change: the document's watch waits 0.8 s, that of the upstreams 2.5 s, which a silent connection of the store allows; documents of 3.8 s are served.

--- a/src/plugins/directory/directory_settings.cc
+++ b/src/plugins/directory/directory_settings.cc
@@ -11,10 +11,10 @@
               "ip:port at which this host exchanges load reports with others "
               "over UDP");
 DEFINE_uint32(directory_routing_watch_wait_ms,
-              1200,
+              800,
               "how long a watch of the routing document waits, in ms");
 DEFINE_uint32(directory_upstreams_watch_wait_ms,
-              1500,
+              2500,
               "how long a watch of the list of upstreams waits, in ms");
 DEFINE_uint32(directory_hosts_interval_ms,
               3000,
--- a/src/plugins/directory/directory_settings.h
+++ b/src/plugins/directory/directory_settings.h
@@ -14,8 +14,8 @@
   HostEntry host;
   // How long a watch of the routing document waits. Twice this, and the time
   // of a call, is the greatest age of a confirmation in normal operation.
-  std::chrono::milliseconds routing_watch_wait{1200};
-  std::chrono::milliseconds upstreams_watch_wait{1500};
+  std::chrono::milliseconds routing_watch_wait{800};
+  std::chrono::milliseconds upstreams_watch_wait{2500};
   // The time between two reads of the list of hosts.
   std::chrono::milliseconds hosts_interval{3000};
 };
--- a/src/plugins/gateway/gateway_settings.cc
+++ b/src/plugins/gateway/gateway_settings.cc
@@ -17,7 +17,7 @@
               "ip:port of readiness, metrics and the state dump");
 DEFINE_string(gateway_regions, "", "data-centre=region, separated by commas");
 DEFINE_uint32(gateway_max_key_age_ms,
-              3700,
+              3800,
               "greatest age of the routing document with which requests that "
               "need a key are served, in ms");
 DEFINE_double(gateway_resend_ratio,
--- a/src/plugins/gateway/gateway_settings.h
+++ b/src/plugins/gateway/gateway_settings.h
@@ -26,8 +26,9 @@
   std::string ready_path;
 
   // The greatest age of the routing document with which requests that need a
-  // key are served.
-  std::chrono::milliseconds max_key_age{3700};
+  // key are served. Keys must stop to work 5 s after they are taken away, and a
+  // watch may miss the changes of its last second.
+  std::chrono::milliseconds max_key_age{3800};
   // Resends for each request of a service, and for all hosts besides, in
   // resend_window.
   double resend_ratio = 0.2;
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -21,7 +21,8 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 // With an older routing document, an unknown route or key may be a new one.
-constexpr milliseconds kMaxAgeForDenial{2500};
+// Two watches without a change take most of this.
+constexpr milliseconds kMaxAgeForDenial{2200};
 constexpr milliseconds kRetryAfterStale{700};
 // Another host can take the request at once.
 constexpr milliseconds kRetryAfterDrain{50};
