--- a/src/plugins/directory/directory_worker.cc
+++ b/src/plugins/directory/directory_worker.cc
@@ -182,8 +182,8 @@
     return;
   }
   registering_ = true;
-  store_.RegisterHost(settings_.host, [this,
-                                       ring = ring_](Result<void> result) {
+  store_.RegisterHost(settings_.host, [this, ring = ring_](
+                                          const Result<void>& result) {
     // A closed ring means that this object is going away.
     (void)ring->TryPush([this, result] {
       registering_ = false;
@@ -202,7 +202,7 @@
         host == settings_.host.name) {
       return;
     }
-    store_.RemoveHost(host, [this, host](Result<void> result) {
+    store_.RemoveHost(host, [this, host](const Result<void>& result) {
       log_.Write(
           EventLine("host.removed")
               .Text("host", host)
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -275,7 +275,7 @@
     }
     return Denial{kNotFound, "no route", std::nullopt};
   }
-  if (const std::optional<Denial> denial = CheckKey(accepted)) {
+  if (std::optional<Denial> denial = CheckKey(accepted)) {
     return denial;
   }
   const DrainPolicy drain{.time_limit = context_.settings.drain_time_limit};
--- a/tests/auto/gateway/gateway_host.cc
+++ b/tests/auto/gateway/gateway_host.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <stdexcept>
 #include <thread>
 #include <utility>
 
@@ -28,8 +29,10 @@
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof(address);
   auto* generic = reinterpret_cast<sockaddr*>(&address);
-  ::bind(fd, generic, size);
-  ::getsockname(fd, generic, &size);
+  if (::bind(fd, generic, size) != 0 ||
+      ::getsockname(fd, generic, &size) != 0) {
+    throw std::runtime_error("no free port");
+  }
   ::close(fd);
   return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
 }
