gateway: notice connections that go silent

Cause: a connection that something between the ends has lost track of shows no reset; requests on it waited for their time limit. Change: TCP_USER_TIMEOUT and keep-alive probes on connections to upstreams (2 s, 1 s) and of callers (6 s, 5 s).

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -14,6 +14,6 @@
 # Only sources that the build compiles are linted; headers come with them.
 mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep '\.cc$' |
   grep -v 'easylogging\.cc$')
-printf '%s\0' "${sources[@]}" |
-  xargs -0 -n 4 -P "$jobs" clang-tidy --quiet -p build/dev 2>/dev/null
+printf '%s\n' "${sources[@]}" |
+  python3 scripts/run_clang_tidy.py build/dev "$jobs"
 echo "lint: ${#sources[@]} files clean"
--- a/src/plugins/gateway/http_session.cc
+++ b/src/plugins/gateway/http_session.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "libs/kernel/boot_clock.h"
+#include "plugins/gateway/socket_options.h"
 
 namespace flamingogauge {
 namespace {
@@ -23,6 +24,9 @@
 // How long a closed connection still reads, so that the last answer is not
 // lost by a reset.
 constexpr milliseconds kLingerTime{1000};
+// Callers on a poor link are given longer than upstreams.
+constexpr milliseconds kCallerSilence{6000};
+constexpr std::chrono::seconds kCallerProbeInterval{5};
 constexpr int kRequestTimeout = 408;
 
 // Each thread that serves sessions reads into one buffer.
@@ -40,9 +44,8 @@
       limits_(handler.Limits()) {}
 
 void HttpSession::Start() {
-  error_code ec;
-  socket_.non_blocking(true, ec);
-  socket_.set_option(tcp::no_delay(true), ec);
+  ConfigureSocket(socket_, {.unacknowledged_limit = kCallerSilence,
+                            .probe_interval = kCallerProbeInterval});
   SetTimer(limits_.idle_timeout);
   WaitForInput();
 }
--- a/src/plugins/gateway/upstream_connection.cc
+++ b/src/plugins/gateway/upstream_connection.cc
@@ -9,6 +9,7 @@
 
 #include "libs/kernel/boot_clock.h"
 #include "plugins/gateway/endpoint.h"
+#include "plugins/gateway/socket_options.h"
 
 namespace flamingogauge {
 namespace {
@@ -102,9 +103,7 @@
           return;
         }
         self->connected_ = true;
-        error_code option_ec;
-        self->socket_.non_blocking(true, option_ec);
-        self->socket_.set_option(tcp::no_delay(true), option_ec);
+        ConfigureSocket(self->socket_, {});
         self->WriteRequest();
         self->WaitForInput();
       });
