--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -253,12 +253,13 @@
   return static_cast<double>(times.size()) / Seconds(kThroughputTime);
 }
 
-Duration Dispatcher::ExpectedWait(const WaitingRequest& request,
+Duration Dispatcher::ExpectedWait(const std::string& service,
+                                  bool is_late,
                                   double position,
                                   MonotonicTime now) {
-  Throughput& throughput = throughput_[request.service];
+  Throughput& throughput = throughput_[service];
   double rate = PerSecond(throughput.placed_at, now);
-  if (request.due_at < now) {
+  if (is_late) {
     rate -= PerSecond(throughput.arrived_at, now);
   }
   const std::chrono::duration<double> wait(
@@ -273,7 +274,7 @@
     double& position = ahead[request->service];
     const bool is_new = assessed_.insert(request->id).second;
     std::optional<Rejection> rejection =
-        Assess(*request, is_new, ExpectedWait(*request, position, now), now);
+        Assess(*request, is_new, position, now);
     if (rejection) {
       rejections.push_back(std::move(*rejection));
     } else {
@@ -291,8 +292,10 @@
 // has become late waits on only if it can start before its caller leaves.
 std::optional<Rejection> Dispatcher::Assess(const WaitingRequest& request,
                                             bool is_new,
-                                            Duration expected_wait,
+                                            double position,
                                             MonotonicTime now) {
+  const Duration expected_wait =
+      ExpectedWait(request.service, request.due_at < now, position, now);
   const MonotonicTime expected_start = now + expected_wait + kFirstEventTime;
   const bool arrived_late = request.due_at <= request.arrived_at;
   const MonotonicTime wanted =
@@ -300,9 +303,12 @@
   if (expected_start <= wanted && now + kFirstEventTime < request.start_by) {
     return std::nullopt;
   }
+  // When the caller comes back, its request is late.
+  const Duration wait_of_return =
+      ExpectedWait(request.service, true, position, now);
   const double spread = 1 + random_.NextDouble() * kRetryAfterSpread;
   const auto retry_after = milliseconds(
-      static_cast<std::int64_t>(Seconds(expected_wait) * 1000 * spread));
+      static_cast<std::int64_t>(Seconds(wait_of_return) * 1000 * spread));
   return Rejection{
       .request = request.id,
       .retry_after = std::clamp(retry_after, kMinRetryAfter, kMaxRetryAfter),
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -98,14 +98,15 @@
 
   void ApplyPeerReports(MonotonicTime now);
   static double PerSecond(std::deque<MonotonicTime>& times, MonotonicTime now);
-  // How long the request at `position` will wait. A late one also waits for
-  // those that arrive meanwhile and can be on time.
-  Duration ExpectedWait(const WaitingRequest& request,
+  // How long a request at `position` of its service will wait. A late one also
+  // waits for those that arrive meanwhile and can be on time.
+  Duration ExpectedWait(const std::string& service,
+                        bool is_late,
                         double position,
                         MonotonicTime now);
   std::optional<Rejection> Assess(const WaitingRequest& request,
                                   bool is_new,
-                                  Duration expected_wait,
+                                  double position,
                                   MonotonicTime now);
   std::vector<WaitingRequest*> WaitingInOrder(MonotonicTime now);
   bool HasTrusted(const std::string& service, MonotonicTime now) const;
