gateway: share phrases and the read buffer, drop unused functions

Cause: ReasonPhrase stood three times, the read buffer twice; four functions had no caller; idle connections to upstreams that are gone were kept until they expired. Change: one copy each; connections to addresses that are not listed are closed; gauges for waiting requests, requests in progress, the document's age and opened connections.

--- a/src/libs/commandline/explain_request.cc
+++ b/src/libs/commandline/explain_request.cc
@@ -42,7 +42,8 @@
     if (!fields.is_object() || fields.value("request", "") != request) {
       continue;
     }
-    lines.push_back({.unix_ms = fields.value("unix_ms", std::int64_t{0}),
+    const std::int64_t unix_ms = fields.value("unix_ms", std::int64_t{0});
+    lines.push_back({.unix_ms = unix_ms,
                      .source = text.substr(0, begin),
                      .fields = std::move(fields)});
   }
--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -332,22 +332,10 @@
   }
 }
 
-bool Dispatcher::HasUpstreams(const std::string& service) const {
-  return std::any_of(upstreams_.begin(), upstreams_.end(),
-                     [&service](const auto& it) {
-                       return it.second.entry().service == service;
-                     });
-}
-
 bool Dispatcher::HasAnyUpstream() const {
   return !upstreams_.empty();
 }
 
-bool Dispatcher::IsUsable(const std::string& upstream) const {
-  const auto it = upstreams_.find(upstream);
-  return it != upstreams_.end() && !it->second.entry().draining;
-}
-
 std::map<std::uint64_t, int> Dispatcher::OwnLoad() const {
   std::map<std::uint64_t, int> load;
   for (const auto& [id, state] : upstreams_) {
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -72,10 +72,7 @@
                MonotonicTime now);
   void OnPace(const std::string& upstream, std::chrono::duration<double> pace);
 
-  bool HasUpstreams(const std::string& service) const;
   bool HasAnyUpstream() const;
-  // True while the upstream is listed and not leaving.
-  bool IsUsable(const std::string& upstream) const;
   std::size_t waiting_count() const { return waiting_.size(); }
   // Requests of this host by PeerUpstreamKey, for the report to other hosts.
   std::map<std::uint64_t, int> OwnLoad() const;
--- a/src/libs/http_server/http_exchange.cc
+++ b/src/libs/http_server/http_exchange.cc
@@ -4,44 +4,12 @@
 #include <cstdio>
 #include <utility>
 
+#include "libs/http_framing/reason_phrase.h"
 #include "libs/http_server/http_connection.h"
 
 namespace flamingogauge {
 namespace {
 
-std::string_view ReasonPhrase(int status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 400:
-      return "Bad Request";
-    case 401:
-      return "Unauthorized";
-    case 404:
-      return "Not Found";
-    case 405:
-      return "Method Not Allowed";
-    case 408:
-      return "Request Timeout";
-    case 409:
-      return "Conflict";
-    case 413:
-      return "Content Too Large";
-    case 422:
-      return "Unprocessable Content";
-    case 429:
-      return "Too Many Requests";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Status";
-  }
-}
-
 // A header value with a line break would forge further headers.
 std::string WithoutLineBreaks(std::string_view value) {
   std::string text(value);
--- a/src/plugins/directory/table_follower.h
+++ b/src/plugins/directory/table_follower.h
@@ -107,8 +107,6 @@
   }
 
   const Entries& entries() const { return entries_; }
-  // True once a whole list has been read.
-  bool is_listed() const { return was_listed_; }
   // When the newest call whose answer is contained in entries() was sent.
   MonotonicTime confirmed_at() const { return confirmed_at_; }
   // True while the store does not answer.
--- a/src/plugins/gateway/http_acceptor.cc
+++ b/src/plugins/gateway/http_acceptor.cc
@@ -99,9 +99,4 @@
   std::erase_if(sessions_, [](const auto& it) { return it.expired(); });
 }
 
-std::size_t HttpAcceptor::session_count() {
-  ForgetClosed();
-  return sessions_.size();
-}
-
 }  // namespace flamingogauge
--- a/src/plugins/gateway/http_acceptor.h
+++ b/src/plugins/gateway/http_acceptor.h
@@ -26,7 +26,6 @@
   void Stop();
   // Closes the connections on which no request is in progress.
   void CloseIdle();
-  std::size_t session_count();
 
  private:
   void Accept();
--- a/src/plugins/gateway/http_session.cc
+++ b/src/plugins/gateway/http_session.cc
@@ -3,10 +3,11 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
-#include <array>
 #include <utility>
 
+#include "libs/http_framing/reason_phrase.h"
 #include "libs/kernel/boot_clock.h"
+#include "plugins/gateway/read_buffer.h"
 #include "plugins/gateway/socket_options.h"
 
 namespace flamingogauge {
@@ -16,7 +17,6 @@
 using boost::system::error_code;
 using std::chrono::milliseconds;
 
-constexpr std::size_t kReadBytes = 65536;
 // Input behind a request that is being answered; more is read after it.
 constexpr std::size_t kMaxPipelinedBytes = 65536;
 // Unsent bytes above which no more of an answer is read from the upstream.
@@ -29,12 +29,6 @@
 constexpr std::chrono::seconds kCallerProbeInterval{5};
 constexpr int kRequestTimeout = 408;
 
-// Each thread that serves sessions reads into one buffer.
-std::array<char, kReadBytes>& ReadBuffer() {
-  thread_local std::array<char, kReadBytes> buf;
-  return buf;
-}
-
 }  // namespace
 
 HttpSession::HttpSession(tcp::socket socket, HttpRequestHandler& handler)
@@ -132,8 +126,9 @@
 
 void HttpSession::RefuseRequest(int status, const std::string& reason) {
   handler_.OnRefused(status, reason);
-  Write("HTTP/1.1 " + std::to_string(status) +
-        " Refused\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+  Write("HTTP/1.1 " + std::to_string(status) + " " +
+        std::string(ReasonPhrase(status)) +
+        "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
   receiving_ = false;
   answering_ = true;
   Finish(false);
--- a/src/plugins/gateway/own_answer.cc
+++ b/src/plugins/gateway/own_answer.cc
@@ -2,32 +2,13 @@
 
 #include <array>
 #include <cstdio>
-#include <string_view>
 
 #include "libs/http_framing/http_fields.h"
+#include "libs/http_framing/reason_phrase.h"
 
 namespace flamingogauge {
 namespace {
 
-std::string_view ReasonPhrase(int status) {
-  switch (status) {
-    case 401:
-      return "Unauthorized";
-    case 404:
-      return "Not Found";
-    case 429:
-      return "Too Many Requests";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Refused";
-  }
-}
-
 std::string FormatSeconds(std::chrono::milliseconds time) {
   std::array<char, 32> buf{};
   std::snprintf(buf.data(), buf.size(), "%.3f",
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <set>
 #include <utility>
 
 #include "libs/dispatching/drain_policy.h"
@@ -105,7 +106,22 @@
                .on_load_changed = std::move(on_load_changed)},
       process_(
           static_cast<std::uint64_t>(BootTimeNow().time_since_epoch().count())),
-      started_at_(BootTimeNow()) {}
+      started_at_(BootTimeNow()) {
+  metrics.SetGauge("flamingogauge_waiting_requests", [this] {
+    return static_cast<double>(context_.dispatcher.waiting_count());
+  });
+  metrics.SetGauge("flamingogauge_requests_in_progress",
+                   [this] { return static_cast<double>(exchanges_.size()); });
+  metrics.SetGauge("flamingogauge_routing_age_seconds", [this] {
+    return context_.fleet.routing
+               ? std::chrono::duration<double>(RoutingAge(BootTimeNow()))
+                     .count()
+               : -1;
+  });
+  metrics.SetGauge("flamingogauge_upstream_connections_opened", [this] {
+    return static_cast<double>(context_.connections.opened());
+  });
+}
 
 void Relay::OnFleet(const FleetSnapshot& snapshot) {
   const MonotonicTime now = BootTimeNow();
@@ -117,6 +133,11 @@
   }
   if (new_upstreams) {
     context_.dispatcher.SetUpstreams(*snapshot.upstreams, now);
+    std::set<std::string> addresses;
+    for (const UpstreamEntry& it : *snapshot.upstreams) {
+      addresses.insert(it.address);
+    }
+    context_.connections.CloseOthers(addresses);
     SchedulePlacement();
   }
   if (!IsStarting()) {
--- a/src/plugins/gateway/upstream_connection.cc
+++ b/src/plugins/gateway/upstream_connection.cc
@@ -3,12 +3,12 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
-#include <array>
 #include <charconv>
 #include <utility>
 
 #include "libs/kernel/boot_clock.h"
 #include "plugins/gateway/endpoint.h"
+#include "plugins/gateway/read_buffer.h"
 #include "plugins/gateway/socket_options.h"
 
 namespace flamingogauge {
@@ -18,7 +18,6 @@
 using boost::system::error_code;
 using std::chrono::milliseconds;
 
-constexpr std::size_t kReadBytes = 65536;
 // A connection to an upstream that runs takes one round trip.
 constexpr milliseconds kConnectTimeLimit{400};
 // How long an idle connection is kept if the upstream states no time.
@@ -29,11 +28,6 @@
 constexpr int kFirstFinalStatus = 200;
 constexpr int kFirstErrorStatus = 300;
 
-std::array<char, kReadBytes>& ReadBuffer() {
-  thread_local std::array<char, kReadBytes> buf;
-  return buf;
-}
-
 // Reads the "timeout" parameter of a Keep-Alive field.
 milliseconds IdleTime(const HttpFields& fields) {
   const std::string* keep_alive = fields.Find("Keep-Alive");
--- a/src/plugins/gateway/upstream_connections.cc
+++ b/src/plugins/gateway/upstream_connections.cc
@@ -49,14 +49,16 @@
   }
 }
 
-void UpstreamConnections::CloseIdle(const std::string& address) {
-  const auto it = idle_.find(address);
-  if (it != idle_.end()) {
-    for (const auto& connection : it->second) {
+void UpstreamConnections::CloseOthers(const std::set<std::string>& addresses) {
+  std::erase_if(idle_, [&addresses](const auto& it) {
+    if (addresses.contains(it.first)) {
+      return false;
+    }
+    for (const auto& connection : it.second) {
       connection->Cancel();
     }
-    idle_.erase(it);
-  }
+    return true;
+  });
 }
 
 }  // namespace flamingogauge
--- a/src/plugins/gateway/upstream_connections.h
+++ b/src/plugins/gateway/upstream_connections.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,8 +24,8 @@
                                               MonotonicTime now);
   // Closes the idle connections that must not be used any more.
   void CloseExpired(MonotonicTime now);
-  // Closes the idle connections to an upstream that is gone.
-  void CloseIdle(const std::string& address);
+  // Closes the idle connections to all addresses but these.
+  void CloseOthers(const std::set<std::string>& addresses);
 
   std::uint64_t opened() const { return opened_; }
 
