routing: order workspaces and routes on one scale

Cause: a workspace without a priority went before all that have one, because its rank was the route's alone (found while reading the change as a newcomer).

--- a/src/libs/routing/routing_table.cc
+++ b/src/libs/routing/routing_table.cc
@@ -16,8 +16,18 @@
   return name;
 }
 
+// Routes have fewer levels of priority than this.
+constexpr int kPriorityLevels = 100;
+
 }  // namespace
 
+int PriorityOf(const Route& route, const WorkspaceEntry* workspace) {
+  const int first = workspace != nullptr && workspace->priority
+                        ? *workspace->priority
+                        : route.priority;
+  return first * kPriorityLevels + route.priority;
+}
+
 void RoutingTable::AddRoute(Route route) {
   std::string prefix = route.path_prefix;
   routes_by_host_[NormalizedHost(route.host)].insert_or_assign(
--- a/src/libs/routing/routing_table.h
+++ b/src/libs/routing/routing_table.h
@@ -83,6 +83,11 @@
   double burst = 0;
 };
 
+// The order of a request among others; 0 is the most urgent. A workspace's
+// priority goes before that of the route, which then decides among equals.
+// `workspace` may be null.
+int PriorityOf(const Route& route, const WorkspaceEntry* workspace);
+
 // Bounds on what a caller may send, and on how long it may take.
 struct CallerLimits {
   std::size_t max_header_bytes = 16384;
--- /dev/null
+++ b/src/plugins/gateway/exchange_answer.cc
@@ -0,0 +1,205 @@
+// The part of Exchange that takes an upstream's answer and writes it to the
+// caller.
+#include <array>
+#include <cstdio>
+#include <utility>
+
+#include "libs/kernel/boot_clock.h"
+#include "plugins/gateway/exchange.h"
+
+namespace flamingogauge {
+namespace {
+
+constexpr int kBadGateway = 502;
+constexpr int kMisdirected = 421;
+constexpr int kFirstErrorStatus = 300;
+constexpr int kFirstServerError = 500;
+// An answer that is not a stream is held back up to this size until it is
+// complete, so that one that is cut short can be replaced.
+constexpr std::size_t kMaxHeldBytes = 262144;
+
+std::size_t CountEvents(std::string_view part) {
+  std::size_t count = 0;
+  for (std::size_t at = part.find("\n\n"); at != std::string_view::npos;
+       at = part.find("\n\n", at + 2)) {
+    ++count;
+  }
+  return count;
+}
+
+}  // namespace
+
+bool Exchange::IsStream() const {
+  return accepted_.route->repeat_rule == RepeatRule::kStream;
+}
+
+void Exchange::OnHead(const HttpResponseReader& reader) {
+  const HttpResponseHead& head = reader.head();
+  const RelayHeaderNames& names = context_.settings.headers;
+  not_executed_ =
+      head.fields.Count(names.not_executed) > 0 || head.status == kMisdirected;
+  head_received_ = true;
+  content_length_ = reader.content_length();
+  has_body_ = reader.has_body();
+  if (committed_) {
+    // A stream goes on here: it keeps the head of its first upstream.
+    head_.status = head.status;
+  } else {
+    head_ = head;
+  }
+}
+
+void Exchange::OnBody(std::string part) {
+  const bool failed_continuation =
+      committed_ && IsStream() && head_.status >= kFirstErrorStatus;
+  if (not_executed_ || failed_continuation) {
+    return;
+  }
+  const MonotonicTime now = BootTimeNow();
+  if (IsStream() && head_.status < kFirstErrorStatus) {
+    MeasureEvents(part, now);
+    ForwardStreamPart(std::move(part));
+    return;
+  }
+  if (committed_) {
+    WriteBody(std::move(part));
+    return;
+  }
+  buffered_ += part;
+  if (buffered_.size() > kMaxHeldBytes) {
+    CommitHead(content_length_);
+    WriteBody(std::exchange(buffered_, {}));
+  }
+}
+
+void Exchange::MeasureEvents(const std::string& part, MonotonicTime now) {
+  events_ += CountEvents(part);
+  if (first_body_at_ == MonotonicTime()) {
+    first_body_at_ = now;
+  }
+  last_body_at_ = now;
+}
+
+void Exchange::ForwardStreamPart(std::string part) {
+  std::string ready =
+      accepted_.route->resumable ? splitter_.Feed(part) : std::move(part);
+  if (ready.empty()) {
+    return;
+  }
+  if (!committed_) {
+    CommitHead(accepted_.route->resumable ? std::nullopt : content_length_);
+  }
+  WriteBody(std::move(ready));
+}
+
+void Exchange::CommitHead(std::optional<std::uint64_t> length) {
+  committed_ = true;
+  const bool old_caller = accepted_.request.is_http_1_0;
+  chunked_ = !length && has_body_ && !old_caller;
+  until_close_ = !length && has_body_ && old_caller;
+  HttpFields fields = head_.fields;
+  fields.RemoveHopByHop();
+  std::string bytes =
+      "HTTP/1.1 " + std::to_string(head_.status) + " " + head_.reason + "\r\n";
+  for (const HttpField& it : fields.all()) {
+    AppendField(it.name, it.value, bytes);
+  }
+  if (length) {
+    AppendField("Content-Length", std::to_string(*length), bytes);
+  } else if (chunked_) {
+    AppendField("Transfer-Encoding", "chunked", bytes);
+  }
+  if (!KeepsConnection()) {
+    AppendField("Connection", "close", bytes);
+  } else if (old_caller) {
+    AppendField("Connection", "keep-alive", bytes);
+  }
+  bytes += "\r\n";
+  session_->Write(std::move(bytes));
+}
+
+bool Exchange::KeepsConnection() const {
+  return accepted_.request.keep_alive && !context_.draining && !until_close_;
+}
+
+void Exchange::WriteBody(std::string part) {
+  if (chunked_) {
+    std::array<char, 24> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", part.size());
+    part.insert(0, size.data());
+    part += "\r\n";
+  }
+  session_->Write(std::move(part));
+  if (session_->is_writing_slowly() && connection_) {
+    connection_->SetPaused(true);
+    session_->SetWritableHandler([weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self && self->connection_) {
+        self->connection_->SetPaused(false);
+      }
+    });
+  }
+}
+
+void Exchange::OnComplete() {
+  connection_.reset();
+  if (not_executed_) {
+    OnNotExecuted();
+    return;
+  }
+  const MonotonicTime now = BootTimeNow();
+  const bool failed = head_.status >= kFirstServerError;
+  if (IsStream() && !failed) {
+    ReportPace(now);
+  } else if (!failed) {
+    context_.dispatcher.OnPace(upstream_.id, now - sent_at_);
+  }
+  EndDispatch(failed ? DispatchResult::kFailed : DispatchResult::kServed);
+  if (failed &&
+      TryAgain(true, "the upstream answered " + std::to_string(head_.status))) {
+    return;
+  }
+  if (committed_ && IsStream() && (failed || splitter_.has_partial_event())) {
+    // A stream that went on elsewhere failed there, or ended in an event.
+    session_->Abort();
+    Done("broken", head_.status, "the stream did not go on");
+    return;
+  }
+  if (head_.status < kFirstErrorStatus &&
+      head_.fields.Count(context_.settings.headers.seal) == 0) {
+    FailAfterSend(kBadGateway, "a success without the upstream's seal");
+    return;
+  }
+  if (!committed_) {
+    CommitBuffered();
+  }
+  if (chunked_) {
+    session_->Write("0\r\n\r\n");
+  }
+  const bool keep = KeepsConnection();
+  auto session = session_;
+  Done("answered", head_.status, "");
+  session->Finish(keep);
+}
+
+void Exchange::CommitBuffered() {
+  std::optional<std::uint64_t> length = buffered_.size();
+  if (!has_body_) {
+    // The length of the answer to HEAD is that of the body left out.
+    length = content_length_;
+  }
+  CommitHead(length);
+  if (!buffered_.empty()) {
+    session_->Write(std::move(buffered_));
+  }
+}
+
+void Exchange::ReportPace(MonotonicTime now) {
+  if (events_ > 1) {
+    context_.dispatcher.OnPace(
+        upstream_.id, std::chrono::duration<double>(now - first_body_at_) /
+                          static_cast<double>(events_ - 1));
+  }
+}
+
+}  // namespace flamingogauge
--- a/tests/auto/routing/tst_routing_table.cc
+++ b/tests/auto/routing/tst_routing_table.cc
@@ -1,6 +1,8 @@
 #include <doctest/doctest.h>
 
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "libs/routing/routing_table.h"
 
@@ -48,6 +50,29 @@
   CHECK(table.FindKey("") == nullptr);
 }
 
+// Guards against a workspace without a priority that goes before all that have
+// one: a mixed list must be ordered by the workspace's priority or, without
+// one, by the route's.
+TEST_CASE("a workspace's priority goes before the route's") {
+  struct Row {
+    int route;
+    std::optional<int> workspace;
+  };
+  // From the most urgent to the least.
+  const std::vector<Row> rows = {{0, std::nullopt}, {1, 0}, {0, 1},
+                                 {1, std::nullopt}, {2, 1}, {0, 2}};
+  int before = -1;
+  for (const Row& row : rows) {
+    CAPTURE(row.route);
+    const WorkspaceEntry workspace{.priority = row.workspace};
+    const int priority = PriorityOf(Route{.priority = row.route}, &workspace);
+    CHECK(priority > before);
+    before = priority;
+  }
+  CHECK(PriorityOf(Route{.priority = 2}, nullptr) >
+        PriorityOf(Route{.priority = 1}, nullptr));
+}
+
 // Guards against a stream that runs twice although it cannot be resumed.
 TEST_CASE("what may run again follows from the kind") {
   struct Row {
