directory: keep a time limit within its range

Cause: the address sanitizer's build stopped platform_adapter: the longest millisecond count overflows when it is compared with a duration in nanoseconds, so hosts that had left during an outage of the store could stay in the list. Change: a year instead of the largest number. 'a directory catches up after each trouble of the store' fails before and passes after in that build.

--- a/src/plugins/directory/directory_worker.cc
+++ b/src/plugins/directory/directory_worker.cc
@@ -15,6 +15,8 @@
 constexpr std::size_t kRingCapacity = 256;
 constexpr milliseconds kLongestSleep{1000};
 constexpr milliseconds kRegisterRetry{1000};
+// Hosts are dropped from the list at once, also after an outage of the store.
+constexpr std::chrono::hours kNoReturn{24 * 365};
 
 template <typename T>
 std::shared_ptr<const std::vector<T>> Values(const TableFollower<T>& follower) {
@@ -39,7 +41,7 @@
       routing_({.watch_wait = settings.routing_watch_wait}),
       upstreams_({.watch_wait = settings.upstreams_watch_wait}),
       hosts_({.min_call_interval = settings.hosts_interval,
-              .outage_from = milliseconds::max()}) {
+              .outage_from = kNoReturn}) {
   snapshot_.upstreams = std::make_shared<std::vector<UpstreamEntry>>();
   snapshot_.hosts = std::make_shared<std::vector<HostEntry>>();
   thread_ = std::thread([this] { Run(); });
