--- a/src/plugins/gateway/upstream_connection.h
+++ b/src/plugins/gateway/upstream_connection.h
@@ -55,8 +55,7 @@
 class UpstreamConnection
     : public std::enable_shared_from_this<UpstreamConnection> {
  public:
-  // `on_idle` is called when the connection can carry another call, and
-  // `on_closed` when it is of no more use.
+  // `on_idle` is called when the connection can carry another call.
   UpstreamConnection(
       boost::asio::io_context& context,
       UpstreamConnectionOptions options,
