http_server: destroy connections' peers on the server's thread

Cause: Pistache's accepting thread hands a peer to a worker and drops its own reference later. When the connection has ended by then, that reference is the last one and the accepting thread frees what the worker wrote. The only order between the two is the reference count inside libpistache.so, which the thread sanitizer does not see, as the library is built without it. The reports show it: delete on T3 (accepting), new on T18 (worker) for the peer, its data map and a key of the map. Change: the server keeps a peer whose connection has ended until nobody else holds it, and drops it on its own thread under its mutex.

--- a/src/libs/http_server/http_server.cc
+++ b/src/libs/http_server/http_server.cc
@@ -88,7 +88,8 @@
   std::vector<std::shared_ptr<HttpConnection>> Connections() const;
 
   ConnectionData* Add(const std::shared_ptr<Pistache::Tcp::Peer>& peer);
-  void Remove(std::size_t id);
+  void Remove(const std::shared_ptr<Pistache::Tcp::Peer>& peer);
+  void ForgetDisconnectedPeers();
   void Handle(const Http::Request& request, ConnectionData& data);
   void Reject(ConnectionData& data, int status, const std::string& text);
 
@@ -108,6 +109,10 @@
   WritePoller poller_;
   bool stopping_ = false;
   std::unordered_map<std::size_t, std::unique_ptr<ConnectionData>> connections_;
+  // Peers whose connection has ended. Pistache's accepting thread may still
+  // hold them; they are kept until nobody else does, so that they are destroyed
+  // on this object's thread and after the worker's last use.
+  std::vector<std::shared_ptr<Pistache::Tcp::Peer>> disconnected_peers_;
   HttpServerCounts counts_;
   std::function<void()> on_drained_;
   std::thread thread_;
@@ -140,7 +145,7 @@
       return;
     }
     const std::function<void()> on_gone = data->connection->MarkGone();
-    server_->Remove(peer->getID());
+    server_->Remove(peer);
     if (on_gone) {
       on_gone();
     }
@@ -279,6 +284,7 @@
     const auto now = std::chrono::steady_clock::now();
     if (now >= next_check) {
       CheckConnections(now);
+      ForgetDisconnectedPeers();
       next_check = now + interval;
     }
     lock.lock();
@@ -353,16 +359,24 @@
   return data;
 }
 
-void HttpServer::Impl::Remove(std::size_t id) {
+void HttpServer::Impl::Remove(
+    const std::shared_ptr<Pistache::Tcp::Peer>& peer) {
   std::unique_ptr<ConnectionData> removed;
   std::lock_guard<std::mutex> lock(mutex_);
-  const auto found = connections_.find(id);
+  disconnected_peers_.push_back(peer);
+  const auto found = connections_.find(peer->getID());
   if (found != connections_.end()) {
     removed = std::move(found->second);
     connections_.erase(found);
   }
 }
 
+void HttpServer::Impl::ForgetDisconnectedPeers() {
+  std::lock_guard<std::mutex> lock(mutex_);
+  std::erase_if(disconnected_peers_,
+                [](const auto& it) { return it.use_count() == 1; });
+}
+
 void HttpServer::Impl::Handle(const Http::Request& request,
                               ConnectionData& data) {
   HttpRequest converted = Convert(request);
