dispatching: let requests that were sent before go on

Cause: reading the code. A request that goes on at a second upstream was judged like a new one: past its due time it was refused as late, so that a stream broke for good while its caller still waited. A request that had been sent to each upstream of its service waited for nothing until its time limit. The load that a host had reported stayed if no report came any more, so that a host cut off from the others saw their places taken for good. Each report of another host hashed the names of all upstreams and added up all reports. Change: a request that was sent before waits as long as its caller does; a stream's patience counts from its last event. Upstreams that were tried are tried again when no other is left and they broke nothing lately. Silent hosts are forgotten at each placement. Reports are added up as they change.

--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -23,7 +23,6 @@
 constexpr double kLoadCost = 0.1;
 // What an upstream that fails each request costs.
 constexpr double kFailureCost = 1.0;
-constexpr double kSuspectCost = 10.0;
 // Hosts that see the same load should not all choose the same upstream.
 constexpr double kJitter = 0.01;
 // Long outputs go to fast upstreams: what a second of output costs.
@@ -42,6 +41,19 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+// The mean of those that were measured, in seconds; 0 when none was.
+double MeanPace(const std::vector<UpstreamView*>& upstreams) {
+  double sum = 0;
+  int count = 0;
+  for (const UpstreamView* it : upstreams) {
+    if (it->pace_seconds() > 0) {
+      sum += it->pace_seconds();
+      ++count;
+    }
+  }
+  return count == 0 ? 0 : sum / count;
+}
+
 }  // namespace
 
 std::uint64_t PeerUpstreamKey(const std::string& upstream) {
@@ -69,34 +81,60 @@
   std::erase_if(upstreams_, [&listed](const auto& it) {
     return !listed.contains(it.first);
   });
-  ApplyPeerReports(now);
+  IndexUpstreams();
+  ForgetSilentPeers(now);
+}
+
+void Dispatcher::IndexUpstreams() {
+  by_service_.clear();
+  by_peer_key_.clear();
+  for (auto& [id, upstream] : upstreams_) {
+    const std::uint64_t key = PeerUpstreamKey(id);
+    by_service_[upstream.entry().service].push_back(&upstream);
+    by_peer_key_[key] = &upstream;
+    const auto it = peer_running_.find(key);
+    upstream.SetPeerRunning(it == peer_running_.end() ? 0 : it->second);
+  }
 }
 
 void Dispatcher::OnPeerLoad(const std::string& host,
                             const std::map<std::uint64_t, int>& running,
                             MonotonicTime now) {
-  peers_[host] = {.received_at = now, .running = running};
-  ApplyPeerReports(now);
+  PeerReport& report = peers_[host];
+  CountPeerLoad(report.running, -1);
+  report = {.received_at = now, .running = running};
+  CountPeerLoad(report.running, 1);
+  ForgetSilentPeers(now);
 }
 
-void Dispatcher::ApplyPeerReports(MonotonicTime now) {
-  std::erase_if(peers_, [now](const auto& it) {
-    return now - it.second.received_at > kPeerReportLifetime;
-  });
-  std::unordered_map<std::uint64_t, int> total;
-  for (const auto& [host, report] : peers_) {
-    for (const auto& [key, running] : report.running) {
-      total[key] += running;
+void Dispatcher::CountPeerLoad(const std::map<std::uint64_t, int>& running,
+                               int sign) {
+  for (const auto& [key, requests] : running) {
+    int& total = peer_running_[key];
+    total += sign * requests;
+    const auto it = by_peer_key_.find(key);
+    if (it != by_peer_key_.end()) {
+      it->second->SetPeerRunning(total);
+    }
+    if (total == 0) {
+      peer_running_.erase(key);
     }
   }
-  for (auto& [id, state] : upstreams_) {
-    const auto it = total.find(PeerUpstreamKey(id));
-    state.SetPeerRunning(it == total.end() ? 0 : it->second);
+}
+
+void Dispatcher::ForgetSilentPeers(MonotonicTime now) {
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    if (now - it->second.received_at > kPeerReportLifetime) {
+      CountPeerLoad(it->second.running, -1);
+      it = peers_.erase(it);
+    } else {
+      ++it;
+    }
   }
 }
 
 void Dispatcher::Enqueue(WaitingRequest request) {
-  if (request.due_at > request.arrived_at) {
+  if (request.due_at > request.arrived_at && !request.was_sent) {
     throughput_[request.service].arrived_at.push_back(request.arrived_at);
   }
   const std::uint64_t id = request.id;
@@ -133,6 +171,7 @@
 }
 
 std::vector<Placement> Dispatcher::Place(MonotonicTime now) {
+  ForgetSilentPeers(now);
   std::vector<Placement> placements;
   std::set<std::string> full_services;
   for (WaitingRequest* request : WaitingInOrder(now)) {
@@ -159,56 +198,60 @@
 
 UpstreamView* Dispatcher::Choose(const WaitingRequest& request,
                                  MonotonicTime now) {
+  std::vector<UpstreamView*> trusted;
+  std::vector<UpstreamView*> suspect;
+  std::vector<UpstreamView*> tried;
+  const auto service = by_service_.find(request.service);
+  if (service == by_service_.end()) {
+    return nullptr;
+  }
+  const std::vector<std::string>& excluded = request.excluded_upstreams;
+  bool has_trusted = false;
+  for (UpstreamView* it : service->second) {
+    if (it->entry().draining || it->Limit() == 0) {
+      continue;
+    }
+    const bool is_suspect = it->IsSuspect(now);
+    has_trusted = has_trusted || !is_suspect;
+    if (std::find(excluded.begin(), excluded.end(), it->entry().id) ==
+        excluded.end()) {
+      (is_suspect ? suspect : trusted).push_back(it);
+    } else if (!is_suspect) {
+      tried.push_back(it);
+    }
+  }
+  if (trusted.empty() && suspect.empty()) {
+    return ChooseAmong(tried, request, now);
+  }
+  // While one upstream of the service is trusted, requests wait for it rather
+  // than go to one that broke requests; if none is, all are tried.
+  return ChooseAmong(has_trusted ? trusted : suspect, request, now);
+}
+
+UpstreamView* Dispatcher::ChooseAmong(
+    const std::vector<UpstreamView*>& upstreams,
+    const WaitingRequest& request,
+    MonotonicTime now) const {
+  const double mean_pace = MeanPace(upstreams);
   UpstreamView* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
-  const bool avoid_suspects = HasTrusted(request.service, now);
-  for (auto& [id, state] : upstreams_) {
-    const UpstreamEntry& entry = state.entry();
-    const bool excluded = std::find(request.excluded_upstreams.begin(),
-                                    request.excluded_upstreams.end(),
-                                    id) != request.excluded_upstreams.end();
-    if (entry.service != request.service || entry.draining || excluded ||
-        state.running() >= state.Limit() ||
-        (avoid_suspects && state.IsSuspect(now))) {
+  for (UpstreamView* it : upstreams) {
+    if (it->running() >= it->Limit()) {
       continue;
     }
-    const double cost = Cost(state, request, now);
+    const double cost = Cost(*it, request, mean_pace, now);
     if (cost < best_cost) {
       best_cost = cost;
-      best = &state;
+      best = it;
     }
   }
   return best;
 }
 
-// While one upstream of the service is trusted, requests wait for it rather
-// than go to one that broke requests; if none is, all are tried.
-bool Dispatcher::HasTrusted(const std::string& service,
-                            MonotonicTime now) const {
-  return std::any_of(
-      upstreams_.begin(), upstreams_.end(), [&service, now](const auto& it) {
-        const UpstreamEntry& entry = it.second.entry();
-        return entry.service == service && !entry.draining &&
-               it.second.Limit() > 0 && !it.second.IsSuspect(now);
-      });
-}
-
-double Dispatcher::MeanPace(const std::string& service) const {
-  double sum = 0;
-  int count = 0;
-  for (const auto& [id, state] : upstreams_) {
-    if (state.entry().service == service && state.pace_seconds() > 0) {
-      sum += state.pace_seconds();
-      ++count;
-    }
-  }
-  return count == 0 ? 0 : sum / count;
-}
-
 double Dispatcher::Cost(const UpstreamView& upstream,
                         const WaitingRequest& request,
+                        double mean_pace,
                         MonotonicTime now) const {
-  const double mean_pace = MeanPace(request.service);
   const double slowness = mean_pace > 0 && upstream.pace_seconds() > 0
                               ? upstream.pace_seconds() / mean_pace
                               : 1.0;
@@ -218,18 +261,18 @@
   const double load =
       static_cast<double>(upstream.running()) / upstream.entry().slots;
   double cost = slowness * (prefill + load * kLoadCost + mean_pace);
-  cost += OutputSeconds(upstream, request) * kOutputCost;
+  cost += OutputSeconds(upstream, request, mean_pace) * kOutputCost;
   cost += DistanceCost(upstream.entry());
   cost += upstream.FailureShare(now) * kFailureCost;
-  cost += upstream.IsSuspect(now) ? kSuspectCost : 0;
   cost += random_.NextDouble() * kJitter;
   return cost;
 }
 
 double Dispatcher::OutputSeconds(const UpstreamView& upstream,
-                                 const WaitingRequest& request) const {
-  const double pace = upstream.pace_seconds() > 0 ? upstream.pace_seconds()
-                                                  : MeanPace(request.service);
+                                 const WaitingRequest& request,
+                                 double mean_pace) const {
+  const double pace =
+      upstream.pace_seconds() > 0 ? upstream.pace_seconds() : mean_pace;
   return request.expected_output_tokens / options_.tokens_per_event * pace;
 }
 
@@ -298,8 +341,9 @@
       ExpectedWait(request.service, request.due_at < now, position, now);
   const MonotonicTime expected_start = now + expected_wait + kFirstEventTime;
   const bool arrived_late = request.due_at <= request.arrived_at;
+  const bool waits_for_late_start = !is_new || arrived_late || request.was_sent;
   const MonotonicTime wanted =
-      is_new && !arrived_late ? request.due_at : request.start_by;
+      waits_for_late_start ? request.start_by : request.due_at;
   if (expected_start <= wanted && now + kFirstEventTime < request.start_by) {
     return std::nullopt;
   }
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -93,7 +93,10 @@
     std::deque<MonotonicTime> placed_at;
   };
 
-  void ApplyPeerReports(MonotonicTime now);
+  void IndexUpstreams();
+  // Adds `sign` times what a host reported to the load of the upstreams.
+  void CountPeerLoad(const std::map<std::uint64_t, int>& running, int sign);
+  void ForgetSilentPeers(MonotonicTime now);
   static double PerSecond(std::deque<MonotonicTime>& times, MonotonicTime now);
   // How long a request at `position` of its service will wait. A late one also
   // waits for those that arrive meanwhile and can be on time.
@@ -106,22 +109,31 @@
                                   double position,
                                   MonotonicTime now);
   std::vector<WaitingRequest*> WaitingInOrder(MonotonicTime now);
-  bool HasTrusted(const std::string& service, MonotonicTime now) const;
   UpstreamView* Choose(const WaitingRequest& request, MonotonicTime now);
-  // The expected cost of a placement in seconds.
+  UpstreamView* ChooseAmong(const std::vector<UpstreamView*>& upstreams,
+                            const WaitingRequest& request,
+                            MonotonicTime now) const;
+  // The expected cost of a placement in seconds. `mean_pace` is that of the
+  // service.
   double Cost(const UpstreamView& upstream,
               const WaitingRequest& request,
+              double mean_pace,
               MonotonicTime now) const;
   double DistanceCost(const UpstreamEntry& upstream) const;
-  double MeanPace(const std::string& service) const;
   // Seconds that the output takes there, by the caller's estimate.
   double OutputSeconds(const UpstreamView& upstream,
-                       const WaitingRequest& request) const;
+                       const WaitingRequest& request,
+                       double mean_pace) const;
 
   const DispatcherOptions options_;
   mutable Random random_;
   std::map<std::string, UpstreamView> upstreams_;
+  // Point into `upstreams_`.
+  std::unordered_map<std::string, std::vector<UpstreamView*>> by_service_;
+  std::unordered_map<std::uint64_t, UpstreamView*> by_peer_key_;
   std::map<std::string, PeerReport> peers_;
+  // The sum of `peers_`, by PeerUpstreamKey.
+  std::unordered_map<std::uint64_t, int> peer_running_;
   std::unordered_map<std::uint64_t, WaitingRequest> waiting_;
   // Waiting requests that Reject has looked at.
   std::unordered_set<std::uint64_t> assessed_;
--- a/src/libs/dispatching/waiting_request.h
+++ b/src/libs/dispatching/waiting_request.h
@@ -33,6 +33,9 @@
   // The caller's estimate of the output; 0 when there is none.
   double expected_output_tokens = 0;
   std::vector<PromptPart> prompt_parts;
+  // True when the request was sent before and goes on elsewhere; it waits as
+  // long as its caller does.
+  bool was_sent = false;
   // Upstreams that this request was sent to before.
   std::vector<std::string> excluded_upstreams;
 };
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -20,15 +20,17 @@
 constexpr milliseconds kRetryAfterRefusal{500};
 constexpr milliseconds kMinStreamPatience{2000};
 
-// Callers leave a stream, also before its first event, after the longest of
-// these times.
-MonotonicTime StartBy(const Route& route, const AcceptedRequest& accepted) {
+// Callers leave a stream after a pause of the longest of these times, counted
+// from its last event, or from the request before the first one.
+MonotonicTime StartBy(const Route& route,
+                      MonotonicTime last_event_at,
+                      MonotonicTime deadline) {
   if (route.repeat_rule != RepeatRule::kStream) {
-    return accepted.deadline;
+    return deadline;
   }
   const milliseconds patience = std::max(
       {kMinStreamPatience, route.target_latency * 4, route.max_event_gap * 8});
-  return std::min(accepted.deadline, accepted.arrived_at + patience);
+  return std::min(deadline, last_event_at + patience);
 }
 
 }  // namespace
@@ -64,17 +66,24 @@
 void Exchange::Enqueue() {
   state_ = State::kWaiting;
   const Route& route = *accepted_.route;
+  // A stream that goes on is late when the pause after its last event is.
+  const bool goes_on = committed_ && IsStream();
+  const MonotonicTime due_at =
+      goes_on ? last_body_at_ + route.max_event_gap : accepted_.due_at;
+  const MonotonicTime last_event_at =
+      goes_on ? last_body_at_ : accepted_.arrived_at;
   WaitingRequest waiting{
       .id = accepted_.id,
       .service = accepted_.service,
       .priority = PriorityOf(route, accepted_.workspace),
       .arrived_at = accepted_.arrived_at,
-      .due_at = accepted_.due_at,
-      .start_by = StartBy(route, accepted_),
+      .due_at = due_at,
+      .start_by = StartBy(route, last_event_at, accepted_.deadline),
       .deadline = accepted_.deadline,
       .prompt_tokens = accepted_.prompt_tokens,
       .expected_output_tokens = accepted_.expected_output_tokens,
       .prompt_parts = accepted_.prompt_parts,
+      .was_sent = !tried_upstreams_.empty(),
       .excluded_upstreams = tried_upstreams_};
   context_.dispatcher.Enqueue(std::move(waiting));
   context_.schedule_placement();
@@ -88,7 +97,7 @@
   const std::string* key =
       accepted_.request.fields.Find(context_.settings.headers.key);
   if (key == nullptr || accepted_.arrived_at - fleet.routing_confirmed_at >
-                            context_.settings.max_key_age) {
+                            context_.settings.changes.max_key_age()) {
     return false;
   }
   const WorkspaceEntry* holder = fleet.routing->FindKey(*key);
--- a/tests/auto/dispatching/tst_dispatcher.cc
+++ b/tests/auto/dispatching/tst_dispatcher.cc
@@ -75,6 +75,28 @@
   CHECK(dispatcher.Place(kStart + seconds(2)).size() == 1);
 }
 
+// Guards against places that stay taken on a host that is cut off from all
+// others and hears no report any more.
+TEST_CASE("the last report of a host that fell silent is forgotten") {
+  Dispatcher dispatcher = MakeDispatcher({Upstream("a")});
+  dispatcher.OnPeerLoad("h2", {{PeerUpstreamKey("a"), 2}}, kStart);
+  CHECK(PlaceOne(dispatcher, 1).empty());
+  CHECK(dispatcher.Place(kStart + seconds(2)).size() == 1);
+}
+
+// Guards against counting a host's earlier report beside its newest one, and
+// against losing what other hosts run at an upstream that is listed later.
+TEST_CASE("a report replaces the one before and outlasts a change of list") {
+  Dispatcher dispatcher = MakeDispatcher({Upstream("a", "near", 3)});
+  dispatcher.OnPeerLoad("h2", {{PeerUpstreamKey("a"), 2}}, kStart);
+  dispatcher.OnPeerLoad(
+      "h2", {{PeerUpstreamKey("a"), 1}, {PeerUpstreamKey("b"), 3}}, kStart);
+  dispatcher.SetUpstreams({Upstream("a", "near", 3), Upstream("b", "near", 3)},
+                          kStart);
+  CHECK(dispatcher.upstreams().at("a").running() == 1);
+  CHECK(dispatcher.upstreams().at("b").running() == 3);
+}
+
 // Guards against head-of-line blocking: the order is by what can be on time,
 // then by priority, then by when it is due.
 TEST_CASE("waiting requests are placed in order of urgency") {
@@ -127,6 +149,52 @@
   CHECK(dispatcher.Place(kStart).size() == 1);
 }
 
+// Guards against a stream that breaks for good, or an idempotent request that
+// fails, because its second upstream is free a little later than the request is
+// due: a new request in the same place is refused.
+TEST_CASE("a request that was sent before waits while its caller does") {
+  struct Case {
+    bool was_sent;
+    std::size_t rejections;
+  };
+  for (const Case& it : {Case{false, 1}, Case{true, 0}}) {
+    CAPTURE(it.was_sent);
+    Dispatcher dispatcher = MakeDispatcher({Upstream("a", "near", 1)});
+    CHECK(PlaceOne(dispatcher, 1) == "a");
+    WaitingRequest request = Request(2);
+    request.was_sent = it.was_sent;
+    dispatcher.Enqueue(request);
+    const MonotonicTime now = kStart + milliseconds(800);
+    CHECK(dispatcher.Place(now).empty());
+    CHECK(dispatcher.Reject(now).size() == it.rejections);
+  }
+}
+
+// Guards against a request that waits in vain until its time limit because it
+// was sent to each upstream of its service once.
+TEST_CASE("upstreams that were tried are tried again when no other is left") {
+  Dispatcher dispatcher = MakeDispatcher({Upstream("a"), Upstream("b")});
+  WaitingRequest request = Request(1);
+  request.excluded_upstreams = {"a", "b"};
+  dispatcher.Enqueue(request);
+  dispatcher.OnEnded("b", DispatchResult::kBroken, kStart);
+  const std::vector<Placement> placements = dispatcher.Place(kStart);
+  REQUIRE(placements.size() == 1);
+  CHECK(placements[0].upstream.id == "a");
+}
+
+// Guards against attempts without a pause at the only upstream, which refuses
+// each connection.
+TEST_CASE("a tried upstream that broke a request is left alone for a while") {
+  Dispatcher dispatcher = MakeDispatcher({Upstream("a")});
+  WaitingRequest request = Request(1);
+  request.excluded_upstreams = {"a"};
+  dispatcher.Enqueue(request);
+  dispatcher.OnEnded("a", DispatchResult::kBroken, kStart);
+  CHECK(dispatcher.Place(kStart).empty());
+  CHECK(dispatcher.Place(kStart + seconds(1)).size() == 1);
+}
+
 // Guards against slow upstreams that get the longest outputs, which then run
 // into their time limit.
 TEST_CASE("long outputs go to fast upstreams") {
