settings: take the platform's limits on changes and stops from its settings

Cause: the ages up to which keys and routes are trusted, the wait of the document's watch and the time of a stop were constants that fit two deployments; one with shorter limits would break its rules. Figures: on the small sites the values are those of before; worked out for the grown sites the document is watched for 1550 ms instead of 800 ms.

--- a/src/plugins/directory/directory_settings.cc
+++ b/src/plugins/directory/directory_settings.cc
@@ -10,9 +10,6 @@
               "",
               "ip:port at which this host exchanges load reports with others "
               "over UDP");
-DEFINE_uint32(directory_routing_watch_wait_ms,
-              800,
-              "how long a watch of the routing document waits, in ms");
 DEFINE_uint32(directory_upstreams_watch_wait_ms,
               2500,
               "how long a watch of the list of upstreams waits, in ms");
@@ -30,14 +27,13 @@
 
 DirectorySettings DirectorySettingsFromFlags() {
   using std::chrono::milliseconds;
-  return {
-      .host = {.name = FLAGS_host_name,
-               .report_address = FLAGS_host_report_address,
-               .data_centre = FLAGS_host_data_centre},
-      .routing_watch_wait = milliseconds(FLAGS_directory_routing_watch_wait_ms),
-      .upstreams_watch_wait =
-          milliseconds(FLAGS_directory_upstreams_watch_wait_ms),
-      .hosts_interval = milliseconds(FLAGS_directory_hosts_interval_ms)};
+  return {.host = {.name = FLAGS_host_name,
+                   .report_address = FLAGS_host_report_address,
+                   .data_centre = FLAGS_host_data_centre},
+          .routing_watch_wait = ChangeLimitsFromFlags().watch_wait(),
+          .upstreams_watch_wait =
+              milliseconds(FLAGS_directory_upstreams_watch_wait_ms),
+          .hosts_interval = milliseconds(FLAGS_directory_hosts_interval_ms)};
 }
 
 Result<void> CheckDirectorySettings(const DirectorySettings& settings) {
@@ -47,8 +43,8 @@
                  .message = "--host_name and --host_report_address are needed"};
   }
   return CheckSettingRanges(
-      {RangeOf("directory_routing_watch_wait_ms", settings.routing_watch_wait,
-               kMinWaitMs, kMaxWaitMs),
+      {RangeOf("wait of a watch by change_apply_limit_ms",
+               settings.routing_watch_wait, kMinWaitMs, kMaxWaitMs),
        RangeOf("directory_upstreams_watch_wait_ms",
                settings.upstreams_watch_wait, kMinWaitMs, kMaxWaitMs),
        RangeOf("directory_hosts_interval_ms", settings.hosts_interval,
--- a/src/plugins/directory/directory_settings.h
+++ b/src/plugins/directory/directory_settings.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <string>
 
+#include "libs/fleet/change_limits.h"
 #include "libs/fleet/host_entry.h"
 #include "libs/kernel/error.h"
 
@@ -14,13 +15,13 @@
   HostEntry host;
   // How long a watch of the routing document waits. Twice this, and the time
   // of a call, is the greatest age of a confirmation in normal operation.
-  std::chrono::milliseconds routing_watch_wait{800};
+  std::chrono::milliseconds routing_watch_wait = ChangeLimits().watch_wait();
   std::chrono::milliseconds upstreams_watch_wait{2500};
   // The time between two reads of the list of hosts.
   std::chrono::milliseconds hosts_interval{3000};
 };
 
-// Reads the flags --directory_* and --host_*.
+// Reads the flags --directory_* and --host_* and the limits on changes.
 DirectorySettings DirectorySettingsFromFlags();
 
 Result<void> CheckDirectorySettings(const DirectorySettings& settings);
--- a/src/plugins/gateway/gateway_settings.cc
+++ b/src/plugins/gateway/gateway_settings.cc
@@ -16,10 +16,6 @@
               "",
               "ip:port of readiness, metrics and the state dump");
 DEFINE_string(gateway_regions, "", "data-centre=region, separated by commas");
-DEFINE_uint32(gateway_max_key_age_ms,
-              3800,
-              "greatest age of the routing document with which requests that "
-              "need a key are served, in ms");
 DEFINE_double(gateway_resend_ratio,
               0.2,
               "resends for each request of a service");
@@ -27,9 +23,10 @@
               50,
               "resends of all hosts besides, in one window");
 DEFINE_uint32(gateway_resend_window_s, 10, "window of the resend budget, in s");
-DEFINE_uint32(gateway_drain_time_limit_ms,
-              6800,
-              "how long a planned stop waits for requests in flight, in ms");
+DEFINE_double(gateway_stop_limit_s,
+              8,
+              "time from the signal of a planned stop until the process is "
+              "killed, in s");
 DEFINE_uint32(gateway_drain_min_time_ms,
               3500,
               "how long a planned stop still takes connections, in ms");
@@ -55,6 +52,13 @@
   return regions;
 }
 
+// The rest of the time is for the end of the process.
+std::chrono::milliseconds DrainTimeLimit(double stop_limit_s) {
+  constexpr double kUsedPart = 0.85;
+  return std::chrono::milliseconds(
+      static_cast<std::int64_t>(stop_limit_s * 1000 * kUsedPart));
+}
+
 }  // namespace
 
 GatewaySettings GatewaySettingsFromFlags() {
@@ -65,11 +69,11 @@
           .status_address = FLAGS_gateway_status_address,
           .report_address = FLAGS_host_report_address,
           .regions = ParseRegions(FLAGS_gateway_regions),
-          .max_key_age = milliseconds(FLAGS_gateway_max_key_age_ms),
+          .changes = ChangeLimitsFromFlags(),
           .resend_ratio = FLAGS_gateway_resend_ratio,
           .resend_allowance = FLAGS_gateway_resend_allowance,
           .resend_window = std::chrono::seconds(FLAGS_gateway_resend_window_s),
-          .drain_time_limit = milliseconds(FLAGS_gateway_drain_time_limit_ms),
+          .drain_time_limit = DrainTimeLimit(FLAGS_gateway_stop_limit_s),
           .drain_min_time = milliseconds(FLAGS_gateway_drain_min_time_ms),
           .report_interval = milliseconds(FLAGS_gateway_report_interval_ms)};
 }
@@ -85,13 +89,15 @@
     }
   }
   return CheckSettingRanges(
-      {RangeOf("gateway_max_key_age_ms", settings.max_key_age, 500, 600000),
+      {RangeOf("change_apply_limit_ms", settings.changes.apply, 500, 600000),
+       RangeOf("key_revocation_limit_ms", settings.changes.revoke, 1000,
+               600000),
        RangeOf("gateway_resend_ratio", settings.resend_ratio, 0, 10),
        RangeOf("gateway_resend_allowance", settings.resend_allowance, 0,
                1000000),
        RangeOf("gateway_resend_window_s", settings.resend_window, 1, 3600),
-       RangeOf("gateway_drain_time_limit_ms", settings.drain_time_limit, 0,
-               600000),
+       RangeOf("gateway_stop_limit_s, as time of a drain,",
+               settings.drain_time_limit, 0, 600000),
        RangeOf("gateway_drain_min_time_ms", settings.drain_min_time, 0, 600000),
        RangeOf("gateway_report_interval_ms", settings.report_interval, 20,
                60000)});
--- a/src/plugins/gateway/gateway_settings.h
+++ b/src/plugins/gateway/gateway_settings.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "libs/fleet/change_limits.h"
 #include "libs/kernel/error.h"
 #include "libs/relay/header_names.h"
 
@@ -25,10 +26,7 @@
   // The path at which readiness is asked.
   std::string ready_path;
 
-  // The greatest age of the routing document with which requests that need a
-  // key are served. Keys must stop to work 5 s after they are taken away, and a
-  // watch may miss the changes of its last second.
-  std::chrono::milliseconds max_key_age{3800};
+  ChangeLimits changes;
   // Resends for each request of a service, and for all hosts besides, in
   // resend_window.
   double resend_ratio = 0.2;
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -21,9 +21,6 @@
 constexpr int kNotFound = 404;
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
-// With an older routing document, an unknown route or key may be a new one.
-// Two watches without a change take most of this.
-constexpr milliseconds kMaxAgeForDenial{2200};
 constexpr milliseconds kRetryAfterStale{700};
 // Another host can take the request at once.
 constexpr milliseconds kRetryAfterDrain{50};
@@ -204,7 +201,7 @@
 bool Relay::IsReady() const {
   return !context_.draining && context_.fleet.routing != nullptr &&
          context_.dispatcher.HasAnyUpstream() &&
-         RoutingAge(BootTimeNow()) <= context_.settings.max_key_age;
+         RoutingAge(BootTimeNow()) <= context_.settings.changes.max_key_age();
 }
 
 void Relay::BeginDrain() {
@@ -290,7 +287,8 @@
   accepted.route =
       accepted.routing->FindRoute(host != nullptr ? *host : "", path);
   if (accepted.route == nullptr) {
-    if (RoutingAge(accepted.arrived_at) > kMaxAgeForDenial) {
+    if (RoutingAge(accepted.arrived_at) >
+        context_.settings.changes.max_denial_age()) {
       return Denial{kServiceUnavailable, "no route in a document that is old",
                     kRetryAfterStale};
     }
@@ -338,7 +336,7 @@
     return std::nullopt;
   }
   const Duration age = RoutingAge(accepted.arrived_at);
-  if (age > context_.settings.max_key_age) {
+  if (age > context_.settings.changes.max_key_age()) {
     return Denial{kServiceUnavailable, "keys cannot be confirmed",
                   kRetryAfterStale};
   }
@@ -349,7 +347,7 @@
   if (accepted.workspace != nullptr) {
     return std::nullopt;
   }
-  if (key != nullptr && age > kMaxAgeForDenial) {
+  if (key != nullptr && age > context_.settings.changes.max_denial_age()) {
     return Denial{kServiceUnavailable, "an unknown key, with old keys",
                   kRetryAfterStale};
   }
--- /dev/null
+++ b/tests/auto/fleet/tst_change_limits.cc
@@ -0,0 +1,51 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+#include "libs/fleet/change_limits.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct Case {
+  ChangeLimits limits;
+  milliseconds key_age;
+  milliseconds denial_age;
+  milliseconds wait;
+};
+
+// Guards against a host that trusts a key, or denies a route, for longer than
+// the platform allows where the platform's limits differ from the usual ones.
+TEST_CASE("ages and waits follow the platform's limits") {
+  const Case cases[] = {
+      {{.apply = milliseconds(2500), .revoke = milliseconds(5000)},
+       milliseconds(3800),
+       milliseconds(2200),
+       milliseconds(800)},
+      {{.apply = milliseconds(4000), .revoke = milliseconds(5000)},
+       milliseconds(3800),
+       milliseconds(3700),
+       milliseconds(1550)},
+      {{.apply = milliseconds(2500), .revoke = milliseconds(2000)},
+       milliseconds(1000),
+       milliseconds(2200),
+       milliseconds(200)},
+      {{.apply = milliseconds(500), .revoke = milliseconds(1000)},
+       milliseconds(500),
+       milliseconds(250),
+       milliseconds(100)},
+  };
+  for (const Case& it : cases) {
+    CAPTURE(it.limits.apply.count());
+    CHECK(it.limits.max_key_age() == it.key_age);
+    CHECK(it.limits.max_denial_age() == it.denial_age);
+    CHECK(it.limits.watch_wait() == it.wait);
+    CHECK(it.limits.max_key_age() < it.limits.revoke);
+    CHECK(it.limits.max_denial_age() < it.limits.apply);
+  }
+}
+
+}  // namespace
+}  // namespace flamingogauge
