app: read the settings again at SIGHUP and when their file changes

Cause: a changed settings file counted only after a restart; SIGHUP wrote a line and changed nothing. Change: SettingsReloader reads the flags again, on SIGHUP or when the content of the settings file differs (compared every 2 s). Plugins get a Reload of their own, checked as at the start; the gateway, the directory and the log take over what may change while they run. The log line names what changed and what needs a restart; wrong values leave the settings in force.

--- a/src/app/flag_reader.cc
+++ b/src/app/flag_reader.cc
@@ -38,11 +38,9 @@
 }
 
 Result<void> ReadEnvironment() {
-  std::vector<gflags::CommandLineFlagInfo> flags;
-  gflags::GetAllFlags(&flags);
-  for (const gflags::CommandLineFlagInfo& it : flags) {
+  for (const gflags::CommandLineFlagInfo& it : OwnFlags()) {
     const char* value = std::getenv(("FLAGS_" + it.name).c_str());
-    if (value != nullptr && IsOwnFlag(it)) {
+    if (value != nullptr) {
       Result<void> set = SetFlag(it.name, value);
       if (!set) {
         return set;
@@ -80,15 +78,18 @@
   return read;
 }
 
-std::string DescribeFlags() {
+std::vector<gflags::CommandLineFlagInfo> OwnFlags() {
   std::vector<gflags::CommandLineFlagInfo> flags;
   gflags::GetAllFlags(&flags);
+  std::erase_if(flags, [](const auto& it) { return !IsOwnFlag(it); });
+  return flags;
+}
+
+std::string DescribeFlags() {
   std::string text;
-  for (const gflags::CommandLineFlagInfo& it : flags) {
-    if (IsOwnFlag(it)) {
-      text += "  --" + it.name + "=" + it.default_value + "  " +
-              it.description + "\n";
-    }
+  for (const gflags::CommandLineFlagInfo& it : OwnFlags()) {
+    text += "  --" + it.name + "=" + it.default_value + "  " + it.description +
+            "\n";
   }
   return text;
 }
--- a/src/app/flag_reader.h
+++ b/src/app/flag_reader.h
@@ -1,6 +1,8 @@
 #ifndef FLAMINGOGAUGE_APP_FLAG_READER_H_
 #define FLAMINGOGAUGE_APP_FLAG_READER_H_
 
+#include <gflags/gflags.h>
+
 #include <string>
 #include <vector>
 
@@ -14,6 +16,9 @@
 // error instead of ending the process with status 1.
 Result<void> ReadFlags(const std::vector<std::string>& arguments);
 
+// The flags of the program, without those of the library.
+std::vector<gflags::CommandLineFlagInfo> OwnFlags();
+
 // Returns one line for each flag of the program: name, default, description.
 std::string DescribeFlags();
 
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -71,7 +71,7 @@
     return kUsageError;
   }
   flamingogauge::InitializeLogging(flamingogauge::LogLevel::kInfo);
-  return flamingogauge::RunServeCommand();
+  return flamingogauge::RunServeCommand(arguments);
 }
 
 }  // namespace
--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "app/gateway_plugins.h"
+#include "app/settings_reloader.h"
 #include "libs/kernel/log.h"
 #include "libs/kernel/plugin_manager.h"
 #include "libs/services/event_log_service.h"
@@ -49,6 +50,8 @@
 // The echo upstream client connects to nothing.
 constexpr char kNoAddress[] = "127.0.0.1:1";
 constexpr timespec kSignalPoll{.tv_sec = 0, .tv_nsec = 20000000};
+// How often the settings file is compared; it may change without a signal.
+constexpr timespec kSettingsPoll{.tv_sec = 2, .tv_nsec = 0};
 
 const Logger& Log() {
   static const Logger kLogger("main");
@@ -141,14 +144,62 @@
   return complete;
 }
 
+std::string Join(const std::vector<std::string>& names) {
+  std::string text;
+  for (const std::string& it : names) {
+    text += (text.empty() ? "" : ",") + it;
+  }
+  return text;
+}
+
+// Applies the settings as they are now; those in force stay if one is wrong.
+void ReloadSettings(SettingsReloader& reloader,
+                    PluginManager& manager,
+                    const std::string& trigger) {
+  EventLine line("process.reload");
+  line.Text("trigger", trigger);
+  const Result<ReloadedSettings> settings = reloader.Reload();
+  Result<void> applied = boost::outcome_v2::success();
+  if (!settings) {
+    applied = settings.error();
+  } else if (!settings.value().changed.empty()) {
+    applied = manager.Reload();
+  }
+  line.Text("result", applied ? "done" : ToString(applied.error()));
+  if (settings) {
+    line.Text("changed", Join(settings.value().changed))
+        .Text("need_restart", Join(settings.value().need_restart));
+  }
+  Log().Info("settings were read again: " +
+             (applied ? "done" : ToString(applied.error())));
+  WriteEvent(manager, std::move(line));
+}
+
+// Waits for a signal that ends the process; reloads the settings meanwhile.
+int WaitForStop(const sigset_t& signals,
+                SettingsReloader& reloader,
+                PluginManager& manager) {
+  while (true) {
+    const int number = sigtimedwait(&signals, nullptr, &kSettingsPoll);
+    if (number == SIGHUP) {
+      ReloadSettings(reloader, manager, "SIGHUP");
+    } else if (number > 0) {
+      return number;
+    } else if (reloader.FileHasChanged()) {
+      ReloadSettings(reloader, manager, "the file changed");
+    }
+  }
+}
+
 }  // namespace
 
-int RunServeCommand() {
+int RunServeCommand(const std::vector<std::string>& arguments) {
   // Blocked before threads start, so that only this thread receives them.
   const sigset_t signals = StopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   RaiseDescriptorLimit();
+  SettingsReloader reloader(arguments);
   PluginManager manager;
   AddPlugins(manager);
   const Result<void> started = manager.Start();
@@ -160,17 +211,7 @@
                                                               : kStartFailed);
   }
   Log().Info("started");
-  int number = 0;
-  do {
-    sigwait(&signals, &number);
-    if (number == SIGHUP) {
-      Log().Info("SIGHUP: settings are read at the start only");
-      WriteEvent(manager, EventLine("process.reload")
-                              .Text("result",
-                                    "unchanged: settings are read "
-                                    "at the start only"));
-    }
-  } while (number == SIGHUP);
+  const int number = WaitForStop(signals, reloader, manager);
   Log().Info("signal " + std::to_string(number) + ": draining");
   WriteEvent(manager, EventLine("process.stopping").Number("signal", number));
   // Readiness ends before the first plugin drains.
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -47,6 +47,11 @@
  public:
   explicit Dispatcher(DispatcherOptions options);
 
+  // Replaces the region of each data centre.
+  void SetRegions(std::map<std::string, std::string> regions) {
+    options_.regions = std::move(regions);
+  }
+
   // Replaces the list of upstreams. Those that are gone get nothing more; what
   // runs there goes on.
   void SetUpstreams(const std::vector<UpstreamEntry>& upstreams,
@@ -125,7 +130,7 @@
                        const WaitingRequest& request,
                        double mean_pace) const;
 
-  const DispatcherOptions options_;
+  DispatcherOptions options_;
   mutable Random random_;
   std::map<std::string, UpstreamView> upstreams_;
   // Point into `upstreams_`.
--- a/src/libs/dispatching/resend_budget.h
+++ b/src/libs/dispatching/resend_budget.h
@@ -24,6 +24,7 @@
  public:
   explicit ResendBudget(ResendBudgetOptions options) : options_(options) {}
 
+  void SetOptions(ResendBudgetOptions options) { options_ = options; }
   // The number of hosts that share the allowance; at least 1.
   void SetHostCount(std::size_t hosts) { host_count_ = hosts; }
   void OnRequest(const std::string& service, MonotonicTime now);
--- a/src/libs/kernel/event_log.cc
+++ b/src/libs/kernel/event_log.cc
@@ -128,6 +128,13 @@
   buffer_ += text;
 }
 
+void EventLog::SetBounds(std::size_t max_lines_per_second,
+                         std::size_t max_buffered_bytes) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  options_.max_lines_per_second = max_lines_per_second;
+  options_.max_buffered_bytes = max_buffered_bytes;
+}
+
 std::uint64_t EventLog::dropped_lines() const {
   std::lock_guard<std::mutex> lock(mutex_);
   return dropped_;
--- a/src/libs/kernel/event_log.h
+++ b/src/libs/kernel/event_log.h
@@ -53,12 +53,15 @@
   ~EventLog();
 
   void Write(EventLine line);
+  // Changes the bounds on what is written.
+  void SetBounds(std::size_t max_lines_per_second,
+                 std::size_t max_buffered_bytes);
   std::uint64_t dropped_lines() const;
 
  private:
   void Run();
 
-  const EventLogOptions options_;
+  EventLogOptions options_;
   mutable std::mutex mutex_;
   std::condition_variable stop_condition_;
   std::string buffer_;
--- a/src/libs/kernel/plugin.h
+++ b/src/libs/kernel/plugin.h
@@ -26,6 +26,11 @@
   // Looks up the services of other plugins and starts the plugin's threads.
   virtual Result<void> ExtensionsInitialized(ServiceRegistry& registry) = 0;
 
+  // Reads the plugin's settings again and applies those that may change while
+  // it runs. On an error it keeps those that it has. Called between the start
+  // and the drain; most plugins read their settings at the start only.
+  virtual Result<void> Reload() { return boost::outcome_v2::success(); }
+
   // Starts to drain: accepts no new work and finishes what is in flight. Calls
   // `done` exactly once, from any thread, when nothing is left to wait for.
   virtual void AboutToShutdown(std::function<void()> done) = 0;
--- a/src/libs/kernel/plugin_manager.cc
+++ b/src/libs/kernel/plugin_manager.cc
@@ -72,6 +72,17 @@
   return boost::outcome_v2::success();
 }
 
+Result<void> PluginManager::Reload() {
+  Result<void> result = boost::outcome_v2::success();
+  for (const auto& it : plugins_) {
+    const Result<void> reloaded = it->Reload();
+    if (!reloaded && result) {
+      result = WithPluginName(reloaded.error(), it->Name());
+    }
+  }
+  return result;
+}
+
 bool PluginManager::Shutdown(std::chrono::milliseconds time_limit) {
   const auto deadline = std::chrono::steady_clock::now() + time_limit;
   bool all_done = true;
--- a/src/libs/kernel/plugin_manager.h
+++ b/src/libs/kernel/plugin_manager.h
@@ -40,6 +40,10 @@
   // plugin as its step.
   Result<void> Start();
 
+  // Lets all plugins read their settings again. Returns the first error, which
+  // names the plugin as its step; the other plugins reload all the same.
+  Result<void> Reload();
+
   // Drains the plugins one after another in reverse order. Returns false if
   // `time_limit` passed before the last one was done.
   bool Shutdown(std::chrono::milliseconds time_limit);
--- a/src/plugins/directory/directory_plugin.cc
+++ b/src/plugins/directory/directory_plugin.cc
@@ -56,6 +56,15 @@
   }
 }
 
+Result<void> DirectoryPlugin::Reload() {
+  const DirectorySettings settings = DirectorySettingsFromFlags();
+  Result<void> checked = CheckDirectorySettings(settings);
+  if (checked && private_->worker) {
+    private_->worker->SetWaits(settings);
+  }
+  return checked;
+}
+
 void DirectoryPlugin::AboutToShutdown(std::function<void()> done) {
   if (private_->worker) {
     private_->worker->Leave(std::move(done));
--- a/src/plugins/directory/directory_plugin.h
+++ b/src/plugins/directory/directory_plugin.h
@@ -24,6 +24,7 @@
   std::string_view Name() const override { return "directory"; }
   Result<void> Initialize(ServiceRegistry& registry) override;
   Result<void> ExtensionsInitialized(ServiceRegistry& registry) override;
+  Result<void> Reload() override;
   void AboutToShutdown(std::function<void()> done) override;
   std::string DumpState() const override;
 
--- a/src/plugins/directory/directory_worker.cc
+++ b/src/plugins/directory/directory_worker.cc
@@ -198,6 +198,13 @@
   });
 }
 
+void DirectoryWorker::SetWaits(const DirectorySettings& settings) {
+  Post([this, settings] {
+    settings_.routing_watch_wait = settings.routing_watch_wait;
+    settings_.upstreams_watch_wait = settings.upstreams_watch_wait;
+  });
+}
+
 void DirectoryWorker::OnHostSilent(const std::string& host) {
   Post([this, host] {
     if (!hosts_.entries().contains(host) || store_failing_ ||
--- a/src/plugins/directory/directory_worker.h
+++ b/src/plugins/directory/directory_worker.h
@@ -27,6 +27,8 @@
   DirectoryWorker& operator=(const DirectoryWorker&) = delete;
   ~DirectoryWorker();
 
+  // Takes over the times that watches wait, from the next watch on.
+  void SetWaits(const DirectorySettings& settings);
   void OnHostSilent(const std::string& host);
   // Removes this host's entry; calls `done` when the store has answered.
   void Leave(std::function<void()> done);
@@ -53,7 +55,7 @@
   void LogRouting();
   void Post(Task task);
 
-  const DirectorySettings settings_;
+  DirectorySettings settings_;
   FleetStore& store_;
   EventLog& log_;
   const FleetSource::Listener listener_;
--- a/src/plugins/gateway/gateway_plugin.cc
+++ b/src/plugins/gateway/gateway_plugin.cc
@@ -47,7 +47,8 @@
   explicit Private(GatewaySettings gateway_settings)
       : settings(std::move(gateway_settings)) {}
 
-  const GatewaySettings settings;
+  // Used on the gateway's thread once it runs.
+  GatewaySettings settings;
   boost::asio::io_context io{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work_guard = boost::asio::make_work_guard(io);
@@ -262,6 +263,19 @@
   return boost::outcome_v2::success();
 }
 
+Result<void> GatewayPlugin::Reload() {
+  const GatewaySettings settings = GatewaySettingsFromFlags();
+  Result<void> checked = CheckGatewaySettings(settings);
+  if (!checked) {
+    return checked;
+  }
+  boost::asio::post(private_->io, [self = private_.get(), settings] {
+    self->settings.Reload(settings);
+    self->relay->Reload(settings);
+  });
+  return boost::outcome_v2::success();
+}
+
 void GatewayPlugin::AboutToShutdown(std::function<void()> done) {
   boost::asio::post(private_->io, [this, done = std::move(done)] {
     private_->drained = done;
--- a/src/plugins/gateway/gateway_plugin.h
+++ b/src/plugins/gateway/gateway_plugin.h
@@ -22,6 +22,7 @@
   std::string_view Name() const override { return "gateway"; }
   Result<void> Initialize(ServiceRegistry& registry) override;
   Result<void> ExtensionsInitialized(ServiceRegistry& registry) override;
+  Result<void> Reload() override;
   void AboutToShutdown(std::function<void()> done) override;
   std::string DumpState() const override;
 
--- a/src/plugins/gateway/gateway_settings.cc
+++ b/src/plugins/gateway/gateway_settings.cc
@@ -78,6 +78,17 @@
           .report_interval = milliseconds(FLAGS_gateway_report_interval_ms)};
 }
 
+void GatewaySettings::Reload(const GatewaySettings& from) {
+  regions = from.regions;
+  changes = from.changes;
+  resend_ratio = from.resend_ratio;
+  resend_allowance = from.resend_allowance;
+  resend_window = from.resend_window;
+  drain_time_limit = from.drain_time_limit;
+  drain_min_time = from.drain_min_time;
+  report_interval = from.report_interval;
+}
+
 Result<void> CheckGatewaySettings(const GatewaySettings& settings) {
   for (const std::string& it :
        {settings.listen_address, settings.status_address,
--- a/src/plugins/gateway/gateway_settings.h
+++ b/src/plugins/gateway/gateway_settings.h
@@ -37,6 +37,10 @@
   std::chrono::milliseconds drain_time_limit{6800};
   std::chrono::milliseconds drain_min_time{3500};
   std::chrono::milliseconds report_interval{200};
+
+  // Takes over what may change while the gateway runs; addresses, names and
+  // headers stay.
+  void Reload(const GatewaySettings& from);
 };
 
 // Reads the flags --gateway_* and those of the host.
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -56,6 +56,12 @@
   return parts;
 }
 
+ResendBudgetOptions ResendOptions(const GatewaySettings& settings) {
+  return {.ratio = settings.resend_ratio,
+          .shared_allowance = settings.resend_allowance,
+          .window = settings.resend_window};
+}
+
 // The service of a route for one request; the same for the same id.
 std::string ChooseService(const Route& route, const std::string& request_id) {
   double total = 0;
@@ -92,10 +98,7 @@
                                .regions = settings.regions,
                                .seed = ComputeContentHash(settings.host).low}),
                .allotments = Allotments(BootTimeNow()),
-               .resends =
-                   ResendBudget({.ratio = settings.resend_ratio,
-                                 .shared_allowance = settings.resend_allowance,
-                                 .window = settings.resend_window}),
+               .resends = ResendBudget(ResendOptions(settings)),
                .crashes = {},
                .connections =
                    UpstreamConnections(io, settings.headers.request_id),
@@ -120,6 +123,12 @@
   });
 }
 
+void Relay::Reload(const GatewaySettings& settings) {
+  context_.settings.Reload(settings);
+  context_.dispatcher.SetRegions(settings.regions);
+  context_.resends.SetOptions(ResendOptions(settings));
+}
+
 void Relay::OnFleet(const FleetSnapshot& snapshot) {
   const MonotonicTime now = BootTimeNow();
   const bool new_routing = context_.fleet.routing != snapshot.routing;
--- a/src/plugins/gateway/relay.h
+++ b/src/plugins/gateway/relay.h
@@ -27,6 +27,8 @@
         MetricsRegistry& metrics,
         std::function<void()> on_load_changed);
 
+  // Takes over the settings that may change while the gateway runs.
+  void Reload(const GatewaySettings& settings);
   void OnFleet(const FleetSnapshot& snapshot);
   void OnReport(const HostReport& report);
   // The hosts that share limits with this one, with it.
--- a/src/plugins/gateway/relay_context.h
+++ b/src/plugins/gateway/relay_context.h
@@ -21,7 +21,7 @@
 // thread only.
 struct RelayContext {
   boost::asio::io_context& io;
-  const GatewaySettings settings;
+  GatewaySettings settings;
   EventLog& log;
   MetricsRegistry& metrics;
   FleetSnapshot fleet;
--- a/src/plugins/telemetry/telemetry_plugin.cc
+++ b/src/plugins/telemetry/telemetry_plugin.cc
@@ -35,6 +35,12 @@
   return boost::outcome_v2::success();
 }
 
+Result<void> TelemetryPlugin::Reload() {
+  const EventLogOptions options = EventLogOptionsFromFlags();
+  log_.SetBounds(options.max_lines_per_second, options.max_buffered_bytes);
+  return boost::outcome_v2::success();
+}
+
 std::string TelemetryPlugin::DumpState() const {
   return "{\"dropped_lines\":" + std::to_string(log_.dropped_lines()) + "}";
 }
--- a/src/plugins/telemetry/telemetry_plugin.h
+++ b/src/plugins/telemetry/telemetry_plugin.h
@@ -22,6 +22,7 @@
   std::string_view Name() const override { return "telemetry"; }
   Result<void> Initialize(ServiceRegistry& registry) override;
   Result<void> ExtensionsInitialized(ServiceRegistry& registry) override;
+  Result<void> Reload() override;
   void AboutToShutdown(std::function<void()> done) override { done(); }
   std::string DumpState() const override;
 
--- /dev/null
+++ b/tests/auto/end_to_end/tst_settings_reload.cc
@@ -0,0 +1,90 @@
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <optional>
+#include <string>
+
+#include "tests/support/child_process.h"
+#include "tests/support/free_address.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kExitTimeLimit{20000};
+
+// A settings file that the test rewrites; removed at the end.
+class SettingsFile {
+ public:
+  SettingsFile()
+      : path_("/tmp/flamingogauge-reload-" + std::to_string(::getpid())),
+        addresses_("--host_report_address=" + FreeAddress(SOCK_DGRAM) +
+                   "\n--gateway_listen_address=" + FreeAddress(SOCK_STREAM) +
+                   "\n--gateway_status_address=" + FreeAddress(SOCK_STREAM) +
+                   "\n--fleet_store_address=" + FreeAddress(SOCK_STREAM) +
+                   "\n") {}
+  SettingsFile(const SettingsFile&) = delete;
+  SettingsFile& operator=(const SettingsFile&) = delete;
+  ~SettingsFile() { ::unlink(path_.c_str()); }
+
+  void Write(const std::string& lines) const {
+    // Replaced as a whole, so that nobody reads a part of it.
+    const std::string next = path_ + ".next";
+    std::ofstream(next) << addresses_ << lines;
+    ::rename(next.c_str(), path_.c_str());
+  }
+  const std::string& path() const { return path_; }
+
+ private:
+  const std::string path_;
+  const std::string addresses_;
+};
+
+struct Case {
+  const char* lines;
+  bool signal;
+  const char* expected;
+};
+
+// Guards against changed settings that count only after a restart, a process
+// that ends at SIGHUP, and a wrong file that replaces settings that work.
+TEST_CASE("settings are read again at a signal and when their file changes") {
+  const SettingsFile file;
+  const std::string start = "--host_name=h1\n--gateway_stop_limit_s=1\n";
+  file.Write(start);
+  ChildProcess host(FLAMINGOGAUGE_BINARY,
+                    {"serve", "--flagfile=" + file.path()});
+  REQUIRE(host.WaitForOutput("process.started"));
+  const Case cases[] = {
+      {"--gateway_resend_ratio=0.3\n", true,
+       R"("SIGHUP","result":"done","changed":"gateway_resend_ratio",)"
+       R"("need_restart":"")"},
+      // The ratio has its default again.
+      {"--key_revocation_limit_ms=4000\n", false,
+       R"("the file changed","result":"done",)"
+       R"("changed":"gateway_resend_ratio,key_revocation_limit_ms",)"},
+      {"--key_revocation_limit_ms=4000\n--fleet_store_address=127.0.0.1:9\n",
+       true, R"("need_restart":"fleet_store_address")"},
+      {"--key_revocation_limit_ms=1\n", true, "key_revocation_limit_ms"},
+  };
+  for (const Case& it : cases) {
+    CAPTURE(it.lines);
+    file.Write(start + it.lines);
+    if (it.signal) {
+      host.Signal(SIGHUP);
+    }
+    CHECK_MESSAGE(host.WaitForOutput(it.expected), host.Output());
+  }
+  host.Signal(SIGTERM);
+  const std::optional<int> status = host.Wait(kExitTimeLimit);
+  REQUIRE(status);
+  CHECK(*status == 0);
+}
+
+}  // namespace
+}  // namespace flamingogauge
--- a/tests/auto/gateway/gateway_host.cc
+++ b/tests/auto/gateway/gateway_host.cc
@@ -1,10 +1,7 @@
 #include "tests/auto/gateway/gateway_host.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <stdexcept>
 #include <thread>
@@ -13,6 +10,7 @@
 #include "libs/kernel/boot_clock.h"
 #include "plugins/gateway/gateway_plugin.h"
 #include "plugins/telemetry/telemetry_plugin.h"
+#include "tests/support/free_address.h"
 
 namespace flamingogauge {
 namespace {
@@ -21,22 +19,6 @@
 
 constexpr milliseconds kReadyTimeLimit{5000};
 
-// Asks the kernel for a free loopback port of the type of socket.
-std::string FreeAddress(int type) {
-  const int fd = ::socket(AF_INET, type, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  if (::bind(fd, generic, size) != 0 ||
-      ::getsockname(fd, generic, &size) != 0) {
-    throw std::runtime_error("no free port");
-  }
-  ::close(fd);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
 GatewaySettings TestSettings() {
   return {.host = "h1",
           .data_centre = "d1",
@@ -177,6 +159,10 @@
   return connection.ReadAnswer().status;
 }
 
+Result<void> GatewayHost::Reload() {
+  return manager_.Reload();
+}
+
 bool GatewayHost::Shutdown(milliseconds time_limit) {
   return manager_.Shutdown(time_limit);
 }
--- a/tests/auto/gateway/gateway_host.h
+++ b/tests/auto/gateway/gateway_host.h
@@ -45,6 +45,8 @@
   const std::string& address() const { return address_; }
   // The status of the readiness check.
   int ReadyStatus();
+  // Lets the gateway read the flags of this process.
+  Result<void> Reload();
   // Stops as at a signal; true when everything ended in time.
   bool Shutdown(std::chrono::milliseconds time_limit);
 
--- a/tests/auto/gateway/tst_gateway_life.cc
+++ b/tests/auto/gateway/tst_gateway_life.cc
@@ -1,4 +1,5 @@
 #include <doctest/doctest.h>
+#include <gflags/gflags.h>
 
 #include <atomic>
 #include <chrono>
@@ -27,6 +28,28 @@
   CHECK(host.ReadyStatus() == 503);
 }
 
+// Guards against a lowered limit that does not bind a running host, and against
+// settings out of range that replace those that work.
+TEST_CASE("a reload applies the limits of the flags") {
+  ScriptedServer upstream({});
+  GatewayHost host({upstream.address()});
+  host.Publish(TestRouting(), seconds(2));
+  CHECK(host.ReadyStatus() == 200);
+  const gflags::FlagSaver saver;
+  for (const char* it : {"host_report_address", "gateway_listen_address",
+                         "gateway_status_address"}) {
+    gflags::SetCommandLineOption(it, "127.0.0.1:1");
+  }
+  gflags::SetCommandLineOption("key_revocation_limit_ms", "2500");
+  CHECK(host.Reload());
+  CHECK(host.ReadyStatus() == 503);
+  gflags::SetCommandLineOption("key_revocation_limit_ms", "1");
+  CHECK_FALSE(host.Reload());
+  gflags::SetCommandLineOption("key_revocation_limit_ms", "5000");
+  CHECK(host.Reload());
+  CHECK(host.ReadyStatus() == 200);
+}
+
 // Guards against refusals by a host that has just started: its callers connect
 // before its first read of the store is answered.
 TEST_CASE("requests that arrive during the start wait for the document") {
