dispatching: send reports to one host of each large data centre

Cause: each host sent its load report to all others five times a second. Change: ReportFanout decides without I/O which hosts get a report. Hosts of the same data centre get each one, as before; a data centre with more than four hosts gets it through one of them, in turn, which passes it on. The interval grows with the fleet, so that a host hears at most 150 reports a second from other data centres; the lifetime of a report follows. Reports carry a number, and older ones are dropped.

--- a/src/libs/dispatching/allotments.cc
+++ b/src/libs/dispatching/allotments.cc
@@ -8,8 +8,6 @@
 
 using std::chrono::milliseconds;
 
-// A host that was not heard for this long is not counted on.
-constexpr milliseconds kPeerLifetime{1500};
 // A process that starts does not know what was spent before it.
 constexpr double kCreditPartAtStart = 0.5;
 // For this long it takes over what others believe to be left.
@@ -87,7 +85,7 @@
 double Allotments::ReachablePart(MonotonicTime now) const {
   std::size_t heard = 1;
   for (const auto& [host, peer] : peers_) {
-    heard += now - peer.heard_at <= kPeerLifetime ? 1 : 0;
+    heard += now - peer.heard_at <= report_lifetime_ ? 1 : 0;
   }
   return std::min(1.0, static_cast<double>(heard) /
                            static_cast<double>(std::max(host_count_, heard)));
@@ -106,7 +104,7 @@
   double units = 0;
   for (const auto& [host, peer] : peers_) {
     const auto it = peer.usage.find(workspace);
-    if (it != peer.usage.end() && now - peer.heard_at <= kPeerLifetime) {
+    if (it != peer.usage.end() && now - peer.heard_at <= report_lifetime_) {
       units += it->second.rate * Seconds(now - peer.heard_at);
     }
   }
--- a/src/libs/dispatching/allotments.h
+++ b/src/libs/dispatching/allotments.h
@@ -37,6 +37,11 @@
   // The number of hosts that are registered, with this one; at least 1.
   void SetHostCount(std::size_t hosts) { host_count_ = hosts; }
 
+  // For how long the newest report of a host counts.
+  void SetReportLifetime(std::chrono::milliseconds lifetime) {
+    report_lifetime_ = lifetime;
+  }
+
   // The usage of another host; `process` differs after a restart.
   void OnPeerUsage(const std::string& host,
                    std::uint64_t process,
@@ -82,6 +87,7 @@
 
   MonotonicTime started_at_;
   std::size_t host_count_ = 1;
+  std::chrono::milliseconds report_lifetime_{1500};
   std::map<std::string, Bucket> buckets_;
   std::map<std::string, Peer> peers_;
 };
--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -12,8 +12,6 @@
 
 using std::chrono::milliseconds;
 
-// A report of another host counts for this long.
-constexpr milliseconds kPeerReportLifetime{1500};
 // Prompt tokens that an engine of ordinary speed reads in a second.
 constexpr double kPrefillTokensPerSecond = 55000;
 // Distance in seconds of waiting that its bytes are worth.
@@ -124,7 +122,7 @@
 
 void Dispatcher::ForgetSilentPeers(MonotonicTime now) {
   for (auto it = peers_.begin(); it != peers_.end();) {
-    if (now - it->second.received_at > kPeerReportLifetime) {
+    if (now - it->second.received_at > report_lifetime_) {
       CountPeerLoad(it->second.running, -1);
       it = peers_.erase(it);
     } else {
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -52,6 +52,11 @@
     options_.regions = std::move(regions);
   }
 
+  // For how long the newest report of a host counts.
+  void SetReportLifetime(std::chrono::milliseconds lifetime) {
+    report_lifetime_ = lifetime;
+  }
+
   // Replaces the list of upstreams. Those that are gone get nothing more; what
   // runs there goes on.
   void SetUpstreams(const std::vector<UpstreamEntry>& upstreams,
@@ -137,6 +142,7 @@
   std::unordered_map<std::string, std::vector<UpstreamView*>> by_service_;
   std::unordered_map<std::uint64_t, UpstreamView*> by_peer_key_;
   std::map<std::string, PeerReport> peers_;
+  std::chrono::milliseconds report_lifetime_{1500};
   // The sum of `peers_`, by PeerUpstreamKey.
   std::unordered_map<std::uint64_t, int> peer_running_;
   std::unordered_map<std::uint64_t, WaitingRequest> waiting_;
--- /dev/null
+++ b/src/libs/dispatching/report_fanout.cc
@@ -0,0 +1,92 @@
+#include "libs/dispatching/report_fanout.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libs/model/fingerprint.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+
+// All hosts of another data centre get a report if it has no more than this.
+constexpr std::size_t kMaxDirectHosts = 4;
+// Reports of hosts in other data centres that one host hears, at most.
+constexpr double kMaxFarReportsPerSecond = 150;
+constexpr milliseconds kMinLifetime{1500};
+// Reports that may be lost or late in a row.
+constexpr int kIntervalsInLifetime = 4;
+
+}  // namespace
+
+ReportFanout::ReportFanout(ReportFanoutOptions options)
+    : options_(std::move(options)),
+      // Hosts that start together should not choose the same receivers.
+      round_(ComputeContentHash(options_.host).low % 1024) {}
+
+void ReportFanout::SetHosts(const std::vector<HostEntry>& hosts) {
+  near_.clear();
+  far_.clear();
+  data_centre_of_.clear();
+  for (const HostEntry& it : hosts) {
+    data_centre_of_[it.name] = it.data_centre;
+    if (it.name == options_.host) {
+      continue;
+    }
+    if (it.data_centre == options_.data_centre) {
+      near_.push_back(it.report_address);
+    } else {
+      far_[it.data_centre].push_back(it.report_address);
+    }
+  }
+  std::erase_if(heard_, [this](const auto& it) {
+    return !data_centre_of_.contains(it.first);
+  });
+}
+
+std::vector<std::string> ReportFanout::NextFar() {
+  std::vector<std::string> addresses;
+  ++round_;
+  for (const auto& [data_centre, hosts] : far_) {
+    if (hosts.size() <= kMaxDirectHosts) {
+      addresses.insert(addresses.end(), hosts.begin(), hosts.end());
+    } else {
+      addresses.push_back(hosts[round_ % hosts.size()]);
+    }
+  }
+  return addresses;
+}
+
+milliseconds ReportFanout::FarInterval() const {
+  std::size_t far_hosts = 0;
+  for (const auto& [data_centre, hosts] : far_) {
+    far_hosts += hosts.size();
+  }
+  const auto shortest = static_cast<std::int64_t>(
+      static_cast<double>(far_hosts) * 1000 / kMaxFarReportsPerSecond);
+  return std::max(options_.far_interval, milliseconds(shortest));
+}
+
+milliseconds ReportFanout::ReportLifetime() const {
+  return std::max(kMinLifetime, FarInterval() * kIntervalsInLifetime);
+}
+
+bool ReportFanout::IsNews(const std::string& host,
+                          std::uint64_t process,
+                          std::uint64_t sequence) {
+  Heard& heard = heard_[host];
+  if (heard.process == process && sequence <= heard.sequence) {
+    return false;
+  }
+  heard = {.process = process, .sequence = sequence};
+  return true;
+}
+
+bool ReportFanout::MustPassOn(const std::string& host) const {
+  const auto it = data_centre_of_.find(host);
+  return it != data_centre_of_.end() && it->second != options_.data_centre &&
+         near_.size() + 1 > kMaxDirectHosts;
+}
+
+}  // namespace flamingogauge
--- a/src/libs/protocol/host_report.capnp
+++ b/src/libs/protocol/host_report.capnp
@@ -14,6 +14,11 @@
   draining @4 :Bool;
   # Differs after a restart.
   process @5 :UInt64;
+  # Increases with each report of the process.
+  sequence @6 :UInt64;
+  # Reports of other hosts that the receiver did not get itself; these pass on
+  # nothing.
+  passedOn @7 :List(HostReport);
 }
 
 struct UpstreamLoad {
--- a/src/plugins/gateway/gateway_plugin.cc
+++ b/src/plugins/gateway/gateway_plugin.cc
@@ -10,6 +10,7 @@
 #include <thread>
 #include <utility>
 
+#include "libs/dispatching/report_fanout.h"
 #include "libs/kernel/boot_clock.h"
 #include "libs/kernel/log.h"
 #include "libs/services/event_log_service.h"
@@ -36,6 +37,17 @@
 // How long a state dump waits for the gateway's thread.
 constexpr milliseconds kDumpTimeLimit{500};
 
+// A report that could not be passed on for this long, on a host that was
+// suspended for example, is replaced by a newer one elsewhere.
+constexpr milliseconds kMaxPassOnDelay{500};
+// A timer that fires a little early must not skip a round.
+constexpr milliseconds kTimerSlack{20};
+
+struct ReportToPassOn {
+  HostReport report;
+  MonotonicTime received_at;
+};
+
 const Logger& Log() {
   static const Logger kLogger("gateway");
   return kLogger;
@@ -66,6 +78,13 @@
   std::unique_ptr<ReportSocket> reports;
   std::shared_ptr<const std::vector<HostEntry>> hosts =
       std::make_shared<std::vector<HostEntry>>();
+  ReportFanout fanout{{.host = settings.host,
+                       .data_centre = settings.data_centre,
+                       .far_interval = settings.report_interval}};
+  std::uint64_t report_sequence = 0;
+  MonotonicTime far_report_due_at;
+  // The newest reports of hosts in other data centres, by host.
+  std::map<std::string, ReportToPassOn> to_pass_on;
   std::map<std::string, MonotonicTime> heard_at;
   std::set<std::string> leaving_hosts;
   bool load_report_scheduled = false;
@@ -76,16 +95,25 @@
   void OnFleet(const FleetSnapshot& snapshot);
   void OnDatagram(const std::string& bytes);
   void Tick();
+  // Returns false for a report that is no news.
+  bool OnReport(const HostReport& report);
   void SendReports();
   void OnLoadChanged();
-  // Sends a report to the hosts of the same data centre, or to all others.
-  void SendReport(bool same_data_centre_only);
+  // Reports to the hosts of the same data centre, with what has to be passed
+  // on to them.
+  void SendNearReport();
+  void SendReport(std::vector<HostReport> passed_on,
+                  const std::vector<std::string>& addresses);
   void CheckDrain();
   void CountHosts(MonotonicTime now);
 };
 
 void GatewayPlugin::Private::OnFleet(const FleetSnapshot& snapshot) {
-  hosts = snapshot.hosts;
+  if (hosts != snapshot.hosts) {
+    hosts = snapshot.hosts;
+    fanout.SetHosts(*hosts);
+    relay->SetReportLifetime(fanout.ReportLifetime());
+  }
   relay->OnFleet(snapshot);
   CountHosts(BootTimeNow());
 }
@@ -109,19 +137,37 @@
 }
 
 void GatewayPlugin::Private::OnDatagram(const std::string& bytes) {
-  const Result<HostReport> report = DecodeHostReport(bytes);
-  if (!report) {
-    Log().Warning(ToString(report.error()));
+  Result<HostReport> decoded = DecodeHostReport(bytes);
+  if (!decoded) {
+    Log().Warning(ToString(decoded.error()));
     return;
   }
-  const std::string& host = report.value().host;
-  heard_at[host] = BootTimeNow();
-  if (report.value().draining) {
-    leaving_hosts.insert(host);
+  HostReport& report = decoded.value();
+  const std::vector<HostReport> passed_on = std::move(report.passed_on);
+  report.passed_on.clear();
+  if (OnReport(report) && fanout.MustPassOn(report.host)) {
+    const std::string host = report.host;
+    to_pass_on[host] = {.report = std::move(report),
+                        .received_at = BootTimeNow()};
+  }
+  for (const HostReport& it : passed_on) {
+    OnReport(it);
+  }
+}
+
+bool GatewayPlugin::Private::OnReport(const HostReport& report) {
+  if (report.host == settings.host ||
+      !fanout.IsNews(report.host, report.process, report.sequence)) {
+    return false;
+  }
+  heard_at[report.host] = BootTimeNow();
+  if (report.draining) {
+    leaving_hosts.insert(report.host);
   } else {
-    leaving_hosts.erase(host);
+    leaving_hosts.erase(report.host);
   }
-  relay->OnReport(report.value());
+  relay->OnReport(report);
+  return true;
 }
 
 void GatewayPlugin::Private::Tick() {
@@ -140,19 +186,40 @@
     if (ec) {
       return;
     }
-    SendReport(false);
+    SendNearReport();
+    const MonotonicTime now = BootTimeNow();
+    if (now >= far_report_due_at) {
+      far_report_due_at = now + fanout.FarInterval() - kTimerSlack;
+      SendReport({}, fanout.NextFar());
+    }
     SendReports();
   });
 }
 
-void GatewayPlugin::Private::SendReport(bool same_data_centre_only) {
-  const std::string bytes = EncodeHostReport(relay->OwnReport());
-  for (const HostEntry& it : *hosts) {
-    const bool near = it.data_centre == settings.data_centre;
-    if (it.name != settings.host && (near || !same_data_centre_only)) {
-      reports->Send(bytes, it.report_address);
+void GatewayPlugin::Private::SendNearReport() {
+  const MonotonicTime now = BootTimeNow();
+  std::vector<HostReport> passed_on;
+  for (auto& [host, it] : std::exchange(to_pass_on, {})) {
+    if (now - it.received_at <= kMaxPassOnDelay) {
+      passed_on.push_back(std::move(it.report));
     }
   }
+  SendReport(std::move(passed_on), fanout.Near());
+}
+
+void GatewayPlugin::Private::SendReport(
+    std::vector<HostReport> passed_on,
+    const std::vector<std::string>& addresses) {
+  if (addresses.empty()) {
+    return;
+  }
+  HostReport report = relay->OwnReport();
+  report.sequence = ++report_sequence;
+  report.passed_on = std::move(passed_on);
+  const std::string bytes = EncodeHostReport(report);
+  for (const std::string& it : addresses) {
+    reports->Send(bytes, it);
+  }
 }
 
 void GatewayPlugin::Private::OnLoadChanged() {
@@ -164,7 +231,7 @@
   load_report_timer.async_wait([this](const boost::system::error_code& ec) {
     load_report_scheduled = false;
     if (!ec) {
-      SendReport(true);
+      SendNearReport();
     }
   });
 }
@@ -271,6 +338,7 @@
   }
   boost::asio::post(private_->io, [self = private_.get(), settings] {
     self->settings.Reload(settings);
+    self->fanout.SetFarInterval(settings.report_interval);
     self->relay->Reload(settings);
   });
   return boost::outcome_v2::success();
--- a/src/plugins/gateway/host_report.cc
+++ b/src/plugins/gateway/host_report.cc
@@ -12,10 +12,11 @@
 // Bounds what a forged datagram can make the reader visit.
 constexpr std::uint64_t kTraversalLimitWords = 65536;
 
-HostReport Read(wire::HostReport::Reader from) {
+HostReport ReadOne(wire::HostReport::Reader from) {
   HostReport report{.host = from.getHost().cStr(),
                     .draining = from.getDraining(),
-                    .process = from.getProcess()};
+                    .process = from.getProcess(),
+                    .sequence = from.getSequence()};
   for (const auto& it : from.getRunning()) {
     report.running[it.getUpstream()] = it.getRequests();
   }
@@ -31,14 +32,19 @@
   return report;
 }
 
-}  // namespace
+HostReport Read(wire::HostReport::Reader from) {
+  HostReport report = ReadOne(from);
+  for (const auto& it : from.getPassedOn()) {
+    report.passed_on.push_back(ReadOne(it));
+  }
+  return report;
+}
 
-std::string EncodeHostReport(const HostReport& report) {
-  capnp::MallocMessageBuilder message;
-  auto to = message.initRoot<wire::HostReport>();
+void WriteOne(const HostReport& report, wire::HostReport::Builder to) {
   to.setHost(report.host);
   to.setDraining(report.draining);
   to.setProcess(report.process);
+  to.setSequence(report.sequence);
   unsigned n = 0;
   auto running = to.initRunning(static_cast<unsigned>(report.running.size()));
   for (const auto& [upstream, requests] : report.running) {
@@ -58,6 +64,20 @@
     crashes[n].setRequest(it.request);
     crashes[n++].setUpstream(it.upstream);
   }
+}
+
+}  // namespace
+
+std::string EncodeHostReport(const HostReport& report) {
+  capnp::MallocMessageBuilder message;
+  auto to = message.initRoot<wire::HostReport>();
+  WriteOne(report, to);
+  unsigned n = 0;
+  auto passed_on =
+      to.initPassedOn(static_cast<unsigned>(report.passed_on.size()));
+  for (const HostReport& it : report.passed_on) {
+    WriteOne(it, passed_on[n++]);
+  }
   kj::VectorOutputStream output;
   capnp::writePackedMessage(output, message);
   const auto chars = output.getArray().asChars();
--- a/src/plugins/gateway/host_report.h
+++ b/src/plugins/gateway/host_report.h
@@ -23,6 +23,11 @@
   std::uint64_t process = 0;
   UsageByWorkspace usage;
   std::vector<CrashRecord> crashes;
+  // Increases with each report of the process.
+  std::uint64_t sequence = 0;
+  // Reports of hosts in other data centres, for those hosts nearby that did not
+  // get them; they pass on nothing themselves.
+  std::vector<HostReport> passed_on;
 };
 
 // The form in a datagram: a packed Cap'n Proto message.
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -186,6 +186,11 @@
   context_.resends.SetHostCount(hosts);
 }
 
+void Relay::SetReportLifetime(milliseconds lifetime) {
+  context_.allotments.SetReportLifetime(lifetime);
+  context_.dispatcher.SetReportLifetime(lifetime);
+}
+
 HostReport Relay::OwnReport() {
   const MonotonicTime now = BootTimeNow();
   return {.host = context_.settings.host,
--- a/src/plugins/gateway/relay.h
+++ b/src/plugins/gateway/relay.h
@@ -33,6 +33,8 @@
   void OnReport(const HostReport& report);
   // The hosts that share limits with this one, with it.
   void SetHostCount(std::size_t hosts);
+  // For how long the newest report of a host counts.
+  void SetReportLifetime(std::chrono::milliseconds lifetime);
   HostReport OwnReport();
   // Looks after waiting requests and idle connections; call often.
   void Tick();
--- /dev/null
+++ b/tests/auto/dispatching/tst_report_fanout.cc
@@ -0,0 +1,115 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "libs/dispatching/report_fanout.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct FleetSize {
+  int data_centres;
+  int hosts_in_each;
+};
+
+std::string Name(int data_centre, int host) {
+  return "d" + std::to_string(data_centre) + "-" + std::to_string(host);
+}
+
+std::vector<HostEntry> Fleet(const FleetSize& size) {
+  std::vector<HostEntry> hosts;
+  for (int d = 0; d < size.data_centres; ++d) {
+    for (int n = 0; n < size.hosts_in_each; ++n) {
+      hosts.push_back({.name = Name(d, n),
+                       .report_address = Name(d, n) + ":1",
+                       .data_centre = "d" + std::to_string(d)});
+    }
+  }
+  return hosts;
+}
+
+ReportFanout Fanout(const std::string& host, const FleetSize& size) {
+  ReportFanout fanout(
+      {.host = host, .data_centre = host.substr(0, host.find('-'))});
+  fanout.SetHosts(Fleet(size));
+  return fanout;
+}
+
+// Guards against a host that does not learn of another one, because no report
+// reaches it either directly or by way of a host beside it.
+TEST_CASE("each host hears of each other one") {
+  for (const FleetSize& size :
+       {FleetSize{1, 1}, FleetSize{3, 3}, FleetSize{2, 5}, FleetSize{6, 14}}) {
+    CAPTURE(size.hosts_in_each);
+    ReportFanout sender = Fanout("d0-0", size);
+    std::set<std::string> heard;
+    for (const std::string& it : sender.Near()) {
+      heard.insert(it);
+    }
+    for (const std::string& it : sender.NextFar()) {
+      heard.insert(it);
+      const std::string receiver = it.substr(0, it.find(':'));
+      const ReportFanout fanout = Fanout(receiver, size);
+      if (fanout.MustPassOn("d0-0")) {
+        heard.insert(fanout.Near().begin(), fanout.Near().end());
+      }
+    }
+    CHECK(static_cast<int>(heard.size()) ==
+          size.data_centres * size.hosts_in_each - 1);
+  }
+}
+
+// Guards against datagrams between data centres, or reports that a host hears,
+// that grow with the square of the fleet.
+TEST_CASE("what a host sends and hears a second has a bound") {
+  for (const FleetSize& size : {FleetSize{3, 3}, FleetSize{6, 15},
+                                FleetSize{13, 29}, FleetSize{13, 80}}) {
+    CAPTURE(size.hosts_in_each);
+    ReportFanout sender = Fanout("d0-0", size);
+    const double rounds =
+        1000.0 / static_cast<double>(sender.FarInterval().count());
+    const double far_hosts = (size.data_centres - 1) * size.hosts_in_each;
+    CHECK(far_hosts * rounds <= 151);
+    CHECK(static_cast<double>(sender.NextFar().size()) * rounds <= 60);
+    CHECK(sender.ReportLifetime() >= sender.FarInterval() * 3);
+  }
+  CHECK(Fanout("d0-0", {3, 3}).FarInterval() == milliseconds(200));
+}
+
+// Guards against one host that has to pass on the reports of all others, and
+// against reports that are lost for good with one receiver.
+TEST_CASE("the receivers of reports take turns") {
+  const FleetSize size{2, 10};
+  std::map<std::string, int> received;
+  for (int n = 0; n < size.hosts_in_each; ++n) {
+    ReportFanout sender = Fanout(Name(0, n), size);
+    for (int round = 0; round < 10; ++round) {
+      for (const std::string& it : sender.NextFar()) {
+        ++received[it];
+      }
+    }
+  }
+  CHECK(received.size() == 10);
+  for (const auto& [address, count] : received) {
+    CHECK(count == 10);
+  }
+}
+
+// Guards against an older report that replaces a newer one after a detour.
+TEST_CASE("only newer reports of a process are news") {
+  ReportFanout fanout = Fanout("d0-0", {2, 4});
+  CHECK(fanout.IsNews("d1-0", 5, 2));
+  CHECK_FALSE(fanout.IsNews("d1-0", 5, 2));
+  CHECK_FALSE(fanout.IsNews("d1-0", 5, 1));
+  CHECK(fanout.IsNews("d1-0", 5, 3));
+  CHECK(fanout.IsNews("d1-0", 6, 1));
+}
+
+}  // namespace
+}  // namespace flamingogauge
--- a/tests/auto/gateway/tst_host_report.cc
+++ b/tests/auto/gateway/tst_host_report.cc
@@ -9,12 +9,16 @@
 
 // Guards against hosts that misread each other's load or usage.
 TEST_CASE("a report is read as it was written") {
-  const HostReport report{.host = "h1",
-                          .draining = true,
-                          .running = {{11, 3}, {12, 65535}},
-                          .process = 77,
-                          .usage = {{"acme", {.spent = 1e9, .credits = -5}}},
-                          .crashes = {{.request = 1, .upstream = 2}}};
+  const HostReport report{
+      .host = "h1",
+      .draining = true,
+      .running = {{11, 3}, {12, 65535}},
+      .process = 77,
+      .usage = {{"acme", {.spent = 1e9, .credits = -5}}},
+      .crashes = {{.request = 1, .upstream = 2}},
+      .sequence = 9,
+      .passed_on = {
+          {.host = "h2", .running = {{13, 4}}, .process = 78, .sequence = 5}}};
   const Result<HostReport> read = DecodeHostReport(EncodeHostReport(report));
   REQUIRE(read);
   CHECK(read.value().host == report.host);
@@ -24,6 +28,12 @@
   CHECK(read.value().usage.at("acme").spent == 1e9);
   CHECK(read.value().usage.at("acme").credits == -5);
   CHECK(read.value().crashes == report.crashes);
+  CHECK(read.value().sequence == 9);
+  REQUIRE(read.value().passed_on.size() == 1);
+  CHECK(read.value().passed_on[0].host == "h2");
+  CHECK(read.value().passed_on[0].running == report.passed_on[0].running);
+  CHECK(read.value().passed_on[0].process == 78);
+  CHECK(read.value().passed_on[0].sequence == 5);
 }
 
 // Guards against a datagram from elsewhere that ends the process.
