directory: let no older version replace or confirm the document

Cause: reading the code: the document that was read last was applied whatever its version, against the promise that an accepted change is never taken back. Change: an older version is logged as routing.regressed, neither applied nor taken as a confirmation. The worker also counts calls to the store by table and result.

--- a/src/plugins/directory/directory_plugin.cc
+++ b/src/plugins/directory/directory_plugin.cc
@@ -11,6 +11,7 @@
   DirectorySettings settings;
   FleetStore* store = nullptr;
   EventLog* log = nullptr;
+  MetricsRegistry* metrics = nullptr;
   std::unique_ptr<DirectoryWorker> worker;
 };
 
@@ -39,15 +40,21 @@
   if (!log) {
     return log.error();
   }
+  Result<MetricsRegistry*> metrics =
+      registry.Find<MetricsRegistry>(MetricsRegistry::kServiceName);
+  if (!metrics) {
+    return metrics.error();
+  }
+  private_->metrics = metrics.value();
   private_->store = store.value();
   private_->log = log.value();
   return boost::outcome_v2::success();
 }
 
 void DirectoryPlugin::Subscribe(Listener listener) {
-  private_->worker =
-      std::make_unique<DirectoryWorker>(private_->settings, *private_->store,
-                                        *private_->log, std::move(listener));
+  private_->worker = std::make_unique<DirectoryWorker>(
+      private_->settings, *private_->store, *private_->log, *private_->metrics,
+      std::move(listener));
 }
 
 void DirectoryPlugin::OnHostSilent(const std::string& host) {
--- a/src/plugins/directory/directory_worker.cc
+++ b/src/plugins/directory/directory_worker.cc
@@ -27,15 +27,43 @@
   return values;
 }
 
+std::string_view TableName(const RoutingTable* /*type*/) {
+  return "routing";
+}
+std::string_view TableName(const UpstreamEntry* /*type*/) {
+  return "upstreams";
+}
+std::string_view TableName(const HostEntry* /*type*/) {
+  return "hosts";
+}
+
+std::string_view ResultName(const Error* error) {
+  if (error == nullptr) {
+    return "done";
+  }
+  switch (error->code) {
+    case ErrorCode::kNotFound:
+      return "history gone";
+    case ErrorCode::kResourceExhausted:
+      return "over the rate";
+    case ErrorCode::kTimeout:
+      return "timed out";
+    default:
+      return "failed";
+  }
+}
+
 }  // namespace
 
 DirectoryWorker::DirectoryWorker(const DirectorySettings& settings,
                                  FleetStore& store,
                                  EventLog& log,
+                                 MetricsRegistry& metrics,
                                  FleetSource::Listener listener)
     : settings_(settings),
       store_(store),
       log_(log),
+      metrics_(metrics),
       listener_(std::move(listener)),
       ring_(std::make_shared<BoundedRing<Task>>(kRingCapacity)),
       routing_({.watch_wait = settings.routing_watch_wait}),
@@ -125,6 +153,8 @@
 void DirectoryWorker::OnAnswer(TableFollower<T>& follower,
                                const Result<FleetPage<T>>& answer) {
   const bool changed = follower.OnAnswer(answer, BootTimeNow());
+  CountCall(TableName(static_cast<const T*>(nullptr)),
+            answer ? nullptr : &answer.error());
   if constexpr (std::is_same_v<T, HostEntry>) {
     // Each read of this table is a list.
     follower.ReadListAgain();
@@ -141,6 +171,15 @@
       return;
     }
     const auto& newest = routing_.entries().begin()->second;
+    if (snapshot_.routing && newest->version < snapshot_.routing->version) {
+      // Versions only grow; an older one in the store confirms nothing.
+      log_.Write(
+          EventLine("routing.regressed")
+              .Number("version", static_cast<std::int64_t>(newest->version))
+              .Number("kept_version",
+                      static_cast<std::int64_t>(snapshot_.routing->version)));
+      return;
+    }
     snapshot_.routing_confirmed_at = routing_.confirmed_at();
     if (changed && newest != snapshot_.routing) {
       snapshot_.routing = newest;
@@ -164,6 +203,12 @@
                                     snapshot_.routing->workspaces.size())));
 }
 
+void DirectoryWorker::CountCall(std::string_view table, const Error* error) {
+  metrics_.Add(
+      "flamingogauge_store_calls_total",
+      Label("table", table) + "," + Label("result", ResultName(error)));
+}
+
 void DirectoryWorker::LogStoreHealth(const Error* error) {
   const bool failing = routing_.is_failing() || upstreams_.is_failing();
   if (failing == store_failing_) {
--- a/src/plugins/directory/directory_worker.h
+++ b/src/plugins/directory/directory_worker.h
@@ -8,6 +8,7 @@
 
 #include "libs/kernel/bounded_ring.h"
 #include "libs/kernel/event_log.h"
+#include "libs/metrics/metrics_registry.h"
 #include "libs/services/fleet_source.h"
 #include "libs/services/fleet_store.h"
 #include "plugins/directory/directory_settings.h"
@@ -22,6 +23,7 @@
   DirectoryWorker(const DirectorySettings& settings,
                   FleetStore& store,
                   EventLog& log,
+                  MetricsRegistry& metrics,
                   FleetSource::Listener listener);
   DirectoryWorker(const DirectoryWorker&) = delete;
   DirectoryWorker& operator=(const DirectoryWorker&) = delete;
@@ -51,6 +53,8 @@
   void OnAnswer(TableFollower<T>& follower, const Result<FleetPage<T>>& answer);
   void Register(MonotonicTime now);
   void Publish();
+  // Counts a call by what it reads and how it ended.
+  void CountCall(std::string_view table, const Error* error);
   void LogStoreHealth(const Error* error);
   void LogRouting();
   void Post(Task task);
@@ -58,6 +62,7 @@
   DirectorySettings settings_;
   FleetStore& store_;
   EventLog& log_;
+  MetricsRegistry& metrics_;
   const FleetSource::Listener listener_;
   // Outlives calls of the store that end after this object.
   std::shared_ptr<BoundedRing<Task>> ring_;
--- a/tests/auto/platform_adapter/tst_directory_on_store.cc
+++ b/tests/auto/platform_adapter/tst_directory_on_store.cc
@@ -42,6 +42,7 @@
                  .upstreams_watch_wait = milliseconds(100)},
                 store_,
                 log_,
+                metrics_,
                 [this](const FleetSnapshot& snapshot) { Take(snapshot); }) {}
 
   // Waits until a snapshot satisfies the condition.
@@ -66,6 +67,7 @@
   std::condition_variable changed_;
   FleetSnapshot snapshot_;
   EventLog log_{{.output = ::open("/dev/null", O_WRONLY)}};
+  MetricsRegistry metrics_;
   PlatformFleetStore store_;
   DirectoryWorker worker_;
 };
@@ -118,6 +120,24 @@
   }));
 }
 
+// Guards against an accepted change that is taken back because an older version
+// is found in the store, and against keys that such a read would confirm.
+TEST_CASE("an older version replaces nothing and confirms nothing") {
+  FakeObjectStore fake;
+  fake.Put("config", "main", Manifest(5));
+  Directory directory(fake);
+  REQUIRE(directory.WaitFor(
+      [](const FleetSnapshot& it) { return HasVersion(it, 5); }));
+  fake.Put("config", "main", Manifest(4));
+  const MonotonicTime changed_at = BootTimeNow();
+  std::this_thread::sleep_for(milliseconds(600));
+  CHECK(HasVersion(directory.snapshot(), 5));
+  CHECK(directory.snapshot().routing_confirmed_at <= changed_at);
+  fake.Put("config", "main", Manifest(6));
+  CHECK(directory.WaitFor(
+      [](const FleetSnapshot& it) { return HasVersion(it, 6); }));
+}
+
 // Guards against other hosts that never hear of this one.
 TEST_CASE("a host registers itself, also when the store is away at the start") {
   FakeObjectStore fake;
