gateway: log what is believed of upstreams and hosts; more metrics

Cause: the log told nothing when an upstream was listed, left, was avoided or trusted again, or when another host fell silent; the metrics knew outcomes only.

--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -357,13 +357,12 @@
       .reason = is_new ? "would be late" : "no upstream was free in time"};
 }
 
-void Dispatcher::OnEnded(const std::string& upstream,
-                         DispatchResult result,
-                         MonotonicTime now) {
+TrustChange Dispatcher::OnEnded(const std::string& upstream,
+                                DispatchResult result,
+                                MonotonicTime now) {
   const auto it = upstreams_.find(upstream);
-  if (it != upstreams_.end()) {
-    it->second.OnEnded(result, now);
-  }
+  return it == upstreams_.end() ? TrustChange::kNone
+                                : it->second.OnEnded(result, now);
 }
 
 void Dispatcher::OnPace(const std::string& upstream,
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -77,9 +77,9 @@
   // request is refused on arrival rather than after a wait in vain.
   std::vector<Rejection> Reject(MonotonicTime now);
 
-  void OnEnded(const std::string& upstream,
-               DispatchResult result,
-               MonotonicTime now);
+  TrustChange OnEnded(const std::string& upstream,
+                      DispatchResult result,
+                      MonotonicTime now);
   void OnPace(const std::string& upstream, std::chrono::duration<double> pace);
 
   bool HasAnyUpstream() const;
--- a/src/libs/dispatching/upstream_view.cc
+++ b/src/libs/dispatching/upstream_view.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace flamingogauge {
 namespace {
@@ -40,24 +41,24 @@
   }
 }
 
-void UpstreamView::OnEnded(DispatchResult result, MonotonicTime now) {
+TrustChange UpstreamView::OnEnded(DispatchResult result, MonotonicTime now) {
   own_running_ = std::max(0, own_running_ - 1);
   if (result == DispatchResult::kAbandoned ||
       result == DispatchResult::kRefused) {
-    return;
+    return TrustChange::kNone;
   }
   if (result == DispatchResult::kReplaced) {
-    replaced_ = true;
-    return;
+    return std::exchange(replaced_, true) ? TrustChange::kNone
+                                          : TrustChange::kReplaced;
   }
   const bool failed = result != DispatchResult::kServed;
   failure_share_ = FailureShare(now) * (1 - kFailureWeight) +
                    (failed ? kFailureWeight : 0.0);
   failure_updated_ = now;
   if (result != DispatchResult::kBroken) {
-    broken_in_a_row_ = 0;
     suspect_until_ = {};
-    return;
+    return std::exchange(broken_in_a_row_, 0) > 0 ? TrustChange::kTrustedAgain
+                                                  : TrustChange::kNone;
   }
   const auto suspicion =
       std::min(kLongestSuspicion, kFirstSuspicion * (1 << broken_in_a_row_));
@@ -65,6 +66,7 @@
   suspect_until_ = now + suspicion;
   // A crashed process has lost its cache.
   parts_seen_.clear();
+  return TrustChange::kSuspected;
 }
 
 void UpstreamView::OnPace(std::chrono::duration<double> pace) {
--- a/src/libs/dispatching/upstream_view.h
+++ b/src/libs/dispatching/upstream_view.h
@@ -27,6 +27,17 @@
   kAbandoned,
 };
 
+// What the end of a request changes in what a host believes of an upstream.
+enum class TrustChange {
+  kNone,
+  // It broke a request and is avoided for a while.
+  kSuspected,
+  // It served a request after it had been suspected.
+  kTrustedAgain,
+  // Another process answers at its address.
+  kReplaced,
+};
+
 // What one host knows of one upstream: its entry, what runs there, and how it
 // has answered.
 class UpstreamView {
@@ -47,7 +58,7 @@
   void SetPeerRunning(int running) { peer_running_ = running; }
 
   void OnSent(const WaitingRequest& request, MonotonicTime now);
-  void OnEnded(DispatchResult result, MonotonicTime now);
+  TrustChange OnEnded(DispatchResult result, MonotonicTime now);
   // `pace` is the time between two events of a stream, or of a whole answer of
   // a plain service.
   void OnPace(std::chrono::duration<double> pace);
@@ -59,6 +70,10 @@
   double FailureShare(MonotonicTime now) const;
   // True while the upstream is avoided after broken requests in a row.
   bool IsSuspect(MonotonicTime now) const { return now < suspect_until_; }
+  // How much longer it is avoided; zero when it is not suspect.
+  Duration SuspectFor(MonotonicTime now) const {
+    return IsSuspect(now) ? suspect_until_ - now : Duration::zero();
+  }
   // Exponentially weighted; 0 while nothing was measured.
   double pace_seconds() const { return pace_seconds_; }
 
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -5,6 +5,7 @@
 
 #include "libs/kernel/boot_clock.h"
 #include "libs/kernel/check.h"
+#include "plugins/gateway/fleet_events.h"
 #include "plugins/gateway/own_answer.h"
 
 namespace flamingogauge {
@@ -20,6 +21,10 @@
 constexpr milliseconds kRetryAfterRefusal{500};
 constexpr milliseconds kMinStreamPatience{2000};
 
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
 // Callers leave a stream after a pause of the longest of these times, counted
 // from its last event, or from the request before the first one.
 MonotonicTime StartBy(const Route& route,
@@ -254,6 +259,8 @@
       !context_.resends.TryResend(accepted_.service, now)) {
     return false;
   }
+  context_.metrics.Add("flamingogauge_resends_total",
+                       Label("service", accepted_.service));
   context_.log.Write(EventLine("request.resend")
                          .Text("request", accepted_.request_id)
                          .Text("upstream", upstream_.id)
@@ -350,7 +357,13 @@
 }
 
 void Exchange::EndDispatch(DispatchResult result) {
-  context_.dispatcher.OnEnded(upstream_.id, result, BootTimeNow());
+  const TrustChange change =
+      context_.dispatcher.OnEnded(upstream_.id, result, BootTimeNow());
+  if (change != TrustChange::kNone) {
+    context_.log.Write(
+        TrustLine(change, upstream_, context_.dispatcher, BootTimeNow())
+            .Text("request", accepted_.request_id));
+  }
   context_.on_load_changed();
   context_.schedule_placement();
 }
@@ -381,9 +394,22 @@
   context_.log.Write(std::move(line));
   context_.metrics.Add("flamingogauge_requests_total",
                        Label("outcome", outcome));
-  context_.metrics.Observe(
-      "flamingogauge_request_seconds", Label("outcome", outcome),
-      std::chrono::duration<double>(now - accepted_.arrived_at).count());
+  context_.metrics.Observe("flamingogauge_request_seconds",
+                           Label("outcome", outcome),
+                           Seconds(now - accepted_.arrived_at));
+  const std::string route = Label("route", accepted_.route->name);
+  context_.metrics.Add("flamingogauge_route_requests_total", route);
+  if (outcome == kAnswered) {
+    context_.metrics.Observe("flamingogauge_route_seconds", route,
+                             Seconds(now - accepted_.arrived_at));
+  } else {
+    context_.metrics.Add("flamingogauge_unanswered_total",
+                         Label("reason", reason));
+  }
+  if (first_body_at_ != MonotonicTime()) {
+    context_.metrics.Observe("flamingogauge_route_first_event_seconds", route,
+                             Seconds(first_body_at_ - accepted_.arrived_at));
+  }
   session_->SetGoneHandler(nullptr);
   session_->SetWritableHandler(nullptr);
   on_done_(accepted_.id);
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -21,6 +21,9 @@
 
 namespace flamingogauge {
 
+// The outcome of a request whose upstream's whole answer was passed on.
+inline constexpr char kAnswered[] = "answered";
+
 // A request that was accepted, with what was decided on arrival.
 struct AcceptedRequest {
   std::uint64_t id = 0;
--- a/src/plugins/gateway/exchange_answer.cc
+++ b/src/plugins/gateway/exchange_answer.cc
@@ -178,7 +178,7 @@
   }
   const bool keep = KeepsConnection();
   auto session = session_;
-  Done("answered", head_.status, "");
+  Done(kAnswered, head_.status, "");
   session->Finish(keep);
 }
 
--- /dev/null
+++ b/src/plugins/gateway/fleet_events.cc
@@ -0,0 +1,84 @@
+#include "plugins/gateway/fleet_events.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace flamingogauge {
+namespace {
+
+using EntriesById = std::map<std::string, const UpstreamEntry*>;
+
+EntriesById ById(
+    const std::shared_ptr<const std::vector<UpstreamEntry>>& entries) {
+  EntriesById by_id;
+  if (entries) {
+    for (const UpstreamEntry& it : *entries) {
+      by_id[it.id] = &it;
+    }
+  }
+  return by_id;
+}
+
+EventLine Line(std::string_view event, const UpstreamEntry& upstream) {
+  EventLine line(event);
+  line.Text("upstream", upstream.id)
+      .Text("service", upstream.service)
+      .Text("address", upstream.address);
+  return line;
+}
+
+std::string_view NameOf(TrustChange change) {
+  switch (change) {
+    case TrustChange::kSuspected:
+      return "upstream.suspected";
+    case TrustChange::kReplaced:
+      return "upstream.replaced";
+    case TrustChange::kTrustedAgain:
+    case TrustChange::kNone:
+      break;
+  }
+  return "upstream.trusted";
+}
+
+}  // namespace
+
+std::vector<EventLine> UpstreamLines(
+    const std::shared_ptr<const std::vector<UpstreamEntry>>& before,
+    const std::shared_ptr<const std::vector<UpstreamEntry>>& after) {
+  const EntriesById old_entries = ById(before);
+  const EntriesById new_entries = ById(after);
+  std::vector<EventLine> lines;
+  for (const auto& [id, entry] : new_entries) {
+    const auto known = old_entries.find(id);
+    if (known == old_entries.end()) {
+      EventLine line = Line("upstream.listed", *entry);
+      lines.push_back(std::move(line.Number("slots", entry->slots)));
+    } else if (known->second->started_at_ms != entry->started_at_ms) {
+      lines.push_back(Line("upstream.restarted", *entry));
+    } else if (entry->draining && !known->second->draining) {
+      lines.push_back(Line("upstream.leaving", *entry));
+    }
+  }
+  for (const auto& [id, entry] : old_entries) {
+    if (!new_entries.contains(id)) {
+      lines.push_back(Line("upstream.gone", *entry));
+    }
+  }
+  return lines;
+}
+
+EventLine TrustLine(TrustChange change,
+                    const UpstreamEntry& upstream,
+                    const Dispatcher& dispatcher,
+                    MonotonicTime now) {
+  EventLine line = Line(NameOf(change), upstream);
+  const auto view = dispatcher.upstreams().find(upstream.id);
+  if (view != dispatcher.upstreams().end()) {
+    line.Milliseconds("for_ms", view->second.SuspectFor(now))
+        .Number("running", view->second.running());
+  }
+  return line;
+}
+
+}  // namespace flamingogauge
--- a/src/plugins/gateway/gateway_plugin.cc
+++ b/src/plugins/gateway/gateway_plugin.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <future>
 #include <set>
 #include <thread>
@@ -87,6 +88,8 @@
   std::map<std::string, ReportToPassOn> to_pass_on;
   std::map<std::string, MonotonicTime> heard_at;
   std::set<std::string> leaving_hosts;
+  // Listed hosts whose newest report does not count any more.
+  std::set<std::string> silent_hosts;
   bool load_report_scheduled = false;
   MonotonicTime drain_began_at;
   std::function<void()> drained;
@@ -106,11 +109,17 @@
                   const std::vector<std::string>& addresses);
   void CheckDrain();
   void CountHosts(MonotonicTime now);
+  void NoteSilentHosts(MonotonicTime now);
 };
 
 void GatewayPlugin::Private::OnFleet(const FleetSnapshot& snapshot) {
   if (hosts != snapshot.hosts) {
     hosts = snapshot.hosts;
+    std::erase_if(silent_hosts, [this](const std::string& name) {
+      return std::none_of(
+          hosts->begin(), hosts->end(),
+          [&name](const HostEntry& it) { return it.name == name; });
+    });
     fanout.SetHosts(*hosts);
     relay->SetReportLifetime(fanout.ReportLifetime());
   }
@@ -136,6 +145,19 @@
   relay->SetHostCount(count);
 }
 
+void GatewayPlugin::Private::NoteSilentHosts(MonotonicTime now) {
+  for (const HostEntry& it : *hosts) {
+    const auto heard = heard_at.find(it.name);
+    if (it.name != settings.host && heard != heard_at.end() &&
+        now - heard->second > fanout.ReportLifetime() &&
+        silent_hosts.insert(it.name).second) {
+      log->Write(EventLine("host.lost")
+                     .Text("host", it.name)
+                     .Milliseconds("silent_ms", now - heard->second));
+    }
+  }
+}
+
 void GatewayPlugin::Private::OnDatagram(const std::string& bytes) {
   Result<HostReport> decoded = DecodeHostReport(bytes);
   if (!decoded) {
@@ -160,7 +182,11 @@
       !fanout.IsNews(report.host, report.process, report.sequence)) {
     return false;
   }
-  heard_at[report.host] = BootTimeNow();
+  const MonotonicTime now = BootTimeNow();
+  heard_at[report.host] = now;
+  if (silent_hosts.erase(report.host) > 0) {
+    log->Write(EventLine("host.regained").Text("host", report.host));
+  }
   if (report.draining) {
     leaving_hosts.insert(report.host);
   } else {
@@ -188,6 +214,7 @@
     }
     SendNearReport();
     const MonotonicTime now = BootTimeNow();
+    NoteSilentHosts(now);
     if (now >= far_report_due_at) {
       far_report_due_at = now + fanout.FarInterval() - kTimerSlack;
       SendReport({}, fanout.NextFar());
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -10,6 +10,7 @@
 #include "libs/dispatching/drain_policy.h"
 #include "libs/kernel/boot_clock.h"
 #include "libs/model/fingerprint.h"
+#include "plugins/gateway/fleet_events.h"
 #include "plugins/gateway/own_answer.h"
 
 namespace flamingogauge {
@@ -118,6 +119,30 @@
                      .count()
                : -1;
   });
+  metrics.SetGauge("flamingogauge_upstreams", [this] {
+    return static_cast<double>(context_.dispatcher.upstreams().size());
+  });
+  metrics.SetGauge("flamingogauge_upstreams_suspect", [this] {
+    const MonotonicTime now = BootTimeNow();
+    const auto& upstreams = context_.dispatcher.upstreams();
+    return static_cast<double>(std::count_if(
+        upstreams.begin(), upstreams.end(),
+        [now](const auto& it) { return it.second.IsSuspect(now); }));
+  });
+  metrics.SetGauge("flamingogauge_places_taken", [this] {
+    double taken = 0;
+    for (const auto& [id, it] : context_.dispatcher.upstreams()) {
+      taken += it.running();
+    }
+    return taken;
+  });
+  metrics.SetGauge("flamingogauge_places", [this] {
+    double places = 0;
+    for (const auto& [id, it] : context_.dispatcher.upstreams()) {
+      places += it.Limit();
+    }
+    return places;
+  });
   metrics.SetGauge("flamingogauge_upstream_connections_opened", [this] {
     return static_cast<double>(context_.connections.opened());
   });
@@ -133,6 +158,12 @@
   const MonotonicTime now = BootTimeNow();
   const bool new_routing = context_.fleet.routing != snapshot.routing;
   const bool new_upstreams = context_.fleet.upstreams != snapshot.upstreams;
+  if (new_upstreams) {
+    for (EventLine& it :
+         UpstreamLines(context_.fleet.upstreams, snapshot.upstreams)) {
+      context_.log.Write(std::move(it));
+    }
+  }
   context_.fleet = snapshot;
   if (new_routing && snapshot.routing) {
     context_.allotments.SetLimits(*snapshot.routing, now);
@@ -433,6 +464,8 @@
   context_.log.Write(std::move(line));
   context_.metrics.Add("flamingogauge_requests_total",
                        Label("outcome", "denied"));
+  context_.metrics.Add("flamingogauge_unanswered_total",
+                       Label("reason", denial.reason));
   const bool keep = accepted.request.keep_alive && !context_.draining;
   session->Write(ComposeOwnAnswer(
       {.status = denial.status,
--- a/tests/auto/dispatching/tst_dispatcher.cc
+++ b/tests/auto/dispatching/tst_dispatcher.cc
@@ -195,6 +195,28 @@
   CHECK(dispatcher.Place(kStart + seconds(1)).size() == 1);
 }
 
+// Guards against a change of trust that is told twice or not at all.
+TEST_CASE("the first end of its kind changes the trust in an upstream") {
+  Dispatcher dispatcher = MakeDispatcher({Upstream("a")});
+  struct Step {
+    DispatchResult result;
+    TrustChange change;
+  };
+  for (const Step& it :
+       {Step{DispatchResult::kServed, TrustChange::kNone},
+        Step{DispatchResult::kBroken, TrustChange::kSuspected},
+        Step{DispatchResult::kBroken, TrustChange::kSuspected},
+        Step{DispatchResult::kRefused, TrustChange::kNone},
+        Step{DispatchResult::kServed, TrustChange::kTrustedAgain},
+        Step{DispatchResult::kServed, TrustChange::kNone},
+        Step{DispatchResult::kReplaced, TrustChange::kReplaced},
+        Step{DispatchResult::kReplaced, TrustChange::kNone}}) {
+    CHECK(dispatcher.OnEnded("a", it.result, kStart) == it.change);
+  }
+  CHECK(dispatcher.OnEnded("b", DispatchResult::kBroken, kStart) ==
+        TrustChange::kNone);
+}
+
 // Guards against slow upstreams that get the longest outputs, which then run
 // into their time limit.
 TEST_CASE("long outputs go to fast upstreams") {
--- a/tests/auto/gateway/gateway_host.cc
+++ b/tests/auto/gateway/gateway_host.cc
@@ -153,10 +153,14 @@
   return connection.ReadAnswer();
 }
 
-int GatewayHost::ReadyStatus() {
+TestAnswer GatewayHost::GetStatus(const std::string& path) {
   TestConnection connection(status_address_);
-  connection.Send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
-  return connection.ReadAnswer().status;
+  connection.Send("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+  return connection.ReadAnswer();
+}
+
+int GatewayHost::ReadyStatus() {
+  return GetStatus("/ready").status;
 }
 
 Result<void> GatewayHost::Reload() {
--- a/tests/auto/gateway/gateway_host.h
+++ b/tests/auto/gateway/gateway_host.h
@@ -43,6 +43,8 @@
                  const std::string& body = "");
 
   const std::string& address() const { return address_; }
+  // Reads a path of the status address.
+  TestAnswer GetStatus(const std::string& path);
   // The status of the readiness check.
   int ReadyStatus();
   // Lets the gateway read the flags of this process.
--- a/tests/auto/gateway/tst_gateway_life.cc
+++ b/tests/auto/gateway/tst_gateway_life.cc
@@ -28,6 +28,28 @@
   CHECK(host.ReadyStatus() == 503);
 }
 
+// Guards against a request that counts nowhere, or under another reason than it
+// ended with.
+TEST_CASE("the metrics tell how requests of each route ended") {
+  ScriptedServer upstream({[](ScriptedConnection& connection) {
+    connection.ReadRequest();
+    connection.Write(UpstreamAnswer("ok"));
+  }});
+  GatewayHost host({upstream.address()});
+  CHECK(host.Ask("POST", "/once/", "a").status == 200);
+  CHECK(host.Ask("POST", "/none/", "a").status == 404);
+  const std::string metrics = host.GetStatus("/metrics").body;
+  for (const char* it :
+       {"flamingogauge_requests_total{outcome=\"answered\"} 1",
+        "flamingogauge_route_requests_total{route=\"/once/\"} 1",
+        "flamingogauge_route_seconds_count{route=\"/once/\"} 1",
+        "flamingogauge_unanswered_total{reason=\"no route\"} 1",
+        "flamingogauge_upstreams 1", "flamingogauge_upstreams_suspect 0",
+        "flamingogauge_places 4", "flamingogauge_places_taken 0"}) {
+    CHECK_MESSAGE(metrics.find(it) != std::string::npos, it, "\n", metrics);
+  }
+}
+
 // Guards against a lowered limit that does not bind a running host, and against
 // settings out of range that replace those that work.
 TEST_CASE("a reload applies the limits of the flags") {
