gateway: move the exchange of reports into a class of its own

Cause: gateway_plugin.cc held the life of the plugin and all that concerns reports between hosts; it had grown to 340 lines with eleven members for reports. Change: ReportExchange owns the socket, the timers and what is known of which host is heard. Hosts that are not listed any more are forgotten. No decision changes.

--- a/src/plugins/gateway/gateway_plugin.cc
+++ b/src/plugins/gateway/gateway_plugin.cc
@@ -5,20 +5,16 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <algorithm>
 #include <future>
-#include <set>
 #include <thread>
 #include <utility>
 
-#include "libs/dispatching/report_fanout.h"
 #include "libs/kernel/boot_clock.h"
-#include "libs/kernel/log.h"
 #include "libs/services/event_log_service.h"
 #include "libs/services/fleet_source.h"
 #include "plugins/gateway/http_acceptor.h"
 #include "plugins/gateway/relay.h"
-#include "plugins/gateway/report_socket.h"
+#include "plugins/gateway/report_exchange.h"
 #include "plugins/gateway/status_handler.h"
 
 namespace flamingogauge {
@@ -30,30 +26,9 @@
 constexpr milliseconds kDrainCheckInterval{50};
 // The time at the end of a drain in which idle connections are closed.
 constexpr milliseconds kCloseIdleTime{300};
-// A host that was not heard for this long counts as gone for good.
-constexpr std::chrono::seconds kHostSilence{20};
-// After a change of the load, hosts of the same data centre hear of it within
-// this time, so that several hosts rarely choose the same free place.
-constexpr milliseconds kLoadReportDelay{15};
 // How long a state dump waits for the gateway's thread.
 constexpr milliseconds kDumpTimeLimit{500};
 
-// A report that could not be passed on for this long, on a host that was
-// suspended for example, is replaced by a newer one elsewhere.
-constexpr milliseconds kMaxPassOnDelay{500};
-// A timer that fires a little early must not skip a round.
-constexpr milliseconds kTimerSlack{20};
-
-struct ReportToPassOn {
-  HostReport report;
-  MonotonicTime received_at;
-};
-
-const Logger& Log() {
-  static const Logger kLogger("gateway");
-  return kLogger;
-}
-
 }  // namespace
 
 struct GatewayPlugin::Private {
@@ -66,8 +41,6 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work_guard = boost::asio::make_work_guard(io);
   boost::asio::steady_timer tick_timer{io};
-  boost::asio::steady_timer report_timer{io};
-  boost::asio::steady_timer load_report_timer{io};
   boost::asio::steady_timer drain_timer{io};
   EventLog* log = nullptr;
   FleetSource* source = nullptr;
@@ -76,124 +49,26 @@
   std::unique_ptr<StatusHandler> status;
   std::unique_ptr<HttpAcceptor> callers;
   std::unique_ptr<HttpAcceptor> status_acceptor;
-  std::unique_ptr<ReportSocket> reports;
-  std::shared_ptr<const std::vector<HostEntry>> hosts =
-      std::make_shared<std::vector<HostEntry>>();
-  ReportFanout fanout{{.host = settings.host,
-                       .data_centre = settings.data_centre,
-                       .far_interval = settings.report_interval}};
-  std::uint64_t report_sequence = 0;
-  MonotonicTime far_report_due_at;
-  // The newest reports of hosts in other data centres, by host.
-  std::map<std::string, ReportToPassOn> to_pass_on;
-  std::map<std::string, MonotonicTime> heard_at;
-  std::set<std::string> leaving_hosts;
-  // Listed hosts whose newest report does not count any more.
-  std::set<std::string> silent_hosts;
-  bool load_report_scheduled = false;
+  std::unique_ptr<ReportExchange> reports;
+  std::shared_ptr<const std::vector<HostEntry>> hosts;
   MonotonicTime drain_began_at;
   std::function<void()> drained;
   std::thread thread;
 
   void OnFleet(const FleetSnapshot& snapshot);
-  void OnDatagram(const std::string& bytes);
   void Tick();
-  // Returns false for a report that is no news.
-  bool OnReport(const HostReport& report);
-  void SendReports();
-  void OnLoadChanged();
-  // Reports to the hosts of the same data centre, with what has to be passed
-  // on to them.
-  void SendNearReport();
-  void SendReport(std::vector<HostReport> passed_on,
-                  const std::vector<std::string>& addresses);
   void CheckDrain();
-  void CountHosts(MonotonicTime now);
-  void NoteSilentHosts(MonotonicTime now);
 };
 
 void GatewayPlugin::Private::OnFleet(const FleetSnapshot& snapshot) {
   if (hosts != snapshot.hosts) {
     hosts = snapshot.hosts;
-    std::erase_if(silent_hosts, [this](const std::string& name) {
-      return std::none_of(
-          hosts->begin(), hosts->end(),
-          [&name](const HostEntry& it) { return it.name == name; });
-    });
-    fanout.SetHosts(*hosts);
-    relay->SetReportLifetime(fanout.ReportLifetime());
+    reports->SetHosts(hosts);
+    relay->SetReportLifetime(reports->ReportLifetime());
   }
   relay->OnFleet(snapshot);
-  CountHosts(BootTimeNow());
-}
-
-void GatewayPlugin::Private::CountHosts(MonotonicTime now) {
-  std::size_t count = 1;
-  for (const HostEntry& it : *hosts) {
-    if (it.name == settings.host) {
-      continue;
-    }
-    if (!leaving_hosts.contains(it.name)) {
-      ++count;
-    }
-    const auto [heard, is_new] = heard_at.try_emplace(it.name, now);
-    if (now - heard->second > kHostSilence) {
-      heard->second = now;
-      source->OnHostSilent(it.name);
-    }
-  }
-  relay->SetHostCount(count);
-}
-
-void GatewayPlugin::Private::NoteSilentHosts(MonotonicTime now) {
-  for (const HostEntry& it : *hosts) {
-    const auto heard = heard_at.find(it.name);
-    if (it.name != settings.host && heard != heard_at.end() &&
-        now - heard->second > fanout.ReportLifetime() &&
-        silent_hosts.insert(it.name).second) {
-      log->Write(EventLine("host.lost")
-                     .Text("host", it.name)
-                     .Milliseconds("silent_ms", now - heard->second));
-    }
-  }
-}
-
-void GatewayPlugin::Private::OnDatagram(const std::string& bytes) {
-  Result<HostReport> decoded = DecodeHostReport(bytes);
-  if (!decoded) {
-    Log().Warning(ToString(decoded.error()));
-    return;
-  }
-  HostReport& report = decoded.value();
-  const std::vector<HostReport> passed_on = std::move(report.passed_on);
-  report.passed_on.clear();
-  if (OnReport(report) && fanout.MustPassOn(report.host)) {
-    const std::string host = report.host;
-    to_pass_on[host] = {.report = std::move(report),
-                        .received_at = BootTimeNow()};
-  }
-  for (const HostReport& it : passed_on) {
-    OnReport(it);
-  }
-}
-
-bool GatewayPlugin::Private::OnReport(const HostReport& report) {
-  if (report.host == settings.host ||
-      !fanout.IsNews(report.host, report.process, report.sequence)) {
-    return false;
-  }
-  const MonotonicTime now = BootTimeNow();
-  heard_at[report.host] = now;
-  if (silent_hosts.erase(report.host) > 0) {
-    log->Write(EventLine("host.regained").Text("host", report.host));
-  }
-  if (report.draining) {
-    leaving_hosts.insert(report.host);
-  } else {
-    leaving_hosts.erase(report.host);
-  }
-  relay->OnReport(report);
-  return true;
+  reports->CheckForGoneHosts();
+  relay->SetHostCount(reports->HostCount());
 }
 
 void GatewayPlugin::Private::Tick() {
@@ -206,63 +81,6 @@
   });
 }
 
-void GatewayPlugin::Private::SendReports() {
-  report_timer.expires_after(settings.report_interval);
-  report_timer.async_wait([this](const boost::system::error_code& ec) {
-    if (ec) {
-      return;
-    }
-    SendNearReport();
-    const MonotonicTime now = BootTimeNow();
-    NoteSilentHosts(now);
-    if (now >= far_report_due_at) {
-      far_report_due_at = now + fanout.FarInterval() - kTimerSlack;
-      SendReport({}, fanout.NextFar());
-    }
-    SendReports();
-  });
-}
-
-void GatewayPlugin::Private::SendNearReport() {
-  const MonotonicTime now = BootTimeNow();
-  std::vector<HostReport> passed_on;
-  for (auto& [host, it] : std::exchange(to_pass_on, {})) {
-    if (now - it.received_at <= kMaxPassOnDelay) {
-      passed_on.push_back(std::move(it.report));
-    }
-  }
-  SendReport(std::move(passed_on), fanout.Near());
-}
-
-void GatewayPlugin::Private::SendReport(
-    std::vector<HostReport> passed_on,
-    const std::vector<std::string>& addresses) {
-  if (addresses.empty()) {
-    return;
-  }
-  HostReport report = relay->OwnReport();
-  report.sequence = ++report_sequence;
-  report.passed_on = std::move(passed_on);
-  const std::string bytes = EncodeHostReport(report);
-  for (const std::string& it : addresses) {
-    reports->Send(bytes, it);
-  }
-}
-
-void GatewayPlugin::Private::OnLoadChanged() {
-  if (load_report_scheduled) {
-    return;
-  }
-  load_report_scheduled = true;
-  load_report_timer.expires_after(kLoadReportDelay);
-  load_report_timer.async_wait([this](const boost::system::error_code& ec) {
-    load_report_scheduled = false;
-    if (!ec) {
-      SendNearReport();
-    }
-  });
-}
-
 void GatewayPlugin::Private::CheckDrain() {
   drain_timer.expires_after(kDrainCheckInterval);
   drain_timer.async_wait([this](const boost::system::error_code& ec) {
@@ -325,7 +143,7 @@
   self.metrics = metrics.value();
   self.relay =
       std::make_unique<Relay>(self.io, self.settings, *self.log, *self.metrics,
-                              [&self] { self.OnLoadChanged(); });
+                              [&self] { self.reports->OnLoadChanged(); });
   self.status = std::make_unique<StatusHandler>(StatusHandlerOptions{
       .ready_path = self.settings.ready_path,
       .is_ready = [&self] { return self.relay->IsReady(); },
@@ -333,18 +151,27 @@
       .state = [&self] { return self.relay->DumpState(); }});
   self.callers = std::make_unique<HttpAcceptor>(self.io, *self.relay);
   self.status_acceptor = std::make_unique<HttpAcceptor>(self.io, *self.status);
-  self.reports = std::make_unique<ReportSocket>(
-      self.io, [&self](const std::string& bytes) { self.OnDatagram(bytes); });
+  self.reports = std::make_unique<ReportExchange>(
+      self.io, self.settings, *self.log,
+      ReportExchangeHandlers{
+          .own_report = [&self] { return self.relay->OwnReport(); },
+          .on_report =
+              [&self](const HostReport& report) {
+                self.relay->OnReport(report);
+              },
+          .on_host_gone =
+              [&self](const std::string& host) {
+                self.source->OnHostSilent(host);
+              }});
   for (Result<void> opened :
        {self.callers->Listen(self.settings.listen_address),
         self.status_acceptor->Listen(self.settings.status_address),
-        self.reports->Open(self.settings.report_address)}) {
+        self.reports->Start()}) {
     if (!opened) {
       return opened.error();
     }
   }
   self.Tick();
-  self.SendReports();
   self.thread = std::thread([&self] { self.io.run(); });
   std::weak_ptr<Private> weak = private_;
   self.source->Subscribe([weak](const FleetSnapshot& snapshot) {
@@ -365,7 +192,7 @@
   }
   boost::asio::post(private_->io, [self = private_.get(), settings] {
     self->settings.Reload(settings);
-    self->fanout.SetFarInterval(settings.report_interval);
+    self->reports->SetInterval(settings.report_interval);
     self->relay->Reload(settings);
   });
   return boost::outcome_v2::success();
--- /dev/null
+++ b/src/plugins/gateway/report_exchange.cc
@@ -0,0 +1,207 @@
+#include "plugins/gateway/report_exchange.h"
+
+#include <utility>
+
+#include "libs/kernel/boot_clock.h"
+#include "libs/kernel/log.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A host that was not heard for this long counts as gone for good.
+constexpr std::chrono::seconds kHostSilence{20};
+// After a change of the load, hosts of the same data centre hear of it within
+// this time, so that several hosts rarely choose the same free place.
+constexpr milliseconds kLoadReportDelay{15};
+// A report that could not be passed on for this long, on a host that was
+// suspended for example, is replaced by a newer one elsewhere.
+constexpr milliseconds kMaxPassOnDelay{500};
+// A timer that fires a little early must not skip a round.
+constexpr milliseconds kTimerSlack{20};
+
+const Logger& Log() {
+  static const Logger kLogger("reports");
+  return kLogger;
+}
+
+}  // namespace
+
+ReportExchange::ReportExchange(boost::asio::io_context& io,
+                               const GatewaySettings& settings,
+                               EventLog& log,
+                               ReportExchangeHandlers handlers)
+    : host_(settings.host),
+      address_(settings.report_address),
+      interval_(settings.report_interval),
+      log_(log),
+      handlers_(std::move(handlers)),
+      socket_(io, [this](const std::string& bytes) { OnDatagram(bytes); }),
+      report_timer_(io),
+      load_report_timer_(io),
+      fanout_({.host = settings.host,
+               .data_centre = settings.data_centre,
+               .far_interval = settings.report_interval}),
+      hosts_(std::make_shared<std::vector<HostEntry>>()) {}
+
+Result<void> ReportExchange::Start() {
+  Result<void> opened = socket_.Open(address_);
+  if (opened) {
+    ScheduleReports();
+  }
+  return opened;
+}
+
+void ReportExchange::SetInterval(milliseconds interval) {
+  interval_ = interval;
+  fanout_.SetFarInterval(interval);
+}
+
+void ReportExchange::SetHosts(
+    std::shared_ptr<const std::vector<HostEntry>> hosts) {
+  hosts_ = std::move(hosts);
+  fanout_.SetHosts(*hosts_);
+  std::set<std::string> listed;
+  for (const HostEntry& it : *hosts_) {
+    listed.insert(it.name);
+    // A host is heard later than it is listed.
+    heard_at_.try_emplace(it.name, BootTimeNow());
+  }
+  const auto is_not_listed = [&listed](const std::string& name) {
+    return !listed.contains(name);
+  };
+  std::erase_if(silent_hosts_, is_not_listed);
+  std::erase_if(leaving_hosts_, is_not_listed);
+  std::erase_if(heard_at_, [&is_not_listed](const auto& it) {
+    return is_not_listed(it.first);
+  });
+}
+
+std::size_t ReportExchange::HostCount() const {
+  std::size_t count = 1;
+  for (const HostEntry& it : *hosts_) {
+    if (it.name != host_ && !leaving_hosts_.contains(it.name)) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+void ReportExchange::CheckForGoneHosts() {
+  const MonotonicTime now = BootTimeNow();
+  for (const HostEntry& it : *hosts_) {
+    MonotonicTime& heard_at = heard_at_[it.name];
+    if (it.name != host_ && now - heard_at > kHostSilence) {
+      // Told again only after the same time.
+      heard_at = now;
+      handlers_.on_host_gone(it.name);
+    }
+  }
+}
+
+void ReportExchange::NoteSilentHosts(MonotonicTime now) {
+  for (const HostEntry& it : *hosts_) {
+    const Duration silence = now - heard_at_[it.name];
+    if (it.name != host_ && silence > fanout_.ReportLifetime() &&
+        silent_hosts_.insert(it.name).second) {
+      log_.Write(EventLine("host.lost")
+                     .Text("host", it.name)
+                     .Milliseconds("silent_ms", silence));
+    }
+  }
+}
+
+void ReportExchange::OnDatagram(const std::string& bytes) {
+  Result<HostReport> decoded = DecodeHostReport(bytes);
+  if (!decoded) {
+    Log().Warning(ToString(decoded.error()));
+    return;
+  }
+  HostReport& report = decoded.value();
+  const std::vector<HostReport> passed_on = std::exchange(report.passed_on, {});
+  if (TakeReport(report) && fanout_.MustPassOn(report.host)) {
+    const std::string host = report.host;
+    to_pass_on_[host] = {.report = std::move(report),
+                         .received_at = BootTimeNow()};
+  }
+  for (const HostReport& it : passed_on) {
+    TakeReport(it);
+  }
+}
+
+bool ReportExchange::TakeReport(const HostReport& report) {
+  if (report.host == host_ ||
+      !fanout_.IsNews(report.host, report.process, report.sequence)) {
+    return false;
+  }
+  heard_at_[report.host] = BootTimeNow();
+  if (silent_hosts_.erase(report.host) > 0) {
+    log_.Write(EventLine("host.regained").Text("host", report.host));
+  }
+  if (report.draining) {
+    leaving_hosts_.insert(report.host);
+  } else {
+    leaving_hosts_.erase(report.host);
+  }
+  handlers_.on_report(report);
+  return true;
+}
+
+void ReportExchange::ScheduleReports() {
+  report_timer_.expires_after(interval_);
+  report_timer_.async_wait([this](const boost::system::error_code& ec) {
+    if (ec) {
+      return;
+    }
+    SendNearReport();
+    const MonotonicTime now = BootTimeNow();
+    NoteSilentHosts(now);
+    if (now >= far_report_due_at_) {
+      far_report_due_at_ = now + fanout_.FarInterval() - kTimerSlack;
+      SendReport({}, fanout_.NextFar());
+    }
+    ScheduleReports();
+  });
+}
+
+void ReportExchange::OnLoadChanged() {
+  if (load_report_scheduled_) {
+    return;
+  }
+  load_report_scheduled_ = true;
+  load_report_timer_.expires_after(kLoadReportDelay);
+  load_report_timer_.async_wait([this](const boost::system::error_code& ec) {
+    load_report_scheduled_ = false;
+    if (!ec) {
+      SendNearReport();
+    }
+  });
+}
+
+void ReportExchange::SendNearReport() {
+  const MonotonicTime now = BootTimeNow();
+  std::vector<HostReport> passed_on;
+  for (auto& [host, it] : std::exchange(to_pass_on_, {})) {
+    if (now - it.received_at <= kMaxPassOnDelay) {
+      passed_on.push_back(std::move(it.report));
+    }
+  }
+  SendReport(std::move(passed_on), fanout_.Near());
+}
+
+void ReportExchange::SendReport(std::vector<HostReport> passed_on,
+                                const std::vector<std::string>& addresses) {
+  if (addresses.empty()) {
+    return;
+  }
+  HostReport report = handlers_.own_report();
+  report.sequence = ++sequence_;
+  report.passed_on = std::move(passed_on);
+  const std::string bytes = EncodeHostReport(report);
+  for (const std::string& it : addresses) {
+    socket_.Send(bytes, it);
+  }
+}
+
+}  // namespace flamingogauge
