dispatching: bound what callers state of their patience

Cause: reading the code: the longest time that any caller of a route had stated was kept for good, so that one caller with an extreme time limit made all others count as returning and late; and a limit above 2^63 ms overflowed when it was converted. Change: PatienceTracker takes at most four timeouts of the route and falls by a twentieth of the difference with each request; a time limit is read as 24 h at most.

--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -3,7 +3,6 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <set>
 #include <utility>
 
@@ -12,6 +11,7 @@
 #include "libs/model/fingerprint.h"
 #include "plugins/gateway/fleet_events.h"
 #include "plugins/gateway/own_answer.h"
+#include "plugins/gateway/request_fields.h"
 
 namespace flamingogauge {
 namespace {
@@ -30,58 +30,12 @@
 constexpr milliseconds kMinRetryAfterLimit{500};
 constexpr std::size_t kMaxDumpedExchanges = 200;
 
-// Reads a whole decimal number; the fallback for other text.
-double ReadNumber(std::string_view text, double fallback) {
-  std::uint64_t value = 0;
-  const auto parsed =
-      std::from_chars(text.data(), text.data() + text.size(), value);
-  return parsed.ec == std::errc() ? static_cast<double>(value) : fallback;
-}
-
-// Reads "ID:TOKENS,..." with hexadecimal ids.
-std::vector<PromptPart> ReadPromptParts(std::string_view text) {
-  std::vector<PromptPart> parts;
-  while (!text.empty()) {
-    const std::string_view entry = text.substr(0, text.find(','));
-    text.remove_prefix(std::min(text.size(), entry.size() + 1));
-    const std::size_t colon = entry.find(':');
-    std::uint64_t id = 0;
-    if (colon == std::string_view::npos ||
-        std::from_chars(entry.data(), entry.data() + colon, id, 16).ec !=
-            std::errc()) {
-      break;
-    }
-    parts.push_back(
-        {.id = id, .tokens = ReadNumber(entry.substr(colon + 1), 0)});
-  }
-  return parts;
-}
-
 ResendBudgetOptions ResendOptions(const GatewaySettings& settings) {
   return {.ratio = settings.resend_ratio,
           .shared_allowance = settings.resend_allowance,
           .window = settings.resend_window};
 }
 
-// The service of a route for one request; the same for the same id.
-std::string ChooseService(const Route& route, const std::string& request_id) {
-  double total = 0;
-  for (const WeightedService& it : route.services) {
-    total += std::max(0.0, it.weight);
-  }
-  constexpr std::uint64_t kSteps = 1U << 20U;
-  double point =
-      total * static_cast<double>(ComputeContentHash(request_id).low % kSteps) /
-      static_cast<double>(kSteps);
-  for (const WeightedService& it : route.services) {
-    point -= std::max(0.0, it.weight);
-    if (point < 0) {
-      return it.service;
-    }
-  }
-  return route.services.back().service;
-}
-
 }  // namespace
 
 Relay::Relay(boost::asio::io_context& io,
@@ -108,6 +62,11 @@
       process_(
           static_cast<std::uint64_t>(BootTimeNow().time_since_epoch().count())),
       started_at_(BootTimeNow()) {
+  SetGauges();
+}
+
+void Relay::SetGauges() {
+  MetricsRegistry& metrics = context_.metrics;
   metrics.SetGauge("flamingogauge_waiting_requests", [this] {
     return static_cast<double>(context_.dispatcher.waiting_count());
   });
@@ -348,21 +307,15 @@
     return Denial{kServiceUnavailable, "the host stops", kRetryAfterDrain};
   }
   accepted.service = ChooseService(*accepted.route, accepted.request_id);
-  ReadSize(accepted);
-  const RelayHeaderNames& names = context_.settings.headers;
-  const std::string* limit = request.fields.Find(names.time_limit_ms);
+  ReadSize(context_.settings.headers, accepted);
   const milliseconds timeout = accepted.route->timeout;
-  const double stated =
-      limit != nullptr
-          ? ReadNumber(*limit, static_cast<double>(timeout.count()))
-          : static_cast<double>(timeout.count());
-  const milliseconds patience(static_cast<std::int64_t>(stated));
+  const milliseconds patience =
+      ReadPatience(context_.settings.headers, request.fields, timeout);
   accepted.deadline = accepted.arrived_at + std::min(timeout, patience);
   // The caller's clock began with its first attempt.
-  milliseconds& longest = longest_patience_[accepted.route->name];
-  longest = std::max(longest, patience);
-  accepted.due_at = accepted.arrived_at + accepted.route->target_latency -
-                    (longest - patience);
+  accepted.due_at =
+      accepted.arrived_at + accepted.route->target_latency -
+      patience_.WaitedBefore(accepted.route->name, patience, timeout);
   accepted.fingerprint =
       ComputeFingerprint(
           request.target + "\n" +
@@ -399,24 +352,6 @@
   return Denial{kUnauthorized, "unknown key", std::nullopt};
 }
 
-void Relay::ReadSize(AcceptedRequest& accepted) const {
-  const RelayHeaderNames& names = context_.settings.headers;
-  const HttpFields& fields = accepted.request.fields;
-  if (const std::string* count = fields.Find(names.token_count)) {
-    const std::size_t comma = std::min(count->find(','), count->size());
-    accepted.prompt_tokens =
-        ReadNumber(std::string_view(*count).substr(0, comma), 0);
-    accepted.output_tokens = ReadNumber(
-        std::string_view(*count).substr(std::min(comma + 1, count->size())), 0);
-  }
-  if (const std::string* hint = fields.Find(names.length_hint)) {
-    accepted.expected_output_tokens = ReadNumber(*hint, 0);
-  }
-  if (const std::string* parts = fields.Find(names.prompt_prefix)) {
-    accepted.prompt_parts = ReadPromptParts(*parts);
-  }
-}
-
 std::optional<Relay::Denial> Relay::CheckLimit(AcceptedRequest& accepted) {
   const WorkspaceEntry* workspace = accepted.workspace;
   if (workspace == nullptr || workspace->rate_per_second <= 0) {
--- a/src/plugins/gateway/relay.h
+++ b/src/plugins/gateway/relay.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "libs/dispatching/patience_tracker.h"
 #include "plugins/gateway/exchange.h"
 #include "plugins/gateway/host_report.h"
 #include "plugins/gateway/http_session.h"
@@ -66,6 +67,7 @@
     std::optional<std::chrono::milliseconds> retry_after;
   };
 
+  void SetGauges();
   bool IsStarting() const;
   // Handles the requests that came while the host was starting.
   void HandleEarly();
@@ -75,7 +77,6 @@
   std::optional<Denial> Accept(AcceptedRequest& accepted);
   std::optional<Denial> CheckKey(AcceptedRequest& accepted);
   std::optional<Denial> CheckLimit(AcceptedRequest& accepted);
-  void ReadSize(AcceptedRequest& accepted) const;
   void Deny(const std::shared_ptr<HttpSession>& session,
             const AcceptedRequest& accepted,
             const Denial& denial);
@@ -91,9 +92,7 @@
   std::vector<EarlyRequest> early_requests_;
   std::uint64_t next_id_ = 1;
   bool placement_scheduled_ = false;
-  // The longest time that callers of a route have stated that they wait; one
-  // that states less has waited before.
-  std::unordered_map<std::string, std::chrono::milliseconds> longest_patience_;
+  PatienceTracker patience_;
   MonotonicTime drain_began_at_;
 };
 
--- a/tests/auto/gateway/tst_requests.cc
+++ b/tests/auto/gateway/tst_requests.cc
@@ -110,6 +110,22 @@
   }
 }
 
+// Guards against a time limit that overflows, which refuses the request or
+// those of later callers as late.
+TEST_CASE("a caller may state any time limit") {
+  RecordingUpstream upstream;
+  GatewayHost host({upstream.address()});
+  for (const char* limit :
+       {"18446744073709551615", "9223372036854775807", "4000", "none", ""}) {
+    CAPTURE(limit);
+    TestConnection connection(host.address());
+    connection.Send(FormatTestRequest(
+        "GET", "/again/x",
+        {"Req-Id: id-1", "Key: key-1", std::string("Limit-Ms: ") + limit}, ""));
+    CHECK(connection.ReadAnswer().status == 200);
+  }
+}
+
 // Guards against lost or mixed answers on connections that carry many requests.
 TEST_CASE("pipelined requests are answered one after another") {
   ScriptedServer upstream({[](ScriptedConnection& connection) {
