dispatching: bound the load reports to hosts nearby

Change: the delay is 5 ms for each host nearby, 15 ms at least, so that a host sends at most 200 such datagrams a second. With up to four hosts nothing changes.

--- a/src/libs/dispatching/report_fanout.cc
+++ b/src/libs/dispatching/report_fanout.cc
@@ -14,10 +14,19 @@
 constexpr std::size_t kMaxDirectHosts = 4;
 // Reports of hosts in other data centres that one host hears, at most.
 constexpr double kMaxFarReportsPerSecond = 150;
+constexpr milliseconds kMinLoadReportDelay{15};
+// Datagrams about changes of the load that a host sends nearby, at most.
+constexpr double kMaxLoadReportsPerSecond = 200;
 constexpr milliseconds kMinLifetime{1500};
 // Reports that may be lost or late in a row.
 constexpr int kIntervalsInLifetime = 4;
 
+// The time between two reports at which one to each host keeps to the rate.
+milliseconds ShortestInterval(std::size_t hosts, double reports_per_second) {
+  return milliseconds(static_cast<std::int64_t>(static_cast<double>(hosts) *
+                                                1000 / reports_per_second));
+}
+
 }  // namespace
 
 ReportFanout::ReportFanout(ReportFanoutOptions options)
@@ -58,14 +67,18 @@
   return addresses;
 }
 
+milliseconds ReportFanout::LoadReportDelay() const {
+  return std::max(kMinLoadReportDelay,
+                  ShortestInterval(near_.size(), kMaxLoadReportsPerSecond));
+}
+
 milliseconds ReportFanout::FarInterval() const {
   std::size_t far_hosts = 0;
   for (const auto& [data_centre, hosts] : far_) {
     far_hosts += hosts.size();
   }
-  const auto shortest = static_cast<std::int64_t>(
-      static_cast<double>(far_hosts) * 1000 / kMaxFarReportsPerSecond);
-  return std::max(options_.far_interval, milliseconds(shortest));
+  return std::max(options_.far_interval,
+                  ShortestInterval(far_hosts, kMaxFarReportsPerSecond));
 }
 
 milliseconds ReportFanout::ReportLifetime() const {
--- a/tests/auto/dispatching/tst_report_fanout.cc
+++ b/tests/auto/dispatching/tst_report_fanout.cc
@@ -77,9 +77,13 @@
     const double far_hosts = (size.data_centres - 1) * size.hosts_in_each;
     CHECK(far_hosts * rounds <= 151);
     CHECK(static_cast<double>(sender.NextFar().size()) * rounds <= 60);
+    const double load_reports =
+        1000.0 / static_cast<double>(sender.LoadReportDelay().count());
+    CHECK(static_cast<double>(sender.Near().size()) * load_reports <= 201);
     CHECK(sender.ReportLifetime() >= sender.FarInterval() * 3);
   }
   CHECK(Fanout("d0-0", {3, 3}).FarInterval() == milliseconds(200));
+  CHECK(Fanout("d0-0", {3, 4}).LoadReportDelay() == milliseconds(15));
 }
 
 // Guards against one host that has to pass on the reports of all others, and
