gateway: let a host introduce itself to those that have not listed it

Change: for 10 s after its start, and while it is not listed, a host states its address in its reports; the others report to it from then on.

--- a/src/libs/protocol/host_report.capnp
+++ b/src/libs/protocol/host_report.capnp
@@ -19,6 +19,9 @@
   # Reports of other hosts that the receiver did not get itself; these pass on
   # nothing.
   passedOn @7 :List(HostReport);
+  # Where a host that others may not have listed yet is reached; else empty.
+  reportAddress @8 :Text;
+  dataCentre @9 :Text;
 }
 
 struct UpstreamLoad {
--- a/src/plugins/gateway/host_report.cc
+++ b/src/plugins/gateway/host_report.cc
@@ -16,7 +16,9 @@
   HostReport report{.host = from.getHost().cStr(),
                     .draining = from.getDraining(),
                     .process = from.getProcess(),
-                    .sequence = from.getSequence()};
+                    .sequence = from.getSequence(),
+                    .report_address = from.getReportAddress().cStr(),
+                    .data_centre = from.getDataCentre().cStr()};
   for (const auto& it : from.getRunning()) {
     report.running[it.getUpstream()] = it.getRequests();
   }
@@ -45,6 +47,10 @@
   to.setDraining(report.draining);
   to.setProcess(report.process);
   to.setSequence(report.sequence);
+  if (!report.report_address.empty()) {
+    to.setReportAddress(report.report_address);
+    to.setDataCentre(report.data_centre);
+  }
   unsigned n = 0;
   auto running = to.initRunning(static_cast<unsigned>(report.running.size()));
   for (const auto& [upstream, requests] : report.running) {
--- a/src/plugins/gateway/host_report.h
+++ b/src/plugins/gateway/host_report.h
@@ -25,6 +25,9 @@
   std::vector<CrashRecord> crashes;
   // Increases with each report of the process.
   std::uint64_t sequence = 0;
+  // Where a host that others may not have listed yet is reached; else empty.
+  std::string report_address;
+  std::string data_centre;
   // Reports of hosts in other data centres, for those hosts nearby that did not
   // get them; they pass on nothing themselves.
   std::vector<HostReport> passed_on;
--- a/src/plugins/gateway/report_exchange.cc
+++ b/src/plugins/gateway/report_exchange.cc
@@ -1,5 +1,6 @@
 #include "plugins/gateway/report_exchange.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "libs/kernel/boot_clock.h"
@@ -12,9 +13,8 @@
 
 // A host that was not heard for this long counts as gone for good.
 constexpr std::chrono::seconds kHostSilence{20};
-// After a change of the load, hosts of the same data centre hear of it within
-// this time, so that several hosts rarely choose the same free place.
-constexpr milliseconds kLoadReportDelay{15};
+// The others read the list of hosts every few seconds, and it may be stale.
+constexpr std::chrono::seconds kIntroductionTime{10};
 // A report that could not be passed on for this long, on a host that was
 // suspended for example, is replaced by a newer one elsewhere.
 constexpr milliseconds kMaxPassOnDelay{500};
@@ -34,6 +34,7 @@
                                ReportExchangeHandlers handlers)
     : host_(settings.host),
       address_(settings.report_address),
+      data_centre_(settings.data_centre),
       interval_(settings.report_interval),
       log_(log),
       handlers_(std::move(handlers)),
@@ -43,7 +44,8 @@
       fanout_({.host = settings.host,
                .data_centre = settings.data_centre,
                .far_interval = settings.report_interval}),
-      hosts_(std::make_shared<std::vector<HostEntry>>()) {}
+      listed_hosts_(std::make_shared<std::vector<HostEntry>>()),
+      started_at_(BootTimeNow()) {}
 
 Result<void> ReportExchange::Start() {
   Result<void> opened = socket_.Open(address_);
@@ -60,27 +62,59 @@
 
 void ReportExchange::SetHosts(
     std::shared_ptr<const std::vector<HostEntry>> hosts) {
-  hosts_ = std::move(hosts);
-  fanout_.SetHosts(*hosts_);
-  std::set<std::string> listed;
-  for (const HostEntry& it : *hosts_) {
-    listed.insert(it.name);
+  listed_hosts_ = std::move(hosts);
+  JoinHosts();
+}
+
+void ReportExchange::JoinHosts() {
+  const MonotonicTime now = BootTimeNow();
+  hosts_ = *listed_hosts_;
+  std::set<std::string> known;
+  for (const HostEntry& it : hosts_) {
+    known.insert(it.name);
+    introduced_hosts_.erase(it.name);
     // A host is heard later than it is listed.
-    heard_at_.try_emplace(it.name, BootTimeNow());
+    heard_at_.try_emplace(it.name, now);
+  }
+  for (const auto& [name, entry] : introduced_hosts_) {
+    hosts_.push_back(entry);
+    known.insert(name);
   }
-  const auto is_not_listed = [&listed](const std::string& name) {
-    return !listed.contains(name);
+  fanout_.SetHosts(hosts_);
+  const auto is_unknown = [&known](const std::string& name) {
+    return !known.contains(name);
   };
-  std::erase_if(silent_hosts_, is_not_listed);
-  std::erase_if(leaving_hosts_, is_not_listed);
-  std::erase_if(heard_at_, [&is_not_listed](const auto& it) {
-    return is_not_listed(it.first);
-  });
+  std::erase_if(silent_hosts_, is_unknown);
+  std::erase_if(leaving_hosts_, is_unknown);
+  std::erase_if(heard_at_,
+                [&is_unknown](const auto& it) { return is_unknown(it.first); });
+}
+
+void ReportExchange::TakeIntroduction(const HostReport& report) {
+  const bool is_known = std::any_of(
+      hosts_.begin(), hosts_.end(),
+      [&report](const HostEntry& it) { return it.name == report.host; });
+  if (report.report_address.empty() || report.draining || is_known) {
+    return;
+  }
+  log_.Write(EventLine("host.introduced").Text("host", report.host));
+  heard_at_[report.host] = BootTimeNow();
+  introduced_hosts_[report.host] = {.name = report.host,
+                                    .report_address = report.report_address,
+                                    .data_centre = report.data_centre};
+  JoinHosts();
+}
+
+bool ReportExchange::IntroducesItself(MonotonicTime now) const {
+  const bool is_listed =
+      std::any_of(listed_hosts_->begin(), listed_hosts_->end(),
+                  [this](const HostEntry& it) { return it.name == host_; });
+  return !is_listed || now - started_at_ < kIntroductionTime;
 }
 
 std::size_t ReportExchange::HostCount() const {
   std::size_t count = 1;
-  for (const HostEntry& it : *hosts_) {
+  for (const HostEntry& it : hosts_) {
     if (it.name != host_ && !leaving_hosts_.contains(it.name)) {
       ++count;
     }
@@ -90,18 +124,26 @@
 
 void ReportExchange::CheckForGoneHosts() {
   const MonotonicTime now = BootTimeNow();
-  for (const HostEntry& it : *hosts_) {
+  std::vector<std::string> gone;
+  for (const HostEntry& it : hosts_) {
     MonotonicTime& heard_at = heard_at_[it.name];
     if (it.name != host_ && now - heard_at > kHostSilence) {
       // Told again only after the same time.
       heard_at = now;
-      handlers_.on_host_gone(it.name);
+      gone.push_back(it.name);
+    }
+  }
+  for (const std::string& it : gone) {
+    if (introduced_hosts_.erase(it) > 0) {
+      JoinHosts();
+    } else {
+      handlers_.on_host_gone(it);
     }
   }
 }
 
 void ReportExchange::NoteSilentHosts(MonotonicTime now) {
-  for (const HostEntry& it : *hosts_) {
+  for (const HostEntry& it : hosts_) {
     const Duration silence = now - heard_at_[it.name];
     if (it.name != host_ && silence > fanout_.ReportLifetime() &&
         silent_hosts_.insert(it.name).second) {
@@ -135,6 +177,7 @@
       !fanout_.IsNews(report.host, report.process, report.sequence)) {
     return false;
   }
+  TakeIntroduction(report);
   heard_at_[report.host] = BootTimeNow();
   if (silent_hosts_.erase(report.host) > 0) {
     log_.Write(EventLine("host.regained").Text("host", report.host));
@@ -170,7 +213,7 @@
     return;
   }
   load_report_scheduled_ = true;
-  load_report_timer_.expires_after(kLoadReportDelay);
+  load_report_timer_.expires_after(fanout_.LoadReportDelay());
   load_report_timer_.async_wait([this](const boost::system::error_code& ec) {
     load_report_scheduled_ = false;
     if (!ec) {
@@ -197,6 +240,10 @@
   }
   HostReport report = handlers_.own_report();
   report.sequence = ++sequence_;
+  if (IntroducesItself(BootTimeNow())) {
+    report.report_address = address_;
+    report.data_centre = data_centre_;
+  }
   report.passed_on = std::move(passed_on);
   const std::string bytes = EncodeHostReport(report);
   for (const std::string& it : addresses) {
--- a/src/plugins/gateway/report_exchange.h
+++ b/src/plugins/gateway/report_exchange.h
@@ -69,6 +69,12 @@
   void OnDatagram(const std::string& bytes);
   // Returns false for a report that is no news.
   bool TakeReport(const HostReport& report);
+  // Reports to a host that is not listed yet as to those that are.
+  void TakeIntroduction(const HostReport& report);
+  // Joins the listed hosts and those that have introduced themselves.
+  void JoinHosts();
+  // True while other hosts may not have listed this one.
+  bool IntroducesItself(MonotonicTime now) const;
   void NoteSilentHosts(MonotonicTime now);
   // Reports to the hosts of the same data centre, with what has to be passed
   // on to them.
@@ -78,6 +84,7 @@
 
   const std::string host_;
   const std::string address_;
+  const std::string data_centre_;
   std::chrono::milliseconds interval_;
   EventLog& log_;
   const ReportExchangeHandlers handlers_;
@@ -88,7 +95,11 @@
   ReportFanout fanout_;
   std::uint64_t sequence_ = 0;
   MonotonicTime far_report_due_at_;
-  std::shared_ptr<const std::vector<HostEntry>> hosts_;
+  std::shared_ptr<const std::vector<HostEntry>> listed_hosts_;
+  std::map<std::string, HostEntry> introduced_hosts_;
+  // All that are known.
+  std::vector<HostEntry> hosts_;
+  const MonotonicTime started_at_;
   // The newest reports of hosts in other data centres, by host.
   std::map<std::string, ReportToPassOn> to_pass_on_;
   std::map<std::string, MonotonicTime> heard_at_;
--- a/tests/auto/gateway/tst_host_report.cc
+++ b/tests/auto/gateway/tst_host_report.cc
@@ -17,6 +17,8 @@
       .usage = {{"acme", {.spent = 1e9, .credits = -5}}},
       .crashes = {{.request = 1, .upstream = 2}},
       .sequence = 9,
+      .report_address = "10.0.0.1:2",
+      .data_centre = "d1",
       .passed_on = {
           {.host = "h2", .running = {{13, 4}}, .process = 78, .sequence = 5}}};
   const Result<HostReport> read = DecodeHostReport(EncodeHostReport(report));
@@ -29,6 +31,8 @@
   CHECK(read.value().usage.at("acme").credits == -5);
   CHECK(read.value().crashes == report.crashes);
   CHECK(read.value().sequence == 9);
+  CHECK(read.value().report_address == "10.0.0.1:2");
+  CHECK(read.value().data_centre == "d1");
   REQUIRE(read.value().passed_on.size() == 1);
   CHECK(read.value().passed_on[0].host == "h2");
   CHECK(read.value().passed_on[0].running == report.passed_on[0].running);
