clean-up: keep one copy of reads, seconds and body handling

Cause: reading the whole change: five copies of a conversion to seconds, the read of a non-blocking socket twice, two bodies of the same parser callback, a watch time in TableFollowerOptions that nothing read. In settings_reload the last case waited for a text that an earlier line already held, so that it could not fail; the settings file lay at a fixed path. Change: ToSeconds in kernel/time.h, ReadAvailable and MustWait in read_buffer.h; the option is gone. The last case of settings_reload waits for the refusal itself.

--- a/src/libs/dispatching/allotments.cc
+++ b/src/libs/dispatching/allotments.cc
@@ -16,10 +16,6 @@
 constexpr double kRateWeight = 0.5;
 constexpr milliseconds kLongestWait{10000};
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 void Allotments::SetLimits(const RoutingTable& table, MonotonicTime now) {
@@ -51,7 +47,7 @@
                              MonotonicTime now) {
   Peer& peer = peers_[host];
   const bool is_new = peer.process != process;
-  const double elapsed = std::max(0.05, Seconds(now - peer.heard_at));
+  const double elapsed = std::max(0.05, ToSeconds(now - peer.heard_at));
   const bool learning = now - started_at_ < kLearningTime;
   if (is_new) {
     peer = {.process = process};
@@ -92,7 +88,7 @@
 }
 
 void Allotments::Refill(Bucket& bucket, MonotonicTime now) const {
-  const double elapsed = std::max(0.0, Seconds(now - bucket.updated_at));
+  const double elapsed = std::max(0.0, ToSeconds(now - bucket.updated_at));
   const double part = ReachablePart(now);
   bucket.updated_at = now;
   bucket.credits = std::min(bucket.burst * part,
@@ -105,7 +101,7 @@
   for (const auto& [host, peer] : peers_) {
     const auto it = peer.usage.find(workspace);
     if (it != peer.usage.end() && now - peer.heard_at <= report_lifetime_) {
-      units += it->second.rate * Seconds(now - peer.heard_at);
+      units += it->second.rate * ToSeconds(now - peer.heard_at);
     }
   }
   return units;
--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -35,10 +35,6 @@
 // Callers that are refused together should not come back together.
 constexpr double kRetryAfterSpread = 0.5;
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 // The mean of those that were measured, in seconds; 0 when none was.
 double MeanPace(const std::vector<UpstreamView*>& upstreams) {
   double sum = 0;
@@ -291,7 +287,7 @@
   while (!times.empty() && now - times.front() > kThroughputTime) {
     times.pop_front();
   }
-  return static_cast<double>(times.size()) / Seconds(kThroughputTime);
+  return static_cast<double>(times.size()) / ToSeconds(kThroughputTime);
 }
 
 Duration Dispatcher::ExpectedWait(const std::string& service,
@@ -350,7 +346,7 @@
       ExpectedWait(request.service, true, position, now);
   const double spread = 1 + random_.NextDouble() * kRetryAfterSpread;
   const auto retry_after = milliseconds(
-      static_cast<std::int64_t>(Seconds(wait_of_return) * 1000 * spread));
+      static_cast<std::int64_t>(ToSeconds(wait_of_return) * 1000 * spread));
   return Rejection{
       .request = request.id,
       .retry_after = std::clamp(retry_after, kMinRetryAfter, kMaxRetryAfter),
--- a/src/libs/http_framing/http_request_reader.cc
+++ b/src/libs/http_framing/http_request_reader.cc
@@ -119,9 +119,8 @@
 
   std::size_t on_chunk_body_impl(std::uint64_t /*remain*/,
                                  string_view body,
-                                 error_code& /*ec*/) override {
-    request.body.append(body.data(), body.size());
-    return body.size();
+                                 error_code& ec) override {
+    return on_body_impl(body, ec);
   }
 
   void on_finish_impl(error_code& /*ec*/) override {}
--- a/src/libs/http_framing/http_response_reader.cc
+++ b/src/libs/http_framing/http_response_reader.cc
@@ -73,9 +73,8 @@
 
   std::size_t on_chunk_body_impl(std::uint64_t /*remain*/,
                                  string_view part,
-                                 error_code& /*ec*/) override {
-    body->append(part.data(), part.size());
-    return part.size();
+                                 error_code& ec) override {
+    return on_body_impl(part, ec);
   }
 
   void on_finish_impl(error_code& /*ec*/) override {}
--- a/src/libs/kernel/time.h
+++ b/src/libs/kernel/time.h
@@ -12,6 +12,10 @@
 // The resolution in which decision libraries compute.
 using Duration = std::chrono::steady_clock::duration;
 
+inline double ToSeconds(std::chrono::duration<double> time) {
+  return time.count();
+}
+
 }  // namespace flamingogauge
 
 #endif  // FLAMINGOGAUGE_LIBS_KERNEL_TIME_H_
--- a/src/libs/scheduling/group_dispatch.cc
+++ b/src/libs/scheduling/group_dispatch.cc
@@ -44,10 +44,6 @@
 constexpr float kMuchMoreCached = 0.3F;
 constexpr double kCacheWaitPart = 0.2;
 
-double Seconds(std::chrono::microseconds time) {
-  return std::chrono::duration<double>(time).count();
-}
-
 }  // namespace
 
 const RateEstimator& GroupScheduler::Private::RatesOf(std::size_t slot) const {
@@ -342,7 +338,7 @@
                                     const InUse& permit,
                                     const PermitOutcome& outcome) {
   UpstreamState& upstream = upstreams[permit.slot];
-  const double total = Seconds(outcome.total_time);
+  const double total = ToSeconds(outcome.total_time);
   if (config.is_service) {
     constexpr double kSmoothing = 0.1;
     service_time += kSmoothing * (total - service_time);
@@ -350,7 +346,7 @@
   }
   policies.lengths->Learn(permit.workspace, outcome.prompt_tokens,
                           outcome.output_tokens);
-  const double first = Seconds(outcome.time_to_first_token);
+  const double first = ToSeconds(outcome.time_to_first_token);
   RateEstimator& generation = generations[upstream.config.generation];
   const bool normal = stragglers.state(permit.slot) == StragglerState::kNormal;
   if (first > 0 && permit.first_token > 0) {
--- a/src/plugins/directory/directory_worker.cc
+++ b/src/plugins/directory/directory_worker.cc
@@ -66,8 +66,8 @@
       metrics_(metrics),
       listener_(std::move(listener)),
       ring_(std::make_shared<BoundedRing<Task>>(kRingCapacity)),
-      routing_({.watch_wait = settings.routing_watch_wait}),
-      upstreams_({.watch_wait = settings.upstreams_watch_wait}),
+      routing_(TableFollowerOptions()),
+      upstreams_(TableFollowerOptions()),
       hosts_({.min_call_interval = settings.hosts_interval,
               .outage_from = kNoReturn}) {
   snapshot_.upstreams = std::make_shared<std::vector<UpstreamEntry>>();
--- a/src/plugins/directory/table_follower.h
+++ b/src/plugins/directory/table_follower.h
@@ -17,8 +17,6 @@
 namespace flamingogauge {
 
 struct TableFollowerOptions {
-  // How long one watch waits for a change.
-  std::chrono::milliseconds watch_wait{1500};
   // The shortest time between the starts of two calls.
   std::chrono::milliseconds min_call_interval{200};
   // The time between two attempts while the store does not answer.
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -21,10 +21,6 @@
 constexpr milliseconds kRetryAfterRefusal{500};
 constexpr milliseconds kMinStreamPatience{2000};
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 // Callers leave a stream after a pause of the longest of these times, counted
 // from its last event, or from the request before the first one.
 MonotonicTime StartBy(const Route& route,
@@ -396,19 +392,19 @@
                        Label("outcome", outcome));
   context_.metrics.Observe("flamingogauge_request_seconds",
                            Label("outcome", outcome),
-                           Seconds(now - accepted_.arrived_at));
+                           ToSeconds(now - accepted_.arrived_at));
   const std::string route = Label("route", accepted_.route->name);
   context_.metrics.Add("flamingogauge_route_requests_total", route);
   if (outcome == kAnswered) {
     context_.metrics.Observe("flamingogauge_route_seconds", route,
-                             Seconds(now - accepted_.arrived_at));
+                             ToSeconds(now - accepted_.arrived_at));
   } else {
     context_.metrics.Add("flamingogauge_unanswered_total",
                          Label("reason", reason));
   }
   if (first_body_at_ != MonotonicTime()) {
     context_.metrics.Observe("flamingogauge_route_first_event_seconds", route,
-                             Seconds(first_body_at_ - accepted_.arrived_at));
+                             ToSeconds(first_body_at_ - accepted_.arrived_at));
   }
   session_->SetGoneHandler(nullptr);
   session_->SetWritableHandler(nullptr);
--- a/src/plugins/gateway/http_session.cc
+++ b/src/plugins/gateway/http_session.cc
@@ -61,10 +61,8 @@
 
 void HttpSession::OnReadable() {
   error_code ec;
-  auto& buf = ReadBuffer();
-  const std::size_t n = socket_.read_some(boost::asio::buffer(buf), ec);
-  if (ec == boost::asio::error::would_block ||
-      ec == boost::asio::error::try_again) {
+  const std::string_view bytes = ReadAvailable(socket_, ec);
+  if (MustWait(ec)) {
     WaitForInput();
     return;
   }
@@ -73,7 +71,7 @@
     return;
   }
   if (!lingering_) {
-    input_.append(buf.data(), n);
+    input_ += bytes;
     ProcessInput();
   }
   WaitForInput();
@@ -155,8 +153,7 @@
     OnWritten(ec);
     return;
   }
-  if (ec && ec != boost::asio::error::would_block &&
-      ec != boost::asio::error::try_again) {
+  if (ec && !MustWait(ec)) {
     boost::asio::post(socket_.get_executor(),
                       [self = shared_from_this()] { self->OnGone(); });
     return;
--- a/src/plugins/gateway/read_buffer.h
+++ b/src/plugins/gateway/read_buffer.h
@@ -1,18 +1,31 @@
 #ifndef FLAMINGOGAUGE_PLUGINS_GATEWAY_READ_BUFFER_H_
 #define FLAMINGOGAUGE_PLUGINS_GATEWAY_READ_BUFFER_H_
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
 #include <array>
 #include <cstddef>
+#include <string_view>
 
 namespace flamingogauge {
 
 inline constexpr std::size_t kReadBufferBytes = 65536;
 
-// The buffer into which all connections of one thread read, one after another;
-// an idle connection holds no memory for input.
-inline std::array<char, kReadBufferBytes>& ReadBuffer() {
+// True when a non-blocking call has to be repeated later.
+inline bool MustWait(const boost::system::error_code& ec) {
+  return ec == boost::asio::error::would_block ||
+         ec == boost::asio::error::try_again;
+}
+
+// Reads what a non-blocking socket holds into a buffer that all connections of
+// one thread share, so that an idle one holds no memory for input. The bytes
+// are valid until the next call.
+inline std::string_view ReadAvailable(boost::asio::ip::tcp::socket& socket,
+                                      boost::system::error_code& ec) {
   thread_local std::array<char, kReadBufferBytes> buf;
-  return buf;
+  return {buf.data(), socket.read_some(boost::asio::buffer(buf), ec)};
 }
 
 }  // namespace flamingogauge
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -73,10 +73,7 @@
   metrics.SetGauge("flamingogauge_requests_in_progress",
                    [this] { return static_cast<double>(exchanges_.size()); });
   metrics.SetGauge("flamingogauge_routing_age_seconds", [this] {
-    return context_.fleet.routing
-               ? std::chrono::duration<double>(RoutingAge(BootTimeNow()))
-                     .count()
-               : -1;
+    return context_.fleet.routing ? ToSeconds(RoutingAge(BootTimeNow())) : -1;
   });
   metrics.SetGauge("flamingogauge_upstreams", [this] {
     return static_cast<double>(context_.dispatcher.upstreams().size());
--- a/src/plugins/gateway/upstream_connection.cc
+++ b/src/plugins/gateway/upstream_connection.cc
@@ -138,10 +138,8 @@
     return;
   }
   error_code ec;
-  auto& buf = ReadBuffer();
-  const std::size_t n = socket_.read_some(boost::asio::buffer(buf), ec);
-  if (ec == boost::asio::error::would_block ||
-      ec == boost::asio::error::try_again) {
+  const std::string_view bytes = ReadAvailable(socket_, ec);
+  if (MustWait(ec)) {
     WaitForInput();
     return;
   }
@@ -154,7 +152,7 @@
     Close();
     return;
   }
-  input_.append(buf.data(), n);
+  input_ += bytes;
   ProcessInput();
   WaitForInput();
 }
--- a/src/plugins/requests/request_metrics.cc
+++ b/src/plugins/requests/request_metrics.cc
@@ -3,13 +3,7 @@
 #include <chrono>
 
 namespace flamingogauge {
-namespace {
-
-double Seconds(Duration time) {
-  return std::chrono::duration<double>(time).count();
-}
-
-}  // namespace
+namespace {}  // namespace
 
 void RequestMetrics::CountAccepted(const std::string& tier) {
   registry_->Add("flamingogauge_requests_total", Label("tier", tier));
@@ -28,12 +22,12 @@
 
 void RequestMetrics::ObserveFirstToken(const std::string& tier, Duration time) {
   registry_->Observe("flamingogauge_first_token_seconds", Label("tier", tier),
-                     Seconds(time));
+                     ToSeconds(time));
 }
 
 void RequestMetrics::ObserveGap(const std::string& tier, Duration time) {
   registry_->Observe("flamingogauge_token_gap_seconds", Label("tier", tier),
-                     Seconds(time));
+                     ToSeconds(time));
 }
 
 void RequestMetrics::CountWastedPrefill(std::string_view cause,
--- a/tests/auto/end_to_end/tst_settings_reload.cc
+++ b/tests/auto/end_to_end/tst_settings_reload.cc
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <optional>
 #include <string>
@@ -22,7 +23,8 @@
 class SettingsFile {
  public:
   SettingsFile()
-      : path_("/tmp/flamingogauge-reload-" + std::to_string(::getpid())),
+      : path_(std::filesystem::temp_directory_path() /
+              ("flamingogauge-reload-" + std::to_string(::getpid()))),
         addresses_("--host_report_address=" + FreeAddress(SOCK_DGRAM) +
                    "\n--gateway_listen_address=" + FreeAddress(SOCK_STREAM) +
                    "\n--gateway_status_address=" + FreeAddress(SOCK_STREAM) +
@@ -70,7 +72,9 @@
        R"("changed":"gateway_resend_ratio,key_revocation_limit_ms",)"},
       {"--key_revocation_limit_ms=4000\n--fleet_store_address=127.0.0.1:9\n",
        true, R"("need_restart":"fleet_store_address")"},
-      {"--key_revocation_limit_ms=1\n", true, "key_revocation_limit_ms"},
+      // Named by the result; the line also lists the flag as changed.
+      {"--key_revocation_limit_ms=1\n", true,
+       R"("result":"gateway: check settings: --key_revocation_limit_ms is 1,)"},
   };
   for (const Case& it : cases) {
     CAPTURE(it.lines);
