clean-up: name the exchange of reports in the field's terms

Cause: reading the whole change: reports were 'passed on', 'far' and 'news', hosts 'introduced themselves'; the list of hosts was searched twice by the same loop, for each report also when it announces nothing, and the time of a report was set twice. Two messages about settings named flags that do not exist. Change: forwarded, remote, newer, announced; one search, after the cheap test; a table's name by its type; messages name the flag and what follows from it. The log line host.introduced is host.announced. Behaviour, bounds and assertions stay.

--- a/src/libs/dispatching/report_fanout.cc
+++ b/src/libs/dispatching/report_fanout.cc
@@ -13,7 +13,7 @@
 // All hosts of another data centre get a report if it has no more than this.
 constexpr std::size_t kMaxDirectHosts = 4;
 // Reports of hosts in other data centres that one host hears, at most.
-constexpr double kMaxFarReportsPerSecond = 150;
+constexpr double kMaxRemoteReportsPerSecond = 150;
 constexpr milliseconds kMinLoadReportDelay{15};
 // Datagrams about changes of the load that a host sends nearby, at most.
 constexpr double kMaxLoadReportsPerSecond = 200;
@@ -36,7 +36,7 @@
 
 void ReportFanout::SetHosts(const std::vector<HostEntry>& hosts) {
   near_.clear();
-  far_.clear();
+  remote_.clear();
   data_centre_of_.clear();
   for (const HostEntry& it : hosts) {
     data_centre_of_[it.name] = it.data_centre;
@@ -46,7 +46,7 @@
     if (it.data_centre == options_.data_centre) {
       near_.push_back(it.report_address);
     } else {
-      far_[it.data_centre].push_back(it.report_address);
+      remote_[it.data_centre].push_back(it.report_address);
     }
   }
   std::erase_if(heard_, [this](const auto& it) {
@@ -54,10 +54,10 @@
   });
 }
 
-std::vector<std::string> ReportFanout::NextFar() {
+std::vector<std::string> ReportFanout::NextRemote() {
   std::vector<std::string> addresses;
   ++round_;
-  for (const auto& [data_centre, hosts] : far_) {
+  for (const auto& [data_centre, hosts] : remote_) {
     if (hosts.size() <= kMaxDirectHosts) {
       addresses.insert(addresses.end(), hosts.begin(), hosts.end());
     } else {
@@ -72,22 +72,22 @@
                   ShortestInterval(near_.size(), kMaxLoadReportsPerSecond));
 }
 
-milliseconds ReportFanout::FarInterval() const {
-  std::size_t far_hosts = 0;
-  for (const auto& [data_centre, hosts] : far_) {
-    far_hosts += hosts.size();
+milliseconds ReportFanout::RemoteInterval() const {
+  std::size_t remote_hosts = 0;
+  for (const auto& [data_centre, hosts] : remote_) {
+    remote_hosts += hosts.size();
   }
-  return std::max(options_.far_interval,
-                  ShortestInterval(far_hosts, kMaxFarReportsPerSecond));
+  return std::max(options_.remote_interval,
+                  ShortestInterval(remote_hosts, kMaxRemoteReportsPerSecond));
 }
 
 milliseconds ReportFanout::ReportLifetime() const {
-  return std::max(kMinLifetime, FarInterval() * kIntervalsInLifetime);
+  return std::max(kMinLifetime, RemoteInterval() * kIntervalsInLifetime);
 }
 
-bool ReportFanout::IsNews(const std::string& host,
-                          std::uint64_t process,
-                          std::uint64_t sequence) {
+bool ReportFanout::IsNewer(const std::string& host,
+                           std::uint64_t process,
+                           std::uint64_t sequence) {
   Heard& heard = heard_[host];
   if (heard.process == process && sequence <= heard.sequence) {
     return false;
@@ -96,7 +96,7 @@
   return true;
 }
 
-bool ReportFanout::MustPassOn(const std::string& host) const {
+bool ReportFanout::MustForward(const std::string& host) const {
   const auto it = data_centre_of_.find(host);
   return it != data_centre_of_.end() && it->second != options_.data_centre &&
          near_.size() + 1 > kMaxDirectHosts;
--- a/src/libs/dispatching/report_fanout.h
+++ b/src/libs/dispatching/report_fanout.h
@@ -18,12 +18,12 @@
   std::string data_centre;
   // The time between two reports to hosts of other data centres, while there
   // are few of them.
-  std::chrono::milliseconds far_interval{200};
+  std::chrono::milliseconds remote_interval{200};
 };
 
 // Decides which hosts get a report. Hosts of the same data centre get each one.
 // In another data centre that has few hosts all of them get it; in a larger one
-// a single host, another one each time, which passes it on to those beside it.
+// a single host, another one each time, which forwards it to those beside it.
 // So the datagrams between data centres, which are paid by volume, grow with
 // the number of hosts times that of data centres, and what each host hears a
 // second has an upper bound.
@@ -33,8 +33,8 @@
 
   void SetHosts(const std::vector<HostEntry>& hosts);
   // The time between two reports to other data centres while these are few.
-  void SetFarInterval(std::chrono::milliseconds interval) {
-    options_.far_interval = interval;
+  void SetRemoteInterval(std::chrono::milliseconds interval) {
+    options_.remote_interval = interval;
   }
 
   // The addresses of the other hosts of this data centre.
@@ -44,19 +44,19 @@
   // among many hosts, so that what a host sends them has a bound.
   std::chrono::milliseconds LoadReportDelay() const;
   // The addresses in other data centres that get the next report.
-  std::vector<std::string> NextFar();
+  std::vector<std::string> NextRemote();
   // The time between two reports to other data centres.
-  std::chrono::milliseconds FarInterval() const;
+  std::chrono::milliseconds RemoteInterval() const;
   // How long the newest report of a host counts: several may be lost.
   std::chrono::milliseconds ReportLifetime() const;
 
   // True for the first report of the process with this number or a higher one.
-  bool IsNews(const std::string& host,
-              std::uint64_t process,
-              std::uint64_t sequence);
-  // True when a report of that host, received from itself, has to be passed on
+  bool IsNewer(const std::string& host,
+               std::uint64_t process,
+               std::uint64_t sequence);
+  // True when a report of that host, received from itself, has to be forwarded
   // to the other hosts of this data centre.
-  bool MustPassOn(const std::string& host) const;
+  bool MustForward(const std::string& host) const;
 
  private:
   struct Heard {
@@ -67,7 +67,7 @@
   ReportFanoutOptions options_;
   std::vector<std::string> near_;
   // Addresses by data centre, without this host's.
-  std::map<std::string, std::vector<std::string>> far_;
+  std::map<std::string, std::vector<std::string>> remote_;
   std::map<std::string, std::string> data_centre_of_;
   std::map<std::string, Heard> heard_;
   std::size_t round_ = 0;
--- a/src/libs/protocol/host_report.capnp
+++ b/src/libs/protocol/host_report.capnp
@@ -16,9 +16,9 @@
   process @5 :UInt64;
   # Increases with each report of the process.
   sequence @6 :UInt64;
-  # Reports of other hosts that the receiver did not get itself; these pass on
+  # Reports of other hosts that the receiver did not get itself; these forward
   # nothing.
-  passedOn @7 :List(HostReport);
+  forwarded @7 :List(HostReport);
   # Where a host that others may not have listed yet is reached; else empty.
   reportAddress @8 :Text;
   dataCentre @9 :Text;
--- a/src/plugins/directory/directory_settings.cc
+++ b/src/plugins/directory/directory_settings.cc
@@ -43,7 +43,7 @@
                  .message = "--host_name and --host_report_address are needed"};
   }
   return CheckSettingRanges(
-      {RangeOf("wait of a watch by change_apply_limit_ms",
+      {RangeOf("change_apply_limit_ms: the watch that follows, in ms,",
                settings.routing_watch_wait, kMinWaitMs, kMaxWaitMs),
        RangeOf("directory_upstreams_watch_wait_ms",
                settings.upstreams_watch_wait, kMinWaitMs, kMaxWaitMs),
--- a/src/plugins/directory/directory_worker.cc
+++ b/src/plugins/directory/directory_worker.cc
@@ -27,15 +27,14 @@
   return values;
 }
 
-std::string_view TableName(const RoutingTable* /*type*/) {
-  return "routing";
-}
-std::string_view TableName(const UpstreamEntry* /*type*/) {
-  return "upstreams";
-}
-std::string_view TableName(const HostEntry* /*type*/) {
-  return "hosts";
-}
+template <typename T>
+constexpr std::string_view kTableName;
+template <>
+constexpr std::string_view kTableName<RoutingTable> = "routing";
+template <>
+constexpr std::string_view kTableName<UpstreamEntry> = "upstreams";
+template <>
+constexpr std::string_view kTableName<HostEntry> = "hosts";
 
 std::string_view ResultName(const Error* error) {
   if (error == nullptr) {
@@ -153,8 +152,7 @@
 void DirectoryWorker::OnAnswer(TableFollower<T>& follower,
                                const Result<FleetPage<T>>& answer) {
   const bool changed = follower.OnAnswer(answer, BootTimeNow());
-  CountCall(TableName(static_cast<const T*>(nullptr)),
-            answer ? nullptr : &answer.error());
+  CountCall(kTableName<T>, answer ? nullptr : &answer.error());
   if constexpr (std::is_same_v<T, HostEntry>) {
     // Each read of this table is a list.
     follower.ReadListAgain();
--- a/src/plugins/gateway/gateway_settings.cc
+++ b/src/plugins/gateway/gateway_settings.cc
@@ -107,7 +107,7 @@
        RangeOf("gateway_resend_allowance", settings.resend_allowance, 0,
                1000000),
        RangeOf("gateway_resend_window_s", settings.resend_window, 1, 3600),
-       RangeOf("gateway_stop_limit_s, as time of a drain,",
+       RangeOf("gateway_stop_limit_s: the drain time that follows, in ms,",
                settings.drain_time_limit, 0, 600000),
        RangeOf("gateway_drain_min_time_ms", settings.drain_min_time, 0, 600000),
        RangeOf("gateway_report_interval_ms", settings.report_interval, 20,
--- a/src/plugins/gateway/host_report.cc
+++ b/src/plugins/gateway/host_report.cc
@@ -36,8 +36,8 @@
 
 HostReport Read(wire::HostReport::Reader from) {
   HostReport report = ReadOne(from);
-  for (const auto& it : from.getPassedOn()) {
-    report.passed_on.push_back(ReadOne(it));
+  for (const auto& it : from.getForwarded()) {
+    report.forwarded.push_back(ReadOne(it));
   }
   return report;
 }
@@ -79,10 +79,10 @@
   auto to = message.initRoot<wire::HostReport>();
   WriteOne(report, to);
   unsigned n = 0;
-  auto passed_on =
-      to.initPassedOn(static_cast<unsigned>(report.passed_on.size()));
-  for (const HostReport& it : report.passed_on) {
-    WriteOne(it, passed_on[n++]);
+  auto forwarded =
+      to.initForwarded(static_cast<unsigned>(report.forwarded.size()));
+  for (const HostReport& it : report.forwarded) {
+    WriteOne(it, forwarded[n++]);
   }
   kj::VectorOutputStream output;
   capnp::writePackedMessage(output, message);
--- a/src/plugins/gateway/host_report.h
+++ b/src/plugins/gateway/host_report.h
@@ -29,8 +29,8 @@
   std::string report_address;
   std::string data_centre;
   // Reports of hosts in other data centres, for those hosts nearby that did not
-  // get them; they pass on nothing themselves.
-  std::vector<HostReport> passed_on;
+  // get them; they forward nothing themselves.
+  std::vector<HostReport> forwarded;
 };
 
 // The form in a datagram: a packed Cap'n Proto message.
--- a/src/plugins/gateway/report_exchange.cc
+++ b/src/plugins/gateway/report_exchange.cc
@@ -14,13 +14,18 @@
 // A host that was not heard for this long counts as gone for good.
 constexpr std::chrono::seconds kHostSilence{20};
 // The others read the list of hosts every few seconds, and it may be stale.
-constexpr std::chrono::seconds kIntroductionTime{10};
-// A report that could not be passed on for this long, on a host that was
+constexpr std::chrono::seconds kAnnouncementTime{10};
+// A report that could not be forwarded for this long, on a host that was
 // suspended for example, is replaced by a newer one elsewhere.
-constexpr milliseconds kMaxPassOnDelay{500};
+constexpr milliseconds kMaxForwardDelay{500};
 // A timer that fires a little early must not skip a round.
 constexpr milliseconds kTimerSlack{20};
 
+bool Contains(const std::vector<HostEntry>& hosts, const std::string& name) {
+  return std::any_of(hosts.begin(), hosts.end(),
+                     [&name](const HostEntry& it) { return it.name == name; });
+}
+
 const Logger& Log() {
   static const Logger kLogger("reports");
   return kLogger;
@@ -43,7 +48,7 @@
       load_report_timer_(io),
       fanout_({.host = settings.host,
                .data_centre = settings.data_centre,
-               .far_interval = settings.report_interval}),
+               .remote_interval = settings.report_interval}),
       listed_hosts_(std::make_shared<std::vector<HostEntry>>()),
       started_at_(BootTimeNow()) {}
 
@@ -57,7 +62,7 @@
 
 void ReportExchange::SetInterval(milliseconds interval) {
   interval_ = interval;
-  fanout_.SetFarInterval(interval);
+  fanout_.SetRemoteInterval(interval);
 }
 
 void ReportExchange::SetHosts(
@@ -72,11 +77,11 @@
   std::set<std::string> known;
   for (const HostEntry& it : hosts_) {
     known.insert(it.name);
-    introduced_hosts_.erase(it.name);
+    announced_hosts_.erase(it.name);
     // A host is heard later than it is listed.
     heard_at_.try_emplace(it.name, now);
   }
-  for (const auto& [name, entry] : introduced_hosts_) {
+  for (const auto& [name, entry] : announced_hosts_) {
     hosts_.push_back(entry);
     known.insert(name);
   }
@@ -90,26 +95,21 @@
                 [&is_unknown](const auto& it) { return is_unknown(it.first); });
 }
 
-void ReportExchange::TakeIntroduction(const HostReport& report) {
-  const bool is_known = std::any_of(
-      hosts_.begin(), hosts_.end(),
-      [&report](const HostEntry& it) { return it.name == report.host; });
-  if (report.report_address.empty() || report.draining || is_known) {
+void ReportExchange::TakeAnnouncement(const HostReport& report) {
+  if (report.report_address.empty() || report.draining ||
+      Contains(hosts_, report.host)) {
     return;
   }
-  log_.Write(EventLine("host.introduced").Text("host", report.host));
-  heard_at_[report.host] = BootTimeNow();
-  introduced_hosts_[report.host] = {.name = report.host,
-                                    .report_address = report.report_address,
-                                    .data_centre = report.data_centre};
+  log_.Write(EventLine("host.announced").Text("host", report.host));
+  announced_hosts_[report.host] = {.name = report.host,
+                                   .report_address = report.report_address,
+                                   .data_centre = report.data_centre};
   JoinHosts();
 }
 
-bool ReportExchange::IntroducesItself(MonotonicTime now) const {
-  const bool is_listed =
-      std::any_of(listed_hosts_->begin(), listed_hosts_->end(),
-                  [this](const HostEntry& it) { return it.name == host_; });
-  return !is_listed || now - started_at_ < kIntroductionTime;
+bool ReportExchange::AnnouncesItself(MonotonicTime now) const {
+  return !Contains(*listed_hosts_, host_) ||
+         now - started_at_ < kAnnouncementTime;
 }
 
 std::size_t ReportExchange::HostCount() const {
@@ -134,7 +134,7 @@
     }
   }
   for (const std::string& it : gone) {
-    if (introduced_hosts_.erase(it) > 0) {
+    if (announced_hosts_.erase(it) > 0) {
       JoinHosts();
     } else {
       handlers_.on_host_gone(it);
@@ -161,23 +161,23 @@
     return;
   }
   HostReport& report = decoded.value();
-  const std::vector<HostReport> passed_on = std::exchange(report.passed_on, {});
-  if (TakeReport(report) && fanout_.MustPassOn(report.host)) {
+  const std::vector<HostReport> forwarded = std::exchange(report.forwarded, {});
+  if (TakeReport(report) && fanout_.MustForward(report.host)) {
     const std::string host = report.host;
-    to_pass_on_[host] = {.report = std::move(report),
+    to_forward_[host] = {.report = std::move(report),
                          .received_at = BootTimeNow()};
   }
-  for (const HostReport& it : passed_on) {
+  for (const HostReport& it : forwarded) {
     TakeReport(it);
   }
 }
 
 bool ReportExchange::TakeReport(const HostReport& report) {
   if (report.host == host_ ||
-      !fanout_.IsNews(report.host, report.process, report.sequence)) {
+      !fanout_.IsNewer(report.host, report.process, report.sequence)) {
     return false;
   }
-  TakeIntroduction(report);
+  TakeAnnouncement(report);
   heard_at_[report.host] = BootTimeNow();
   if (silent_hosts_.erase(report.host) > 0) {
     log_.Write(EventLine("host.regained").Text("host", report.host));
@@ -200,9 +200,9 @@
     SendNearReport();
     const MonotonicTime now = BootTimeNow();
     NoteSilentHosts(now);
-    if (now >= far_report_due_at_) {
-      far_report_due_at_ = now + fanout_.FarInterval() - kTimerSlack;
-      SendReport({}, fanout_.NextFar());
+    if (now >= remote_report_due_at_) {
+      remote_report_due_at_ = now + fanout_.RemoteInterval() - kTimerSlack;
+      SendReport({}, fanout_.NextRemote());
     }
     ScheduleReports();
   });
@@ -224,27 +224,27 @@
 
 void ReportExchange::SendNearReport() {
   const MonotonicTime now = BootTimeNow();
-  std::vector<HostReport> passed_on;
-  for (auto& [host, it] : std::exchange(to_pass_on_, {})) {
-    if (now - it.received_at <= kMaxPassOnDelay) {
-      passed_on.push_back(std::move(it.report));
+  std::vector<HostReport> forwarded;
+  for (auto& [host, it] : std::exchange(to_forward_, {})) {
+    if (now - it.received_at <= kMaxForwardDelay) {
+      forwarded.push_back(std::move(it.report));
     }
   }
-  SendReport(std::move(passed_on), fanout_.Near());
+  SendReport(std::move(forwarded), fanout_.Near());
 }
 
-void ReportExchange::SendReport(std::vector<HostReport> passed_on,
+void ReportExchange::SendReport(std::vector<HostReport> forwarded,
                                 const std::vector<std::string>& addresses) {
   if (addresses.empty()) {
     return;
   }
   HostReport report = handlers_.own_report();
   report.sequence = ++sequence_;
-  if (IntroducesItself(BootTimeNow())) {
+  if (AnnouncesItself(BootTimeNow())) {
     report.report_address = address_;
     report.data_centre = data_centre_;
   }
-  report.passed_on = std::move(passed_on);
+  report.forwarded = std::move(forwarded);
   const std::string bytes = EncodeHostReport(report);
   for (const std::string& it : addresses) {
     socket_.Send(bytes, it);
--- a/src/plugins/gateway/report_exchange.h
+++ b/src/plugins/gateway/report_exchange.h
@@ -27,7 +27,7 @@
 struct ReportExchangeHandlers {
   // The report of this host, without its number.
   std::function<HostReport()> own_report;
-  // A report of another host that is news.
+  // A report of another host that is newer than its last one.
   std::function<void(const HostReport&)> on_report;
   // A listed host was not heard for so long that it counts as gone for good.
   std::function<void(const std::string& host)> on_host_gone;
@@ -60,26 +60,26 @@
   }
 
  private:
-  struct ReportToPassOn {
+  struct ReportToForward {
     HostReport report;
     MonotonicTime received_at;
   };
 
   void ScheduleReports();
   void OnDatagram(const std::string& bytes);
-  // Returns false for a report that is no news.
+  // Returns false for a report that is not newer than the last one.
   bool TakeReport(const HostReport& report);
   // Reports to a host that is not listed yet as to those that are.
-  void TakeIntroduction(const HostReport& report);
-  // Joins the listed hosts and those that have introduced themselves.
+  void TakeAnnouncement(const HostReport& report);
+  // Joins the listed hosts and those that have announced themselves.
   void JoinHosts();
   // True while other hosts may not have listed this one.
-  bool IntroducesItself(MonotonicTime now) const;
+  bool AnnouncesItself(MonotonicTime now) const;
   void NoteSilentHosts(MonotonicTime now);
   // Reports to the hosts of the same data centre, with what has to be passed
   // on to them.
   void SendNearReport();
-  void SendReport(std::vector<HostReport> passed_on,
+  void SendReport(std::vector<HostReport> forwarded,
                   const std::vector<std::string>& addresses);
 
   const std::string host_;
@@ -94,14 +94,14 @@
   bool load_report_scheduled_ = false;
   ReportFanout fanout_;
   std::uint64_t sequence_ = 0;
-  MonotonicTime far_report_due_at_;
+  MonotonicTime remote_report_due_at_;
   std::shared_ptr<const std::vector<HostEntry>> listed_hosts_;
-  std::map<std::string, HostEntry> introduced_hosts_;
+  std::map<std::string, HostEntry> announced_hosts_;
   // All that are known.
   std::vector<HostEntry> hosts_;
   const MonotonicTime started_at_;
   // The newest reports of hosts in other data centres, by host.
-  std::map<std::string, ReportToPassOn> to_pass_on_;
+  std::map<std::string, ReportToForward> to_forward_;
   std::map<std::string, MonotonicTime> heard_at_;
   std::set<std::string> leaving_hosts_;
   // Listed hosts whose newest report does not count any more.
--- a/tests/auto/dispatching/tst_report_fanout.cc
+++ b/tests/auto/dispatching/tst_report_fanout.cc
@@ -52,11 +52,11 @@
     for (const std::string& it : sender.Near()) {
       heard.insert(it);
     }
-    for (const std::string& it : sender.NextFar()) {
+    for (const std::string& it : sender.NextRemote()) {
       heard.insert(it);
       const std::string receiver = it.substr(0, it.find(':'));
       const ReportFanout fanout = Fanout(receiver, size);
-      if (fanout.MustPassOn("d0-0")) {
+      if (fanout.MustForward("d0-0")) {
         heard.insert(fanout.Near().begin(), fanout.Near().end());
       }
     }
@@ -73,20 +73,20 @@
     CAPTURE(size.hosts_in_each);
     ReportFanout sender = Fanout("d0-0", size);
     const double rounds =
-        1000.0 / static_cast<double>(sender.FarInterval().count());
-    const double far_hosts = (size.data_centres - 1) * size.hosts_in_each;
-    CHECK(far_hosts * rounds <= 151);
-    CHECK(static_cast<double>(sender.NextFar().size()) * rounds <= 60);
+        1000.0 / static_cast<double>(sender.RemoteInterval().count());
+    const double remote_hosts = (size.data_centres - 1) * size.hosts_in_each;
+    CHECK(remote_hosts * rounds <= 151);
+    CHECK(static_cast<double>(sender.NextRemote().size()) * rounds <= 60);
     const double load_reports =
         1000.0 / static_cast<double>(sender.LoadReportDelay().count());
     CHECK(static_cast<double>(sender.Near().size()) * load_reports <= 201);
-    CHECK(sender.ReportLifetime() >= sender.FarInterval() * 3);
+    CHECK(sender.ReportLifetime() >= sender.RemoteInterval() * 3);
   }
-  CHECK(Fanout("d0-0", {3, 3}).FarInterval() == milliseconds(200));
+  CHECK(Fanout("d0-0", {3, 3}).RemoteInterval() == milliseconds(200));
   CHECK(Fanout("d0-0", {3, 4}).LoadReportDelay() == milliseconds(15));
 }
 
-// Guards against one host that has to pass on the reports of all others, and
+// Guards against one host that has to forward the reports of all others, and
 // against reports that are lost for good with one receiver.
 TEST_CASE("the receivers of reports take turns") {
   const FleetSize size{2, 10};
@@ -94,7 +94,7 @@
   for (int n = 0; n < size.hosts_in_each; ++n) {
     ReportFanout sender = Fanout(Name(0, n), size);
     for (int round = 0; round < 10; ++round) {
-      for (const std::string& it : sender.NextFar()) {
+      for (const std::string& it : sender.NextRemote()) {
         ++received[it];
       }
     }
@@ -105,14 +105,15 @@
   }
 }
 
-// Guards against an older report that replaces a newer one after a detour.
-TEST_CASE("only newer reports of a process are news") {
+// Guards against an older report that replaces a newer one after it was
+// forwarded.
+TEST_CASE("only the newest report of a process counts") {
   ReportFanout fanout = Fanout("d0-0", {2, 4});
-  CHECK(fanout.IsNews("d1-0", 5, 2));
-  CHECK_FALSE(fanout.IsNews("d1-0", 5, 2));
-  CHECK_FALSE(fanout.IsNews("d1-0", 5, 1));
-  CHECK(fanout.IsNews("d1-0", 5, 3));
-  CHECK(fanout.IsNews("d1-0", 6, 1));
+  CHECK(fanout.IsNewer("d1-0", 5, 2));
+  CHECK_FALSE(fanout.IsNewer("d1-0", 5, 2));
+  CHECK_FALSE(fanout.IsNewer("d1-0", 5, 1));
+  CHECK(fanout.IsNewer("d1-0", 5, 3));
+  CHECK(fanout.IsNewer("d1-0", 6, 1));
 }
 
 }  // namespace
--- a/tests/auto/gateway/tst_host_report.cc
+++ b/tests/auto/gateway/tst_host_report.cc
@@ -19,7 +19,7 @@
       .sequence = 9,
       .report_address = "10.0.0.1:2",
       .data_centre = "d1",
-      .passed_on = {
+      .forwarded = {
           {.host = "h2", .running = {{13, 4}}, .process = 78, .sequence = 5}}};
   const Result<HostReport> read = DecodeHostReport(EncodeHostReport(report));
   REQUIRE(read);
@@ -33,11 +33,11 @@
   CHECK(read.value().sequence == 9);
   CHECK(read.value().report_address == "10.0.0.1:2");
   CHECK(read.value().data_centre == "d1");
-  REQUIRE(read.value().passed_on.size() == 1);
-  CHECK(read.value().passed_on[0].host == "h2");
-  CHECK(read.value().passed_on[0].running == report.passed_on[0].running);
-  CHECK(read.value().passed_on[0].process == 78);
-  CHECK(read.value().passed_on[0].sequence == 5);
+  REQUIRE(read.value().forwarded.size() == 1);
+  CHECK(read.value().forwarded[0].host == "h2");
+  CHECK(read.value().forwarded[0].running == report.forwarded[0].running);
+  CHECK(read.value().forwarded[0].process == 78);
+  CHECK(read.value().forwarded[0].sequence == 5);
 }
 
 // Guards against a datagram from elsewhere that ends the process.
