fake_object_store: keep expired timers from using removed waiters

Cause: the handler of an expired watch timer held an iterator; if a change removed the waiter between the expiry and the handler, the handler used freed memory. The address sanitizer reported it in one of three runs of tst_platform_adapter with six directories (heap-use-after-free in FakeObjectStore::Server::Watch). Change: the handler looks the waiter up by a number.

--- a/tests/fakes/fake_object_store/fake_object_store.cc
+++ b/tests/fakes/fake_object_store/fake_object_store.cc
@@ -129,6 +129,7 @@
 
  private:
   struct Waiter {
+    std::uint64_t id = 0;
     std::string kind;
     std::uint64_t after = 0;
     std::shared_ptr<HttpSession> session;
@@ -158,6 +159,7 @@
   std::vector<StoreEvent> events_;
   std::uint64_t history_start_revision_ = 0;
   std::list<Waiter> waiters_;
+  std::uint64_t next_waiter_ = 1;
   std::thread thread_;
 };
 
@@ -258,20 +260,25 @@
   }
   auto timer = std::make_unique<boost::asio::steady_timer>(
       io_, std::chrono::milliseconds(call.Number("waitMs")));
-  waiters_.push_back({.kind = call.kind,
+  const std::uint64_t id = next_waiter_++;
+  // A timer that has expired can no longer be cancelled, so that its handler
+  // may run after the waiter was removed.
+  timer->async_wait([this, id](const boost::system::error_code& ec) {
+    const auto waiter =
+        std::find_if(waiters_.begin(), waiters_.end(),
+                     [id](const Waiter& it) { return it.id == id; });
+    if (!ec && waiter != waiters_.end()) {
+      bool none = false;
+      Answer(waiter->session, 200,
+             EventsAfter(waiter->kind, waiter->after, none));
+      waiters_.erase(waiter);
+    }
+  });
+  waiters_.push_back({.id = id,
+                      .kind = call.kind,
                       .after = after,
                       .session = session,
                       .timer = std::move(timer)});
-  const auto waiter = std::prev(waiters_.end());
-  waiter->timer->async_wait(
-      [this, waiter](const boost::system::error_code& ec) {
-        if (!ec) {
-          bool none = false;
-          Answer(waiter->session, 200,
-                 EventsAfter(waiter->kind, waiter->after, none));
-          waiters_.erase(waiter);
-        }
-      });
 }
 
 void FakeObjectStore::Server::NotifyWaiters(const std::string& kind) {
