directory: let one host of each data centre read the store for the others

Cause: each host followed the routing document, the upstreams and the hosts by itself, some 1.5 to 1.9 priced calls a second and host. Ruled out: longer waits for each host alone, which key revocation bounds to about one call each 2 s and host. Change: hosts of a data centre are ordered by capacity and hash of their name. The first one reads the store; the others ask it by Cap'n Proto RPC and get a reply when there is news or after a wait. SourcePolicy decides, without agreement, who takes over when a reader fails, is refused by the store or falls behind. A confirmation counts from before the question was sent, plus the time for which it was held. Only listed hosts get an answer. A watch without events confirms the end of its wait. A host's entry stays in the store when it stops; the reader removes entries of hosts that stay silent. Conclusion: calls grow with data centres instead of hosts.

--- a/src/plugins/directory/table_follower.h
+++ b/src/libs/directory/table_follower.h
@@ -1,5 +1,5 @@
-#ifndef FLAMINGOGAUGE_PLUGINS_DIRECTORY_TABLE_FOLLOWER_H_
-#define FLAMINGOGAUGE_PLUGINS_DIRECTORY_TABLE_FOLLOWER_H_
+#ifndef FLAMINGOGAUGE_LIBS_DIRECTORY_TABLE_FOLLOWER_H_
+#define FLAMINGOGAUGE_LIBS_DIRECTORY_TABLE_FOLLOWER_H_
 
 #include <algorithm>
 #include <chrono>
@@ -47,13 +47,30 @@
 
   explicit TableFollower(TableFollowerOptions options) : options_(options) {}
 
-  // Returns the call to make now, if any, and marks it as in flight.
-  std::optional<TableCall> NextCall(MonotonicTime now) {
+  // Continues from entries that another host read at `revision`, so that no
+  // list is needed.
+  void Resume(const Entries& entries, std::uint64_t revision) {
+    entries_ = entries;
+    missing_.clear();
+    RestartList();
+    revision_ = revision;
+    was_listed_ = revision != 0;
+  }
+
+  void SetRetryInterval(std::chrono::milliseconds interval) {
+    options_.retry_interval = interval;
+  }
+
+  // Returns the call to make now, if any, and marks it as in flight. A watch is
+  // to wait for `wait`.
+  std::optional<TableCall> NextCall(MonotonicTime now,
+                                    std::chrono::milliseconds wait) {
     if (in_flight_ || now < next_call_at_) {
       return std::nullopt;
     }
     in_flight_ = true;
     call_started_at_ = now;
+    call_wait_ = wait;
     if (revision_ != 0) {
       return TableCall{.is_watch = true, .revision = revision_};
     }
@@ -78,10 +95,16 @@
       return false;
     }
     OnSuccess(now);
+    // The store answers a watch without events only after the wait, so that the
+    // entries were still the newest then.
+    const bool was_empty_watch = revision_ != 0 &&
+                                 answer.value().entries.empty() &&
+                                 now - call_started_at_ >= call_wait_;
     const bool changed = revision_ == 0 ? ApplyList(answer.value(), now)
                                         : ApplyEvents(answer.value(), now);
     if (revision_ != 0) {
-      confirmed_at_ = list_started_at_.value_or(call_started_at_);
+      confirmed_at_ = list_started_at_.value_or(
+          was_empty_watch ? call_started_at_ + call_wait_ : call_started_at_);
       list_started_at_.reset();
     }
     return changed;
@@ -108,11 +131,17 @@
   }
 
   const Entries& entries() const { return entries_; }
-  // The start of the latest call whose result entries() reflects. For a list of
-  // several pages, that of its first page.
+  // The revision that entries() reflects; 0 before the first list is complete.
+  std::uint64_t revision() const { return revision_; }
+  bool in_flight() const { return in_flight_; }
+  // A time at which entries() were the newest: the end of the wait of a watch
+  // without events, else the start of the call. For a list of several pages,
+  // the start of its first page.
   MonotonicTime confirmed_at() const { return confirmed_at_; }
   // True while calls to the store fail.
   bool is_failing() const { return failing_since_.has_value(); }
+  // The time of the first failure after the last success.
+  std::optional<MonotonicTime> failing_since() const { return failing_since_; }
 
  private:
   void OnFailure(const Error& error, MonotonicTime now) {
@@ -204,7 +233,7 @@
     return true;
   }
 
-  const TableFollowerOptions options_;
+  TableFollowerOptions options_;
   Entries entries_;
   bool in_flight_ = false;
   bool was_listed_ = false;
@@ -215,6 +244,7 @@
   std::set<std::string> listed_names_;
   std::optional<MonotonicTime> list_started_at_;
   MonotonicTime call_started_at_;
+  std::chrono::milliseconds call_wait_{0};
   MonotonicTime next_call_at_;
   MonotonicTime confirmed_at_;
   std::optional<MonotonicTime> failing_since_;
@@ -224,4 +254,4 @@
 
 }  // namespace flamingogauge
 
-#endif  // FLAMINGOGAUGE_PLUGINS_DIRECTORY_TABLE_FOLLOWER_H_
+#endif  // FLAMINGOGAUGE_LIBS_DIRECTORY_TABLE_FOLLOWER_H_
--- a/src/plugins/peers/event_loop.cc
+++ b/src/libs/event_loop/event_loop.cc
@@ -1,4 +1,4 @@
-#include "plugins/peers/event_loop.h"
+#include "libs/event_loop/event_loop.h"
 
 #include <sys/eventfd.h>
 #include <unistd.h>
--- a/src/libs/fleet/change_limits.cc
+++ b/src/libs/fleet/change_limits.cc
@@ -16,6 +16,15 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+constexpr milliseconds kMinWait{100};
+// The share of the normal age that the watch takes, in percent. Calls to the
+// store cost more than questions to a host.
+constexpr int kWatchShare = 65;
+
+}  // namespace
+
 milliseconds ChangeLimits::max_key_age() const {
   // A watch may miss changes from its last second.
   constexpr milliseconds kMargin{1200};
@@ -28,11 +37,18 @@
 }
 
 milliseconds ChangeLimits::watch_wait() const {
-  // Two watches without a change plus one call must fit into the smaller age.
+  return std::max(normal_age() * kWatchShare / 100, kMinWait);
+}
+
+milliseconds ChangeLimits::relay_wait() const {
+  return std::max(normal_age() * (100 - kWatchShare) / 100, kMinWait);
+}
+
+milliseconds ChangeLimits::normal_age() const {
+  // Time for the calls themselves and for one that has to be repeated.
   constexpr milliseconds kCallTime{600};
-  constexpr milliseconds kMinWait{100};
-  const milliseconds age = std::min(max_key_age(), max_denial_age());
-  return std::max((age - kCallTime) / 2, kMinWait);
+  return std::max(std::min(max_key_age(), max_denial_age()) - kCallTime,
+                  2 * kMinWait);
 }
 
 ChangeLimits ChangeLimitsFromFlags() {
--- a/src/libs/fleet/change_limits.h
+++ b/src/libs/fleet/change_limits.h
@@ -21,9 +21,13 @@
   // The maximum age of the document at which an unknown route or key is
   // rejected; with an older document, it may be a new one.
   std::chrono::milliseconds max_denial_age() const;
-  // The wait time of a watch on the document that keeps it fresh enough for
-  // both maximum ages.
+  // The wait time of a watch on the document by the host that reads the store,
+  // and of a question to that host by the others. Together they keep the
+  // document fresh enough for both maximum ages.
   std::chrono::milliseconds watch_wait() const;
+  std::chrono::milliseconds relay_wait() const;
+  // The age that the document reaches in normal operation.
+  std::chrono::milliseconds normal_age() const;
 };
 
 // Returns the limits set by --change_apply_limit_ms and
--- a/src/libs/routing/routing_table.cc
+++ b/src/libs/routing/routing_table.cc
@@ -70,4 +70,14 @@
   return count;
 }
 
+std::vector<const Route*> RoutingTable::AllRoutes() const {
+  std::vector<const Route*> all;
+  for (const auto& [host, routes] : routes_by_host_) {
+    for (const auto& [prefix, route] : routes) {
+      all.push_back(&route);
+    }
+  }
+  return all;
+}
+
 }  // namespace flamingogauge
--- a/src/libs/routing/routing_table.h
+++ b/src/libs/routing/routing_table.h
@@ -116,6 +116,12 @@
   const WorkspaceEntry* FindKey(std::string_view key) const;
 
   std::size_t route_count() const;
+  // All routes, in no particular order.
+  std::vector<const Route*> AllRoutes() const;
+  // The index into `workspaces` of each key.
+  const std::unordered_map<std::string, std::size_t>& workspace_by_key() const {
+    return workspace_by_key_;
+  }
 
  private:
   std::unordered_map<std::string, std::map<std::string, Route, std::less<>>>
--- a/src/libs/services/fleet_source.h
+++ b/src/libs/services/fleet_source.h
@@ -8,6 +8,7 @@
 
 #include "libs/fleet/host_entry.h"
 #include "libs/fleet/upstream_entry.h"
+#include "libs/kernel/error.h"
 #include "libs/kernel/time.h"
 #include "libs/routing/routing_table.h"
 
@@ -33,8 +34,9 @@
   virtual ~FleetSource() = default;
 
   // Calls `listener` on the source's thread with each change or confirmation.
-  // Call from ExtensionsInitialized, once.
-  virtual void Subscribe(Listener listener) = 0;
+  // Call from ExtensionsInitialized, once. Returns an error if the source
+  // cannot start.
+  virtual Result<void> Subscribe(Listener listener) = 0;
 
   // A host that other hosts have not heard for long; its entry may be removed.
   // Safe from any thread.
--- a/src/plugins/directory/directory_plugin.cc
+++ b/src/plugins/directory/directory_plugin.cc
@@ -51,10 +51,11 @@
   return boost::outcome_v2::success();
 }
 
-void DirectoryPlugin::Subscribe(Listener listener) {
+Result<void> DirectoryPlugin::Subscribe(Listener listener) {
   private_->worker = std::make_unique<DirectoryWorker>(
       private_->settings, *private_->store, *private_->log, *private_->metrics,
       std::move(listener));
+  return private_->worker->Start();
 }
 
 void DirectoryPlugin::OnHostSilent(const std::string& host) {
@@ -74,10 +75,9 @@
 
 void DirectoryPlugin::AboutToShutdown(std::function<void()> done) {
   if (private_->worker) {
-    private_->worker->Deregister(std::move(done));
-  } else {
-    done();
+    private_->worker->BeginShutdown();
   }
+  done();
 }
 
 std::string DirectoryPlugin::DumpState() const {
--- a/src/plugins/directory/directory_plugin.h
+++ b/src/plugins/directory/directory_plugin.h
@@ -28,7 +28,7 @@
   void AboutToShutdown(std::function<void()> done) override;
   std::string DumpState() const override;
 
-  void Subscribe(Listener listener) override;
+  Result<void> Subscribe(Listener listener) override;
   void OnHostSilent(const std::string& host) override;
 
  private:
--- a/src/plugins/directory/directory_settings.h
+++ b/src/plugins/directory/directory_settings.h
@@ -13,10 +13,16 @@
 struct DirectorySettings {
   // This host's own entry in the store.
   HostEntry host;
-  // Wait time of a watch of the routing document. In normal operation, the
-  // document was last confirmed at most twice this time plus the duration of a
-  // call ago.
+  // True if all hosts start at the same time, for the first time. They then
+  // register before they read the list of hosts, so that few of them read the
+  // rest of the store.
+  bool first_start = false;
+  // Wait time of a watch of the routing document.
   std::chrono::milliseconds routing_watch_wait = ChangeLimits().watch_wait();
+  // Wait time of a question to the host that reads the store.
+  std::chrono::milliseconds relay_wait = ChangeLimits().relay_wait();
+  // The age that the routing document reaches in normal operation.
+  std::chrono::milliseconds normal_age = ChangeLimits().normal_age();
   std::chrono::milliseconds upstreams_watch_wait{2500};
   // The interval between reads of the list of hosts.
   std::chrono::milliseconds hosts_interval{3000};
--- a/src/plugins/directory/directory_worker.cc
+++ b/src/plugins/directory/directory_worker.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "libs/kernel/boot_clock.h"
@@ -12,46 +13,42 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t kRingCapacity = 256;
+constexpr std::size_t kRingCapacity = 1024;
 constexpr milliseconds kMaxSleep{1000};
-constexpr milliseconds kRegisterRetryInterval{1000};
-// So long that no outage reaches it: missing hosts are removed at once, even
-// after an outage of the store.
-constexpr std::chrono::hours kGracePeriodDisabled{24 * 365};
+// How long a starting host waits for the list of hosts before it reads the rest
+// of the store.
+constexpr milliseconds kHostsListTimeLimit{150};
+// At a first start, the time for all hosts to register.
+constexpr milliseconds kFirstRegistrationTime{1200};
+// Time beyond its wait that a question may take.
+constexpr milliseconds kAskTimeLimit{400};
+constexpr milliseconds kProbeTimeLimit{600};
+// The interval between attempts to reach a failing store, of the first host of
+// a data centre and of one that has taken over.
+constexpr milliseconds kFirstRetryInterval{400};
+constexpr milliseconds kTakeoverRetryInterval{1500};
+// Added to the normal age of the document to tell that something is wrong.
+constexpr milliseconds kFreshTolerance{300};
 
 template <typename T>
 std::shared_ptr<const std::vector<T>> CopyValues(
-    const TableFollower<T>& follower) {
+    const VersionedTable<T>& table) {
   auto values = std::make_shared<std::vector<T>>();
-  for (const auto& [name, value] : follower.entries()) {
+  values->reserve(table.entries().size());
+  for (const auto& [name, value] : table.entries()) {
     values->push_back(*value);
   }
   return values;
 }
 
-template <typename T>
-constexpr std::string_view kTableName;
-template <>
-constexpr std::string_view kTableName<RoutingTable> = "routing";
-template <>
-constexpr std::string_view kTableName<UpstreamEntry> = "upstreams";
-template <>
-constexpr std::string_view kTableName<HostEntry> = "hosts";
-
-std::string_view CallResultName(const Error* error) {
-  if (error == nullptr) {
-    return "done";
-  }
-  switch (error->code) {
-    case ErrorCode::kNotFound:
-      return "history gone";
-    case ErrorCode::kResourceExhausted:
-      return "over the rate";
-    case ErrorCode::kTimeout:
-      return "timed out";
-    default:
-      return "failed";
-  }
+std::string IpOf(const std::string& address) {
+  return address.substr(0, address.rfind(':'));
+}
+
+SourcePolicyOptions PolicyOptions(const DirectorySettings& settings) {
+  return {.host = settings.host.name,
+          .data_centre = settings.host.data_centre,
+          .fresh_limit = settings.normal_age + kFreshTolerance};
 }
 
 }  // namespace
@@ -66,132 +63,234 @@
       log_(log),
       metrics_(metrics),
       listener_(std::move(listener)),
-      ring_(std::make_shared<BoundedRing<Task>>(kRingCapacity)),
-      routing_(TableFollowerOptions()),
-      upstreams_(TableFollowerOptions()),
-      hosts_({.min_call_interval = settings.hosts_interval,
-              .min_outage = kGracePeriodDisabled}) {
+      ring_(std::make_shared<BoundedRing<DirectoryTask>>(kRingCapacity)),
+      started_at_(BootTimeNow()),
+      view_(static_cast<std::uint64_t>(started_at_.time_since_epoch().count())),
+      policy_(PolicyOptions(settings)),
+      reader_(settings,
+              store,
+              log,
+              metrics,
+              view_,
+              ring_,
+              [this](const FleetChanges& changes) { OnChanges(changes); }),
+      registration_(settings.host, store, log, ring_) {
   snapshot_.upstreams = std::make_shared<std::vector<UpstreamEntry>>();
   snapshot_.hosts = std::make_shared<std::vector<HostEntry>>();
-  thread_ = std::thread([this] { Run(); });
 }
 
 DirectoryWorker::~DirectoryWorker() {
   ring_->Close();
-  thread_.join();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+Result<void> DirectoryWorker::Start() {
+  if (!settings_.host.relay_address.empty()) {
+    relay_ = std::make_unique<RelayNode>(
+        [this](const RelayQuestion& question, RelayNode::ReplyCallback reply) {
+          Post([this, question, reply = std::move(reply)] {
+            OnQuestion(question, reply);
+          });
+        });
+    Result<void> started = relay_->Start(settings_.host.relay_address);
+    if (!started) {
+      return started;
+    }
+  }
+  RegisterGauges();
+  thread_ = std::thread([this] { Run(); });
+  return boost::outcome_v2::success();
+}
+
+void DirectoryWorker::RegisterGauges() {
+  metrics_.SetGauge("flamingogauge_reads_store",
+                    [this] { return reads_store_ ? 1.0 : 0.0; });
 }
 
 void DirectoryWorker::Run() {
   while (!ring_->IsClosed()) {
     const MonotonicTime now = BootTimeNow();
-    if (upstreams_.RemoveMissing(now)) {
-      snapshot_.upstreams = CopyValues(upstreams_);
-      Publish();
+    reader_.RemoveMissing(now);
+    if (!shutting_down_) {
+      registration_.Update(view_.hosts().store_revision() == 0
+                               ? nullptr
+                               : &view_.hosts().entries(),
+                           settings_.first_start, now);
+    }
+    if (!IsJoining(now)) {
+      ChooseSource(now);
     }
-    Register(now);
-    StartCalls(now);
+    const bool may_list =
+        !settings_.first_start || now - started_at_ >= kFirstRegistrationTime;
+    reader_.StartCalls(may_list && !reader_.has_listed_hosts(), now);
+    ReplyToQuestions(now);
     const Duration sleep =
-        std::clamp<Duration>(NextWakeUp() - now, milliseconds(0), kMaxSleep);
+        std::clamp<Duration>(NextWakeUp(now) - now, milliseconds(0), kMaxSleep);
     if (auto task = ring_->PopUntil(std::chrono::steady_clock::now() + sleep)) {
       (*task)();
     }
   }
 }
 
-MonotonicTime DirectoryWorker::NextWakeUp() const {
-  MonotonicTime at =
-      std::min({routing_.WakeAt(), upstreams_.WakeAt(), hosts_.WakeAt()});
-  if (!registered_ && !registering_) {
-    at = std::min(at, next_register_at_);
+bool DirectoryWorker::IsJoining(MonotonicTime now) const {
+  if (relay_ == nullptr || view_.hosts().store_revision() != 0) {
+    return false;
   }
-  return at;
+  const milliseconds limit = settings_.first_start
+                                 ? kFirstRegistrationTime + kHostsListTimeLimit
+                                 : kHostsListTimeLimit;
+  return now - started_at_ < limit;
 }
 
-void DirectoryWorker::Post(Task task) {
-  if (!ring_->TryPush(std::move(task))) {
-    log_.Write(EventLine("directory.dropped")
-                   .Text("reason", "the task queue is full or closed"));
+void DirectoryWorker::ChooseSource(MonotonicTime now) {
+  if (relay_ == nullptr) {
+    reader_.SetActive(true);
+    reads_store_ = true;
+    return;
+  }
+  policy_.SetStoreFailing(reader_.Reading(now) == StoreReading::kFailing);
+  const SourceDecision decision = policy_.Decide(now);
+  reader_.SetRetryInterval(policy_.rank() == 0 ? kFirstRetryInterval
+                                               : kTakeoverRetryInterval);
+  reader_.SetActive(decision.use_store);
+  reads_store_ = decision.use_store;
+  if (decision.peer) {
+    Ask(*decision.peer, false, now);
+  }
+  if (decision.probe) {
+    Ask(*decision.probe, true, now);
   }
+  LogSource(decision);
 }
 
-void DirectoryWorker::StartCalls(MonotonicTime now) {
-  StartCall(routing_, store_.routing(), settings_.routing_watch_wait, false,
-            now);
-  StartCall(upstreams_, store_.upstreams(), settings_.upstreams_watch_wait,
-            false, now);
-  // The list of hosts is only used to divide limits, so a stale list is
-  // acceptable.
-  StartCall(hosts_, store_.hosts(), milliseconds(0), true, now);
+void DirectoryWorker::Ask(const RelayPeer& peer,
+                          bool is_probe,
+                          MonotonicTime now) {
+  if (!asked_at_.emplace(peer.name, now).second) {
+    return;
+  }
+  RelayQuestion question = view_.QuestionFor(peer.name);
+  question.is_probe = is_probe;
+  question.is_stale = !policy_.IsFresh(now);
+  question.wait = is_probe ? milliseconds(0) : settings_.relay_wait;
+  const milliseconds limit =
+      is_probe ? kProbeTimeLimit : settings_.relay_wait + kAskTimeLimit;
+  relay_->Ask(peer, question, limit,
+              [this, peer, now](Result<RelayReply> reply) {
+                Post([this, peer, now, reply = std::move(reply)] {
+                  OnReply(peer, now, reply);
+                });
+              });
 }
 
-template <typename T>
-void DirectoryWorker::StartCall(TableFollower<T>& follower,
-                                FleetTable<T>& table,
-                                milliseconds wait,
-                                bool may_be_stale,
-                                MonotonicTime now) {
-  const std::optional<TableCall> call = follower.NextCall(now);
-  if (!call) {
+void DirectoryWorker::OnReply(const RelayPeer& peer,
+                              MonotonicTime asked_at,
+                              const Result<RelayReply>& reply) {
+  const MonotonicTime now = BootTimeNow();
+  asked_at_.erase(peer.name);
+  std::string_view result = "done";
+  if (!reply) {
+    result = "failed";
+    policy_.OnFailure(peer.name, now);
+    log_.Write(EventLine("directory.ask_failed")
+                   .Text("host", peer.name)
+                   .Text("reason", reply.error().message));
+  } else if (reply.value().is_caller_unknown) {
+    result = "not listed";
+    policy_.OnNotListed(peer.name, now);
+  } else {
+    if (!reply.value().follows_store) {
+      result = "does not read the store";
+    }
+    policy_.OnReply(peer.name, reply.value().follows_store, now);
+    OnChanges(view_.ApplyReply(peer.name, reply.value(), asked_at));
+  }
+  metrics_.Add("flamingogauge_relay_questions_total", Label("result", result));
+}
+
+void DirectoryWorker::OnQuestion(const RelayQuestion& question,
+                                 RelayNode::ReplyCallback reply) {
+  questions_.Add(question, std::move(reply), BootTimeNow());
+}
+
+void DirectoryWorker::ReplyToQuestions(MonotonicTime now) {
+  // A reply takes some time, after which it should still be recent.
+  questions_.ReplyToDue(view_, reader_.Reading(now), settings_.normal_age / 2,
+                        now);
+}
+
+void DirectoryWorker::OnChanges(const FleetChanges& changes) {
+  if (changes.confirmation) {
+    policy_.OnConfirmed(view_.routing_confirmed_at());
+    snapshot_.routing_confirmed_at = view_.routing_confirmed_at();
+  }
+  if (changes.routing) {
+    snapshot_.routing = view_.routing();
+    LogRouting();
+  }
+  if (changes.upstreams) {
+    snapshot_.upstreams = CopyValues(view_.upstreams());
+  }
+  if (changes.hosts) {
+    OnHostsChanged();
+  }
+  if (changes.confirmation || changes.routing || changes.upstreams ||
+      changes.hosts) {
+    Publish();
+  }
+}
+
+void DirectoryWorker::OnHostsChanged() {
+  snapshot_.hosts = CopyValues(view_.hosts());
+  policy_.SetHosts(*snapshot_.hosts);
+  if (relay_ == nullptr) {
     return;
   }
-  auto done = [this, &follower, ring = ring_](Result<FleetPage<T>> answer) {
-    auto shared = std::make_shared<Result<FleetPage<T>>>(std::move(answer));
-    // The queue is closed when this object is being destroyed.
-    if (!ring->TryPush(
-            [this, &follower, shared] { OnAnswer(follower, *shared); }) &&
-        !ring->IsClosed()) {
-      log_.Write(EventLine("directory.dropped")
-                     .Text("reason", "the task queue is full"));
-    }
-  };
-  if (call->is_watch && !may_be_stale) {
-    table.Watch(call->revision, wait, std::move(done));
-  } else {
-    table.List(call->after, may_be_stale, std::move(done));
+  std::set<std::string> addresses;
+  for (const HostEntry& it : *snapshot_.hosts) {
+    addresses.insert(IpOf(it.relay_address));
   }
+  relay_->SetAllowedAddresses(std::move(addresses));
 }
 
-template <typename T>
-void DirectoryWorker::OnAnswer(TableFollower<T>& follower,
-                               const Result<FleetPage<T>>& answer) {
-  const bool changed = follower.OnAnswer(answer, BootTimeNow());
-  CountCall(kTableName<T>, answer ? nullptr : &answer.error());
-  if constexpr (std::is_same_v<T, HostEntry>) {
-    // This table is read by lists only, not watched.
-    follower.RequestList();
-    if (changed) {
-      snapshot_.hosts = CopyValues(hosts_);
-      Publish();
-    }
+MonotonicTime DirectoryWorker::NextWakeUp(MonotonicTime now) const {
+  MonotonicTime at = std::min(reader_.WakeAt(!reader_.has_listed_hosts()),
+                              questions_.NextDueAt(reader_.Reading(now)));
+  at = std::min(at, registration_.WakeAt());
+  if (IsJoining(now)) {
+    at = std::min(at, now + kHostsListTimeLimit);
+  }
+  return relay_ == nullptr ? at : std::min(at, policy_.WakeAt(now));
+}
+
+void DirectoryWorker::LogSource(const SourceDecision& decision) {
+  const std::string before = source_.peer ? source_.peer->name : "";
+  const std::string after = decision.peer ? decision.peer->name : "";
+  if (decision.use_store == source_.use_store && before == after) {
     return;
-  } else {
-    LogStoreAvailability(answer ? nullptr : &answer.error());
   }
-  if constexpr (std::is_same_v<T, RoutingTable>) {
-    if (!answer || routing_.entries().empty()) {
-      return;
-    }
-    const auto& newest = routing_.entries().begin()->second;
-    if (snapshot_.routing && newest->version < snapshot_.routing->version) {
-      // Versions only increase; an older one does not confirm the current
-      // document.
-      log_.Write(
-          EventLine("routing.regressed")
-              .Number("version", static_cast<std::int64_t>(newest->version))
-              .Number("kept_version",
-                      static_cast<std::int64_t>(snapshot_.routing->version)));
-      return;
-    }
-    snapshot_.routing_confirmed_at = routing_.confirmed_at();
-    if (changed && newest != snapshot_.routing) {
-      snapshot_.routing = newest;
-      LogRouting();
-    }
-    Publish();
-  } else if (changed) {
-    snapshot_.upstreams = CopyValues(upstreams_);
-    Publish();
+  // Between two questions of a search there is no peer for a moment.
+  const bool is_pause =
+      decision.use_store == source_.use_store && after.empty();
+  if (is_pause) {
+    return;
   }
+  source_ = decision;
+  {
+    std::lock_guard<std::mutex> lock(dump_mutex_);
+    published_source_ = decision;
+  }
+  log_.Write(
+      EventLine("directory.source")
+          .Text("reads_store", decision.use_store ? "yes" : "no")
+          .Text("asks", after)
+          .Number("rank", static_cast<std::int64_t>(policy_.rank()))
+          .Milliseconds("routing_age_ms",
+                        view_.routing()
+                            ? BootTimeNow() - view_.routing_confirmed_at()
+                            : Duration::zero()));
 }
 
 void DirectoryWorker::LogRouting() {
@@ -205,57 +304,29 @@
                                     snapshot_.routing->workspaces.size())));
 }
 
-void DirectoryWorker::CountCall(std::string_view table, const Error* error) {
-  metrics_.Add(
-      "flamingogauge_store_calls_total",
-      Label("table", table) + "," + Label("result", CallResultName(error)));
-}
-
-void DirectoryWorker::LogStoreAvailability(const Error* error) {
-  const bool failing = routing_.is_failing() || upstreams_.is_failing();
-  if (failing == store_failing_) {
-    return;
-  }
-  store_failing_ = failing;
-  EventLine line(failing ? "store.lost" : "store.regained");
-  if (error != nullptr) {
-    line.Text("step", error->step)
-        .Text("peer", error->peer)
-        .Text("reason", error->message);
-  }
-  log_.Write(std::move(line));
-}
-
-void DirectoryWorker::Register(MonotonicTime now) {
-  if (registered_ || registering_ || leaving_ || now < next_register_at_) {
-    return;
+void DirectoryWorker::Post(DirectoryTask task) {
+  if (!ring_->TryPush(std::move(task)) && !ring_->IsClosed()) {
+    log_.Write(EventLine("directory.dropped")
+                   .Text("reason", "the task queue is full"));
   }
-  registering_ = true;
-  store_.RegisterHost(settings_.host, [this, ring = ring_](
-                                          const Result<void>& result) {
-    // The queue is closed when this object is being destroyed.
-    (void)ring->TryPush([this, result] {
-      registering_ = false;
-      registered_ = result.has_value();
-      next_register_at_ = BootTimeNow() + kRegisterRetryInterval;
-      log_.Write(
-          EventLine("host.register")
-              .Text("result", registered_ ? "done" : ToString(result.error())));
-    });
-  });
 }
 
 void DirectoryWorker::SetWaits(const DirectorySettings& settings) {
   Post([this, settings] {
-    settings_.routing_watch_wait = settings.routing_watch_wait;
-    settings_.upstreams_watch_wait = settings.upstreams_watch_wait;
+    settings_.relay_wait = settings.relay_wait;
+    settings_.normal_age = settings.normal_age;
+    policy_.SetFreshLimit(settings.normal_age + kFreshTolerance);
+    reader_.SetWaits(settings);
   });
 }
 
 void DirectoryWorker::OnHostSilent(const std::string& host) {
   Post([this, host] {
-    if (!hosts_.entries().contains(host) || store_failing_ ||
-        host == settings_.host.name) {
+    // One host of each data centre removes entries, so that the store is not
+    // asked by all of them.
+    if (!view_.hosts().entries().contains(host) ||
+        host == settings_.host.name ||
+        reader_.Reading(BootTimeNow()) != StoreReading::kWorking) {
       return;
     }
     store_.RemoveHost(host, [this, host](const Result<void>& result) {
@@ -268,13 +339,8 @@
   });
 }
 
-void DirectoryWorker::Deregister(std::function<void()> done) {
-  Post([this, done = std::move(done)] {
-    leaving_ = true;
-    registered_ = false;
-    store_.RemoveHost(settings_.host.name,
-                      [done](const Result<void>& /*result*/) { done(); });
-  });
+void DirectoryWorker::BeginShutdown() {
+  Post([this] { shutting_down_ = true; });
 }
 
 void DirectoryWorker::Publish() {
@@ -287,10 +353,13 @@
 
 std::string DirectoryWorker::DumpState() const {
   std::lock_guard<std::mutex> lock(dump_mutex_);
-  nlohmann::json dump = {{"routing_version", 0},
-                         {"routing_age_ms", nullptr},
-                         {"upstreams", nlohmann::json::array()},
-                         {"hosts", nlohmann::json::array()}};
+  nlohmann::json dump = {
+      {"routing_version", 0},
+      {"routing_age_ms", nullptr},
+      {"reads_store", reads_store_.load()},
+      {"asks", published_source_.peer ? published_source_.peer->name : ""},
+      {"upstreams", nlohmann::json::array()},
+      {"hosts", nlohmann::json::array()}};
   if (published_.routing) {
     dump["routing_version"] = published_.routing->version;
     dump["routing_age_ms"] =
--- a/src/plugins/directory/directory_worker.h
+++ b/src/plugins/directory/directory_worker.h
@@ -1,23 +1,32 @@
 #ifndef FLAMINGOGAUGE_PLUGINS_DIRECTORY_DIRECTORY_WORKER_H_
 #define FLAMINGOGAUGE_PLUGINS_DIRECTORY_DIRECTORY_WORKER_H_
 
+#include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 
+#include "libs/directory/fleet_view.h"
+#include "libs/directory/held_questions.h"
+#include "libs/directory/source_policy.h"
 #include "libs/kernel/bounded_ring.h"
 #include "libs/kernel/event_log.h"
 #include "libs/metrics/metrics_registry.h"
 #include "libs/services/fleet_source.h"
 #include "libs/services/fleet_store.h"
 #include "plugins/directory/directory_settings.h"
-#include "plugins/directory/table_follower.h"
+#include "plugins/directory/host_registration.h"
+#include "plugins/directory/relay_node.h"
+#include "plugins/directory/store_reader.h"
 
 namespace flamingogauge {
 
-// Follows the tables of the store on a dedicated thread, registers this host
-// there, and publishes snapshots.
+// Keeps the view of the fleet up to date on a dedicated thread: reads the store
+// or asks a host that does, answers the questions of other hosts, registers
+// this host, and publishes snapshots.
 class DirectoryWorker {
  public:
   DirectoryWorker(const DirectorySettings& settings,
@@ -29,54 +38,63 @@
   DirectoryWorker& operator=(const DirectoryWorker&) = delete;
   ~DirectoryWorker();
 
-  // Applies the watch wait times, starting with the next watch.
+  // Opens the relay address, if there is one, and starts the thread.
+  Result<void> Start();
+
+  // Applies the wait times, starting with the next call.
   void SetWaits(const DirectorySettings& settings);
   void OnHostSilent(const std::string& host);
-  // Removes this host's entry; calls `done` when the store has responded.
-  void Deregister(std::function<void()> done);
+  // Stops registering this host; its entry stays in the store.
+  void BeginShutdown();
   // Returns a JSON object for the state dump.
   std::string DumpState() const;
 
  private:
-  using Task = std::function<void()>;
-
   void Run();
-  MonotonicTime NextWakeUp() const;
-  void StartCalls(MonotonicTime now);
-  template <typename T>
-  void StartCall(TableFollower<T>& follower,
-                 FleetTable<T>& table,
-                 std::chrono::milliseconds wait,
-                 bool may_be_stale,
-                 MonotonicTime now);
-  template <typename T>
-  void OnAnswer(TableFollower<T>& follower, const Result<FleetPage<T>>& answer);
-  void Register(MonotonicTime now);
+  // True while the list of hosts is awaited, without which it is not known who
+  // reads the store.
+  bool IsJoining(MonotonicTime now) const;
+  void ChooseSource(MonotonicTime now);
+  void Ask(const RelayPeer& peer, bool is_probe, MonotonicTime now);
+  void OnReply(const RelayPeer& peer,
+               MonotonicTime asked_at,
+               const Result<RelayReply>& reply);
+  void OnQuestion(const RelayQuestion& question,
+                  RelayNode::ReplyCallback reply);
+  void ReplyToQuestions(MonotonicTime now);
+  void OnChanges(const FleetChanges& changes);
+  void OnHostsChanged();
+  MonotonicTime NextWakeUp(MonotonicTime now) const;
   void Publish();
-  // Counts a call by table and result.
-  void CountCall(std::string_view table, const Error* error);
-  void LogStoreAvailability(const Error* error);
+  void LogSource(const SourceDecision& decision);
   void LogRouting();
-  void Post(Task task);
+  void Post(DirectoryTask task);
+  void RegisterGauges();
 
   DirectorySettings settings_;
   FleetStore& store_;
   EventLog& log_;
   MetricsRegistry& metrics_;
   const FleetSource::Listener listener_;
-  // Shared with store calls that may complete after this object's destruction.
-  std::shared_ptr<BoundedRing<Task>> ring_;
-  TableFollower<RoutingTable> routing_;
-  TableFollower<UpstreamEntry> upstreams_;
-  TableFollower<HostEntry> hosts_;
+  std::shared_ptr<BoundedRing<DirectoryTask>> ring_;
+  const MonotonicTime started_at_;
+  FleetView view_;
+  SourcePolicy policy_;
+  HeldQuestions questions_;
+  StoreReader reader_;
+  HostRegistration registration_;
   FleetSnapshot snapshot_;
-  MonotonicTime next_register_at_;
-  bool registering_ = false;
-  bool registered_ = false;
-  bool leaving_ = false;
-  bool store_failing_ = false;
+  // When each peer with a question in flight was asked.
+  std::map<std::string, MonotonicTime> asked_at_;
+  SourceDecision source_;
+  bool shutting_down_ = false;
+  // Read by gauges on other threads.
+  std::atomic<bool> reads_store_ = false;
   mutable std::mutex dump_mutex_;
   FleetSnapshot published_;
+  SourceDecision published_source_;
+  // Null if this host reads the store whatever others do.
+  std::unique_ptr<RelayNode> relay_;
   std::thread thread_;
 };
 
--- a/src/plugins/gateway/gateway_plugin.cc
+++ b/src/plugins/gateway/gateway_plugin.cc
@@ -174,14 +174,13 @@
   self.Tick();
   self.thread = std::thread([&self] { self.io.run(); });
   std::weak_ptr<Private> weak = private_;
-  self.source->Subscribe([weak](const FleetSnapshot& snapshot) {
+  return self.source->Subscribe([weak](const FleetSnapshot& snapshot) {
     if (const auto shared = weak.lock()) {
       boost::asio::post(shared->io, [shared = shared.get(), snapshot] {
         shared->OnFleet(snapshot);
       });
     }
   });
-  return boost::outcome_v2::success();
 }
 
 Result<void> GatewayPlugin::Reload() {
--- a/src/plugins/peers/peer_node.h
+++ b/src/plugins/peers/peer_node.h
@@ -12,12 +12,12 @@
 #include <unordered_map>
 #include <vector>
 
+#include "libs/event_loop/event_loop.h"
 #include "libs/kernel/log.h"
 #include "libs/membership/membership.h"
 #include "libs/model/member.h"
 #include "libs/services/host_list.h"
 #include "libs/services/peer_transport.h"
-#include "plugins/peers/event_loop.h"
 #include "plugins/peers/link_table.h"
 #include "plugins/peers/peer_connection.h"
 #include "plugins/peers/peer_server.h"
--- a/src/plugins/peers/peers_plugin.cc
+++ b/src/plugins/peers/peers_plugin.cc
@@ -6,8 +6,8 @@
 #include <array>
 #include <utility>
 
+#include "libs/event_loop/event_loop.h"
 #include "libs/kernel/log.h"
-#include "plugins/peers/event_loop.h"
 #include "plugins/peers/listen_socket.h"
 #include "plugins/peers/peer_node.h"
 #include "plugins/peers/peers_shared.h"
