--- /dev/null
+++ b/src/libs/coordination/placer.cc
@@ -0,0 +1,396 @@
+#include "libs/coordination/placer.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "libs/fleet/host_order.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// Coordinators to which a request is submitted before this host places it.
+constexpr int kMaxAttempts = 2;
+// A result is repeated in the messages of this time, some of which may be lost.
+constexpr milliseconds kResultRepetition{500};
+constexpr std::size_t kMaxResults = 256;
+// The name under which the load of all other hosts is recorded.
+constexpr char kOtherHosts[] = "others";
+
+milliseconds Until(MonotonicTime time, MonotonicTime now) {
+  return duration_cast<milliseconds>(time - now);
+}
+
+}  // namespace
+
+Placer::Placer(PlacerOptions options)
+    : options_(std::move(options)), local_(options_.dispatcher) {}
+
+void Placer::SetRegions(std::map<std::string, std::string> regions) {
+  local_.SetRegions(std::move(regions));
+}
+
+void Placer::SetReportLifetime(milliseconds lifetime) {
+  local_.SetReportLifetime(lifetime);
+}
+
+void Placer::SetHosts(const std::vector<HostEntry>& hosts) {
+  candidates_.clear();
+  std::set<std::string> known;
+  for (const HostEntry& it : OrderHosts(hosts)) {
+    known.insert(it.name);
+    if (it.data_centre == options_.data_centre &&
+        candidates_.size() < kCandidates) {
+      candidates_.push_back(it.name);
+    }
+  }
+  std::erase_if(states_,
+                [&known](const auto& it) { return !known.contains(it.first); });
+}
+
+void Placer::SetUpstreams(const std::vector<UpstreamEntry>& upstreams,
+                          MonotonicTime now) {
+  local_.SetUpstreams(upstreams, now);
+}
+
+bool Placer::IsAvoided(const std::string& candidate) const {
+  const auto it = states_.find(candidate);
+  return it != states_.end() && it->second.avoided_since;
+}
+
+std::string Placer::Coordinator(MonotonicTime /*now*/) const {
+  for (const std::string& it : candidates_) {
+    if (it == options_.host ? !is_draining_ : !IsAvoided(it)) {
+      return it;
+    }
+  }
+  return "";
+}
+
+void Placer::Enqueue(WaitingRequest request, MonotonicTime now) {
+  Submit({.request = std::move(request)}, now);
+}
+
+void Placer::Submit(Pending pending, MonotonicTime now) {
+  pending.coordinator = Coordinator(now);
+  if (pending.coordinator.empty() || pending.attempts > kMaxAttempts) {
+    local_.Enqueue(std::move(pending.request));
+    return;
+  }
+  pending.ticket = next_ticket_++;
+  pending.sent_at.reset();
+  pending.acknowledged = false;
+  urgent_.insert(pending.coordinator);
+  const std::uint64_t id = pending.request.id;
+  id_by_ticket_[pending.ticket] = id;
+  pending_.insert_or_assign(id, std::move(pending));
+}
+
+void Placer::Remove(std::uint64_t request) {
+  local_.Remove(request);
+  const auto it = pending_.find(request);
+  if (it == pending_.end()) {
+    return;
+  }
+  urgent_.insert(it->second.coordinator);
+  id_by_ticket_.erase(it->second.ticket);
+  pending_.erase(it);
+}
+
+std::vector<Placement> Placer::Place(MonotonicTime now) {
+  std::vector<Placement> placements = std::exchange(placements_, {});
+  for (Placement& it : local_.Place(now)) {
+    placements.push_back(std::move(it));
+  }
+  return placements;
+}
+
+std::vector<Rejection> Placer::Reject(MonotonicTime now) {
+  std::vector<Rejection> rejections = std::exchange(rejections_, {});
+  for (Rejection& it : local_.Reject(now)) {
+    rejections.push_back(std::move(it));
+  }
+  return rejections;
+}
+
+HealthChange Placer::OnEnded(const std::string& upstream,
+                             DispatchResult result,
+                             MonotonicTime now) {
+  AddResult({.upstream = PeerUpstreamKey(upstream), .result = result}, now);
+  const std::string coordinator = Coordinator(now);
+  if (!coordinator.empty()) {
+    // The place is free again.
+    urgent_.insert(coordinator);
+  }
+  return local_.OnEnded(upstream, result, now);
+}
+
+void Placer::OnEventInterval(const std::string& upstream,
+                             std::chrono::duration<double> event_interval,
+                             MonotonicTime now) {
+  AddResult({.upstream = PeerUpstreamKey(upstream),
+             .result = DispatchResult::kAbandoned,
+             .event_interval = event_interval},
+            now);
+  local_.OnEventInterval(upstream, event_interval);
+}
+
+void Placer::AddResult(UpstreamResult result, MonotonicTime now) {
+  result.number = ++result_count_;
+  results_.push_back({.result = result, .at = now});
+  while (results_.size() > kMaxResults ||
+         now - results_.front().at > kResultRepetition) {
+    results_.pop_front();
+  }
+}
+
+void Placer::OnHeard(const std::string& coordinator,
+                     std::uint64_t process,
+                     MonotonicTime now) {
+  CoordinatorState& state = states_[coordinator];
+  state.heard_at = now;
+  if (state.avoided_since &&
+      now - *state.avoided_since >= options_.min_avoidance) {
+    state.avoided_since.reset();
+  }
+  const std::uint64_t known = std::exchange(state.process, process);
+  if (known == process || known == 0) {
+    return;
+  }
+  // A restarted coordinator knows none of the requests.
+  state.last_grant = 0;
+  state.last_summary = 0;
+  for (auto& [id, pending] : pending_) {
+    if (pending.coordinator == coordinator) {
+      SubmitAgain(pending);
+    }
+  }
+}
+
+void Placer::OnCoordinatorMessage(const CoordinatorMessage& message,
+                                  MonotonicTime now) {
+  OnHeard(message.coordinator, message.process, now);
+  CoordinatorState& state = states_[message.coordinator];
+  for (const PlacementGrant& it : message.grants) {
+    state.last_grant = std::max(state.last_grant, it.number);
+    OnGrant(it, now);
+  }
+  for (const PlacementRefusal& it : message.refusals) {
+    const auto id = id_by_ticket_.find(it.ticket);
+    if (id != id_by_ticket_.end()) {
+      rejections_.push_back({.request = id->second,
+                             .retry_after = it.retry_after,
+                             .reason = it.reason});
+      pending_.erase(id->second);
+      id_by_ticket_.erase(id);
+    }
+  }
+  for (const std::uint64_t it : message.queued) {
+    const auto id = id_by_ticket_.find(it);
+    if (id != id_by_ticket_.end()) {
+      pending_.at(id->second).acknowledged = true;
+    }
+  }
+  for (const std::uint64_t it : message.unknown) {
+    const auto id = id_by_ticket_.find(it);
+    if (id != id_by_ticket_.end()) {
+      SubmitAgain(pending_.at(id->second));
+    }
+  }
+}
+
+void Placer::SubmitAgain(Pending& pending) {
+  pending.acknowledged = false;
+  pending.sent_at.reset();
+  urgent_.insert(pending.coordinator);
+}
+
+void Placer::OnGrant(const PlacementGrant& grant, MonotonicTime now) {
+  const auto id = id_by_ticket_.find(grant.ticket);
+  if (id == id_by_ticket_.end()) {
+    // Cancelled or placed elsewhere meanwhile. The next message accounts for
+    // the grant, which frees the place.
+    return;
+  }
+  const auto it = pending_.find(id->second);
+  const UpstreamView* upstream = local_.FindByPeerKey(grant.upstream);
+  if (upstream == nullptr || upstream->entry().draining ||
+      upstream->Limit() == 0 || upstream->IsSuspect(now)) {
+    // This host knows more about the upstream than the coordinator.
+    if (upstream != nullptr) {
+      it->second.request.excluded_upstreams.push_back(upstream->entry().id);
+    }
+    Reassign(id->second, now);
+    return;
+  }
+  const UpstreamEntry entry = upstream->entry();
+  local_.RecordPlacement(entry.id, it->second.request, now);
+  placements_.push_back({.request = id->second, .upstream = entry});
+  pending_.erase(it);
+  id_by_ticket_.erase(id);
+}
+
+void Placer::OnSummary(const FleetSummary& summary, MonotonicTime now) {
+  OnHeard(summary.coordinator, summary.process, now);
+  CoordinatorState& state = states_[summary.coordinator];
+  if (summary.sequence <= state.last_summary) {
+    return;
+  }
+  state.last_summary = summary.sequence;
+  if (summary.draining) {
+    Avoid(summary.coordinator, now);
+  }
+  if (summary.coordinator == Coordinator(now)) {
+    local_.OnPeerLoad(kOtherHosts, summary.running, now);
+  }
+}
+
+void Placer::Avoid(const std::string& coordinator, MonotonicTime now) {
+  if (coordinator == options_.host) {
+    return;
+  }
+  states_[coordinator].avoided_since = now;
+  std::vector<std::uint64_t> ids;
+  for (const auto& [id, pending] : pending_) {
+    if (pending.coordinator == coordinator) {
+      ids.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : ids) {
+    Reassign(id, now);
+  }
+}
+
+void Placer::Reassign(std::uint64_t id, MonotonicTime now) {
+  const auto it = pending_.find(id);
+  Pending pending = std::move(it->second);
+  pending_.erase(it);
+  id_by_ticket_.erase(pending.ticket);
+  urgent_.insert(pending.coordinator);
+  ++pending.attempts;
+  Submit(std::move(pending), now);
+}
+
+void Placer::Tick(MonotonicTime now) {
+  std::vector<std::uint64_t> ids;
+  for (const auto& [id, pending] : pending_) {
+    ids.push_back(id);
+  }
+  for (const std::uint64_t id : ids) {
+    if (pending_.contains(id)) {
+      CheckAnswer(id, now);
+    }
+  }
+}
+
+void Placer::CheckAnswer(std::uint64_t id, MonotonicTime now) {
+  const Pending& pending = pending_.at(id);
+  if (pending.coordinator == options_.host || !pending.sent_at) {
+    return;
+  }
+  const MonotonicTime heard_at = states_[pending.coordinator].heard_at;
+  if (pending.acknowledged) {
+    if (now - std::max(heard_at, *pending.sent_at) > options_.silence_limit) {
+      Avoid(pending.coordinator, now);
+    }
+    return;
+  }
+  if (now - *pending.sent_at <= options_.answer_limit) {
+    return;
+  }
+  if (heard_at < *pending.sent_at) {
+    Avoid(pending.coordinator, now);
+  } else {
+    // The coordinator answers others: the message was lost, or it is slow.
+    Reassign(id, now);
+  }
+}
+
+void Placer::OnPaused(MonotonicTime now) {
+  std::vector<std::uint64_t> ids;
+  for (const auto& [id, pending] : pending_) {
+    ids.push_back(id);
+  }
+  for (const std::uint64_t id : ids) {
+    Pending& pending = pending_.at(id);
+    pending.attempts = 0;
+    Reassign(id, now);
+  }
+}
+
+std::vector<std::string> Placer::InformedHosts(MonotonicTime now) const {
+  std::set<std::string> hosts;
+  for (std::size_t n = 0; n < candidates_.size() && n < kInformedCandidates;
+       ++n) {
+    hosts.insert(candidates_[n]);
+  }
+  const std::string coordinator = Coordinator(now);
+  if (!coordinator.empty()) {
+    hosts.insert(coordinator);
+  }
+  for (const auto& [id, pending] : pending_) {
+    hosts.insert(pending.coordinator);
+  }
+  return {hosts.begin(), hosts.end()};
+}
+
+std::vector<std::string> Placer::TakeUrgentReceivers(MonotonicTime /*now*/) {
+  const std::set<std::string> receivers = std::exchange(urgent_, {});
+  return {receivers.begin(), receivers.end()};
+}
+
+std::size_t Placer::unacknowledged_count() const {
+  return static_cast<std::size_t>(
+      std::count_if(pending_.begin(), pending_.end(),
+                    [](const auto& it) { return !it.second.acknowledged; }));
+}
+
+HostMessage Placer::StateFor(const std::string& coordinator,
+                             MonotonicTime now) {
+  const CoordinatorState& state = states_[coordinator];
+  HostMessage message{.running = local_.OwnLoad(),
+                      .coordinator_process = state.process,
+                      .last_grant = state.last_grant};
+  for (auto& [id, pending] : pending_) {
+    if (pending.coordinator != coordinator) {
+      continue;
+    }
+    message.waiting.push_back(pending.ticket);
+    if (!pending.acknowledged) {
+      message.requests.push_back(ToPlacementRequest(pending, now));
+      pending.sent_at = pending.sent_at.value_or(now);
+    }
+  }
+  for (const TimedResult& it : results_) {
+    if (now - it.at <= kResultRepetition) {
+      message.results.push_back(it.result);
+    }
+  }
+  return message;
+}
+
+PlacementRequest Placer::ToPlacementRequest(const Pending& pending,
+                                            MonotonicTime now) const {
+  const WaitingRequest& request = pending.request;
+  PlacementRequest placement{
+      .ticket = pending.ticket,
+      .service = request.service,
+      .priority = request.priority,
+      .waited = Until(now, request.arrived_at),
+      .due_in = Until(request.due_at, now),
+      .start_in = Until(request.start_by, now),
+      .deadline_in = Until(request.deadline, now),
+      .prompt_tokens = request.prompt_tokens,
+      .expected_output_tokens = request.expected_output_tokens,
+      .prompt_parts = request.prompt_parts,
+      .was_sent = request.was_sent};
+  for (const std::string& it : request.excluded_upstreams) {
+    placement.excluded_upstreams.push_back(PeerUpstreamKey(it));
+  }
+  return placement;
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/libs/coordination/placer.h
@@ -0,0 +1,167 @@
+#ifndef FLAMINGOGAUGE_LIBS_COORDINATION_PLACER_H_
+#define FLAMINGOGAUGE_LIBS_COORDINATION_PLACER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "libs/coordination/coordination_messages.h"
+#include "libs/dispatching/dispatcher.h"
+#include "libs/fleet/host_entry.h"
+#include "libs/kernel/time.h"
+
+namespace flamingogauge {
+
+struct PlacerOptions {
+  std::string host;
+  std::string data_centre;
+  DispatcherOptions dispatcher;
+  // How long a coordinator may take to acknowledge a request.
+  std::chrono::milliseconds answer_limit{40};
+  // How long a coordinator may be silent while requests wait there. Longer than
+  // the interval of its summaries.
+  std::chrono::milliseconds silence_limit{800};
+  // The shortest time for which a coordinator that did not answer is avoided.
+  std::chrono::milliseconds min_avoidance{300};
+};
+
+// Gets the requests of one host placed: by the coordinator of its data centre
+// while one answers, otherwise by itself, on its own load and what it last
+// heard of that of others. A coordinator that is dead, paused or cut off
+// therefore delays a request by a few tens of milliseconds, and never holds it.
+class Placer {
+ public:
+  // The number of hosts that may act as coordinator: the first of the data
+  // centre, in the order of OrderHosts. The second one is kept informed, so
+  // that it can take over at once.
+  static constexpr std::size_t kCandidates = 3;
+  static constexpr std::size_t kInformedCandidates = 2;
+
+  explicit Placer(PlacerOptions options);
+
+  void SetRegions(std::map<std::string, std::string> regions);
+  void SetReportLifetime(std::chrono::milliseconds lifetime);
+  void SetHosts(const std::vector<HostEntry>& hosts);
+  // This host shuts down and is no longer a coordinator, also not its own.
+  void SetDraining() { is_draining_ = true; }
+  void SetUpstreams(const std::vector<UpstreamEntry>& upstreams,
+                    MonotonicTime now);
+
+  void Enqueue(WaitingRequest request, MonotonicTime now);
+  // Removes a request whose caller disconnected or that is no longer needed.
+  void Remove(std::uint64_t request);
+
+  // Returns the requests to send now; each counts as sent.
+  std::vector<Placement> Place(MonotonicTime now);
+  // Returns the requests that would wait too long. Call after Place().
+  std::vector<Rejection> Reject(MonotonicTime now);
+
+  HealthChange OnEnded(const std::string& upstream,
+                       DispatchResult result,
+                       MonotonicTime now);
+  void OnEventInterval(const std::string& upstream,
+                       std::chrono::duration<double> event_interval,
+                       MonotonicTime now);
+
+  void OnCoordinatorMessage(const CoordinatorMessage& message,
+                            MonotonicTime now);
+  void OnSummary(const FleetSummary& summary, MonotonicTime now);
+
+  // Moves the requests of a coordinator that does not answer; to be called
+  // every few milliseconds while requests wait for an acknowledgement.
+  void Tick(MonotonicTime now);
+  // Gives up on all grants and acknowledgements that are under way, after a
+  // pause of this process: they were given for a moment that has passed.
+  void OnPaused(MonotonicTime now);
+
+  // The coordinator in use; empty if this host places its requests itself.
+  std::string Coordinator(MonotonicTime now) const;
+  // The hosts to send this host's state to periodically.
+  std::vector<std::string> InformedHosts(MonotonicTime now) const;
+  // The coordinators that must learn of a change at once.
+  std::vector<std::string> TakeUrgentReceivers(MonotonicTime now);
+  // Returns this host's state for a coordinator, without process, sequence,
+  // usage and the like.
+  HostMessage StateFor(const std::string& coordinator, MonotonicTime now);
+
+  bool HasAnyUpstream() const { return local_.HasAnyUpstream(); }
+  std::size_t waiting_count() const {
+    return pending_.size() + local_.waiting_count();
+  }
+  // Requests that a coordinator has not acknowledged.
+  std::size_t unacknowledged_count() const;
+  // Requests that this host places itself.
+  std::size_t local_count() const { return local_.waiting_count(); }
+  const std::map<std::string, UpstreamView>& upstreams() const {
+    return local_.upstreams();
+  }
+  const Dispatcher& dispatcher() const { return local_; }
+
+ private:
+  struct Pending {
+    WaitingRequest request;
+    std::uint64_t ticket = 0;
+    std::string coordinator;
+    // Empty until the request is part of a message.
+    std::optional<MonotonicTime> sent_at;
+    bool acknowledged = false;
+    // Coordinators tried, including this one.
+    int attempts = 1;
+  };
+  struct CoordinatorState {
+    std::uint64_t process = 0;
+    std::uint64_t last_grant = 0;
+    std::uint64_t last_summary = 0;
+    MonotonicTime heard_at;
+    // Set while the coordinator is avoided.
+    std::optional<MonotonicTime> avoided_since;
+  };
+
+  bool IsAvoided(const std::string& candidate) const;
+  void OnHeard(const std::string& coordinator,
+               std::uint64_t process,
+               MonotonicTime now);
+  void Avoid(const std::string& coordinator, MonotonicTime now);
+  // Sends the request to the coordinator in use under a new ticket, or places
+  // it locally.
+  void Reassign(std::uint64_t id, MonotonicTime now);
+  void Submit(Pending pending, MonotonicTime now);
+  // Includes the request in the next message to its coordinator.
+  void SubmitAgain(Pending& pending);
+  void OnGrant(const PlacementGrant& grant, MonotonicTime now);
+  void CheckAnswer(std::uint64_t id, MonotonicTime now);
+  PlacementRequest ToPlacementRequest(const Pending& pending,
+                                      MonotonicTime now) const;
+  void AddResult(UpstreamResult result, MonotonicTime now);
+
+  const PlacerOptions options_;
+  Dispatcher local_;
+  // The hosts that may act as coordinator, in order; may include this one.
+  std::vector<std::string> candidates_;
+  std::map<std::string, CoordinatorState> states_;
+  // Requests that wait at a coordinator, by their id.
+  std::unordered_map<std::uint64_t, Pending> pending_;
+  std::unordered_map<std::uint64_t, std::uint64_t> id_by_ticket_;
+  std::uint64_t next_ticket_ = 1;
+  std::vector<Placement> placements_;
+  std::vector<Rejection> rejections_;
+  struct TimedResult {
+    UpstreamResult result;
+    MonotonicTime at;
+  };
+  std::deque<TimedResult> results_;
+  std::uint64_t result_count_ = 0;
+  std::set<std::string> urgent_;
+  bool is_draining_ = false;
+};
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_LIBS_COORDINATION_PLACER_H_
--- a/src/libs/directory/source_policy.cc
+++ b/src/libs/directory/source_policy.cc
@@ -2,10 +2,9 @@
 
 #include <algorithm>
 #include <set>
-#include <tuple>
 #include <utility>
 
-#include "libs/model/fingerprint.h"
+#include "libs/fleet/host_order.h"
 
 namespace flamingogauge {
 namespace {
@@ -15,16 +14,6 @@
 // Limits the doubling of the avoidance.
 constexpr int kMaxDoublings = 10;
 
-// Sorts hosts of larger capacity first, and hosts of equal capacity in an order
-// that does not depend on how they are named or numbered.
-bool ComesBefore(const HostEntry& a, const HostEntry& b) {
-  const auto key = [](const HostEntry& host) {
-    return std::make_tuple(-host.capacity, ComputeContentHash(host.name).low,
-                           host.name);
-  };
-  return key(a) < key(b);
-}
-
 RelayPeer PeerOf(const HostEntry& host) {
   return {.name = host.name, .address = host.relay_address};
 }
@@ -35,10 +24,9 @@
     : options_(std::move(options)) {}
 
 void SourcePolicy::SetHosts(const std::vector<HostEntry>& hosts) {
-  std::vector<HostEntry> order;
-  std::copy_if(hosts.begin(), hosts.end(), std::back_inserter(order),
-               [](const HostEntry& it) { return !it.relay_address.empty(); });
-  std::sort(order.begin(), order.end(), ComesBefore);
+  std::vector<HostEntry> order = OrderHosts(hosts);
+  std::erase_if(order,
+                [](const HostEntry& it) { return it.relay_address.empty(); });
   better_.clear();
   others_.clear();
   std::vector<RelayPeer> remote;
--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -364,6 +364,36 @@
       .reason = is_new ? "would be late" : "no upstream was free in time"};
 }
 
+void Dispatcher::RecordPlacement(const std::string& upstream,
+                                 const WaitingRequest& request,
+                                 MonotonicTime now) {
+  const auto it = upstreams_.find(upstream);
+  if (it != upstreams_.end()) {
+    it->second.OnSent(request, now);
+  }
+}
+
+void Dispatcher::ReleasePlacement(const std::string& upstream) {
+  const auto it = upstreams_.find(upstream);
+  if (it != upstreams_.end()) {
+    it->second.Release();
+  }
+}
+
+void Dispatcher::RecordResult(std::uint64_t upstream_key,
+                              DispatchResult result,
+                              MonotonicTime now) {
+  const auto it = by_peer_key_.find(upstream_key);
+  if (it != by_peer_key_.end()) {
+    it->second->RecordResult(result, now);
+  }
+}
+
+const UpstreamView* Dispatcher::FindByPeerKey(std::uint64_t key) const {
+  const auto it = by_peer_key_.find(key);
+  return it == by_peer_key_.end() ? nullptr : it->second;
+}
+
 HealthChange Dispatcher::OnEnded(const std::string& upstream,
                                  DispatchResult result,
                                  MonotonicTime now) {
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -78,12 +78,25 @@
   // Place(), so that a request is refused on arrival and not after a wait.
   std::vector<Rejection> Reject(MonotonicTime now);
 
+  // Counts a request as sent to an upstream that another host chose.
+  void RecordPlacement(const std::string& upstream,
+                       const WaitingRequest& request,
+                       MonotonicTime now);
+  // Ends a request without a result, such as one that another host reports as
+  // running there by now.
+  void ReleasePlacement(const std::string& upstream);
   HealthChange OnEnded(const std::string& upstream,
                        DispatchResult result,
                        MonotonicTime now);
+  // Updates an upstream's health by the result of another host's request.
+  void RecordResult(std::uint64_t upstream_key,
+                    DispatchResult result,
+                    MonotonicTime now);
   void OnEventInterval(const std::string& upstream,
                        std::chrono::duration<double> event_interval);
 
+  // Returns the upstream with this PeerUpstreamKey, or null.
+  const UpstreamView* FindByPeerKey(std::uint64_t key) const;
   bool HasAnyUpstream() const;
   std::size_t waiting_count() const { return waiting_.size(); }
   // Number of requests of this host in progress, by PeerUpstreamKey, for the
--- a/src/libs/dispatching/shared_rate_limiter.cc
+++ b/src/libs/dispatching/shared_rate_limiter.cc
@@ -16,6 +16,8 @@
 constexpr std::chrono::seconds kStartupSyncTime{2};
 // Weight of the newest report in the moving average of a host's rate.
 constexpr double kRateSmoothing = 0.5;
+// Lower bound of the interval, in seconds, that a rate is computed over.
+constexpr double kMinReportInterval = 0.05;
 constexpr milliseconds kMaxWait{10000};
 
 }  // namespace
@@ -44,23 +46,22 @@
   buckets_ = std::move(next);
 }
 
-void SharedRateLimiter::OnPeerUsage(const std::string& host,
-                                    std::uint64_t process,
-                                    const UsageByWorkspace& usage,
-                                    MonotonicTime now) {
-  Peer& peer = peers_[host];
-  const bool is_new = peer.process != process;
-  const double elapsed = std::max(0.05, ToSeconds(now - peer.last_report_at));
+void SharedRateLimiter::OnOthersUsage(std::uint64_t reporter,
+                                      const UsageByWorkspace& usage,
+                                      std::size_t reachable_hosts,
+                                      MonotonicTime now) {
+  const bool is_new = reporter != reporter_;
+  const double elapsed =
+      std::max(kMinReportInterval, ToSeconds(now - reported_at_));
   const bool in_startup_sync = now - started_at_ < kStartupSyncTime;
-  if (is_new) {
-    peer = {.process = process};
-  }
+  reporter_ = reporter;
+  reachable_hosts_ = std::max<std::size_t>(1, reachable_hosts);
   for (const auto& [name, reported] : usage) {
-    PeerUsage& known = peer.usage[name];
+    OthersUsage& known = others_[name];
     const double delta = reported.spent - known.spent;
     known.spent = reported.spent;
-    // Usage from before a host's first report is either already reflected in
-    // the credits adopted at startup or too old to matter.
+    // Usage from before a reporter's first report is either already reflected
+    // in the credits or too old to matter.
     if (!is_new) {
       known.rate = known.rate * (1 - kRateSmoothing) +
                    std::max(0.0, delta) / elapsed * kRateSmoothing;
@@ -78,17 +79,18 @@
           std::min(bucket->second.credits, reported.credits);
     }
   }
-  peer.last_report_at = now;
+  reported_at_ = now;
+}
+
+bool SharedRateLimiter::HasReport(MonotonicTime now) const {
+  return reporter_ != 0 && now - reported_at_ <= report_lifetime_;
 }
 
 double SharedRateLimiter::ReachableFraction(MonotonicTime now) const {
-  std::size_t reachable_hosts = 1;
-  for (const auto& [host, peer] : peers_) {
-    reachable_hosts += now - peer.last_report_at <= report_lifetime_ ? 1 : 0;
-  }
-  return std::min(
-      1.0, static_cast<double>(reachable_hosts) /
-               static_cast<double>(std::max(host_count_, reachable_hosts)));
+  const std::size_t reachable = HasReport(now) ? reachable_hosts_ : 1;
+  return std::min(1.0,
+                  static_cast<double>(reachable) /
+                      static_cast<double>(std::max(host_count_, reachable)));
 }
 
 void SharedRateLimiter::Refill(Bucket& bucket, MonotonicTime now) const {
@@ -101,15 +103,11 @@
 
 double SharedRateLimiter::EstimateUnreportedUsage(const std::string& workspace,
                                                   MonotonicTime now) const {
-  double units = 0;
-  for (const auto& [host, peer] : peers_) {
-    const auto it = peer.usage.find(workspace);
-    if (it != peer.usage.end() &&
-        now - peer.last_report_at <= report_lifetime_) {
-      units += it->second.rate * ToSeconds(now - peer.last_report_at);
-    }
+  const auto it = others_.find(workspace);
+  if (it == others_.end() || !HasReport(now)) {
+    return 0;
   }
-  return units;
+  return it->second.rate * ToSeconds(now - reported_at_);
 }
 
 bool SharedRateLimiter::TrySpend(const WorkspaceEntry& workspace,
--- a/src/libs/dispatching/shared_rate_limiter.h
+++ b/src/libs/dispatching/shared_rate_limiter.h
@@ -23,11 +23,11 @@
 using UsageByWorkspace = std::map<std::string, WorkspaceUsage>;
 
 // Enforces a workspace's rate limit across all hosts. Each host keeps a copy of
-// the workspace's token bucket, spends from it, and subtracts the usage
-// reported by other hosts. Between two reports it extrapolates their usage from
-// the last measured rate. Hosts that do not report keep their fraction of the
-// limit, so that the total also stays within the limit during a network
-// partition.
+// the workspace's token bucket, spends from it, and subtracts what a
+// coordinator reports of the usage of all other hosts. Between two reports it
+// extrapolates their usage from the last measured rate. Hosts that the
+// coordinator does not reach keep their fraction of the limit, so that the
+// total also stays within the limit during a network partition.
 class SharedRateLimiter {
  public:
   explicit SharedRateLimiter(MonotonicTime started_at)
@@ -44,12 +44,14 @@
     report_lifetime_ = lifetime;
   }
 
-  // Merges a usage report of another host; `process` changes when that host
-  // restarts.
-  void OnPeerUsage(const std::string& host,
-                   std::uint64_t process,
-                   const UsageByWorkspace& usage,
-                   MonotonicTime now);
+  // Merges a report of what the other hosts have spent. `reporter` identifies
+  // the process that adds it up; another one begins with other sums.
+  // `reachable_hosts` is the number of hosts that it hears of, including this
+  // one.
+  void OnOthersUsage(std::uint64_t reporter,
+                     const UsageByWorkspace& usage,
+                     std::size_t reachable_hosts,
+                     MonotonicTime now);
 
   // Returns true and spends `amount` when the workspace is within its limit.
   bool TrySpend(const WorkspaceEntry& workspace,
@@ -72,17 +74,13 @@
     double own_spent = 0;
     MonotonicTime updated_at;
   };
-  struct PeerUsage {
+  struct OthersUsage {
     double spent = 0;
     // Units per second, averaged over recent reports.
     double rate = 0;
   };
-  struct Peer {
-    std::uint64_t process = 0;
-    MonotonicTime last_report_at;
-    std::map<std::string, PeerUsage> usage;
-  };
 
+  bool HasReport(MonotonicTime now) const;
   double ReachableFraction(MonotonicTime now) const;
   void Refill(Bucket& bucket, MonotonicTime now) const;
   // Estimates what other hosts have spent since their last reports.
@@ -93,7 +91,11 @@
   std::size_t host_count_ = 1;
   std::chrono::milliseconds report_lifetime_{1500};
   std::map<std::string, Bucket> buckets_;
-  std::map<std::string, Peer> peers_;
+  // The latest report.
+  std::uint64_t reporter_ = 0;
+  MonotonicTime reported_at_;
+  std::size_t reachable_hosts_ = 1;
+  std::map<std::string, OthersUsage> others_;
 };
 
 }  // namespace flamingogauge
--- a/src/libs/dispatching/upstream_view.cc
+++ b/src/libs/dispatching/upstream_view.cc
@@ -42,7 +42,16 @@
 }
 
 HealthChange UpstreamView::OnEnded(DispatchResult result, MonotonicTime now) {
+  Release();
+  return RecordResult(result, now);
+}
+
+void UpstreamView::Release() {
   own_running_ = std::max(0, own_running_ - 1);
+}
+
+HealthChange UpstreamView::RecordResult(DispatchResult result,
+                                        MonotonicTime now) {
   if (result == DispatchResult::kAbandoned ||
       result == DispatchResult::kRefused) {
     return HealthChange::kNone;
@@ -61,6 +70,10 @@
                ? HealthChange::kRecovered
                : HealthChange::kNone;
   }
+  if (IsSuspect(now)) {
+    // The requests that a crash or a cut ended together count as one failure.
+    return HealthChange::kNone;
+  }
   const auto suspicion = std::min(
       kMaxSuspicion, kInitialSuspicion * (1 << consecutive_transport_errors_));
   consecutive_transport_errors_ =
--- a/src/libs/dispatching/upstream_view.h
+++ b/src/libs/dispatching/upstream_view.h
@@ -63,6 +63,10 @@
 
   void OnSent(const WaitingRequest& request, MonotonicTime now);
   HealthChange OnEnded(DispatchResult result, MonotonicTime now);
+  // Ends a request of this host without a result.
+  void Release();
+  // Updates the health by the result of a request of this or another host.
+  HealthChange RecordResult(DispatchResult result, MonotonicTime now);
   // `event_interval` is the time between two events of a stream, or the total
   // response time of a plain service.
   void OnEventInterval(std::chrono::duration<double> event_interval);
--- a/src/libs/services/fleet_source.h
+++ b/src/libs/services/fleet_source.h
@@ -41,6 +41,10 @@
   // A host that other hosts have not heard for long; its entry may be removed.
   // Safe from any thread.
   virtual void OnHostSilent(const std::string& host) = 0;
+
+  // A host sent a message that is not listed, perhaps because it has just been
+  // added; the list may be read again. Safe from any thread.
+  virtual void OnHostUnlisted(const std::string& host) = 0;
 };
 
 }  // namespace flamingogauge
--- a/src/plugins/directory/directory_plugin.cc
+++ b/src/plugins/directory/directory_plugin.cc
@@ -64,6 +64,12 @@
   }
 }
 
+void DirectoryPlugin::OnHostUnlisted(const std::string& host) {
+  if (private_->worker) {
+    private_->worker->OnHostUnlisted(host);
+  }
+}
+
 Result<void> DirectoryPlugin::Reload() {
   const DirectorySettings settings = DirectorySettingsFromFlags();
   Result<void> checked = CheckDirectorySettings(settings);
--- a/src/plugins/directory/directory_plugin.h
+++ b/src/plugins/directory/directory_plugin.h
@@ -30,6 +30,7 @@
 
   Result<void> Subscribe(Listener listener) override;
   void OnHostSilent(const std::string& host) override;
+  void OnHostUnlisted(const std::string& host) override;
 
  private:
   struct Private;
--- a/src/plugins/directory/directory_worker.cc
+++ b/src/plugins/directory/directory_worker.cc
@@ -348,6 +348,14 @@
   });
 }
 
+void DirectoryWorker::OnHostUnlisted(const std::string& host) {
+  Post([this, host] {
+    if (!view_.hosts().entries().contains(host)) {
+      reader_.RefreshHosts(BootTimeNow());
+    }
+  });
+}
+
 void DirectoryWorker::BeginShutdown() {
   Post([this] { shutting_down_ = true; });
 }
--- a/src/plugins/directory/directory_worker.h
+++ b/src/plugins/directory/directory_worker.h
@@ -44,6 +44,7 @@
   // Applies the wait times, starting with the next call.
   void SetWaits(const DirectorySettings& settings);
   void OnHostSilent(const std::string& host);
+  void OnHostUnlisted(const std::string& host);
   // Stops registering this host; its entry stays in the store.
   void BeginShutdown();
   // Returns a JSON object for the state dump.
--- a/src/plugins/directory/store_reader.cc
+++ b/src/plugins/directory/store_reader.cc
@@ -18,6 +18,8 @@
 // read more often.
 constexpr milliseconds kStartupHostsInterval{1000};
 constexpr std::chrono::seconds kStartupPeriod{4};
+// Bounds the calls that hosts which are not listed can cause.
+constexpr milliseconds kMinHostsRefreshInterval{500};
 // How long calls must have failed before other hosts are told, so that a single
 // lost answer does not make another host take over.
 constexpr milliseconds kFailureTolerance{500};
@@ -114,10 +116,20 @@
               false, now);
   }
   if ((active_ || wants_hosts) && now >= next_hosts_list_at_) {
-    // The list of hosts is not needed at its newest: hosts also announce
-    // themselves to each other.
-    StartCall(hosts_, store_.hosts(), milliseconds(0), true, now);
+    // In general the list of hosts is not needed at its newest. A list that may
+    // be stale costs a tenth.
+    StartCall(hosts_, store_.hosts(), milliseconds(0), !wants_newest_hosts_,
+              now);
+  }
+}
+
+void StoreReader::RefreshHosts(MonotonicTime now) {
+  if (!active_ || now - hosts_refreshed_at_ < kMinHostsRefreshInterval) {
+    return;
   }
+  hosts_refreshed_at_ = now;
+  next_hosts_list_at_ = now;
+  wants_newest_hosts_ = true;
 }
 
 void StoreReader::RemoveMissing(MonotonicTime now) {
@@ -241,6 +253,7 @@
   if (is_complete) {
     changes = view_.ReplaceHosts(follower.entries(), follower.revision());
     changes.hosts |= !std::exchange(has_listed_hosts_, true);
+    wants_newest_hosts_ = false;
     const MonotonicTime now = BootTimeNow();
     next_hosts_list_at_ =
         now + (now - started_at_ < kStartupPeriod
--- a/src/plugins/directory/store_reader.h
+++ b/src/plugins/directory/store_reader.h
@@ -46,6 +46,8 @@
   // Makes the calls that are due. The list of hosts is also read while
   // inactive if `wants_hosts`.
   void StartCalls(bool wants_hosts, MonotonicTime now);
+  // Reads the list of hosts soon, at its newest, if this host reads the store.
+  void RefreshHosts(MonotonicTime now);
   // Applies removals that were deferred after an outage.
   void RemoveMissing(MonotonicTime now);
   MonotonicTime WakeAt(bool wants_hosts) const;
@@ -90,6 +92,8 @@
   TableFollower<HostEntry> hosts_;
   const MonotonicTime started_at_;
   MonotonicTime next_hosts_list_at_;
+  bool wants_newest_hosts_ = false;
+  MonotonicTime hosts_refreshed_at_;
   bool has_listed_hosts_ = false;
   bool active_ = false;
   // True once the document was confirmed since reading started.
--- a/src/plugins/gateway/report_socket.cc
+++ b/src/plugins/gateway/datagram_socket.cc
@@ -1,4 +1,4 @@
-#include "plugins/gateway/report_socket.h"
+#include "plugins/gateway/datagram_socket.h"
 
 #include <boost/asio/buffer.hpp>
 
@@ -11,10 +11,11 @@
 using boost::asio::ip::udp;
 using boost::system::error_code;
 
-ReportSocket::ReportSocket(boost::asio::io_context& context, Receiver receiver)
+DatagramSocket::DatagramSocket(boost::asio::io_context& context,
+                               Receiver receiver)
     : socket_(context), receiver_(std::move(receiver)) {}
 
-Result<void> ReportSocket::Open(const std::string& address) {
+Result<void> DatagramSocket::Open(const std::string& address) {
   const auto endpoint = ParseEndpoint<udp::endpoint>(address);
   error_code ec = boost::asio::error::invalid_argument;
   if (endpoint) {
@@ -28,7 +29,7 @@
   }
   if (ec) {
     return Error{.code = ErrorCode::kUnavailable,
-                 .step = "open report socket",
+                 .step = "open datagram socket",
                  .peer = address,
                  .message = ec.message()};
   }
@@ -36,7 +37,7 @@
   return boost::outcome_v2::success();
 }
 
-void ReportSocket::Receive() {
+void DatagramSocket::Receive() {
   socket_.async_receive_from(
       boost::asio::buffer(buf_), sender_,
       [this](const error_code& ec, std::size_t n) {
@@ -44,13 +45,16 @@
           return;
         }
         if (!ec) {
-          receiver_(std::string(buf_.data(), n));
+          receiver_(std::string(buf_.data(), n),
+                    sender_.address().to_string() + ":" +
+                        std::to_string(sender_.port()));
         }
         Receive();
       });
 }
 
-void ReportSocket::Send(const std::string& bytes, const std::string& address) {
+void DatagramSocket::Send(const std::string& bytes,
+                          const std::string& address) {
   const auto endpoint = ParseEndpoint<udp::endpoint>(address);
   error_code ec = boost::asio::error::invalid_argument;
   if (endpoint) {
@@ -61,7 +65,7 @@
   }
 }
 
-void ReportSocket::Close() {
+void DatagramSocket::Close() {
   error_code ec;
   socket_.close(ec);
 }
--- a/src/plugins/gateway/report_socket.h
+++ b/src/plugins/gateway/datagram_socket.h
@@ -1,5 +1,5 @@
-#ifndef FLAMINGOGAUGE_PLUGINS_GATEWAY_REPORT_SOCKET_H_
-#define FLAMINGOGAUGE_PLUGINS_GATEWAY_REPORT_SOCKET_H_
+#ifndef FLAMINGOGAUGE_PLUGINS_GATEWAY_DATAGRAM_SOCKET_H_
+#define FLAMINGOGAUGE_PLUGINS_GATEWAY_DATAGRAM_SOCKET_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -13,15 +13,17 @@
 namespace flamingogauge {
 
 // Exchanges datagrams with other hosts over UDP.
-class ReportSocket {
+class DatagramSocket {
  public:
-  using Receiver = std::function<void(std::string bytes)>;
+  // `sender` is "ip:port".
+  using Receiver =
+      std::function<void(const std::string& bytes, const std::string& sender)>;
 
-  ReportSocket(boost::asio::io_context& context, Receiver receiver);
+  DatagramSocket(boost::asio::io_context& context, Receiver receiver);
 
   Result<void> Open(const std::string& address);
   // Sends one datagram. A datagram that cannot be sent immediately is dropped,
-  // because the next report replaces it.
+  // because a later one makes up for it.
   void Send(const std::string& bytes, const std::string& address);
   void Close();
 
@@ -41,4 +43,4 @@
 
 }  // namespace flamingogauge
 
-#endif  // FLAMINGOGAUGE_PLUGINS_GATEWAY_REPORT_SOCKET_H_
+#endif  // FLAMINGOGAUGE_PLUGINS_GATEWAY_DATAGRAM_SOCKET_H_
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -88,7 +88,8 @@
       .prompt_parts = accepted_.prompt_parts,
       .was_sent = !tried_upstreams_.empty(),
       .excluded_upstreams = tried_upstreams_};
-  context_.dispatcher.Enqueue(std::move(waiting));
+  context_.placer.Enqueue(std::move(waiting), BootTimeNow());
+  context_.on_placer_changed();
   context_.schedule_placement();
 }
 
@@ -144,7 +145,6 @@
           .Milliseconds("waited_ms", now - accepted_.arrived_at)
           .Number("routing_version",
                   static_cast<std::int64_t>(accepted_.routing->version)));
-  context_.on_load_changed();
   connection_ = context_.connections.Acquire(upstream.address, now);
   connection_->Send({.bytes = ComposeRequest(upstream, now),
                      .request_id = accepted_.request_id,
@@ -314,7 +314,7 @@
     return;
   }
   if (state_ == State::kWaiting) {
-    context_.dispatcher.Remove(accepted_.id);
+    context_.placer.Remove(accepted_.id);
     Refuse(kServiceUnavailable, std::nullopt, "the time limit passed");
     return;
   }
@@ -330,7 +330,7 @@
     return;
   }
   if (state_ == State::kWaiting) {
-    context_.dispatcher.Remove(accepted_.id);
+    context_.placer.Remove(accepted_.id);
     if (sends_ == 0 && accepted_.workspace != nullptr) {
       context_.rate_limiter.Refund(*accepted_.workspace, accepted_.spent);
     }
@@ -347,7 +347,7 @@
     return;
   }
   if (state_ == State::kWaiting) {
-    context_.dispatcher.Remove(accepted_.id);
+    context_.placer.Remove(accepted_.id);
     Refuse(kServiceUnavailable, kRetryAfterRefusal, "the host stops");
     return;
   }
@@ -359,13 +359,14 @@
 
 void Exchange::EndDispatch(DispatchResult result) {
   const HealthChange change =
-      context_.dispatcher.OnEnded(upstream_.id, result, BootTimeNow());
+      context_.placer.OnEnded(upstream_.id, result, BootTimeNow());
   if (change != HealthChange::kNone) {
-    context_.log.Write(
-        HealthChangeEvent(change, upstream_, context_.dispatcher, BootTimeNow())
-            .Text("request", accepted_.request_id));
+    context_.log.Write(HealthChangeEvent(change, upstream_,
+                                         context_.placer.dispatcher(),
+                                         BootTimeNow())
+                           .Text("request", accepted_.request_id));
   }
-  context_.on_load_changed();
+  context_.on_placer_changed();
   context_.schedule_placement();
 }
 
--- a/src/plugins/gateway/exchange_response.cc
+++ b/src/plugins/gateway/exchange_response.cc
@@ -153,7 +153,7 @@
   if (IsStream() && !failed) {
     ReportPace(now);
   } else if (!failed) {
-    context_.dispatcher.OnEventInterval(upstream_.id, now - sent_at_);
+    context_.placer.OnEventInterval(upstream_.id, now - sent_at_, now);
   }
   EndDispatch(failed ? DispatchResult::kFailed : DispatchResult::kServed);
   if (failed && ResendIfAllowed(true, "the upstream answered " +
@@ -198,9 +198,11 @@
 
 void Exchange::ReportPace(MonotonicTime now) {
   if (events_ > 1) {
-    context_.dispatcher.OnEventInterval(
-        upstream_.id, std::chrono::duration<double>(now - first_body_at_) /
-                          static_cast<double>(events_ - 1));
+    context_.placer.OnEventInterval(
+        upstream_.id,
+        std::chrono::duration<double>(now - first_body_at_) /
+            static_cast<double>(events_ - 1),
+        now);
   }
 }
 
--- a/src/plugins/gateway/gateway_plugin.cc
+++ b/src/plugins/gateway/gateway_plugin.cc
@@ -12,9 +12,9 @@
 #include "libs/kernel/boot_clock.h"
 #include "libs/services/event_log_service.h"
 #include "libs/services/fleet_source.h"
+#include "plugins/gateway/coordination_node.h"
 #include "plugins/gateway/http_acceptor.h"
 #include "plugins/gateway/relay.h"
-#include "plugins/gateway/report_exchange.h"
 #include "plugins/gateway/status_handler.h"
 
 namespace flamingogauge {
@@ -23,6 +23,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTickInterval{50};
+constexpr milliseconds kIdleTickInterval{500};
 constexpr milliseconds kDrainCheckInterval{50};
 // Time at the end of a drain for idle connections to close.
 constexpr milliseconds kCloseIdleTime{300};
@@ -49,30 +50,61 @@
   std::unique_ptr<StatusHandler> status;
   std::unique_ptr<HttpAcceptor> callers;
   std::unique_ptr<HttpAcceptor> status_acceptor;
-  std::unique_ptr<ReportExchange> reports;
+  std::unique_ptr<CoordinationNode> coordination;
   std::shared_ptr<const std::vector<HostEntry>> hosts;
+  std::shared_ptr<const std::vector<UpstreamEntry>> upstreams;
   MonotonicTime drain_began_at;
   std::function<void()> drained;
   std::thread thread;
 
+  std::unique_ptr<CoordinationNode> MakeCoordination();
   void OnFleet(const FleetSnapshot& snapshot);
   void Tick();
   void CheckDrain();
 };
 
+std::unique_ptr<CoordinationNode> GatewayPlugin::Private::MakeCoordination() {
+  return std::make_unique<CoordinationNode>(
+      io, settings, relay->process(), relay->placer(), *log, *metrics,
+      CoordinationHandlers{
+          .complete_state =
+              [this](HostMessage& message) { relay->CompleteState(message); },
+          .on_placed = [this] { relay->SchedulePlacement(); },
+          .on_summary =
+              [this](const FleetSummary& summary) {
+                relay->OnSummary(summary);
+                relay->SetHostCount(coordination->HostCount());
+              },
+          .on_crashes =
+              [this](const std::vector<CrashRecord>& crashes) {
+                relay->OnCrashes(crashes);
+              },
+          .recent_crashes = [this] { return relay->RecentCrashes(); },
+          .is_draining = [this] { return relay->is_draining(); },
+          .on_host_gone =
+              [this](const std::string& host) { source->OnHostSilent(host); },
+          .on_host_unlisted =
+              [this](const std::string& host) {
+                source->OnHostUnlisted(host);
+              }});
+}
+
 void GatewayPlugin::Private::OnFleet(const FleetSnapshot& snapshot) {
   if (hosts != snapshot.hosts) {
     hosts = snapshot.hosts;
-    reports->SetHosts(hosts);
-    relay->SetReportLifetime(reports->ReportLifetime());
+    coordination->SetHosts(*hosts);
+  }
+  if (upstreams != snapshot.upstreams) {
+    upstreams = snapshot.upstreams;
+    coordination->SetUpstreams(*upstreams);
   }
   relay->OnFleet(snapshot);
-  reports->CheckForGoneHosts();
-  relay->SetHostCount(reports->HostCount());
+  relay->SetHostCount(coordination->HostCount());
 }
 
 void GatewayPlugin::Private::Tick() {
-  tick_timer.expires_after(kTickInterval);
+  tick_timer.expires_after(relay->has_early_requests() ? kTickInterval
+                                                       : kIdleTickInterval);
   tick_timer.async_wait([this](const boost::system::error_code& ec) {
     if (!ec) {
       relay->Tick();
@@ -141,9 +173,9 @@
   Private& self = *private_;
   self.source = source.value();
   self.metrics = metrics.value();
-  self.relay =
-      std::make_unique<Relay>(self.io, self.settings, *self.log, *self.metrics,
-                              [&self] { self.reports->OnLoadChanged(); });
+  self.relay = std::make_unique<Relay>(
+      self.io, self.settings, *self.log, *self.metrics,
+      [&self] { self.coordination->OnPlacerChanged(); });
   self.status = std::make_unique<StatusHandler>(StatusHandlerOptions{
       .ready_path = self.settings.ready_path,
       .is_ready = [&self] { return self.relay->IsReady(); },
@@ -151,22 +183,11 @@
       .state = [&self] { return self.relay->DumpState(); }});
   self.callers = std::make_unique<HttpAcceptor>(self.io, *self.relay);
   self.status_acceptor = std::make_unique<HttpAcceptor>(self.io, *self.status);
-  self.reports = std::make_unique<ReportExchange>(
-      self.io, self.settings, *self.log,
-      ReportExchangeHandlers{
-          .build_report = [&self] { return self.relay->BuildReport(); },
-          .on_report =
-              [&self](const HostReport& report) {
-                self.relay->OnReport(report);
-              },
-          .on_host_gone =
-              [&self](const std::string& host) {
-                self.source->OnHostSilent(host);
-              }});
+  self.coordination = self.MakeCoordination();
   for (Result<void> opened :
        {self.callers->Listen(self.settings.listen_address),
         self.status_acceptor->Listen(self.settings.status_address),
-        self.reports->Start()}) {
+        self.coordination->Start()}) {
     if (!opened) {
       return opened.error();
     }
@@ -191,7 +212,8 @@
   }
   boost::asio::post(private_->io, [self = private_.get(), settings] {
     self->settings.Reload(settings);
-    self->reports->SetInterval(settings.report_interval);
+    self->coordination->SetInterval(settings.report_interval);
+    self->coordination->SetRegions(settings.regions);
     self->relay->Reload(settings);
   });
   return boost::outcome_v2::success();
--- a/src/plugins/gateway/gateway_settings.h
+++ b/src/plugins/gateway/gateway_settings.h
@@ -36,7 +36,7 @@
   // time for which it keeps accepting connections.
   std::chrono::milliseconds drain_time_limit{6800};
   std::chrono::milliseconds drain_min_time{3500};
-  std::chrono::milliseconds report_interval{200};
+  std::chrono::milliseconds report_interval{400};
 
   // Applies the settings that may change at run time; addresses, names and
   // headers are kept.
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -28,6 +28,9 @@
 // How long after start-up requests wait for the first routing document.
 constexpr milliseconds kMaxStartupWait{1000};
 constexpr milliseconds kMinRetryAfterLimit{500};
+// The interval at which the requests that this host places itself are
+// reconsidered without an event.
+constexpr milliseconds kPlacementInterval{50};
 constexpr std::size_t kMaxDumpedExchanges = 200;
 
 ResendBudgetOptions ResendOptions(const GatewaySettings& settings) {
@@ -36,29 +39,35 @@
           .window = settings.resend_window};
 }
 
+PlacerOptions PlacementOptions(const GatewaySettings& settings) {
+  return {.host = settings.host,
+          .data_centre = settings.data_centre,
+          .dispatcher = {.data_centre = settings.data_centre,
+                         .regions = settings.regions,
+                         .seed = ComputeContentHash(settings.host).low}};
+}
+
 }  // namespace
 
 Relay::Relay(boost::asio::io_context& io,
              const GatewaySettings& settings,
              EventLog& log,
              MetricsRegistry& metrics,
-             std::function<void()> on_load_changed)
+             std::function<void()> on_placer_changed)
     : context_{.io = io,
                .settings = settings,
                .log = log,
                .metrics = metrics,
                .fleet = {},
-               .dispatcher =
-                   Dispatcher({.data_centre = settings.data_centre,
-                               .regions = settings.regions,
-                               .seed = ComputeContentHash(settings.host).low}),
+               .placer = Placer(PlacementOptions(settings)),
                .rate_limiter = SharedRateLimiter(BootTimeNow()),
                .resends = ResendBudget(ResendOptions(settings)),
                .crashes = {},
                .connections =
                    UpstreamConnections(io, settings.headers.request_id),
                .schedule_placement = [this] { SchedulePlacement(); },
-               .on_load_changed = std::move(on_load_changed)},
+               .on_placer_changed = std::move(on_placer_changed)},
+      placement_timer_(io),
       process_(
           static_cast<std::uint64_t>(BootTimeNow().time_since_epoch().count())),
       started_at_(BootTimeNow()) {
@@ -68,7 +77,7 @@
 void Relay::RegisterGauges() {
   MetricsRegistry& metrics = context_.metrics;
   metrics.SetGauge("flamingogauge_waiting_requests", [this] {
-    return static_cast<double>(context_.dispatcher.waiting_count());
+    return static_cast<double>(context_.placer.waiting_count());
   });
   metrics.SetGauge("flamingogauge_requests_in_progress",
                    [this] { return static_cast<double>(exchanges_.size()); });
@@ -76,25 +85,25 @@
     return context_.fleet.routing ? ToSeconds(RoutingAge(BootTimeNow())) : -1;
   });
   metrics.SetGauge("flamingogauge_upstreams", [this] {
-    return static_cast<double>(context_.dispatcher.upstreams().size());
+    return static_cast<double>(context_.placer.upstreams().size());
   });
   metrics.SetGauge("flamingogauge_upstreams_suspect", [this] {
     const MonotonicTime now = BootTimeNow();
-    const auto& upstreams = context_.dispatcher.upstreams();
+    const auto& upstreams = context_.placer.upstreams();
     return static_cast<double>(std::count_if(
         upstreams.begin(), upstreams.end(),
         [now](const auto& it) { return it.second.IsSuspect(now); }));
   });
   metrics.SetGauge("flamingogauge_places_taken", [this] {
     double taken = 0;
-    for (const auto& [id, it] : context_.dispatcher.upstreams()) {
+    for (const auto& [id, it] : context_.placer.upstreams()) {
       taken += it.running();
     }
     return taken;
   });
   metrics.SetGauge("flamingogauge_places", [this] {
     double places = 0;
-    for (const auto& [id, it] : context_.dispatcher.upstreams()) {
+    for (const auto& [id, it] : context_.placer.upstreams()) {
       places += it.Limit();
     }
     return places;
@@ -106,7 +115,7 @@
 
 void Relay::Reload(const GatewaySettings& settings) {
   context_.settings.Reload(settings);
-  context_.dispatcher.SetRegions(settings.regions);
+  context_.placer.SetRegions(settings.regions);
   context_.resends.SetOptions(ResendOptions(settings));
 }
 
@@ -125,7 +134,7 @@
     context_.rate_limiter.SetLimits(*snapshot.routing, now);
   }
   if (new_upstreams) {
-    context_.dispatcher.SetUpstreams(*snapshot.upstreams, now);
+    context_.placer.SetUpstreams(*snapshot.upstreams, now);
     std::set<std::string> addresses;
     for (const UpstreamEntry& it : *snapshot.upstreams) {
       addresses.insert(it.address);
@@ -142,7 +151,7 @@
 // the store takes another round trip.
 bool Relay::IsStarting() const {
   const bool knows_enough =
-      context_.fleet.routing && context_.dispatcher.HasAnyUpstream();
+      context_.fleet.routing && context_.placer.HasAnyUpstream();
   return !knows_enough && BootTimeNow() - started_at_ < kMaxStartupWait;
 }
 
@@ -155,17 +164,22 @@
   }
 }
 
-void Relay::OnReport(const HostReport& report) {
+void Relay::OnSummary(const FleetSummary& summary) {
+  context_.rate_limiter.OnOthersUsage(
+      summary.process, summary.usage,
+      static_cast<std::size_t>(std::max(1, summary.reachable_hosts)),
+      BootTimeNow());
+}
+
+void Relay::OnCrashes(const std::vector<CrashRecord>& crashes) {
   const MonotonicTime now = BootTimeNow();
-  context_.dispatcher.OnPeerLoad(report.host, report.running, now);
-  context_.rate_limiter.OnPeerUsage(report.host, report.process, report.usage,
-                                    now);
-  for (const CrashRecord& it : report.crashes) {
+  for (const CrashRecord& it : crashes) {
     context_.crashes.Add(it, now);
   }
-  if (context_.dispatcher.waiting_count() > 0) {
-    SchedulePlacement();
-  }
+}
+
+std::vector<CrashRecord> Relay::RecentCrashes() {
+  return context_.crashes.Recent(BootTimeNow());
 }
 
 void Relay::SetHostCount(std::size_t hosts) {
@@ -173,19 +187,11 @@
   context_.resends.SetHostCount(hosts);
 }
 
-void Relay::SetReportLifetime(milliseconds lifetime) {
-  context_.rate_limiter.SetReportLifetime(lifetime);
-  context_.dispatcher.SetReportLifetime(lifetime);
-}
-
-HostReport Relay::BuildReport() {
+void Relay::CompleteState(HostMessage& message) {
   const MonotonicTime now = BootTimeNow();
-  return {.host = context_.settings.host,
-          .draining = context_.draining,
-          .running = context_.dispatcher.OwnLoad(),
-          .process = process_,
-          .usage = context_.rate_limiter.OwnUsage(now),
-          .crashes = context_.crashes.Recent(now)};
+  message.draining = context_.draining;
+  message.usage = context_.rate_limiter.OwnUsage(now);
+  message.crashes = context_.crashes.Recent(now);
 }
 
 void Relay::Tick() {
@@ -194,19 +200,17 @@
     HandleEarlyRequests();
   }
   context_.connections.CloseExpired(now);
-  if (context_.dispatcher.waiting_count() > 0) {
-    SchedulePlacement();
-  }
 }
 
 bool Relay::IsReady() const {
   return !context_.draining && context_.fleet.routing != nullptr &&
-         context_.dispatcher.HasAnyUpstream() &&
+         context_.placer.HasAnyUpstream() &&
          RoutingAge(BootTimeNow()) <= context_.settings.changes.max_key_age();
 }
 
 void Relay::BeginDrain() {
   context_.draining = true;
+  context_.placer.SetDraining();
   drain_began_at_ = BootTimeNow();
 }
 
@@ -421,30 +425,38 @@
 }
 
 void Relay::PlaceWaiting() {
-  for (const Placement& it : context_.dispatcher.Place(BootTimeNow())) {
+  for (const Placement& it : context_.placer.Place(BootTimeNow())) {
     const auto exchange = exchanges_.find(it.request);
     if (exchange != exchanges_.end()) {
       const auto keep = exchange->second;
       keep->SendTo(it.upstream);
     }
   }
-  for (const Rejection& it : context_.dispatcher.Reject(BootTimeNow())) {
+  for (const Rejection& it : context_.placer.Reject(BootTimeNow())) {
     const auto exchange = exchanges_.find(it.request);
     if (exchange != exchanges_.end()) {
       const auto keep = exchange->second;
       keep->Refuse(kServiceUnavailable, it.retry_after, it.reason);
     }
   }
+  if (context_.placer.local_count() > 0) {
+    placement_timer_.expires_after(kPlacementInterval);
+    placement_timer_.async_wait([this](const boost::system::error_code& ec) {
+      if (!ec) {
+        SchedulePlacement();
+      }
+    });
+  }
 }
 
 std::string Relay::DumpState() const {
   const MonotonicTime now = BootTimeNow();
   std::string dump = "{\"draining\":";
   dump += context_.draining ? "true" : "false";
-  dump += ",\"waiting\":" + std::to_string(context_.dispatcher.waiting_count());
+  dump += ",\"waiting\":" + std::to_string(context_.placer.waiting_count());
   dump += ",\"upstreams\":{";
   bool first = true;
-  for (const auto& [id, state] : context_.dispatcher.upstreams()) {
+  for (const auto& [id, state] : context_.placer.upstreams()) {
     dump += first ? "" : ",";
     first = false;
     dump += "\"" + id + "\":" + std::to_string(state.running());
--- a/src/plugins/gateway/relay.h
+++ b/src/plugins/gateway/relay.h
@@ -10,9 +10,9 @@
 #include <string>
 #include <unordered_map>
 
+#include "libs/coordination/coordination_messages.h"
 #include "libs/dispatching/prior_wait_estimator.h"
 #include "plugins/gateway/exchange.h"
-#include "plugins/gateway/host_report.h"
 #include "plugins/gateway/http_session.h"
 #include "plugins/gateway/relay_context.h"
 
@@ -26,23 +26,33 @@
         const GatewaySettings& settings,
         EventLog& log,
         MetricsRegistry& metrics,
-        std::function<void()> on_load_changed);
+        std::function<void()> on_placer_changed);
 
   // Applies the settings that may change at run time.
   void Reload(const GatewaySettings& settings);
   void OnFleet(const FleetSnapshot& snapshot);
-  void OnReport(const HostReport& report);
+  // Applies what the coordinator reports of the other hosts.
+  void OnSummary(const FleetSummary& summary);
+  void OnCrashes(const std::vector<CrashRecord>& crashes);
+  std::vector<CrashRecord> RecentCrashes();
   // Sets the number of hosts that share the limits, including this one.
   void SetHostCount(std::size_t hosts);
-  // Sets how long the latest report of a host remains valid.
-  void SetReportLifetime(std::chrono::milliseconds lifetime);
-  HostReport BuildReport();
-  // Processes waiting requests and closes expired idle connections; to be
-  // called periodically.
+  // Adds consumption, crash records and the shutdown to this host's state.
+  void CompleteState(HostMessage& message);
+  // Schedules the placement of waiting requests after the current event.
+  void SchedulePlacement();
+  // Handles requests that arrived during start-up and closes expired idle
+  // connections; to be called periodically.
   void Tick();
+  // True if requests wait for the first routing document.
+  bool has_early_requests() const { return !early_requests_.empty(); }
 
   // Returns true if callers should connect to this host.
   bool IsReady() const;
+  bool is_draining() const { return context_.draining; }
+  Placer& placer() { return context_.placer; }
+  // Identifies this process among those of the same host.
+  std::uint64_t process() const { return process_; }
   void BeginDrain();
   void AbortAllRequests();
   std::size_t exchange_count() const { return exchanges_.size(); }
@@ -82,10 +92,10 @@
             const AcceptedRequest& accepted,
             const Denial& denial);
   Duration RoutingAge(MonotonicTime now) const;
-  void SchedulePlacement();
   void PlaceWaiting();
 
   RelayContext context_;
+  boost::asio::steady_timer placement_timer_;
   // Distinguishes this process from earlier ones of the same host.
   const std::uint64_t process_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
--- a/src/plugins/gateway/relay_context.h
+++ b/src/plugins/gateway/relay_context.h
@@ -5,8 +5,8 @@
 
 #include <functional>
 
+#include "libs/coordination/placer.h"
 #include "libs/dispatching/crash_history.h"
-#include "libs/dispatching/dispatcher.h"
 #include "libs/dispatching/resend_budget.h"
 #include "libs/dispatching/shared_rate_limiter.h"
 #include "libs/kernel/event_log.h"
@@ -25,7 +25,7 @@
   EventLog& log;
   MetricsRegistry& metrics;
   FleetSnapshot fleet;
-  Dispatcher dispatcher;
+  Placer placer;
   SharedRateLimiter rate_limiter;
   ResendBudget resends;
   CrashHistory crashes;
@@ -33,8 +33,8 @@
   bool draining = false;
   // Schedules the placement of waiting requests after the current event.
   std::function<void()> schedule_placement;
-  // Schedules a load report to the other hosts of this data centre.
-  std::function<void()> on_load_changed;
+  // Schedules the messages that a change of the placer requires.
+  std::function<void()> on_placer_changed;
 };
 
 }  // namespace flamingogauge
--- /dev/null
+++ b/tests/auto/coordination/fleet_simulation.cc
@@ -0,0 +1,338 @@
+#include "tests/auto/coordination/fleet_simulation.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kStepTime{1};
+constexpr milliseconds kStateInterval{400};
+constexpr milliseconds kCheckInterval{10};
+constexpr milliseconds kSummaryInterval{100};
+constexpr milliseconds kReportInterval{50};
+constexpr milliseconds kPauseTime{600};
+// Tells at the same time for all hosts apart by their number.
+constexpr milliseconds kStagger{7};
+
+bool IsDue(MonotonicTime now, int host, milliseconds interval) {
+  const auto since = duration_cast<milliseconds>(now.time_since_epoch());
+  return ((since + host * kStagger) % interval).count() == 0;
+}
+
+}  // namespace
+
+FleetSimulation::FleetSimulation(FleetSimulationOptions options)
+    : options_(options), random_(options.seed) {
+  for (int dc = 0; dc < options_.data_centres; ++dc) {
+    const std::string data_centre = "z" + std::to_string(dc);
+    for (int n = 0; n < options_.hosts_per_data_centre; ++n) {
+      const std::string name = data_centre + "-h" + std::to_string(n);
+      entries_.push_back({.name = name,
+                          .report_address = name,
+                          .data_centre = data_centre,
+                          .capacity = n < 2 ? 0.5 : 0.1});
+      hosts_.push_back({.name = name, .data_centre = data_centre});
+    }
+    for (int n = 0; n < options_.upstreams_per_data_centre; ++n) {
+      upstreams_.push_back(
+          {.id = data_centre + "-u" + std::to_string(n),
+           .service = "s",
+           .address = data_centre + "-u" + std::to_string(n) + ":80",
+           .data_centre = data_centre,
+           .slots = options_.slots});
+    }
+  }
+  for (int n = 0; n < host_count(); ++n) {
+    Start(n);
+  }
+}
+
+std::string FleetSimulation::HostName(int host) const {
+  return hosts_[static_cast<std::size_t>(host)].name;
+}
+
+int FleetSimulation::IndexOf(const std::string& name) const {
+  const auto it =
+      std::find_if(hosts_.begin(), hosts_.end(),
+                   [&name](const Host& host) { return host.name == name; });
+  return it == hosts_.end() ? -1 : static_cast<int>(it - hosts_.begin());
+}
+
+std::string FleetSimulation::CoordinatorOf(int host) const {
+  return hosts_[static_cast<std::size_t>(host)].placer->Coordinator(now_);
+}
+
+void FleetSimulation::Start(int index) {
+  Host& host = hosts_[static_cast<std::size_t>(index)];
+  host.is_up = true;
+  host.is_draining = false;
+  host.process = next_process_++;
+  host.sequence = 0;
+  host.active_at = now_;
+  host.held_messages.clear();
+  const DispatcherOptions dispatcher{.data_centre = host.data_centre,
+                                     .seed = options_.seed + host.process};
+  host.placer =
+      std::make_unique<Placer>(PlacerOptions{.host = host.name,
+                                             .data_centre = host.data_centre,
+                                             .dispatcher = dispatcher});
+  host.coordinator = std::make_unique<Coordinator>(CoordinatorOptions{
+      .host = host.name, .process = host.process, .dispatcher = dispatcher});
+  host.placer->SetHosts(entries_);
+  host.placer->SetUpstreams(upstreams_, now_);
+  host.coordinator->SetUpstreams(upstreams_, now_);
+}
+
+void FleetSimulation::Kill(int index) {
+  Host& host = hosts_[static_cast<std::size_t>(index)];
+  host.is_up = false;
+  for (auto& [id, request] : requests_) {
+    if (request.host == index && request.outcome == Outcome::kOpen) {
+      request.outcome = Outcome::kLost;
+    }
+  }
+  // The upstreams notice that the connections have ended.
+  for (auto it = executions_.begin(); it != executions_.end();) {
+    if (it->second.host == index) {
+      --running_[it->second.upstream];
+      it = executions_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void FleetSimulation::Freeze(int index, milliseconds time) {
+  hosts_[static_cast<std::size_t>(index)].frozen_until = now_ + time;
+}
+
+void FleetSimulation::Drain(int index) {
+  Host& host = hosts_[static_cast<std::size_t>(index)];
+  host.is_draining = true;
+  host.placer->SetDraining();
+}
+
+std::uint64_t FleetSimulation::Submit(int index) {
+  Host& host = hosts_[static_cast<std::size_t>(index)];
+  const std::uint64_t id = next_request_++;
+  if (!host.is_up) {
+    return id;
+  }
+  requests_[id] = {.host = index, .arrived_at = now_};
+  host.placer->Enqueue({.id = id,
+                        .service = "s",
+                        .arrived_at = now_,
+                        .due_at = now_ + options_.target,
+                        .start_by = now_ + options_.target * 4,
+                        .deadline = now_ + options_.target * 8},
+                       now_);
+  return id;
+}
+
+void FleetSimulation::Cancel(std::uint64_t request) {
+  const auto it = requests_.find(request);
+  if (it != requests_.end() && it->second.outcome == Outcome::kOpen) {
+    it->second.outcome = Outcome::kLost;
+    hosts_[static_cast<std::size_t>(it->second.host)].placer->Remove(request);
+  }
+}
+
+void FleetSimulation::Run(milliseconds time) {
+  for (const MonotonicTime end = now_ + time; now_ < end;) {
+    Step();
+  }
+}
+
+void FleetSimulation::Step() {
+  now_ += kStepTime;
+  EndExecutions();
+  while (!messages_in_transit_.empty() &&
+         messages_in_transit_.begin()->first <= now_) {
+    const auto message = std::move(messages_in_transit_.begin()->second);
+    messages_in_transit_.erase(messages_in_transit_.begin());
+    message();
+  }
+  for (int n = 0; n < host_count(); ++n) {
+    Host& host = hosts_[static_cast<std::size_t>(n)];
+    if (host.is_up && now_ >= host.frozen_until) {
+      StepHost(n);
+    }
+  }
+}
+
+void FleetSimulation::StepHost(int index) {
+  Host& host = hosts_[static_cast<std::size_t>(index)];
+  if (now_ - std::exchange(host.active_at, now_) >= kPauseTime) {
+    host.placer->OnPaused(now_);
+  }
+  for (const auto& it : std::exchange(host.held_messages, {})) {
+    it();
+  }
+  if (IsDue(now_, index, kCheckInterval)) {
+    host.placer->Tick(now_);
+  }
+  for (const std::string& it : host.placer->TakeUrgentReceivers(now_)) {
+    SendState(index, it);
+  }
+  if (IsDue(now_, index, kStateInterval)) {
+    for (const std::string& it : host.placer->InformedHosts(now_)) {
+      SendState(index, it);
+    }
+  }
+  if (IsDue(now_, index, kSummaryInterval)) {
+    host.coordinator->ExpireHosts(now_);
+    SendSummaries(index);
+  }
+  if (IsDue(now_, index, kReportInterval) &&
+      host.placer->Coordinator(now_) == host.name) {
+    SendReport(index);
+  }
+  RunCoordinator(index);
+  TakePlacements(index);
+}
+
+void FleetSimulation::SendState(int index, const std::string& coordinator) {
+  Host& host = hosts_[static_cast<std::size_t>(index)];
+  HostMessage message = host.placer->StateFor(coordinator, now_);
+  message.host = host.name;
+  message.data_centre = host.data_centre;
+  message.address = host.name;
+  message.process = host.process;
+  message.sequence = ++host.sequence;
+  message.draining = host.is_draining;
+  Deliver(index, IndexOf(coordinator), [this, message](Host& to) {
+    to.coordinator->OnHostMessage(message, now_);
+  });
+}
+
+void FleetSimulation::RunCoordinator(int index) {
+  Host& host = hosts_[static_cast<std::size_t>(index)];
+  for (const auto& it : host.coordinator->Run(now_)) {
+    Deliver(index, IndexOf(it.address), [this, message = it.message](Host& to) {
+      to.placer->OnCoordinatorMessage(message, now_);
+    });
+  }
+}
+
+void FleetSimulation::SendSummaries(int index) {
+  Host& host = hosts_[static_cast<std::size_t>(index)];
+  for (auto& it : host.coordinator->SummariesForHosts(true, now_)) {
+    it.message.draining = host.is_draining;
+    Deliver(index, IndexOf(it.address), [this, message = it.message](Host& to) {
+      to.placer->OnSummary(message, now_);
+    });
+  }
+}
+
+void FleetSimulation::SendReport(int index) {
+  Host& host = hosts_[static_cast<std::size_t>(index)];
+  const FleetSummary report = host.coordinator->DataCentreReport(now_);
+  for (int n = 0; n < host_count(); ++n) {
+    const int rank = n % options_.hosts_per_data_centre;
+    if (rank < 2 &&
+        hosts_[static_cast<std::size_t>(n)].data_centre != host.data_centre) {
+      Deliver(index, n, [this, report](Host& to) {
+        to.coordinator->OnDataCentreReport(report, now_);
+      });
+    }
+  }
+}
+
+void FleetSimulation::TakePlacements(int index) {
+  Host& host = hosts_[static_cast<std::size_t>(index)];
+  for (const Placement& it : host.placer->Place(now_)) {
+    const auto execution = milliseconds(
+        options_.max_execution.count() / 2 +
+        static_cast<std::int64_t>(random_.NextBelow(
+            static_cast<std::uint64_t>(options_.max_execution.count() / 2))));
+    Close(it.request, Outcome::kPlaced);
+    int& running = running_[it.upstream.id];
+    ++running;
+    largest_excess_ = std::max(largest_excess_, running - options_.slots);
+    executions_.emplace(now_ + execution, Execution{.host = index,
+                                                    .process = host.process,
+                                                    .upstream = it.upstream.id,
+                                                    .request = it.request});
+  }
+  for (const Rejection& it : host.placer->Reject(now_)) {
+    Close(it.request, Outcome::kRefused);
+  }
+}
+
+void FleetSimulation::Close(std::uint64_t request, Outcome outcome) {
+  Request& known = requests_.at(request);
+  if (known.outcome == Outcome::kPlaced) {
+    ++placed_twice_;
+  }
+  if (known.outcome == Outcome::kOpen) {
+    longest_wait_ = std::max(
+        longest_wait_, duration_cast<milliseconds>(now_ - known.arrived_at));
+  }
+  known.outcome = outcome;
+  ++(outcome == Outcome::kPlaced ? placed_ : refused_);
+}
+
+void FleetSimulation::EndExecutions() {
+  while (!executions_.empty() && executions_.begin()->first <= now_) {
+    const Execution execution = executions_.begin()->second;
+    executions_.erase(executions_.begin());
+    --running_[execution.upstream];
+    Host& host = hosts_[static_cast<std::size_t>(execution.host)];
+    if (host.is_up && host.process == execution.process) {
+      host.placer->OnEnded(execution.upstream, DispatchResult::kServed, now_);
+    }
+  }
+}
+
+void FleetSimulation::Deliver(int from,
+                              int to,
+                              std::function<void(Host&)> message) {
+  if (to < 0) {
+    return;
+  }
+  Host& receiver = hosts_[static_cast<std::size_t>(to)];
+  const bool is_cut =
+      partitioned_ && hosts_[static_cast<std::size_t>(from)].data_centre !=
+                          receiver.data_centre;
+  const bool is_local = from == to;
+  if (!is_local) {
+    ++messages_;
+  }
+  if (is_cut || (!is_local && random_.NextBool(options_.loss))) {
+    return;
+  }
+  const auto delay = milliseconds(
+      is_local
+          ? 0
+          : static_cast<std::int64_t>(random_.NextBelow(
+                static_cast<std::uint64_t>(options_.max_delay.count()) + 1)));
+  const std::uint64_t process = receiver.process;
+  const auto apply = [&receiver, process, message = std::move(message)] {
+    if (receiver.is_up && receiver.process == process) {
+      message(receiver);
+    }
+  };
+  messages_in_transit_.emplace(now_ + delay, [this, &receiver, apply] {
+    if (now_ < receiver.frozen_until) {
+      receiver.held_messages.push_back(apply);
+    } else {
+      apply();
+    }
+  });
+}
+
+int FleetSimulation::open() const {
+  return static_cast<int>(std::count_if(
+      requests_.begin(), requests_.end(),
+      [](const auto& it) { return it.second.outcome == Outcome::kOpen; }));
+}
+
+int FleetSimulation::executing() const {
+  return static_cast<int>(executions_.size());
+}
+
+}  // namespace flamingogauge
--- a/tests/auto/dispatching/tst_dispatcher.cc
+++ b/tests/auto/dispatching/tst_dispatcher.cc
@@ -197,24 +197,35 @@
   CHECK(dispatcher.Place(kStart + seconds(1)).size() == 1);
 }
 
-// Guards against a health change that is reported twice or not at all.
+// Guards against a health change that is reported twice or not at all, and
+// against a crash that ends several requests at once and thereby keeps its
+// upstream out of use for as long as repeated crashes.
 TEST_CASE(
     "the result of a request determines the health change of its upstream") {
   Dispatcher dispatcher = MakeDispatcher({Upstream("a")});
   struct Step {
+    int at_ms;
     DispatchResult result;
     HealthChange change;
+    int suspect_for_ms;
   };
   for (const Step& it :
-       {Step{DispatchResult::kServed, HealthChange::kNone},
-        Step{DispatchResult::kTransportError, HealthChange::kSuspected},
-        Step{DispatchResult::kTransportError, HealthChange::kSuspected},
-        Step{DispatchResult::kRefused, HealthChange::kNone},
-        Step{DispatchResult::kServed, HealthChange::kRecovered},
-        Step{DispatchResult::kServed, HealthChange::kNone},
-        Step{DispatchResult::kReplaced, HealthChange::kReplaced},
-        Step{DispatchResult::kReplaced, HealthChange::kNone}}) {
-    CHECK(dispatcher.OnEnded("a", it.result, kStart) == it.change);
+       {Step{0, DispatchResult::kServed, HealthChange::kNone, 0},
+        Step{0, DispatchResult::kTransportError, HealthChange::kSuspected, 500},
+        Step{0, DispatchResult::kTransportError, HealthChange::kNone, 500},
+        Step{499, DispatchResult::kTransportError, HealthChange::kNone, 1},
+        Step{500, DispatchResult::kTransportError, HealthChange::kSuspected,
+             1000},
+        Step{500, DispatchResult::kRefused, HealthChange::kNone, 1000},
+        Step{500, DispatchResult::kServed, HealthChange::kRecovered, 0},
+        Step{500, DispatchResult::kServed, HealthChange::kNone, 0},
+        Step{500, DispatchResult::kReplaced, HealthChange::kReplaced, 0},
+        Step{500, DispatchResult::kReplaced, HealthChange::kNone, 0}}) {
+    CAPTURE(it.at_ms);
+    const MonotonicTime now = kStart + milliseconds(it.at_ms);
+    CHECK(dispatcher.OnEnded("a", it.result, now) == it.change);
+    CHECK(dispatcher.upstreams().at("a").RemainingSuspicion(now) ==
+          milliseconds(it.suspect_for_ms));
   }
   CHECK(dispatcher.OnEnded("b", DispatchResult::kTransportError, kStart) ==
         HealthChange::kNone);
--- a/tests/auto/dispatching/tst_shared_rate_limiter.cc
+++ b/tests/auto/dispatching/tst_shared_rate_limiter.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <deque>
 #include <set>
@@ -8,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "libs/coordination/usage_ledger.h"
 #include "libs/dispatching/shared_rate_limiter.h"
 #include "libs/kernel/random.h"
 
@@ -41,7 +43,7 @@
     }
   }
 
-  // Drops reports between `group` and the other hosts.
+  // Cuts `group` off from the other hosts.
   void Partition(std::set<std::size_t> group) { group_ = std::move(group); }
 
   void Restart(std::size_t host) {
@@ -96,15 +98,27 @@
     return host;
   }
 
+  // Lets the coordinator of each side of the partition add up the usage of its
+  // hosts and report it to them.
   void Exchange() {
-    for (std::size_t from = 0; from < hosts_.size(); ++from) {
-      const UsageByWorkspace usage = hosts_[from].OwnUsage(now_);
-      for (std::size_t to = 0; to < hosts_.size(); ++to) {
-        if (from != to && group_.contains(from) == group_.contains(to)) {
-          hosts_[to].OnPeerUsage(std::to_string(from), process_[from], usage,
-                                 now_);
+    for (const bool in_group : {false, true}) {
+      std::vector<std::size_t> side;
+      for (std::size_t n = 0; n < hosts_.size(); ++n) {
+        if (group_.contains(n) == in_group) {
+          side.push_back(n);
         }
       }
+      UsageLedger& ledger = ledgers_[in_group ? 1 : 0];
+      for (const std::size_t n : side) {
+        const UsageByWorkspace usage = hosts_[n].OwnUsage(now_);
+        ledger.Record(std::to_string(n), process_[n], usage);
+        ledger.SetCredits(usage);
+      }
+      for (const std::size_t n : side) {
+        UsageByWorkspace others;
+        ledger.AddTotalExcept(std::to_string(n), others);
+        hosts_[n].OnOthersUsage(in_group ? 2 : 1, others, side.size(), now_);
+      }
     }
   }
 
@@ -112,6 +126,7 @@
   std::vector<SharedRateLimiter> hosts_;
   std::vector<std::uint64_t> process_;
   std::set<std::size_t> group_;
+  std::array<UsageLedger, 2> ledgers_;
   std::vector<std::pair<MonotonicTime, double>> admitted_;
   MonotonicTime now_{std::chrono::hours(1)};
 };
--- a/tests/auto/gateway/gateway_host.cc
+++ b/tests/auto/gateway/gateway_host.cc
@@ -97,6 +97,7 @@
     return boost::outcome_v2::success();
   }
   void OnHostSilent(const std::string& /*host*/) override {}
+  void OnHostUnlisted(const std::string& /*host*/) override {}
 
   void Publish(const FleetSnapshot& snapshot) { listener_(snapshot); }
 
--- a/tests/auto/platform_adapter/tst_directory_relay.cc
+++ b/tests/auto/platform_adapter/tst_directory_relay.cc
@@ -127,7 +127,8 @@
  public:
   Directory(const std::string& store_address,
             int number,
-            std::string relay_address = FreeAddress(SOCK_STREAM))
+            std::string relay_address = FreeAddress(SOCK_STREAM),
+            milliseconds hosts_interval = milliseconds(300))
       : store_(store_address),
         worker_(
             {.host = {.name = "h" + std::to_string(number),
@@ -139,7 +140,7 @@
              .relay_wait = milliseconds(200),
              .normal_age = milliseconds(700),
              .upstreams_watch_wait = milliseconds(500),
-             .hosts_interval = milliseconds(300)},
+             .hosts_interval = hosts_interval},
             store_,
             log_,
             metrics_,
@@ -161,6 +162,7 @@
            std::string::npos;
   }
   RefusableStore& store() { return store_; }
+  DirectoryWorker& worker() { return worker_; }
 
  private:
   void SetSnapshot(const FleetSnapshot& snapshot) {
@@ -399,6 +401,36 @@
   }
 }
 
+// Guards against a host that was added and is unknown to the others for as long
+// as they do not read the list of hosts, and against a stranger's messages that
+// cause calls without bound.
+TEST_CASE("a host that is heard of before it is listed has the list read") {
+  FakeObjectStore fake;
+  fake.Put("config", "main", Manifest(1));
+  Directory directory(fake.address(), 0, FreeAddress(SOCK_STREAM),
+                      std::chrono::seconds(25));
+  REQUIRE(directory.WaitFor([](const FleetSnapshot& snapshot) {
+    return HasVersion(snapshot, 1) && snapshot.hosts->size() == 1;
+  }));
+  // The lists of the start, which are read more often, are over.
+  std::this_thread::sleep_for(seconds(5));
+  fake.Put("flamingogauge-hosts", "h9",
+           R"({"reportAddress":"10.0.0.9:1","dataCentre":"z1"})");
+  std::this_thread::sleep_for(milliseconds(500));
+  CHECK(directory.snapshot().hosts->size() == 1);
+  directory.worker().OnHostUnlisted("h9");
+  CHECK(directory.WaitFor([](const FleetSnapshot& snapshot) {
+    return snapshot.hosts->size() == 2;
+  }));
+  const std::uint64_t before = fake.call_count();
+  for (int n = 0; n < 100; ++n) {
+    directory.worker().OnHostUnlisted("stranger");
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  // One second holds two or three lists and the usual watches.
+  CHECK(fake.call_count() - before <= 12);
+}
+
 // Guards against API keys that leak to whoever connects: only listed hosts may
 // ask.
 TEST_CASE("a process that is not listed gets no document") {
