configuration: compare documents instead of their texts in the tests

Change: documents are comparable, and the fixture compares them with the one that the first host put in force. This is stricter: the index of keys counts too.

--- a/src/libs/document/document.h
+++ b/src/libs/document/document.h
@@ -20,6 +20,8 @@
   std::chrono::milliseconds first_token_target{1000};
   // Time limit from the acceptance of a request to the end of the answer.
   std::chrono::milliseconds deadline{60000};
+
+  bool operator==(const TierSpec&) const = default;
 };
 
 // Limits of a workspace, summed over all hosts; 0 means no limit.
@@ -27,6 +29,8 @@
   double requests_per_second = 0;
   double tokens_per_second = 0;
   std::uint32_t concurrency = 0;
+
+  bool operator==(const WorkspaceLimits&) const = default;
 };
 
 struct WorkspaceSpec {
@@ -39,12 +43,16 @@
   // Share within a tier, relative to the other workspaces.
   double weight = 1.0;
   WorkspaceLimits limits;
+
+  bool operator==(const WorkspaceSpec&) const = default;
 };
 
 struct ModelSpec {
   ModelId id;
   std::uint32_t max_context_tokens = 8192;
   std::uint32_t default_max_output_tokens = 1024;
+
+  bool operator==(const ModelSpec&) const = default;
 };
 
 enum class UpstreamKind { kEngine, kService };
@@ -68,6 +76,8 @@
   bool checks_fencing = false;
   // True if it must not receive new requests.
   bool leaving = false;
+
+  bool operator==(const UpstreamSpec&) const = default;
 };
 
 struct ServiceSpec {
@@ -75,6 +85,8 @@
   // Methods whose calls may be retried; all others need an idempotency key.
   std::vector<std::string> idempotent_methods{"GET"};
   std::chrono::milliseconds time_limit{10000};
+
+  bool operator==(const ServiceSpec&) const = default;
 };
 
 struct DataCentreSpec {
@@ -83,6 +95,8 @@
   // Number of entry hosts over which limits are divided.
   std::uint32_t host_slots = 3;
   std::chrono::microseconds latency_within_region{1000};
+
+  bool operator==(const DataCentreSpec&) const = default;
 };
 
 struct LinkSpec {
@@ -91,12 +105,16 @@
   // Bandwidth of the link that the system may use.
   std::uint64_t budget_bytes_per_second = 0;
   std::chrono::microseconds latency{20000};
+
+  bool operator==(const LinkSpec&) const = default;
 };
 
 struct RetirementSpec {
   UpstreamId upstream;
   // Seconds since 1970-01-01 UTC.
   std::chrono::seconds retires_at{0};
+
+  bool operator==(const RetirementSpec&) const = default;
 };
 
 // Weights and limits that differ between deployments.
@@ -106,6 +124,8 @@
   // Maximum number of retries as a fraction of the requests.
   double retry_budget = 0.1;
   std::chrono::seconds quarantine{3600};
+
+  bool operator==(const PolicySpec&) const = default;
 };
 
 // Limits of the whole deployment, summed over all hosts.
@@ -115,6 +135,8 @@
   double claims_per_second = 100;
   // How long the claim record of a non-idempotent request is kept.
   std::chrono::milliseconds claim_retention{86'400'000};
+
+  bool operator==(const LimitsSpec&) const = default;
 };
 
 // An accepted revision of the operators' document; immutable after publication.
@@ -133,6 +155,8 @@
   LimitsSpec limits;
   // Maps the SHA-256 hash of a bearer key to the index of its workspace.
   std::unordered_map<std::string, std::size_t> workspace_by_key_hash;
+
+  bool operator==(const Document&) const = default;
 };
 
 }  // namespace flamingogauge
--- a/tests/auto/configuration/cluster_fixture.cc
+++ b/tests/auto/configuration/cluster_fixture.cc
@@ -196,9 +196,8 @@
                                std::to_string(document->revision));
         }
         before = document->revision;
-        const std::string text = JoinSections(WriteSections(*document));
-        const auto known = text_of_revision_.emplace(document->revision, text);
-        if (known.first->second != text) {
+        const auto known = documents_.emplace(document->revision, document);
+        if (*known.first->second != *document) {
           violations.push_back(host + ": revision " +
                                std::to_string(document->revision) +
                                " differs from another host's");
--- a/tests/auto/configuration/cluster_fixture.h
+++ b/tests/auto/configuration/cluster_fixture.h
@@ -62,7 +62,8 @@
   std::uint64_t next_seed_;
   ConfigurationSettings settings_;
   std::map<HostId, std::unique_ptr<Host>> hosts_;
-  std::map<std::uint64_t, std::string> text_of_revision_;
+  // The document that the first host put in force, by revision.
+  std::map<std::uint64_t, std::shared_ptr<const Document>> documents_;
   std::uint64_t peer_calls_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
