gateway: log how the response of an upstream was lost

Change: request.response_lost names the failure, the request's fingerprint, the parts of its prompt and how long it had been sent and written.

--- a/src/libs/model/fingerprint.cc
+++ b/src/libs/model/fingerprint.cc
@@ -2,6 +2,9 @@
 
 #include <xxhash.h>
 
+#include <array>
+#include <charconv>
+
 #include "libs/model/ids.h"
 
 namespace flamingogauge {
@@ -29,4 +32,11 @@
       Incarnation{.high = fingerprint.high, .low = fingerprint.low});
 }
 
+std::string FormatHash(std::uint64_t hash) {
+  std::array<char, 16> buf{};
+  const std::to_chars_result written =
+      std::to_chars(buf.data(), buf.data() + buf.size(), hash, 16);
+  return {buf.data(), written.ptr};
+}
+
 }  // namespace flamingogauge
--- a/src/libs/model/fingerprint.h
+++ b/src/libs/model/fingerprint.h
@@ -28,6 +28,9 @@
 // Formats as 32 hexadecimal digits.
 std::string ToString(const Fingerprint& fingerprint);
 
+// Formats a 64-bit hash in hexadecimal, without leading zeros.
+std::string FormatHash(std::uint64_t hash);
+
 }  // namespace flamingogauge
 
 template <>
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -5,6 +5,7 @@
 
 #include "libs/kernel/boot_clock.h"
 #include "libs/kernel/check.h"
+#include "libs/model/fingerprint.h"
 #include "plugins/gateway/fleet_events.h"
 #include "plugins/gateway/local_response.h"
 
@@ -233,6 +234,7 @@
     Enqueue();
     return;
   }
+  LogLostResponse(failure, reason);
   if (failure == UpstreamFailure::kNoResponse) {
     context_.crashes.Add({.request = accepted_.fingerprint,
                           .upstream = PeerUpstreamKey(upstream_.id)},
@@ -244,6 +246,27 @@
   FailAfterSend(kBadGateway, reason);
 }
 
+void Exchange::LogLostResponse(UpstreamFailure failure,
+                               const std::string& reason) const {
+  std::string parts;
+  for (const PromptPart& it : accepted_.prompt_parts) {
+    parts += (parts.empty() ? "" : ",") + FormatHash(it.id);
+  }
+  const MonotonicTime now = BootTimeNow();
+  EventLine line("request.response_lost");
+  line.Text("request", accepted_.request_id)
+      .Text("upstream", upstream_.id)
+      .Text("failure", ToString(failure))
+      .Text("fingerprint", FormatHash(accepted_.fingerprint))
+      .Text("prompt_parts", parts)
+      .Milliseconds("sent_ms", now - sent_at_)
+      .Text("reason", reason);
+  if (first_body_at_ != MonotonicTime()) {
+    line.Milliseconds("writing_ms", now - first_body_at_);
+  }
+  context_.log.Write(std::move(line));
+}
+
 bool Exchange::ResendIfAllowed(bool maybe_executed, const std::string& reason) {
   const Route& route = *accepted_.route;
   may_have_executed_ = may_have_executed_ || maybe_executed;
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -94,6 +94,9 @@
   void OnDeadline();
   void OnCallerDisconnected();
   void EndDispatch(DispatchResult result);
+  // Records from which a crash of the upstream can be traced to the request.
+  void LogLostResponse(UpstreamFailure failure,
+                       const std::string& reason) const;
   bool ResendIfAllowed(bool maybe_executed, const std::string& reason);
   void FailAfterSend(int status, const std::string& reason);
   void OnNotExecuted();
--- a/src/plugins/gateway/upstream_connection.cc
+++ b/src/plugins/gateway/upstream_connection.cc
@@ -46,6 +46,20 @@
 
 }  // namespace
 
+std::string_view ToString(UpstreamFailure failure) {
+  switch (failure) {
+    case UpstreamFailure::kNotConnected:
+      return "not connected";
+    case UpstreamFailure::kNoResponse:
+      return "no response";
+    case UpstreamFailure::kInvalidResponse:
+      return "invalid response";
+    case UpstreamFailure::kTruncatedResponse:
+      return "truncated response";
+  }
+  return "unknown";
+}
+
 UpstreamConnection::UpstreamConnection(
     boost::asio::io_context& context,
     UpstreamConnectionOptions options,
--- a/src/plugins/gateway/upstream_connection.h
+++ b/src/plugins/gateway/upstream_connection.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "libs/http_framing/http_response_reader.h"
 #include "libs/kernel/time.h"
@@ -26,6 +27,8 @@
   kTruncatedResponse,
 };
 
+std::string_view ToString(UpstreamFailure failure);
+
 // Receives the response to one call. No function is called after OnComplete or
 // OnCallFailed, or after the call was cancelled.
 class UpstreamResponseObserver {
