gateway: count upstreams that end after the head of their response

Cause: a crash was recorded only if the connection ended before the head of the response. These upstreams end 50 to 100 ms after the head. Change: a connection that ends after the head, before the response is complete, is recorded as well. Bytes that are no response have a failure of their own, and are not counted as a crash. Test: 'a request under which three upstreams ended is not sent again' failed before in its three rows with a head, with 4 sends where 3 are allowed.

--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -235,7 +235,8 @@
     return;
   }
   LogLostResponse(failure, reason);
-  if (failure == UpstreamFailure::kNoResponse) {
+  if (failure == UpstreamFailure::kNoResponse ||
+      failure == UpstreamFailure::kTruncatedResponse) {
     context_.crashes.Add({.request = accepted_.fingerprint,
                           .upstream = PeerUpstreamKey(upstream_.id)},
                          BootTimeNow());
--- a/src/plugins/gateway/upstream_connection.cc
+++ b/src/plugins/gateway/upstream_connection.cc
@@ -178,9 +178,7 @@
     const std::size_t used = reader_->Feed(input_, body);
     input_.erase(0, used);
     if (reader_->failed()) {
-      FailCall(head_handled_ ? UpstreamFailure::kTruncatedResponse
-                             : UpstreamFailure::kInvalidResponse,
-               "bytes that are no answer");
+      FailCall(UpstreamFailure::kInvalidResponse, "bytes that are no answer");
       return;
     }
     if (reader_->header_complete() && !head_handled_ && !skipping_response_) {
--- a/src/plugins/gateway/upstream_connection.h
+++ b/src/plugins/gateway/upstream_connection.h
@@ -23,7 +23,7 @@
   kNoResponse,
   // The received bytes are not a valid response to this request.
   kInvalidResponse,
-  // The connection ended, or the response became invalid, after its head.
+  // The connection ended after the head, before the response was complete.
   kTruncatedResponse,
 };
 
--- a/tests/auto/gateway/tst_answers.cc
+++ b/tests/auto/gateway/tst_answers.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,25 @@
   };
 }
 
+// Responds to the first request with `bytes` and ends like a crashed process:
+// the connection is closed and new ones are refused.
+ScriptedServer::Script EndAfter(const std::string& bytes) {
+  return [bytes](ScriptedConnection& connection) {
+    connection.ReadRequest();
+    ScriptedConnection::StopServer();
+    connection.Write(bytes);
+  };
+}
+
+std::size_t CountRequests(
+    const std::vector<std::unique_ptr<ScriptedServer>>& servers) {
+  std::size_t count = 0;
+  for (const auto& it : servers) {
+    count += it->Requests().size();
+  }
+  return count;
+}
+
 // Guards against relaying a response that is not the upstream's, reporting an
 // executed request as not executed, and executing a request twice.
 TEST_CASE("a response is relayed, replaced or retried on another upstream") {
@@ -159,6 +179,43 @@
   CHECK_FALSE(answer.complete);
 }
 
+// Guards against a request that crashes every upstream it runs on, wherever in
+// their responses they end.
+TEST_CASE("a request under which three upstreams ended is not sent again") {
+  struct Row {
+    std::string name;
+    std::string path;
+    // What each upstream sends before it ends.
+    std::string response;
+  };
+  for (const Row& row : {
+           Row{"before the head", "/once/", ""},
+           Row{"within the head", "/once/", "HTTP/1.1 200 OK\r\nReq-"},
+           Row{"after the head", "/stream/", kStreamHead},
+           Row{"within the first event", "/resume/",
+               kStreamHead + Chunk("id: 1\nda")},
+           Row{"within the body", "/once/",
+               "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nSeal: s\r\n"
+               "Content-Length: 9\r\n\r\npart"},
+       }) {
+    CAPTURE(row.name);
+    std::vector<std::unique_ptr<ScriptedServer>> upstreams;
+    std::vector<std::string> addresses;
+    for (int n = 0; n < 4; ++n) {
+      upstreams.push_back(std::make_unique<ScriptedServer>(
+          std::vector<ScriptedServer::Script>{EndAfter(row.response)}));
+      addresses.push_back(upstreams.back()->address());
+    }
+    GatewayHost host(addresses);
+    for (int n = 0; n < 4; ++n) {
+      host.SendRequest("POST", row.path, "body");
+    }
+    CHECK(CountRequests(upstreams) == 3);
+    CHECK(host.SendRequest("POST", row.path, "body").status == 503);
+    CHECK(CountRequests(upstreams) == 3);
+  }
+}
+
 // Guards against extra bytes after a response being relayed to the next caller.
 TEST_CASE("an upstream connection with extra bytes is not reused") {
   const std::string extra = UpstreamAnswer("ok") + UpstreamAnswer("extra");
--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -60,6 +60,10 @@
   setsockopt(fd_, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
 }
 
+void ScriptedConnection::StopServer() {
+  current_server->StopListening();
+}
+
 ScriptedServer::ScriptedServer(std::vector<Script> scripts)
     : scripts_(std::move(scripts)),
       listen_fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
@@ -90,6 +94,7 @@
 }
 
 void ScriptedServer::StopListening() {
+  std::lock_guard<std::mutex> lock(stop_mutex_);
   if (accept_thread_.joinable()) {
     shutdown(listen_fd_, SHUT_RDWR);
     accept_thread_.join();
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -25,6 +25,8 @@
   void HoldOpen() const;
   // Makes the close after the script send a TCP reset.
   void ResetOnClose() const;
+  // Makes the server refuse new connections, as one whose process has ended.
+  static void StopServer();
 
  private:
   int fd_;
@@ -62,6 +64,7 @@
   std::vector<int> open_fds_;
   std::vector<std::thread> threads_;
   std::thread accept_thread_;
+  std::mutex stop_mutex_;
 };
 
 }  // namespace flamingogauge
