dispatching: report quarantined requests for as long as they are refused

Cause: CrashHistory reported a record for 5 s after it was learned, and nothing after that. A host or a coordinator that started later, or came back from a cut, knew nothing. Found while reading, of the same class: records identified by the upstream's id counted an upstream that returned and crashed again only once; at 2,000 records new ones were dropped; of many records those with the smallest keys were reported, not the newest. Change: CrashQuarantine replaces CrashHistory. Crashes are told apart by upstream and time, so that reports of several hosts about one crash count once and a second crash of the same upstream counts. A request lost in three crashes is quarantined; the quarantine is part of each message between hosts until it ends, after 60 s, and is renewed by the first crash after that for twice as long. The earlier of two decisions counts, so that passing one on does not extend it. Messages hold at most 64 crashes, newest first, and 32 quarantines. Requests that were lost beside a quarantined one are not blamed for it. quarantine.began and quarantine.ended name the key; gauges count suspects and quarantined keys, a counter the refusals. Tests: tst_crash_quarantine.cc, in virtual time. The former test required that nothing is reported 6 s after the third crash, which is the fault itself; it is replaced by stricter ones.

--- a/src/libs/coordination/coordination_messages.h
+++ b/src/libs/coordination/coordination_messages.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "libs/dispatching/crash_history.h"
+#include "libs/dispatching/crash_evidence.h"
 #include "libs/dispatching/shared_rate_limiter.h"
 #include "libs/dispatching/upstream_view.h"
 #include "libs/dispatching/waiting_request.h"
@@ -74,7 +74,7 @@
   // The latest results; a message may be lost, so that each is sent repeatedly.
   std::vector<UpstreamResult> results;
   UsageByWorkspace usage;
-  std::vector<CrashRecord> crashes;
+  CrashEvidence evidence;
 };
 
 // The permission to send a request to an upstream.
@@ -121,7 +121,7 @@
   // not counted.
   int reachable_hosts = 0;
   std::vector<std::string> draining_hosts;
-  std::vector<CrashRecord> crashes;
+  CrashEvidence evidence;
 };
 
 }  // namespace flamingogauge
--- a/src/libs/protocol/coordination.capnp
+++ b/src/libs/protocol/coordination.capnp
@@ -32,6 +32,25 @@
   # Hash of caller, target and body.
   request @0 :UInt64;
   upstream @1 :UInt64;
+  ageMs @2 :UInt32;
+  promptParts @3 :List(UInt64);
+}
+
+struct SuspectKey {
+  # A value of the enumeration SuspectKey::Kind.
+  kind @0 :UInt8;
+  id @1 :UInt64;
+}
+
+struct SoundKey {
+  key @0 :SuspectKey;
+  ageMs @1 :UInt32;
+}
+
+struct QuarantinedKey {
+  key @0 :SuspectKey;
+  ageMs @1 :UInt32;
+  strikes @2 :UInt8;
 }
 
 struct PromptPart {
@@ -77,6 +96,8 @@
   results @11 :List(UpstreamResult);
   usage @12 :List(WorkspaceUsage);
   crashes @13 :List(CrashRecord);
+  sound @14 :List(SoundKey);
+  quarantined @15 :List(QuarantinedKey);
 }
 
 struct PlacementGrant {
@@ -111,4 +132,6 @@
   reachableHosts @7 :UInt32;
   drainingHosts @8 :List(Text);
   crashes @9 :List(CrashRecord);
+  sound @10 :List(SoundKey);
+  quarantined @11 :List(QuarantinedKey);
 }
--- a/src/plugins/gateway/coordination_codec.cc
+++ b/src/plugins/gateway/coordination_codec.cc
@@ -62,25 +62,6 @@
   return usage;
 }
 
-template <typename Builder>
-void WriteCrashes(const std::vector<CrashRecord>& crashes, Builder to) {
-  unsigned n = 0;
-  for (const CrashRecord& it : crashes) {
-    to[n].setRequest(it.request);
-    to[n++].setUpstream(it.upstream);
-  }
-}
-
-template <typename List>
-std::vector<CrashRecord> ReadCrashes(const List& from) {
-  std::vector<CrashRecord> crashes;
-  for (const auto& it : from) {
-    crashes.push_back(
-        {.request = it.getRequest(), .upstream = it.getUpstream()});
-  }
-  return crashes;
-}
-
 template <typename Builder>
 void WriteNumbers(const std::vector<std::uint64_t>& numbers, Builder to) {
   unsigned n = 0;
@@ -103,6 +84,77 @@
   return static_cast<unsigned>(container.size());
 }
 
+std::uint32_t ToAgeMs(milliseconds age) {
+  return static_cast<std::uint32_t>(ToMs(std::max(age, milliseconds::zero())));
+}
+
+void WriteKey(const SuspectKey& key, wire::SuspectKey::Builder to) {
+  to.setKind(static_cast<std::uint8_t>(key.kind));
+  to.setId(key.id);
+}
+
+// A kind that this build does not know is read as a request that nobody sends.
+SuspectKey ReadKey(wire::SuspectKey::Reader from) {
+  constexpr auto kPromptPart =
+      static_cast<std::uint8_t>(SuspectKey::Kind::kPromptPart);
+  if (from.getKind() > kPromptPart) {
+    return {};
+  }
+  return {.kind = static_cast<SuspectKey::Kind>(from.getKind()),
+          .id = from.getId()};
+}
+
+// `to` builds a message that has the lists of CrashEvidence.
+template <typename Builder>
+void WriteEvidence(const CrashEvidence& evidence, Builder to) {
+  unsigned n = 0;
+  auto crashes = to.initCrashes(SizeOf(evidence.crashes));
+  for (const CrashRecord& it : evidence.crashes) {
+    crashes[n].setUpstream(it.upstream);
+    crashes[n].setRequest(it.keys.request);
+    WriteNumbers(it.keys.prompt_parts,
+                 crashes[n].initPromptParts(SizeOf(it.keys.prompt_parts)));
+    crashes[n++].setAgeMs(ToAgeMs(it.age));
+  }
+  n = 0;
+  auto sound = to.initSound(SizeOf(evidence.sound));
+  for (const SoundKey& it : evidence.sound) {
+    WriteKey(it.key, sound[n].initKey());
+    sound[n++].setAgeMs(ToAgeMs(it.age));
+  }
+  n = 0;
+  auto quarantined = to.initQuarantined(SizeOf(evidence.quarantined));
+  for (const QuarantinedKey& it : evidence.quarantined) {
+    WriteKey(it.key, quarantined[n].initKey());
+    quarantined[n].setAgeMs(ToAgeMs(it.age));
+    quarantined[n++].setStrikes(
+        static_cast<std::uint8_t>(std::clamp(it.strikes, 1, 255)));
+  }
+}
+
+template <typename Reader>
+CrashEvidence ReadEvidence(const Reader& from) {
+  CrashEvidence evidence;
+  for (const auto& it : from.getCrashes()) {
+    evidence.crashes.push_back(
+        {.upstream = it.getUpstream(),
+         .keys = {.request = it.getRequest(),
+                  .prompt_parts = ReadNumbers(it.getPromptParts())},
+         .age = milliseconds(it.getAgeMs())});
+  }
+  for (const auto& it : from.getSound()) {
+    evidence.sound.push_back(
+        {.key = ReadKey(it.getKey()), .age = milliseconds(it.getAgeMs())});
+  }
+  for (const auto& it : from.getQuarantined()) {
+    evidence.quarantined.push_back(
+        {.key = ReadKey(it.getKey()),
+         .age = milliseconds(it.getAgeMs()),
+         .strikes = std::max<int>(1, it.getStrikes())});
+  }
+  return evidence;
+}
+
 void WriteRequest(const PlacementRequest& request,
                   wire::PlacementRequest::Builder to) {
   to.setTicket(request.ticket);
@@ -179,7 +231,7 @@
         static_cast<float>(it.event_interval.count()));
   }
   WriteUsage(message.usage, to.initUsage(SizeOf(message.usage)));
-  WriteCrashes(message.crashes, to.initCrashes(SizeOf(message.crashes)));
+  WriteEvidence(message.evidence, to);
 }
 
 HostMessage Read(wire::HostMessage::Reader from) {
@@ -194,7 +246,7 @@
                       .last_grant = from.getLastGrant(),
                       .waiting = ReadNumbers(from.getWaiting()),
                       .usage = ReadUsage(from.getUsage()),
-                      .crashes = ReadCrashes(from.getCrashes())};
+                      .evidence = ReadEvidence(from)};
   for (const auto& it : from.getRequests()) {
     message.requests.push_back(ReadRequest(it));
   }
@@ -264,7 +316,7 @@
   for (const std::string& it : summary.draining_hosts) {
     draining.set(n++, it);
   }
-  WriteCrashes(summary.crashes, to.initCrashes(SizeOf(summary.crashes)));
+  WriteEvidence(summary.evidence, to);
 }
 
 FleetSummary Read(wire::FleetSummary::Reader from) {
@@ -277,7 +329,7 @@
       .running = ReadLoad(from.getRunning()),
       .usage = ReadUsage(from.getUsage()),
       .reachable_hosts = static_cast<int>(from.getReachableHosts()),
-      .crashes = ReadCrashes(from.getCrashes())};
+      .evidence = ReadEvidence(from)};
   for (const auto& it : from.getDrainingHosts()) {
     summary.draining_hosts.emplace_back(it.cStr());
   }
--- a/src/plugins/gateway/coordination_node.cc
+++ b/src/plugins/gateway/coordination_node.cc
@@ -240,9 +240,7 @@
   if (silent_hosts_.erase(message.host) > 0) {
     log_.Write(EventLine("host.regained").Text("host", message.host));
   }
-  if (!message.crashes.empty()) {
-    handlers_.on_crashes(message.crashes);
-  }
+  handlers_.on_crash_evidence(message.evidence);
   ScheduleRun();
   ScheduleSummaries();
   ScheduleReports();
@@ -313,10 +311,10 @@
   ++summary_rounds_;
   const bool to_all = placer_.Coordinator(now) == host_ ||
                       summary_rounds_ % kStandbySummaryRounds == 0;
-  const std::vector<CrashRecord> crashes = handlers_.recent_crashes();
+  const CrashEvidence evidence = handlers_.crash_evidence();
   const bool draining = handlers_.is_draining();
   for (auto& it : coordinator_.SummariesForHosts(to_all, now)) {
-    it.message.crashes = crashes;
+    it.message.evidence = evidence;
     it.message.draining = draining;
     if (it.address == address_) {
       ApplySummary(it.message);
@@ -329,9 +327,7 @@
 void CoordinationNode::ApplySummary(const FleetSummary& summary) {
   const MonotonicTime now = BootTimeNow();
   placer_.OnSummary(summary, now);
-  if (!summary.crashes.empty()) {
-    handlers_.on_crashes(summary.crashes);
-  }
+  handlers_.on_crash_evidence(summary.evidence);
   if (summary.coordinator == placer_.Coordinator(now)) {
     draining_hosts_ = {summary.draining_hosts.begin(),
                        summary.draining_hosts.end()};
@@ -363,7 +359,7 @@
   DataCentreReport report{.summary =
                               coordinator_.DataCentreReport(BootTimeNow())};
   report.summary.draining = handlers_.is_draining();
-  report.summary.crashes = handlers_.recent_crashes();
+  report.summary.evidence = handlers_.crash_evidence();
   for (const auto& [data_centre, coordinators] : remote_coordinators_) {
     for (std::size_t n = 0; n < coordinators.size(); ++n) {
       if (n == 0 || report_rounds_ % kStandbyReportRounds == 0) {
@@ -432,9 +428,7 @@
     return;
   }
   coordinator_.OnDataCentreReport(report.summary, BootTimeNow());
-  if (!report.summary.crashes.empty()) {
-    handlers_.on_crashes(report.summary.crashes);
-  }
+  handlers_.on_crash_evidence(report.summary.evidence);
   if (coordinator_.waiting_count() > 0) {
     ScheduleRun();
   }
--- a/src/plugins/gateway/coordination_node.h
+++ b/src/plugins/gateway/coordination_node.h
@@ -27,14 +27,14 @@
 
 // Callbacks that a CoordinationNode needs from its owner.
 struct CoordinationHandlers {
-  // Adds this host's consumption, crash records and the like to its state.
+  // Adds this host's consumption, crash evidence and the like to its state.
   std::function<void(HostMessage&)> complete_state;
   // Called after the placer received replies of a coordinator.
   std::function<void()> on_placed;
   // Called for a newer summary of the coordinator in use.
   std::function<void(const FleetSummary&)> on_summary;
-  std::function<void(const std::vector<CrashRecord>&)> on_crashes;
-  std::function<std::vector<CrashRecord>()> recent_crashes;
+  std::function<void(const CrashEvidence&)> on_crash_evidence;
+  std::function<CrashEvidence()> crash_evidence;
   std::function<bool()> is_draining;
   // Called for a listed host of this data centre that has been silent for so
   // long that it is considered permanently gone.
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -237,9 +237,9 @@
   LogLostResponse(failure, reason);
   if (failure == UpstreamFailure::kNoResponse ||
       failure == UpstreamFailure::kTruncatedResponse) {
-    context_.crashes.Add({.request = accepted_.fingerprint,
-                          .upstream = PeerUpstreamKey(upstream_.id)},
-                         BootTimeNow());
+    context_.crashes.OnCrash(PeerUpstreamKey(upstream_.id), accepted_.keys,
+                             BootTimeNow());
+    context_.on_crash();
   }
   if (ResendIfAllowed(true, reason)) {
     return;
@@ -258,7 +258,7 @@
   line.Text("request", accepted_.request_id)
       .Text("upstream", upstream_.id)
       .Text("failure", ToString(failure))
-      .Text("fingerprint", FormatHash(accepted_.fingerprint))
+      .Text("fingerprint", FormatHash(accepted_.keys.request))
       .Text("prompt_parts", parts)
       .Milliseconds("sent_ms", now - sent_at_)
       .Text("reason", reason);
@@ -279,7 +279,7 @@
     return false;
   }
   if (sends_ >= route.max_dispatches || now >= accepted_.deadline ||
-      context_.crashes.IsRefused(accepted_.fingerprint, now) ||
+      context_.crashes.FindQuarantined(accepted_.keys, now) ||
       !context_.resends.TryResend(accepted_.service, now)) {
     return false;
   }
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -48,7 +48,7 @@
   // The units charged to the workspace's limit.
   double spent = 0;
   // Equal for repeated sends of the same request by its caller.
-  std::uint64_t fingerprint = 0;
+  RequestKeys keys;
 };
 
 // Handles one request from acceptance to completion: queues it for placement,
--- a/src/plugins/gateway/gateway_plugin.cc
+++ b/src/plugins/gateway/gateway_plugin.cc
@@ -75,11 +75,11 @@
                 relay->OnSummary(summary);
                 relay->SetHostCount(coordination->HostCount());
               },
-          .on_crashes =
-              [this](const std::vector<CrashRecord>& crashes) {
-                relay->OnCrashes(crashes);
+          .on_crash_evidence =
+              [this](const CrashEvidence& evidence) {
+                relay->OnCrashEvidence(evidence);
               },
-          .recent_crashes = [this] { return relay->RecentCrashes(); },
+          .crash_evidence = [this] { return relay->ReportCrashEvidence(); },
           .is_draining = [this] { return relay->is_draining(); },
           .on_host_gone =
               [this](const std::string& host) { source->OnHostSilent(host); },
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -54,19 +54,20 @@
              EventLog& log,
              MetricsRegistry& metrics,
              std::function<void()> on_placer_changed)
-    : context_{.io = io,
-               .settings = settings,
-               .log = log,
-               .metrics = metrics,
-               .fleet = {},
-               .placer = Placer(PlacementOptions(settings)),
-               .rate_limiter = SharedRateLimiter(BootTimeNow()),
-               .resends = ResendBudget(ResendOptions(settings)),
-               .crashes = {},
-               .connections =
-                   UpstreamConnections(io, settings.headers.request_id),
-               .schedule_placement = [this] { SchedulePlacement(); },
-               .on_placer_changed = std::move(on_placer_changed)},
+    : context_{
+          .io = io,
+          .settings = settings,
+          .log = log,
+          .metrics = metrics,
+          .fleet = {},
+          .placer = Placer(PlacementOptions(settings)),
+          .rate_limiter = SharedRateLimiter(BootTimeNow()),
+          .resends = ResendBudget(ResendOptions(settings)),
+          .crashes = {},
+          .connections = UpstreamConnections(io, settings.headers.request_id),
+          .schedule_placement = [this] { SchedulePlacement(); },
+          .on_placer_changed = std::move(on_placer_changed),
+          .on_crash = [this] { OnQuarantineChanged(); }},
       placement_timer_(io),
       process_(
           static_cast<std::uint64_t>(BootTimeNow().time_since_epoch().count())),
@@ -108,6 +109,13 @@
     }
     return places;
   });
+  metrics.SetGauge("flamingogauge_crash_suspects", [this] {
+    return static_cast<double>(context_.crashes.suspect_count());
+  });
+  metrics.SetGauge("flamingogauge_quarantined_keys", [this] {
+    return static_cast<double>(
+        context_.crashes.quarantined_count(BootTimeNow()));
+  });
   metrics.SetGauge("flamingogauge_upstream_connections_opened", [this] {
     return static_cast<double>(context_.connections.opened());
   });
@@ -171,15 +179,24 @@
       BootTimeNow());
 }
 
-void Relay::OnCrashes(const std::vector<CrashRecord>& crashes) {
-  const MonotonicTime now = BootTimeNow();
-  for (const CrashRecord& it : crashes) {
-    context_.crashes.Add(it, now);
-  }
+void Relay::OnCrashEvidence(const CrashEvidence& evidence) {
+  context_.crashes.Merge(evidence, BootTimeNow());
+  OnQuarantineChanged();
 }
 
-std::vector<CrashRecord> Relay::RecentCrashes() {
-  return context_.crashes.Recent(BootTimeNow());
+CrashEvidence Relay::ReportCrashEvidence() {
+  return context_.crashes.Report(BootTimeNow());
+}
+
+void Relay::OnQuarantineChanged() {
+  for (const CrashQuarantine::Change& it : context_.crashes.TakeChanges()) {
+    context_.log.Write(
+        EventLine(it.began ? "quarantine.began" : "quarantine.ended")
+            .Text("key", ToString(it.entry.key))
+            .Milliseconds("age_ms", it.entry.age)
+            .Number("strikes", it.entry.strikes)
+            .Number("crashes", it.crashes));
+  }
 }
 
 void Relay::SetHostCount(std::size_t hosts) {
@@ -191,7 +208,7 @@
   const MonotonicTime now = BootTimeNow();
   message.draining = context_.draining;
   message.usage = context_.rate_limiter.OwnUsage(now);
-  message.crashes = context_.crashes.Recent(now);
+  message.evidence = context_.crashes.Report(now);
 }
 
 void Relay::Tick() {
@@ -317,15 +334,16 @@
   accepted.due_at = accepted.arrived_at + accepted.route->target_latency -
                     prior_wait_estimator_.EstimatePriorWait(
                         accepted.route->name, caller_timeout, timeout);
-  accepted.fingerprint =
+  accepted.keys.request =
       ComputeFingerprint(
           request.target + "\n" +
               (accepted.workspace != nullptr ? accepted.workspace->name : ""),
           request.body)
           .low;
-  if (context_.crashes.IsRefused(accepted.fingerprint, accepted.arrived_at)) {
-    return Denial{kServiceUnavailable,
-                  "the request has broken several upstreams", std::nullopt};
+  if (const auto key = context_.crashes.FindQuarantined(accepted.keys,
+                                                        accepted.arrived_at)) {
+    context_.metrics.Add("flamingogauge_quarantine_refusals_total", "");
+    return Denial{kServiceUnavailable, QuarantineReason(*key), std::nullopt};
   }
   return CheckLimit(accepted);
 }
--- a/src/plugins/gateway/relay.h
+++ b/src/plugins/gateway/relay.h
@@ -33,11 +33,12 @@
   void OnFleet(const FleetSnapshot& snapshot);
   // Applies what the coordinator reports of the other hosts.
   void OnSummary(const FleetSummary& summary);
-  void OnCrashes(const std::vector<CrashRecord>& crashes);
-  std::vector<CrashRecord> RecentCrashes();
+  // Applies what another host reports of crashed upstreams.
+  void OnCrashEvidence(const CrashEvidence& evidence);
+  CrashEvidence ReportCrashEvidence();
   // Sets the number of hosts that share the limits, including this one.
   void SetHostCount(std::size_t hosts);
-  // Adds consumption, crash records and the shutdown to this host's state.
+  // Adds consumption, crash evidence and the shutdown to this host's state.
   void CompleteState(HostMessage& message);
   // Schedules the placement of waiting requests after the current event.
   void SchedulePlacement();
@@ -93,6 +94,8 @@
             const Denial& denial);
   Duration RoutingAge(MonotonicTime now) const;
   void PlaceWaiting();
+  // Logs the keys that are or are no longer refused.
+  void OnQuarantineChanged();
 
   RelayContext context_;
   boost::asio::steady_timer placement_timer_;
--- a/src/plugins/gateway/relay_context.h
+++ b/src/plugins/gateway/relay_context.h
@@ -6,7 +6,7 @@
 #include <functional>
 
 #include "libs/coordination/placer.h"
-#include "libs/dispatching/crash_history.h"
+#include "libs/dispatching/crash_quarantine.h"
 #include "libs/dispatching/resend_budget.h"
 #include "libs/dispatching/shared_rate_limiter.h"
 #include "libs/kernel/event_log.h"
@@ -28,13 +28,15 @@
   Placer placer;
   SharedRateLimiter rate_limiter;
   ResendBudget resends;
-  CrashHistory crashes;
+  CrashQuarantine crashes;
   UpstreamConnections connections;
   bool draining = false;
   // Schedules the placement of waiting requests after the current event.
   std::function<void()> schedule_placement;
   // Schedules the messages that a change of the placer requires.
   std::function<void()> on_placer_changed;
+  // Called after the crash of an upstream was recorded.
+  std::function<void()> on_crash;
 };
 
 }  // namespace flamingogauge
--- a/tests/auto/dispatching/tst_budgets.cc
+++ b/tests/auto/dispatching/tst_budgets.cc
@@ -3,7 +3,6 @@
 #include <chrono>
 #include <string>
 
-#include "libs/dispatching/crash_history.h"
 #include "libs/dispatching/drain_policy.h"
 #include "libs/dispatching/resend_budget.h"
 
@@ -46,22 +45,6 @@
   CHECK(budget.TryResend("s", start + seconds(11)));
 }
 
-// Guards against a request that crashes upstreams one after another.
-TEST_CASE("a request is refused after three upstreams failed under it") {
-  CrashHistory crashes;
-  const MonotonicTime now{std::chrono::hours(1)};
-  crashes.Add({.request = 7, .upstream = 1}, now);
-  crashes.Add({.request = 7, .upstream = 1}, now);
-  crashes.Add({.request = 7, .upstream = 2}, now);
-  CHECK_FALSE(crashes.IsRefused(7, now));
-  crashes.Add({.request = 7, .upstream = 3}, now);
-  CHECK(crashes.IsRefused(7, now));
-  CHECK_FALSE(crashes.IsRefused(8, now));
-  CHECK(crashes.Recent(now).size() == 3);
-  CHECK(crashes.Recent(now + seconds(6)).empty());
-  CHECK_FALSE(crashes.IsRefused(7, now + seconds(61)));
-}
-
 // Guards against a draining host accepting requests that it cannot finish.
 TEST_CASE("a draining host accepts requests that end before its time limit") {
   struct Row {
--- /dev/null
+++ b/tests/auto/dispatching/tst_crash_quarantine.cc
@@ -0,0 +1,188 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "libs/dispatching/crash_quarantine.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr MonotonicTime kStart{std::chrono::hours(1)};
+
+RequestKeys Request(std::uint64_t id, std::vector<std::uint64_t> parts = {}) {
+  return {.request = id, .prompt_parts = std::move(parts)};
+}
+
+SuspectKey RequestKey(std::uint64_t id) {
+  return {.kind = SuspectKey::Kind::kRequest, .id = id};
+}
+
+// Records a crash of each of `upstreams` different upstreams under the request,
+// one a second, and returns the time after the last one.
+MonotonicTime Crash(CrashQuarantine& quarantine,
+                    const RequestKeys& keys,
+                    int upstreams,
+                    MonotonicTime now) {
+  for (int n = 0; n < upstreams; ++n) {
+    quarantine.OnCrash(static_cast<std::uint64_t>(100 + n), keys, now);
+    now += seconds(1);
+  }
+  return now;
+}
+
+bool IsRefused(const CrashQuarantine& quarantine,
+               const RequestKeys& keys,
+               MonotonicTime now) {
+  return quarantine.FindQuarantined(keys, now).has_value();
+}
+
+// Guards against a request that crashes upstreams one after another, on
+// different ones or on one that returns, and against counting a crash twice.
+TEST_CASE("a request is quarantined after three crashes") {
+  struct Row {
+    std::string name;
+    std::vector<std::uint64_t> upstreams;
+    milliseconds interval;
+    bool is_refused;
+  };
+  for (const Row& row : {
+           Row{"two upstreams", {1, 2}, seconds(1), false},
+           Row{"three upstreams at once", {1, 2, 3}, milliseconds(0), true},
+           Row{"one upstream that returns", {1, 1, 1}, seconds(4), true},
+           Row{"one crash, reported thrice",
+               {1, 1, 1},
+               milliseconds(100),
+               false},
+           Row{"long apart", {1, 2, 3}, seconds(31), false},
+       }) {
+    CAPTURE(row.name);
+    CrashQuarantine quarantine;
+    MonotonicTime now = kStart;
+    for (const std::uint64_t it : row.upstreams) {
+      CHECK_FALSE(IsRefused(quarantine, Request(7), now));
+      now += row.interval;
+      quarantine.OnCrash(it, Request(7), now);
+    }
+    CHECK(IsRefused(quarantine, Request(7), now) == row.is_refused);
+    CHECK_FALSE(IsRefused(quarantine, Request(8), now));
+  }
+}
+
+// Guards against refusing what was lost beside a crashing request.
+TEST_CASE("requests lost beside a quarantined one are not blamed") {
+  CrashQuarantine quarantine;
+  MonotonicTime now = kStart;
+  for (std::uint64_t upstream = 1; upstream <= 3; ++upstream) {
+    quarantine.OnCrash(upstream, Request(7), now);
+    quarantine.OnCrash(upstream, Request(8), now);
+    now += seconds(1);
+    if (upstream == 2) {
+      quarantine.OnSound(Request(8), now, now);
+    }
+  }
+  CHECK(IsRefused(quarantine, Request(7), now));
+  CHECK_FALSE(IsRefused(quarantine, Request(8), now));
+}
+
+// Guards against a host that starts anew, or was cut off for a while, running a
+// request that the others refuse.
+TEST_CASE("a quarantine is reported for as long as it lasts") {
+  CrashQuarantine known;
+  const MonotonicTime now = Crash(known, Request(7), 3, kStart);
+  for (const auto after : {seconds(0), seconds(6), seconds(50)}) {
+    CAPTURE(after.count());
+    CrashQuarantine restarted;
+    CHECK_FALSE(IsRefused(restarted, Request(7), now + after));
+    restarted.Merge(known.Report(now + after), now + after);
+    CHECK(IsRefused(restarted, Request(7), now + after));
+    CHECK(restarted.TakeChanges().size() == 1);
+    // It has no record of the crashes, but passes the decision on.
+    CHECK(restarted.Report(now + after).quarantined.size() == 1);
+  }
+}
+
+// Guards against a quarantine that lasts longer with each message between
+// hosts.
+TEST_CASE("passing a quarantine on does not extend it") {
+  CrashQuarantine a;
+  CrashQuarantine b;
+  MonotonicTime now = Crash(a, Request(7), 3, kStart);
+  const MonotonicTime began = now;
+  while (now < began + seconds(59)) {
+    // Each message is 40 ms under way.
+    const CrashEvidence from_a = a.Report(now);
+    const CrashEvidence from_b = b.Report(now);
+    now += milliseconds(40);
+    b.Merge(from_a, now);
+    a.Merge(from_b, now);
+  }
+  CHECK(IsRefused(b, Request(7), began + seconds(50)));
+  CHECK_FALSE(IsRefused(a, Request(7), began + seconds(61)));
+  CHECK_FALSE(IsRefused(b, Request(7), began + seconds(61)));
+}
+
+// Guards against a request that is refused for ever, and against one that
+// crashes three more upstreams after each quarantine.
+TEST_CASE("after a quarantine, the first crash renews it for twice as long") {
+  CrashQuarantine quarantine;
+  MonotonicTime now = Crash(quarantine, Request(7), 3, kStart);
+  for (const auto length : {seconds(60), seconds(120), seconds(240)}) {
+    CAPTURE(length.count());
+    CHECK(IsRefused(quarantine, Request(7), now));
+    CHECK(IsRefused(quarantine, Request(7), now + length - seconds(3)));
+    now += length + seconds(1);
+    CHECK_FALSE(IsRefused(quarantine, Request(7), now));
+    quarantine.OnCrash(1, Request(7), now);
+  }
+  CHECK(IsRefused(quarantine, Request(7), now));
+  CHECK_FALSE(IsRefused(quarantine, Request(7), now + std::chrono::hours(3)));
+}
+
+// Guards against refusing a request that has become sound, here or on another
+// host.
+TEST_CASE("a quarantine ends once a response was written") {
+  CrashQuarantine here;
+  CrashQuarantine there;
+  MonotonicTime now = Crash(here, Request(7), 3, kStart);
+  there.Merge(here.Report(now), now);
+  REQUIRE(IsRefused(there, Request(7), now));
+  // The response began after the last crash, before the quarantine was known.
+  there.OnSound(Request(7), now, now + milliseconds(600));
+  now += milliseconds(700);
+  CHECK_FALSE(IsRefused(there, Request(7), now));
+  here.Merge(there.Report(now), now);
+  CHECK_FALSE(IsRefused(here, Request(7), now));
+  // An older message about the quarantine does not renew it.
+  CrashQuarantine third;
+  third.Merge({.quarantined = {{.key = RequestKey(7), .age = seconds(1)}}},
+              now);
+  there.Merge(third.Report(now), now);
+  CHECK_FALSE(IsRefused(there, Request(7), now));
+}
+
+// Guards against a flood of crashes that displaces the newest evidence, and
+// against messages and records without bound.
+TEST_CASE("in a flood of crashes the newest evidence is kept and reported") {
+  CrashQuarantine quarantine;
+  MonotonicTime now = kStart;
+  for (std::uint64_t n = 0; n < 3000; ++n) {
+    quarantine.OnCrash(1000 + n, Request(1000 + n), now);
+    now += milliseconds(1);
+  }
+  now = Crash(quarantine, Request(7), 3, now);
+  CHECK(IsRefused(quarantine, Request(7), now));
+  CHECK(quarantine.suspect_count() <= 512);
+  const CrashEvidence report = quarantine.Report(now);
+  CHECK(report.crashes.size() <= 64);
+  CHECK(report.crashes.front().keys == Request(7));
+}
+
+}  // namespace
+}  // namespace flamingogauge
--- a/tests/auto/gateway/tst_coordination_codec.cc
+++ b/tests/auto/gateway/tst_coordination_codec.cc
@@ -20,6 +20,17 @@
   return std::get<T>(read.value());
 }
 
+CrashEvidence TestEvidence() {
+  const SuspectKey part{.kind = SuspectKey::Kind::kPromptPart,
+                        .id = 1ULL << 63U};
+  return {.crashes = {{.upstream = 2,
+                       .keys = {.request = 1, .prompt_parts = {7, 8}},
+                       .age = milliseconds(1200)}},
+          .sound = {{.key = part, .age = milliseconds(30)}},
+          .quarantined = {
+              {.key = {.id = 5}, .age = milliseconds(4000), .strikes = 3}}};
+}
+
 HostMessage SampleHostMessage() {
   return {.host = "h1",
           .data_centre = "z1",
@@ -48,7 +59,7 @@
                        .result = DispatchResult::kTransportError,
                        .event_interval = std::chrono::duration<double>(0.25)}},
           .usage = {{"acme", {.spent = 1e9, .credits = -5}}},
-          .crashes = {{.request = 1, .upstream = 2}}};
+          .evidence = TestEvidence()};
 }
 
 // Guards against hosts misinterpreting each other's messages.
@@ -88,7 +99,7 @@
   CHECK(read.results[0].event_interval.count() == 0.25);
   CHECK(read.usage.at("acme").spent == 1e9);
   CHECK(read.usage.at("acme").credits == -5);
-  CHECK(read.crashes == sent.crashes);
+  CHECK(read.evidence == sent.evidence);
 }
 
 TEST_CASE("an encoded reply decodes to the same values") {
@@ -127,7 +138,7 @@
                           .usage = {{"acme", {.spent = 12, .credits = 3}}},
                           .reachable_hosts = 295,
                           .draining_hosts = {"h1", "h2"},
-                          .crashes = {{.request = 1, .upstream = 2}}};
+                          .evidence = TestEvidence()};
   for (const FleetSummary& read :
        {RoundTrip(sent), RoundTrip(DataCentreReport{sent}).summary}) {
     CHECK(read.coordinator == "c");
@@ -139,7 +150,7 @@
     CHECK(read.usage.at("acme").spent == 12);
     CHECK(read.reachable_hosts == 295);
     CHECK(read.draining_hosts == sent.draining_hosts);
-    CHECK(read.crashes == sent.crashes);
+    CHECK(read.evidence == sent.evidence);
   }
 }
 
--- a/tests/auto/gateway/tst_coordination_node.cc
+++ b/tests/auto/gateway/tst_coordination_node.cc
@@ -65,8 +65,8 @@
                  [this](const FleetSummary& summary) {
                    last_summary = summary;
                  },
-             .on_crashes = [](const std::vector<CrashRecord>&) {},
-             .recent_crashes = [] { return std::vector<CrashRecord>(); },
+             .on_crash_evidence = [](const CrashEvidence&) {},
+             .crash_evidence = [] { return CrashEvidence(); },
              .is_draining = [this] { return is_draining; },
              .on_host_gone = [](const std::string&) {},
              .on_host_unlisted =
