gateway: count only upstreams that refuse connections as crashed

Callers would see: since lost responses after the head are counted, a sound request whose connections are reset three times in a minute is refused for a minute. Cause: the end of a connection was taken for the end of its upstream. Change: after a lost response a host opens a connection to the upstream and closes it; only an upstream that does not accept it has crashed (an upstream needs seconds to return). Probes of an upstream at the same time share one connection. A request that was lost in a crash before is resent only after its probe, so that the third crash is known before a fourth upstream gets it. upstream.crashed names the upstream, the request and its fingerprint. Tests: 'responses lost by upstreams that go on are not counted as crashes' failed without the probe (3 sends where 5 are expected); the row 'within the first event' of the test of three upstreams failed without the wait (4 sends).

--- a/src/libs/dispatching/crash_quarantine.cc
+++ b/src/libs/dispatching/crash_quarantine.cc
@@ -89,11 +89,12 @@
 
 void CrashQuarantine::OnCrash(std::uint64_t upstream,
                               RequestKeys keys,
+                              MonotonicTime lost_at,
                               MonotonicTime now) {
   if (keys.prompt_parts.size() > kMaxPromptParts) {
     keys.prompt_parts.resize(kMaxPromptParts);
   }
-  if (AddCrash(upstream, keys, now, now)) {
+  if (AddCrash(upstream, keys, lost_at, now)) {
     Evaluate(now);
   }
 }
@@ -377,6 +378,10 @@
   return found;
 }
 
+bool CrashQuarantine::IsSuspect(std::uint64_t request) const {
+  return suspects_.contains(RequestKey(request));
+}
+
 CrashEvidence CrashQuarantine::Report(MonotonicTime now) {
   RemoveExpired(now);
   CrashEvidence report;
--- a/src/libs/dispatching/crash_quarantine.h
+++ b/src/libs/dispatching/crash_quarantine.h
@@ -48,8 +48,11 @@
     int crashes = 0;
   };
 
-  // A request of this host was lost in a crash.
-  void OnCrash(std::uint64_t upstream, RequestKeys keys, MonotonicTime now);
+  // A request of this host was lost in a crash at `lost_at`.
+  void OnCrash(std::uint64_t upstream,
+               RequestKeys keys,
+               MonotonicTime lost_at,
+               MonotonicTime now);
   // An upstream began to write a response at `began_at` and went on without a
   // crash.
   void OnSound(const RequestKeys& keys,
@@ -62,6 +65,9 @@
   std::optional<SuspectKey> FindQuarantined(const RequestKeys& keys,
                                             MonotonicTime now) const;
 
+  // True if the request was lost in a recent crash.
+  bool IsSuspect(std::uint64_t request) const;
+
   // What other hosts should know. Bounded; the newest evidence goes first.
   CrashEvidence Report(MonotonicTime now);
 
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -242,14 +242,52 @@
   LogLostResponse(failure, reason);
   if (failure == UpstreamFailure::kNoResponse ||
       failure == UpstreamFailure::kTruncatedResponse) {
-    context_.crashes.OnCrash(PeerUpstreamKey(upstream_.id), accepted_.keys,
-                             BootTimeNow());
-    context_.on_crash();
+    RecordIfCrashed();
+    if (context_.crashes.IsSuspect(accepted_.keys.request)) {
+      ResendAfterProbe(reason);
+      return;
+    }
   }
-  if (ResendIfAllowed(true, reason)) {
-    return;
+  ResendOrFail(reason);
+}
+
+void Exchange::ResendAfterProbe(const std::string& reason) {
+  state_ = State::kWaiting;
+  may_have_executed_ = true;
+  context_.connections.Probe(
+      upstream_.address, [weak = weak_from_this(), reason](bool /*accepts*/) {
+        const auto self = weak.lock();
+        if (self && self->state_ == State::kWaiting) {
+          self->ResendOrFail(reason);
+        }
+      });
+}
+
+void Exchange::ResendOrFail(const std::string& reason) {
+  if (!ResendIfAllowed(true, reason)) {
+    FailAfterSend(kBadGateway, reason);
   }
-  FailAfterSend(kBadGateway, reason);
+}
+
+// Connections end for other reasons as well: a fault of the network, or an
+// upstream that sheds load. Only a crashed upstream refuses new ones.
+void Exchange::RecordIfCrashed() {
+  const auto record = [&context = context_, upstream = upstream_.id,
+                       request_id = accepted_.request_id, keys = accepted_.keys,
+                       lost_at = BootTimeNow()](bool accepts) {
+    if (accepts) {
+      return;
+    }
+    context.log.Write(EventLine("upstream.crashed")
+                          .Text("upstream", upstream)
+                          .Text("request", request_id)
+                          .Text("fingerprint", FormatHash(keys.request)));
+    context.metrics.Add("flamingogauge_requests_lost_in_crashes_total", "");
+    context.crashes.OnCrash(PeerUpstreamKey(upstream), keys, lost_at,
+                            BootTimeNow());
+    context.on_crash();
+  };
+  context_.connections.Probe(upstream_.address, record);
 }
 
 void Exchange::LogLostResponse(UpstreamFailure failure,
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -96,6 +96,12 @@
   void OnDeadline();
   void OnCallerDisconnected();
   void EndDispatch(DispatchResult result);
+  // Records the crash of the upstream unless it accepts new connections.
+  void RecordIfCrashed();
+  // Resends the request, which was lost in a crash before, once it is known
+  // whether the upstream has crashed again.
+  void ResendAfterProbe(const std::string& reason);
+  void ResendOrFail(const std::string& reason);
   // Records from which a crash of the upstream can be traced to the request.
   void LogLostResponse(UpstreamFailure failure,
                        const std::string& reason) const;
--- a/src/plugins/gateway/upstream_connections.cc
+++ b/src/plugins/gateway/upstream_connections.cc
@@ -61,4 +61,22 @@
   });
 }
 
+void UpstreamConnections::Probe(const std::string& address,
+                                ConnectProbe::Handler handler) {
+  std::vector<ConnectProbe::Handler>& handlers = probes_[address];
+  handlers.push_back(std::move(handler));
+  if (handlers.size() > 1) {
+    return;
+  }
+  ++opened_;
+  const auto probe =
+      std::make_shared<ConnectProbe>(context_, [this, address](bool accepts) {
+        const auto waiting = probes_.extract(address);
+        for (const ConnectProbe::Handler& it : waiting.mapped()) {
+          it(accepts);
+        }
+      });
+  probe->Start(address);
+}
+
 }  // namespace flamingogauge
--- a/src/plugins/gateway/upstream_connections.h
+++ b/src/plugins/gateway/upstream_connections.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "plugins/gateway/connect_probe.h"
 #include "plugins/gateway/upstream_connection.h"
 
 namespace flamingogauge {
@@ -27,6 +28,10 @@
   // Closes idle connections to addresses not in `addresses`.
   void CloseOthers(const std::set<std::string>& addresses);
 
+  // Finds out whether the upstream still accepts connections. Probes of an
+  // address at the same time share one connection.
+  void Probe(const std::string& address, ConnectProbe::Handler handler);
+
   std::uint64_t opened() const { return opened_; }
 
  private:
@@ -35,6 +40,8 @@
   boost::asio::io_context& context_;
   const std::string request_id_header_;
   std::map<std::string, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
+  // The handlers of the probes in progress, by address.
+  std::map<std::string, std::vector<ConnectProbe::Handler>> probes_;
   std::uint64_t opened_ = 0;
 };
 
--- a/tests/auto/dispatching/tst_crash_quarantine.cc
+++ b/tests/auto/dispatching/tst_crash_quarantine.cc
@@ -31,7 +31,7 @@
                     int upstreams,
                     MonotonicTime now) {
   for (int n = 0; n < upstreams; ++n) {
-    quarantine.OnCrash(static_cast<std::uint64_t>(100 + n), keys, now);
+    quarantine.OnCrash(static_cast<std::uint64_t>(100 + n), keys, now, now);
     now += seconds(1);
   }
   return now;
@@ -68,7 +68,7 @@
     for (const std::uint64_t it : row.upstreams) {
       CHECK_FALSE(IsRefused(quarantine, Request(7), now));
       now += row.interval;
-      quarantine.OnCrash(it, Request(7), now);
+      quarantine.OnCrash(it, Request(7), now, now);
     }
     CHECK(IsRefused(quarantine, Request(7), now) == row.is_refused);
     CHECK_FALSE(IsRefused(quarantine, Request(8), now));
@@ -80,8 +80,8 @@
   CrashQuarantine quarantine;
   MonotonicTime now = kStart;
   for (std::uint64_t upstream = 1; upstream <= 3; ++upstream) {
-    quarantine.OnCrash(upstream, Request(7), now);
-    quarantine.OnCrash(upstream, Request(8), now);
+    quarantine.OnCrash(upstream, Request(7), now, now);
+    quarantine.OnCrash(upstream, Request(8), now, now);
     now += seconds(1);
     if (upstream == 2) {
       quarantine.OnSound(Request(8), now, now);
@@ -139,7 +139,7 @@
     CHECK(IsRefused(quarantine, Request(7), now + length - seconds(3)));
     now += length + seconds(1);
     CHECK_FALSE(IsRefused(quarantine, Request(7), now));
-    quarantine.OnCrash(1, Request(7), now);
+    quarantine.OnCrash(1, Request(7), now, now);
   }
   CHECK(IsRefused(quarantine, Request(7), now));
   CHECK_FALSE(IsRefused(quarantine, Request(7), now + std::chrono::hours(3)));
@@ -173,7 +173,7 @@
   CrashQuarantine quarantine;
   MonotonicTime now = kStart;
   for (std::uint64_t n = 0; n < 3000; ++n) {
-    quarantine.OnCrash(1000 + n, Request(1000 + n), now);
+    quarantine.OnCrash(1000 + n, Request(1000 + n), now, now);
     now += milliseconds(1);
   }
   now = Crash(quarantine, Request(7), 3, now);
--- a/tests/auto/gateway/tst_answers.cc
+++ b/tests/auto/gateway/tst_answers.cc
@@ -218,6 +218,26 @@
   }
 }
 
+// Guards against refusing a sound request because connections were lost for
+// other reasons than a crash.
+TEST_CASE("responses lost by upstreams that go on are not counted as crashes") {
+  for (const std::string& lost : {kReset, kStreamHead}) {
+    CAPTURE(lost);
+    std::vector<std::unique_ptr<ScriptedServer>> upstreams;
+    std::vector<std::string> addresses;
+    for (int n = 0; n < 4; ++n) {
+      upstreams.push_back(std::make_unique<ScriptedServer>(
+          std::vector<ScriptedServer::Script>(8, AnswerOnce(lost))));
+      addresses.push_back(upstreams.back()->address());
+    }
+    GatewayHost host(addresses);
+    for (int n = 0; n < 5; ++n) {
+      CHECK(host.SendRequest("POST", "/stream/", "body").status == 502);
+    }
+    CHECK(CountRequests(upstreams) == 5);
+  }
+}
+
 // Guards against sending a request that waited while the upstreams before it
 // crashed.
 TEST_CASE("a waiting request is answered once it is quarantined") {
