dispatching: quarantine prompt parts that crash upstreams

Cause: crashes were counted by the fingerprint of whole requests; requests that share a part are never alike. Evidence: 23 lost responses with one part under 23 fingerprints. Change: a lost request counts for itself and for its parts but the last. The fewest keys that explain the crashes are quarantined; a response written for 300 ms or to its end clears its keys; a crash counts against parts after 0.6 s, in which the evidence of all hosts arrives; a quarantine that a better explanation replaces ends. A request whose response had been written for that long is not counted as lost in a crash. Tests: 'a prompt part under which three upstreams ended is not sent again' failed before (4 sends where 3 are allowed).

--- a/src/libs/dispatching/crash_quarantine.cc
+++ b/src/libs/dispatching/crash_quarantine.cc
@@ -21,6 +21,9 @@
 // A key that is in use is sound again and again; it is reported at this
 // interval.
 constexpr milliseconds kSoundInterval{300};
+// A crash counts against prompt parts after this time, in which other hosts
+// report what they lost in it, and responses show which parts are sound.
+constexpr milliseconds kSettleTime{600};
 constexpr seconds kFirstQuarantine{60};
 constexpr hours kMaxQuarantine{1};
 constexpr std::size_t kMaxLostRequests = 512;
@@ -252,27 +255,78 @@
 void CrashQuarantine::Evaluate(MonotonicTime now) {
   RemoveExpired(now);
   RenewQuarantines(now);
-  while (quarantined_.size() < kMaxQuarantined) {
-    const Cases cases = CollectCases();
-    const std::pair<const SuspectKey, Case>* worst = nullptr;
-    // Most crashes first; then the request rather than a part of its prompt, a
-    // part that was never sound, and the part that fewer requests share because
-    // it comes later.
-    const auto rank = [](const std::pair<const SuspectKey, Case>& it) {
-      return std::tuple(it.second.crashes,
-                        it.first.kind == SuspectKey::Kind::kRequest,
-                        !it.second.was_sound, it.second.position);
-    };
-    for (const auto& it : cases) {
-      if (it.second.IsProven(it.first.kind) &&
-          (worst == nullptr || rank(it) > rank(*worst))) {
-        worst = &it;
+  // What other hosts decided on crashes that this host does not know stands.
+  std::set<SuspectKey> explaining;
+  const Cases all = CollectCases({}, now);
+  for (const auto& [key, it] : quarantined_) {
+    const auto found = all.find(key);
+    if (found == all.end() || !found->second.IsProven(key.kind)) {
+      explaining.insert(key);
+    }
+  }
+  while (const auto worst = FindWorst(CollectCases(explaining, now))) {
+    explaining.insert(worst->key);
+    if (!quarantined_.contains(worst->key) &&
+        quarantined_.size() < kMaxQuarantined) {
+      Begin(worst->key, 1, worst->crashes, now);
+    }
+  }
+  ReleaseExplained(explaining, now);
+  ScheduleEvaluation(now);
+}
+
+void CrashQuarantine::ScheduleEvaluation(MonotonicTime now) {
+  next_evaluation_ = MonotonicTime::max();
+  for (const auto& [upstream, crashes] : crashes_) {
+    for (const Crash& it : crashes) {
+      if (it.at + kSettleTime > now) {
+        next_evaluation_ = std::min(next_evaluation_, it.at + kSettleTime);
       }
     }
-    if (worst == nullptr) {
-      return;
+  }
+}
+
+void CrashQuarantine::EvaluateIfDue(MonotonicTime now) {
+  if (now >= next_evaluation_) {
+    Evaluate(now);
+  }
+}
+
+std::optional<CrashQuarantine::Proof> CrashQuarantine::FindWorst(
+    const Cases& cases) {
+  // Most crashes first; then the request rather than a part of its prompt, a
+  // part that was never sound, and the part that fewer requests share because
+  // it comes later.
+  const auto rank = [](const Cases::value_type& it) {
+    return std::tuple(it.second.crashes,
+                      it.first.kind == SuspectKey::Kind::kRequest,
+                      !it.second.was_sound, it.second.position);
+  };
+  const Cases::value_type* worst = nullptr;
+  for (const Cases::value_type& it : cases) {
+    if (it.second.IsProven(it.first.kind) &&
+        (worst == nullptr || rank(it) > rank(*worst))) {
+      worst = &it;
+    }
+  }
+  if (worst == nullptr) {
+    return std::nullopt;
+  }
+  return Proof{.key = worst->first, .crashes = worst->second.crashes};
+}
+
+// A host knows its own lost requests first, and may blame one that was lost
+// beside the request that is to blame.
+void CrashQuarantine::ReleaseExplained(const std::set<SuspectKey>& explaining,
+                                       MonotonicTime now) {
+  std::vector<SuspectKey> released;
+  for (const auto& [key, it] : quarantined_) {
+    if (!explaining.contains(key)) {
+      released.push_back(key);
     }
-    Begin(worst->first, 1, worst->second.crashes, now);
+  }
+  for (const SuspectKey& it : released) {
+    AddSound(it, now, now);
   }
 }
 
@@ -289,28 +343,34 @@
   }
 }
 
-CrashQuarantine::Cases CrashQuarantine::CollectCases() const {
+CrashQuarantine::Cases CrashQuarantine::CollectCases(
+    const std::set<SuspectKey>& explaining,
+    MonotonicTime now) const {
   Cases cases;
   for (const auto& [upstream, crashes] : crashes_) {
     for (const Crash& it : crashes) {
-      AddToCases(it, cases);
+      if (!IsExplainedByPart(it, explaining)) {
+        AddToCases(it, explaining, now, cases);
+      }
     }
   }
   return cases;
 }
 
-void CrashQuarantine::AddToCases(const Crash& crash, Cases& cases) const {
-  if (IsExplainedByPart(crash)) {
-    return;
-  }
+void CrashQuarantine::AddToCases(const Crash& crash,
+                                 const std::set<SuspectKey>& explaining,
+                                 MonotonicTime now,
+                                 Cases& cases) const {
+  const bool is_settled = now - crash.at >= kSettleTime;
   // A key that several of the lost requests share is counted once.
   std::set<SuspectKey> counted;
   for (const LostRequest& it : crash.lost) {
-    if (IsExplainedByOther(crash, it.keys.request)) {
+    if (IsExplainedByOther(crash, it.keys.request, explaining)) {
       continue;
     }
     ForEachKey(it.keys, [&](const SuspectKey& key, std::size_t position) {
-      if (!quarantined_.contains(key) && counted.insert(key).second) {
+      const bool counts = is_settled || key.kind == SuspectKey::Kind::kRequest;
+      if (counts && !explaining.contains(key) && counted.insert(key).second) {
         AddToCase(key, position, it.keys.request, crash, cases);
       }
     });
@@ -333,10 +393,15 @@
   found.was_sound = sound_at.has_value();
 }
 
-bool CrashQuarantine::IsExplainedByPart(const Crash& crash) const {
+bool CrashQuarantine::IsExplainedByPart(
+    const Crash& crash,
+    const std::set<SuspectKey>& explaining) {
+  if (explaining.empty()) {
+    return false;
+  }
   for (const LostRequest& it : crash.lost) {
     for (const std::uint64_t part : it.keys.prompt_parts) {
-      if (quarantined_.contains(PartKey(part))) {
+      if (explaining.contains(PartKey(part))) {
         return true;
       }
     }
@@ -344,13 +409,15 @@
   return false;
 }
 
-bool CrashQuarantine::IsExplainedByOther(const Crash& crash,
-                                         std::uint64_t request) const {
-  return std::any_of(
-      crash.lost.begin(), crash.lost.end(), [&](const LostRequest& it) {
-        return it.keys.request != request &&
-               quarantined_.contains(RequestKey(it.keys.request));
-      });
+bool CrashQuarantine::IsExplainedByOther(
+    const Crash& crash,
+    std::uint64_t request,
+    const std::set<SuspectKey>& explaining) {
+  return std::any_of(crash.lost.begin(), crash.lost.end(),
+                     [&](const LostRequest& it) {
+                       return it.keys.request != request &&
+                              explaining.contains(RequestKey(it.keys.request));
+                     });
 }
 
 void CrashQuarantine::Begin(const SuspectKey& key,
@@ -364,7 +431,8 @@
 
 std::optional<SuspectKey> CrashQuarantine::FindQuarantined(
     const RequestKeys& keys,
-    MonotonicTime now) const {
+    MonotonicTime now) {
+  EvaluateIfDue(now);
   std::optional<SuspectKey> found;
   if (quarantined_.empty()) {
     return found;
@@ -384,6 +452,7 @@
 
 CrashEvidence CrashQuarantine::Report(MonotonicTime now) {
   RemoveExpired(now);
+  EvaluateIfDue(now);
   CrashEvidence report;
   std::vector<std::pair<MonotonicTime, CrashRecord>> crashes;
   for (const auto& [upstream, known] : crashes_) {
--- a/src/libs/dispatching/crash_quarantine.h
+++ b/src/libs/dispatching/crash_quarantine.h
@@ -63,7 +63,7 @@
 
   // Returns the quarantined key because of which the request is refused.
   std::optional<SuspectKey> FindQuarantined(const RequestKeys& keys,
-                                            MonotonicTime now) const;
+                                            MonotonicTime now);
 
   // True if the request was lost in a recent crash.
   bool IsSuspect(std::uint64_t request) const;
@@ -108,6 +108,10 @@
     bool IsProven(SuspectKey::Kind kind) const;
   };
   using Cases = std::map<SuspectKey, Case>;
+  struct Proof {
+    SuspectKey key;
+    int crashes = 0;
+  };
   struct SoundNews {
     MonotonicTime sound_at;
     MonotonicTime learned_at;
@@ -127,19 +131,35 @@
   // Ends the quarantine of a key that was sound after its last crash.
   void ReleaseIfSound(const SuspectKey& key, MonotonicTime now);
   std::optional<MonotonicTime> LastCrash(const SuspectKey& key) const;
-  // Quarantines keys until no case is proven.
+  // Quarantines the fewest keys that explain the crashes.
   void Evaluate(MonotonicTime now);
+  // Sets the time at which the next crash counts against prompt parts.
+  void ScheduleEvaluation(MonotonicTime now);
+  void EvaluateIfDue(MonotonicTime now);
+  static std::optional<Proof> FindWorst(const Cases& cases);
+  // Ends the quarantines for which other keys turned out to be to blame.
+  void ReleaseExplained(const std::set<SuspectKey>& explaining,
+                        MonotonicTime now);
   void RenewQuarantines(MonotonicTime now);
-  Cases CollectCases() const;
-  void AddToCases(const Crash& crash, Cases& cases) const;
+  // The cases of the crashes that none of the `explaining` keys explains.
+  Cases CollectCases(const std::set<SuspectKey>& explaining,
+                     MonotonicTime now) const;
+  void AddToCases(const Crash& crash,
+                  const std::set<SuspectKey>& explaining,
+                  MonotonicTime now,
+                  Cases& cases) const;
   void AddToCase(const SuspectKey& key,
                  std::size_t position,
                  std::uint64_t request,
                  const Crash& crash,
                  Cases& cases) const;
-  bool IsExplainedByPart(const Crash& crash) const;
-  // True if a lost request other than `request` is quarantined.
-  bool IsExplainedByOther(const Crash& crash, std::uint64_t request) const;
+  // True if a lost request has one of the prompt parts.
+  static bool IsExplainedByPart(const Crash& crash,
+                                const std::set<SuspectKey>& explaining);
+  // True if a lost request other than `request` is one of the keys.
+  static bool IsExplainedByOther(const Crash& crash,
+                                 std::uint64_t request,
+                                 const std::set<SuspectKey>& explaining);
   void Begin(const SuspectKey& key,
              int strikes,
              int crashes,
@@ -158,6 +178,7 @@
   std::map<SuspectKey, SoundNews> sound_news_;
   std::map<SuspectKey, Quarantine> quarantined_;
   std::vector<Change> changes_;
+  MonotonicTime next_evaluation_ = MonotonicTime::max();
 };
 
 }  // namespace flamingogauge
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -138,6 +138,7 @@
   splitter_.DropPartialEvent();
   first_body_at_ = {};
   events_ = 0;
+  is_sound_ = false;
   tried_upstreams_.push_back(upstream.id);
   context_.log.Write(
       EventLine("request.sent")
@@ -240,8 +241,9 @@
     return;
   }
   LogLostResponse(failure, reason);
-  if (failure == UpstreamFailure::kNoResponse ||
-      failure == UpstreamFailure::kTruncatedResponse) {
+  const bool is_lost = failure == UpstreamFailure::kNoResponse ||
+                       failure == UpstreamFailure::kTruncatedResponse;
+  if (is_lost && !is_sound_) {
     RecordIfCrashed();
     if (context_.crashes.IsSuspect(accepted_.keys.request)) {
       ResendAfterProbe(reason);
@@ -285,7 +287,7 @@
     context.metrics.Add("flamingogauge_requests_lost_in_crashes_total", "");
     context.crashes.OnCrash(PeerUpstreamKey(upstream), keys, lost_at,
                             BootTimeNow());
-    context.on_crash();
+    context.on_quarantine_changed();
   };
   context_.connections.Probe(upstream_.address, record);
 }
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -115,6 +115,9 @@
   void WriteBody(std::string part);
   void RelayStreamPart(std::string part);
   void RecordEvents(const std::string& part, MonotonicTime now);
+  // Clears the request of crashing its upstream, which began to write the
+  // response at `began_at`.
+  void RecordSound(MonotonicTime began_at, MonotonicTime now);
   void ReportPace(MonotonicTime now);
   void SendLocalResponse(int status,
                          std::optional<std::chrono::milliseconds> retry_after);
@@ -155,6 +158,8 @@
   MonotonicTime first_body_at_;
   MonotonicTime last_body_at_;
   std::size_t events_ = 0;
+  // The upstream has written the response for long enough, or to its end.
+  bool is_sound_ = false;
 };
 
 }  // namespace flamingogauge
--- a/src/plugins/gateway/exchange_response.cc
+++ b/src/plugins/gateway/exchange_response.cc
@@ -18,6 +18,10 @@
 // complete, so that a truncated one can be replaced by that of a resend.
 constexpr std::size_t kMaxBufferedBytes = 262144;
 
+// A request that crashes its upstream does so as it begins to write. One whose
+// response is written for this long is not to blame for a later crash.
+constexpr std::chrono::milliseconds kSoundWritingTime{300};
+
 std::size_t CountEvents(std::string_view part) {
   std::size_t count = 0;
   for (std::size_t at = part.find("\n\n"); at != std::string_view::npos;
@@ -78,6 +82,17 @@
     first_body_at_ = now;
   }
   last_body_at_ = now;
+  if (now - first_body_at_ >= kSoundWritingTime) {
+    RecordSound(first_body_at_, now);
+  }
+}
+
+void Exchange::RecordSound(MonotonicTime began_at, MonotonicTime now) {
+  if (!is_sound_) {
+    is_sound_ = true;
+    context_.crashes.OnSound(accepted_.keys, began_at, now);
+    context_.on_quarantine_changed();
+  }
 }
 
 void Exchange::RelayStreamPart(std::string part) {
@@ -155,6 +170,9 @@
   } else if (!failed) {
     context_.placer.OnEventInterval(upstream_.id, now - sent_at_, now);
   }
+  if (head_.status < kFirstErrorStatus) {
+    RecordSound(first_body_at_ == MonotonicTime() ? now : first_body_at_, now);
+  }
   EndDispatch(failed ? DispatchResult::kFailed : DispatchResult::kServed);
   if (failed && ResendIfAllowed(true, "the upstream answered " +
                                           std::to_string(head_.status))) {
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -67,7 +67,7 @@
           .connections = UpstreamConnections(io, settings.headers.request_id),
           .schedule_placement = [this] { SchedulePlacement(); },
           .on_placer_changed = std::move(on_placer_changed),
-          .on_crash = [this] { OnQuarantineChanged(); }},
+          .on_quarantine_changed = [this] { OnQuarantineChanged(); }},
       placement_timer_(io),
       process_(
           static_cast<std::uint64_t>(BootTimeNow().time_since_epoch().count())),
@@ -185,7 +185,9 @@
 }
 
 CrashEvidence Relay::ReportCrashEvidence() {
-  return context_.crashes.Report(BootTimeNow());
+  CrashEvidence evidence = context_.crashes.Report(BootTimeNow());
+  OnQuarantineChanged();
+  return evidence;
 }
 
 void Relay::OnQuarantineChanged() {
@@ -217,7 +219,7 @@
   const MonotonicTime now = BootTimeNow();
   message.draining = context_.draining;
   message.usage = context_.rate_limiter.OwnUsage(now);
-  message.evidence = context_.crashes.Report(now);
+  message.evidence = ReportCrashEvidence();
 }
 
 void Relay::Tick() {
--- a/src/plugins/gateway/relay_context.h
+++ b/src/plugins/gateway/relay_context.h
@@ -35,8 +35,8 @@
   std::function<void()> schedule_placement;
   // Schedules the messages that a change of the placer requires.
   std::function<void()> on_placer_changed;
-  // Called after the crash of an upstream was recorded.
-  std::function<void()> on_crash;
+  // To be called after evidence was added to `crashes`.
+  std::function<void()> on_quarantine_changed;
 };
 
 }  // namespace flamingogauge
--- a/src/plugins/gateway/request_fields.cc
+++ b/src/plugins/gateway/request_fields.cc
@@ -90,6 +90,10 @@
   if (const std::string* parts = fields.Find(names.prompt_prefix)) {
     accepted.prompt_parts = ReadPromptParts(*parts);
   }
+  // The last part belongs to this request alone.
+  for (std::size_t n = 0; n + 1 < accepted.prompt_parts.size(); ++n) {
+    accepted.keys.prompt_parts.push_back(accepted.prompt_parts[n].id);
+  }
 }
 
 }  // namespace flamingogauge
--- a/tests/auto/dispatching/tst_crash_quarantine.cc
+++ b/tests/auto/dispatching/tst_crash_quarantine.cc
@@ -37,7 +37,7 @@
   return now;
 }
 
-bool IsRefused(const CrashQuarantine& quarantine,
+bool IsRefused(CrashQuarantine& quarantine,
                const RequestKeys& keys,
                MonotonicTime now) {
   return quarantine.FindQuarantined(keys, now).has_value();
@@ -167,6 +167,148 @@
   CHECK_FALSE(IsRefused(there, Request(7), now));
 }
 
+// Guards against a prompt part that crashes upstreams under ever new requests,
+// and against refusing parts for the company they kept.
+TEST_CASE("a prompt part is quarantined once crashes prove it") {
+  struct Row {
+    std::string name;
+    // The requests lost in each crash.
+    std::vector<std::vector<RequestKeys>> crashes;
+    // Parts with which a response is written before, and after, each crash.
+    std::vector<std::uint64_t> sound_before;
+    std::vector<std::uint64_t> sound_between;
+    // Of the parts 1, 2 and 9.
+    std::vector<std::uint64_t> refused;
+  };
+  for (const Row& row : {
+           Row{"two requests",
+               {{Request(1, {1, 9})}, {Request(2, {1, 9})}},
+               {},
+               {},
+               {}},
+           Row{"three requests, a part of which is in use",
+               {{Request(1, {1, 9})},
+                {Request(2, {1, 9})},
+                {Request(3, {1, 9})}},
+               {},
+               {1},
+               {9}},
+           Row{"the first part crashes",
+               {{Request(1, {9, 1})},
+                {Request(2, {9, 1})},
+                {Request(3, {9, 1})}},
+               {},
+               {1},
+               {9}},
+           Row{"a part that was in use before is less suspect",
+               {{Request(1, {9, 1})},
+                {Request(2, {9, 1})},
+                {Request(3, {9, 1})}},
+               {1},
+               {},
+               {9}},
+           Row{"nothing else is known: the part that fewer requests share",
+               {{Request(1, {1, 2})},
+                {Request(2, {1, 2})},
+                {Request(3, {1, 2})}},
+               {},
+               {},
+               {2}},
+           Row{"one request thrice is to blame itself",
+               {{Request(1, {1, 9})},
+                {Request(1, {1, 9})},
+                {Request(1, {1, 9})}},
+               {},
+               {},
+               {}},
+           Row{"two requests, repeated",
+               {{Request(1, {1, 9})},
+                {Request(1, {1, 9})},
+                {Request(1, {1, 9})},
+                {Request(2, {1, 9})},
+                {Request(2, {1, 9})}},
+               {},
+               {1},
+               {9}},
+           Row{"beside other requests",
+               {{Request(1, {1, 9}), Request(11, {1}), Request(12, {1, 2})},
+                {Request(2, {1, 9}), Request(13, {1}), Request(14, {1, 2})},
+                {Request(3, {1, 9}), Request(15, {1, 2})}},
+               {},
+               {1, 2},
+               {9}},
+           Row{"a part that turned bad",
+               {{Request(1, {1, 9})},
+                {Request(2, {1, 9})},
+                {Request(3, {1, 9})},
+                {Request(4, {1, 9})},
+                {Request(5, {1, 9})}},
+               {9},
+               {1},
+               {9}},
+           Row{"a part that was sound, in four crashes",
+               {{Request(1, {1, 9})},
+                {Request(2, {1, 9})},
+                {Request(3, {1, 9})},
+                {Request(4, {1, 9})}},
+               {9},
+               {1},
+               {}},
+           Row{"crashes with a part that is in use all the time",
+               {{Request(1, {1, 2})},
+                {Request(2, {1, 2})},
+                {Request(3, {1, 2})},
+                {Request(4, {1, 2})},
+                {Request(5, {1, 2})},
+                {Request(6, {1, 2})}},
+               {},
+               {1, 2},
+               {}},
+       }) {
+    CAPTURE(row.name);
+    CrashQuarantine quarantine;
+    MonotonicTime now = kStart;
+    quarantine.OnSound(Request(50, row.sound_before), now, now);
+    std::uint64_t upstream = 100;
+    for (const auto& lost : row.crashes) {
+      now += seconds(1);
+      ++upstream;
+      for (const RequestKeys& it : lost) {
+        quarantine.OnCrash(upstream, it, now, now);
+      }
+      now += seconds(1);
+      quarantine.OnSound(Request(51, row.sound_between), now, now);
+    }
+    for (const std::uint64_t part : {1, 2, 9}) {
+      CAPTURE(part);
+      const bool is_listed = std::find(row.refused.begin(), row.refused.end(),
+                                       part) != row.refused.end();
+      CHECK(IsRefused(quarantine, Request(60, {part}), now) == is_listed);
+    }
+    CHECK_FALSE(IsRefused(quarantine, Request(60), now));
+  }
+}
+
+// Guards against a crash that is blamed on a second part or request once the
+// first one is known.
+TEST_CASE("crashes that a quarantined part explains count against no other") {
+  CrashQuarantine quarantine;
+  MonotonicTime now = kStart;
+  for (std::uint64_t n = 1; n <= 8; ++n) {
+    quarantine.OnCrash(n, Request(n, {1, 9}), now, now);
+    if (!IsRefused(quarantine, Request(77), now)) {
+      quarantine.OnCrash(n, Request(77, {3, 4}), now, now);
+    }
+    now += milliseconds(200);
+    quarantine.OnSound(Request(50, {1}), now, now);
+  }
+  now += seconds(1);
+  CHECK(IsRefused(quarantine, Request(60, {9}), now));
+  CHECK(quarantine.quarantined_count(now) == 1);
+  CHECK_FALSE(IsRefused(quarantine, Request(77), now));
+  CHECK_FALSE(IsRefused(quarantine, Request(60, {3, 4}), now));
+}
+
 // Guards against a flood of crashes that displaces the newest evidence, and
 // against messages and records without bound.
 TEST_CASE("in a flood of crashes the newest evidence is kept and reported") {
--- a/tests/auto/gateway/tst_answers.cc
+++ b/tests/auto/gateway/tst_answers.cc
@@ -218,6 +218,36 @@
   }
 }
 
+// Guards against a prompt part that crashes upstreams under ever new requests.
+TEST_CASE("a prompt part under which three upstreams ended is not sent again") {
+  std::vector<std::unique_ptr<ScriptedServer>> upstreams;
+  std::vector<std::string> addresses;
+  for (int n = 0; n < 5; ++n) {
+    upstreams.push_back(std::make_unique<ScriptedServer>(
+        std::vector<ScriptedServer::Script>{EndAfter(kStreamHead)}));
+    addresses.push_back(upstreams.back()->address());
+  }
+  GatewayHost host(addresses);
+  const auto send = [&host](const std::string& parts, int n) {
+    std::vector<std::string> headers = TestHeaders();
+    headers.push_back("Parts: " + parts + std::to_string(n) + ":40");
+    TestConnection connection(host.address());
+    connection.Send(FormatTestRequest("POST", "/stream/", headers,
+                                      "body " + std::to_string(n)));
+    return connection.ReadAnswer().status;
+  };
+  for (int n = 0; n < 3; ++n) {
+    CHECK(send("a1:800,b2:200,", n) == 502);
+  }
+  // A crash counts against prompt parts after a while.
+  std::this_thread::sleep_for(milliseconds(700));
+  CHECK(send("a1:800,b2:200,", 3) == 503);
+  CHECK(CountRequests(upstreams) == 3);
+  // The part that comes first is shared by more requests, and not blamed.
+  CHECK(send("a1:800,", 4) == 502);
+  CHECK(CountRequests(upstreams) == 4);
+}
+
 // Guards against refusing a sound request because connections were lost for
 // other reasons than a crash.
 TEST_CASE("responses lost by upstreams that go on are not counted as crashes") {
