gateway: send nothing to an upstream that has said that it leaves

The listing may tell a host later, or not at all if it is cut off from the store. Cause: the field was read nowhere. Change: the first response with the field, of any status, closes the upstream to new requests of this host; the coordinator learns of it with the results. Tests: 'an upstream that leaves gets no further requests' (success, failure, refusal, stream) and 'a request is refused if all upstreams leave' failed before (all six requests went to the upstream that leaves).

--- a/src/libs/coordination/placer.cc
+++ b/src/libs/coordination/placer.cc
@@ -138,6 +138,20 @@
   local_.OnEventInterval(upstream, event_interval);
 }
 
+HealthChange Placer::OnLeaving(const std::string& upstream, MonotonicTime now) {
+  const std::uint64_t key = PeerUpstreamKey(upstream);
+  const HealthChange change =
+      local_.RecordResult(key, DispatchResult::kLeaving, now);
+  if (change != HealthChange::kNone) {
+    AddResult({.upstream = key, .result = DispatchResult::kLeaving}, now);
+    const std::string coordinator = Coordinator(now);
+    if (!coordinator.empty()) {
+      urgent_.insert(coordinator);
+    }
+  }
+  return change;
+}
+
 void Placer::AddResult(UpstreamResult result, MonotonicTime now) {
   result.number = ++result_count_;
   results_.push_back({.result = result, .at = now});
--- a/src/libs/coordination/placer.h
+++ b/src/libs/coordination/placer.h
@@ -69,6 +69,8 @@
   void OnEventInterval(const std::string& upstream,
                        std::chrono::duration<double> event_interval,
                        MonotonicTime now);
+  // The upstream stated in a response that it shuts down.
+  HealthChange OnLeaving(const std::string& upstream, MonotonicTime now);
 
   void OnCoordinatorMessage(const CoordinatorMessage& message,
                             MonotonicTime now);
--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -380,13 +380,12 @@
   }
 }
 
-void Dispatcher::RecordResult(std::uint64_t upstream_key,
-                              DispatchResult result,
-                              MonotonicTime now) {
+HealthChange Dispatcher::RecordResult(std::uint64_t upstream_key,
+                                      DispatchResult result,
+                                      MonotonicTime now) {
   const auto it = by_peer_key_.find(upstream_key);
-  if (it != by_peer_key_.end()) {
-    it->second->RecordResult(result, now);
-  }
+  return it == by_peer_key_.end() ? HealthChange::kNone
+                                  : it->second->RecordResult(result, now);
 }
 
 const UpstreamView* Dispatcher::FindByPeerKey(std::uint64_t key) const {
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -89,9 +89,9 @@
                        DispatchResult result,
                        MonotonicTime now);
   // Updates an upstream's health by the result of another host's request.
-  void RecordResult(std::uint64_t upstream_key,
-                    DispatchResult result,
-                    MonotonicTime now);
+  HealthChange RecordResult(std::uint64_t upstream_key,
+                            DispatchResult result,
+                            MonotonicTime now);
   void OnEventInterval(const std::string& upstream,
                        std::chrono::duration<double> event_interval);
 
--- a/src/libs/dispatching/upstream_view.cc
+++ b/src/libs/dispatching/upstream_view.cc
@@ -25,7 +25,7 @@
 }  // namespace
 
 int UpstreamView::Limit() const {
-  if (replaced_) {
+  if (replaced_ || leaving_) {
     return 0;
   }
   return consecutive_transport_errors_ > 0 ? 1 : entry_.slots;
@@ -56,6 +56,10 @@
       result == DispatchResult::kRefused) {
     return HealthChange::kNone;
   }
+  if (result == DispatchResult::kLeaving) {
+    return std::exchange(leaving_, true) ? HealthChange::kNone
+                                         : HealthChange::kLeaving;
+  }
   if (result == DispatchResult::kReplaced) {
     return std::exchange(replaced_, true) ? HealthChange::kNone
                                           : HealthChange::kReplaced;
--- a/src/libs/dispatching/upstream_view.h
+++ b/src/libs/dispatching/upstream_view.h
@@ -26,6 +26,8 @@
   // The caller disconnected or the time limit passed; does not affect the
   // health of the upstream.
   kAbandoned,
+  // The upstream stated in a response that it shuts down.
+  kLeaving,
 };
 
 // Change of a host's assessment of an upstream after a request.
@@ -38,6 +40,8 @@
   kRecovered,
   // A different process responds at its address.
   kReplaced,
+  // It shuts down and gets no further requests.
+  kLeaving,
 };
 
 // One host's view of an upstream: its directory entry, its load and the results
@@ -52,7 +56,7 @@
 
   // Maximum number of concurrent requests over all hosts. It is 1 for an
   // upstream whose last requests failed with a transport error, and 0 for one
-  // that has been replaced.
+  // that has been replaced or shuts down.
   int Limit() const;
 
   // Requests in progress there from this host and, as last reported, from other
@@ -93,6 +97,7 @@
   int peer_running_ = 0;
   int consecutive_transport_errors_ = 0;
   bool replaced_ = false;
+  bool leaving_ = false;
   double failure_share_ = 0;
   MonotonicTime failure_updated_;
   MonotonicTime suspect_until_;
--- a/src/libs/relay/header_names.h
+++ b/src/libs/relay/header_names.h
@@ -23,6 +23,8 @@
   std::string not_executed;
   // Present in each answer that an upstream made.
   std::string seal;
+  // Present in each answer of an upstream that shuts down.
+  std::string leaving;
   // "PROMPT,OUTPUT": prompt tokens and the most output tokens.
   std::string token_count;
   // The caller's estimate of the output tokens.
--- a/src/plugins/gateway/coordination_codec.cc
+++ b/src/plugins/gateway/coordination_codec.cc
@@ -200,7 +200,7 @@
 
 // A value that this build does not know is read as one that changes nothing.
 DispatchResult ReadResult(std::uint8_t value) {
-  return value <= static_cast<std::uint8_t>(DispatchResult::kAbandoned)
+  return value <= static_cast<std::uint8_t>(DispatchResult::kLeaving)
              ? static_cast<DispatchResult>(value)
              : DispatchResult::kAbandoned;
 }
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -446,18 +446,26 @@
 }
 
 void Exchange::EndDispatch(DispatchResult result) {
-  const HealthChange change =
-      context_.placer.OnEnded(upstream_.id, result, BootTimeNow());
-  if (change != HealthChange::kNone) {
-    context_.log.Write(HealthChangeEvent(change, upstream_,
-                                         context_.placer.dispatcher(),
-                                         BootTimeNow())
-                           .Text("request", accepted_.request_id));
-  }
+  LogHealthChange(context_.placer.OnEnded(upstream_.id, result, BootTimeNow()));
   context_.on_placer_changed();
   context_.schedule_placement();
 }
 
+void Exchange::OnUpstreamLeaving() {
+  LogHealthChange(context_.placer.OnLeaving(upstream_.id, BootTimeNow()));
+  context_.on_placer_changed();
+}
+
+void Exchange::LogHealthChange(HealthChange change) const {
+  if (change == HealthChange::kNone) {
+    return;
+  }
+  context_.log.Write(HealthChangeEvent(change, upstream_,
+                                       context_.placer.dispatcher(),
+                                       BootTimeNow())
+                         .Text("request", accepted_.request_id));
+}
+
 void Exchange::Complete(const std::string& outcome,
                         int status,
                         const std::string& reason) {
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -96,6 +96,8 @@
   void OnDeadline();
   void OnCallerDisconnected();
   void EndDispatch(DispatchResult result);
+  void OnUpstreamLeaving();
+  void LogHealthChange(HealthChange change) const;
   // Records the crash of the upstream unless it accepts new connections.
   void RecordIfCrashed();
   // Resends the request, which was lost in a crash before, once it is known
--- a/src/plugins/gateway/exchange_response.cc
+++ b/src/plugins/gateway/exchange_response.cc
@@ -43,6 +43,9 @@
   not_executed_ =
       head.fields.Count(names.not_executed) > 0 || head.status == kMisdirected;
   head_received_ = true;
+  if (head.fields.Count(names.leaving) > 0) {
+    OnUpstreamLeaving();
+  }
   content_length_ = reader.content_length();
   has_body_ = reader.has_body();
   if (head_committed_) {
--- a/src/plugins/gateway/fleet_events.cc
+++ b/src/plugins/gateway/fleet_events.cc
@@ -32,6 +32,8 @@
   switch (change) {
     case HealthChange::kSuspected:
       return "upstream.suspected";
+    case HealthChange::kLeaving:
+      return "upstream.leaving";
     case HealthChange::kReplaced:
       return "upstream.replaced";
     case HealthChange::kRecovered:
--- a/tests/auto/gateway/gateway_host.cc
+++ b/tests/auto/gateway/gateway_host.cc
@@ -33,6 +33,7 @@
                       .expected_upstream = "For-Upstream",
                       .not_executed = "Not-Run",
                       .seal = "Seal",
+                      .leaving = "Leaving",
                       .token_count = "Tokens",
                       .length_hint = "Hint",
                       .prompt_prefix = "Parts",
--- /dev/null
+++ b/tests/auto/gateway/tst_upstream_signals.cc
@@ -0,0 +1,74 @@
+// What upstreams ask of a host in the fields of their responses.
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "tests/auto/gateway/gateway_host.h"
+#include "tests/support/scripted_server.h"
+
+namespace flamingogauge {
+namespace {
+
+// Adds a header field to a response.
+std::string WithField(const std::string& response, const std::string& field) {
+  const std::size_t end_of_status = response.find("\r\n") + 2;
+  return response.substr(0, end_of_status) + field + "\r\n" +
+         response.substr(end_of_status);
+}
+
+// Responds to each request with `bytes`, on as many connections as needed.
+std::vector<ScriptedServer::Script> Always(const std::string& bytes) {
+  const ScriptedServer::Script script =
+      [bytes](ScriptedConnection& connection) {
+        while (!connection.ReadRequest().empty()) {
+          connection.Write(bytes);
+        }
+      };
+  return std::vector<ScriptedServer::Script>(32, script);
+}
+
+const std::string kNotRun =
+    "HTTP/1.1 503 Service Unavailable\r\nReq-Id: id-1\r\nNot-Run: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
+const std::string kFailure =
+    "HTTP/1.1 500 Internal Server Error\r\nReq-Id: id-1\r\nSeal: s9\r\n"
+    "Content-Length: 4\r\n\r\noops";
+
+// Guards against sending requests to an upstream that has said that it leaves.
+TEST_CASE("an upstream that leaves gets no further requests") {
+  struct Row {
+    std::string name;
+    std::string response;
+    std::string path;
+  };
+  for (const Row& row : {
+           Row{"in a success", UpstreamAnswer("ok"), "/once/"},
+           Row{"in a failure", kFailure, "/once/"},
+           Row{"in a refusal", kNotRun, "/again/"},
+           Row{"in a stream", UpstreamAnswer("id: 1\ndata: a\n\n"), "/resume/"},
+       }) {
+    CAPTURE(row.name);
+    ScriptedServer leaving(Always(WithField(row.response, "Leaving: 1")));
+    ScriptedServer other(Always(UpstreamAnswer("ok")));
+    GatewayHost host({leaving.address(), other.address()});
+    for (int n = 0; n < 6; ++n) {
+      host.SendRequest("POST", row.path, "body");
+    }
+    CHECK(leaving.Requests().size() == 1);
+    CHECK(other.Requests().size() >= 5);
+  }
+}
+
+// Guards against refusing requests for ever because the last upstream has said
+// that it leaves, where it should be refused at once.
+TEST_CASE("a request is refused if all upstreams leave") {
+  ScriptedServer leaving(Always(WithField(UpstreamAnswer("ok"), "Leaving: 1")));
+  GatewayHost host({leaving.address()});
+  CHECK(host.SendRequest("POST", "/once/", "body").status == 200);
+  CHECK(host.SendRequest("POST", "/once/", "body").status == 503);
+  CHECK(leaving.Requests().size() == 1);
+}
+
+}  // namespace
+}  // namespace flamingogauge
