gateway: leave upstreams alone that ask for it with Retry-After

Cause: the field was read nowhere; the next request went there at once. Change: a 503 with Retry-After in seconds, fractions included, closes the upstream to requests of this host until then; coordinators get it among the upstreams excluded for the host's requests, and a grant for it is given back. Dates, what is no number, and times that are not positive are ignored. upstream.held_back logs it. Test: 'an upstream that turns requests away is left alone for a while' failed before (46 requests in the second after the refusal, none is allowed).

--- a/src/libs/coordination/placer.cc
+++ b/src/libs/coordination/placer.cc
@@ -138,6 +138,14 @@
   local_.OnEventInterval(upstream, event_interval);
 }
 
+void Placer::OnRetryAfter(const std::string& upstream,
+                          milliseconds retry_after,
+                          MonotonicTime now) {
+  const MonotonicTime until = now + retry_after;
+  local_.HoldBackUntil(upstream, until);
+  held_back_until_ = std::max(held_back_until_, until);
+}
+
 HealthChange Placer::OnLeaving(const std::string& upstream, MonotonicTime now) {
   const std::uint64_t key = PeerUpstreamKey(upstream);
   const HealthChange change =
@@ -231,8 +239,8 @@
   }
   const auto it = pending_.find(id->second);
   const UpstreamView* upstream = local_.FindByPeerKey(grant.upstream);
-  if (upstream == nullptr || upstream->entry().draining ||
-      upstream->Limit() == 0 || upstream->IsSuspect(now)) {
+  if (upstream == nullptr || !upstream->IsAvailable(now) ||
+      upstream->IsSuspect(now)) {
     // This host knows more about the upstream than the coordinator.
     if (upstream != nullptr) {
       it->second.request.excluded_upstreams.push_back(upstream->entry().id);
@@ -404,7 +412,20 @@
   for (const std::string& it : request.excluded_upstreams) {
     placement.excluded_upstreams.push_back(PeerUpstreamKey(it));
   }
+  if (now < held_back_until_) {
+    ExcludeHeldBack(placement, now);
+  }
   return placement;
 }
 
+void Placer::ExcludeHeldBack(PlacementRequest& request,
+                             MonotonicTime now) const {
+  for (const auto& [id, upstream] : local_.upstreams()) {
+    if (upstream.IsHeldBack(now) &&
+        upstream.entry().service == request.service) {
+      request.excluded_upstreams.push_back(PeerUpstreamKey(id));
+    }
+  }
+}
+
 }  // namespace flamingogauge
--- a/src/libs/coordination/placer.h
+++ b/src/libs/coordination/placer.h
@@ -69,6 +69,12 @@
   void OnEventInterval(const std::string& upstream,
                        std::chrono::duration<double> event_interval,
                        MonotonicTime now);
+  // The upstream has asked this host to send it nothing for `retry_after`.
+  // Coordinators are told with each request that waits, as they may grant other
+  // hosts a place there.
+  void OnRetryAfter(const std::string& upstream,
+                    std::chrono::milliseconds retry_after,
+                    MonotonicTime now);
   // The upstream stated in a response that it shuts down.
   HealthChange OnLeaving(const std::string& upstream, MonotonicTime now);
 
@@ -139,6 +145,7 @@
   void SubmitAgain(Pending& pending);
   void OnGrant(const PlacementGrant& grant, MonotonicTime now);
   void CheckAnswer(std::uint64_t id, MonotonicTime now);
+  void ExcludeHeldBack(PlacementRequest& request, MonotonicTime now) const;
   PlacementRequest ToPlacementRequest(const Pending& pending,
                                       MonotonicTime now) const;
   void AddResult(UpstreamResult result, MonotonicTime now);
@@ -161,6 +168,8 @@
   std::deque<TimedResult> results_;
   std::uint64_t result_count_ = 0;
   std::set<std::string> urgent_;
+  // Until then, there may be upstreams that have asked this host for a pause.
+  MonotonicTime held_back_until_;
   bool is_draining_ = false;
 };
 
--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -208,7 +208,7 @@
   const std::vector<std::string>& excluded = request.excluded_upstreams;
   bool has_healthy = false;
   for (UpstreamView* it : service->second) {
-    if (it->entry().draining || it->Limit() == 0) {
+    if (!it->IsAvailable(now)) {
       continue;
     }
     const bool is_suspect = it->IsSuspect(now);
@@ -401,6 +401,14 @@
                                 : it->second.OnEnded(result, now);
 }
 
+void Dispatcher::HoldBackUntil(const std::string& upstream,
+                               MonotonicTime time) {
+  const auto it = upstreams_.find(upstream);
+  if (it != upstreams_.end()) {
+    it->second.HoldBackUntil(time);
+  }
+}
+
 void Dispatcher::OnEventInterval(const std::string& upstream,
                                  std::chrono::duration<double> event_interval) {
   const auto it = upstreams_.find(upstream);
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -92,6 +92,8 @@
   HealthChange RecordResult(std::uint64_t upstream_key,
                             DispatchResult result,
                             MonotonicTime now);
+  // Sends the upstream no request until then, as it has asked for.
+  void HoldBackUntil(const std::string& upstream, MonotonicTime time);
   void OnEventInterval(const std::string& upstream,
                        std::chrono::duration<double> event_interval);
 
--- a/src/libs/dispatching/upstream_view.h
+++ b/src/libs/dispatching/upstream_view.h
@@ -75,6 +75,15 @@
   // response time of a plain service.
   void OnEventInterval(std::chrono::duration<double> event_interval);
 
+  // Sends it no request of this host until then, as it has asked for.
+  void HoldBackUntil(MonotonicTime time) { held_back_until_ = time; }
+  // False if it must not get a request of this host now, however few there are
+  // that could.
+  bool IsAvailable(MonotonicTime now) const {
+    return !entry_.draining && Limit() > 0 && !IsHeldBack(now);
+  }
+  bool IsHeldBack(MonotonicTime now) const { return now < held_back_until_; }
+
   // Estimated number of prompt tokens in the upstream's cache.
   double CachedTokens(const WaitingRequest& request, MonotonicTime now) const;
 
@@ -101,6 +110,7 @@
   double failure_share_ = 0;
   MonotonicTime failure_updated_;
   MonotonicTime suspect_until_;
+  MonotonicTime held_back_until_;
   double event_interval_seconds_ = 0;
   std::unordered_map<std::uint64_t, MonotonicTime> parts_seen_;
 };
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -97,6 +97,8 @@
   void OnCallerDisconnected();
   void EndDispatch(DispatchResult result);
   void OnUpstreamLeaving();
+  // Holds requests back if the upstream has asked for it.
+  void OnTurnedAway(const HttpFields& fields);
   void LogHealthChange(HealthChange change) const;
   // Records the crash of the upstream unless it accepts new connections.
   void RecordIfCrashed();
--- a/src/plugins/gateway/exchange_response.cc
+++ b/src/plugins/gateway/exchange_response.cc
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "libs/http_framing/retry_after.h"
 #include "libs/kernel/boot_clock.h"
 #include "plugins/gateway/exchange.h"
 
@@ -12,6 +13,8 @@
 
 constexpr int kBadGateway = 502;
 constexpr int kMisdirected = 421;
+constexpr int kServiceUnavailable = 503;
+constexpr char kRetryAfter[] = "Retry-After";
 constexpr int kFirstErrorStatus = 300;
 constexpr int kFirstServerErrorStatus = 500;
 // Up to this size, a response that is not a stream is buffered until it is
@@ -46,6 +49,9 @@
   if (head.fields.Count(names.leaving) > 0) {
     OnUpstreamLeaving();
   }
+  if (head.status == kServiceUnavailable) {
+    OnTurnedAway(head.fields);
+  }
   content_length_ = reader.content_length();
   has_body_ = reader.has_body();
   if (head_committed_) {
@@ -56,6 +62,20 @@
   }
 }
 
+void Exchange::OnTurnedAway(const HttpFields& fields) {
+  const std::string* field = fields.Find(kRetryAfter);
+  const std::optional<std::chrono::milliseconds> pause =
+      field != nullptr ? ParseRetryAfter(*field) : std::nullopt;
+  if (!pause) {
+    return;
+  }
+  context_.placer.OnRetryAfter(upstream_.id, *pause, BootTimeNow());
+  context_.log.Write(EventLine("upstream.held_back")
+                         .Text("upstream", upstream_.id)
+                         .Text("request", accepted_.request_id)
+                         .Milliseconds("for_ms", *pause));
+}
+
 void Exchange::OnBody(std::string part) {
   const bool failed_continuation =
       head_committed_ && IsStream() && head_.status >= kFirstErrorStatus;
--- a/tests/auto/gateway/tst_upstream_signals.cc
+++ b/tests/auto/gateway/tst_upstream_signals.cc
@@ -1,7 +1,9 @@
 // What upstreams ask of a host in the fields of their responses.
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "tests/auto/gateway/gateway_host.h"
@@ -10,6 +12,8 @@
 namespace flamingogauge {
 namespace {
 
+using std::chrono::milliseconds;
+
 // Adds a header field to a response.
 std::string WithField(const std::string& response, const std::string& field) {
   const std::size_t end_of_status = response.find("\r\n") + 2;
@@ -70,5 +74,39 @@
   CHECK(leaving.Requests().size() == 1);
 }
 
+// Guards against sending requests to an upstream that has asked for a pause,
+// and against avoiding it for longer.
+TEST_CASE("an upstream that turns requests away is left alone for a while") {
+  struct Row {
+    std::string retry_after;
+    milliseconds pause;
+  };
+  for (const Row& row : {
+           Row{"1", milliseconds(1000)},
+           Row{"0.8", milliseconds(800)},
+           Row{"0", milliseconds(0)},
+           Row{"-5", milliseconds(0)},
+           Row{"soon", milliseconds(0)},
+           Row{"Fri, 04 Dec 2026 23:37:05 GMT", milliseconds(0)},
+       }) {
+    CAPTURE(row.retry_after);
+    ScriptedServer busy(
+        Always(WithField(kNotRun, "Retry-After: " + row.retry_after)));
+    ScriptedServer other(Always(UpstreamAnswer("ok")));
+    GatewayHost host({busy.address(), other.address()});
+    const auto start = std::chrono::steady_clock::now();
+    CHECK(host.SendRequest("POST", "/again/", "body").status == 200);
+    CHECK(busy.Requests().size() == 1);
+    while (std::chrono::steady_clock::now() - start < row.pause * 9 / 10) {
+      CHECK(host.SendRequest("POST", "/again/", "body").status == 200);
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+    CHECK(busy.Requests().size() == 1);
+    std::this_thread::sleep_for(row.pause / 5);
+    CHECK(host.SendRequest("POST", "/again/", "body").status == 200);
+    CHECK(busy.Requests().size() == 2);
+  }
+}
+
 }  // namespace
 }  // namespace flamingogauge
