gateway: end a resumed stream as broken if it is answered with an error

The body of a continuation without the upstream's seal was relayed. Cause: only a status of 500 or more counted as the failure of a continuation, and the seal was looked up in the head of the first response. Change: whatever does not continue the stream as a sealed success is dropped; the request is sent on if it may be, and else the connection is closed within the stream. Tests: 'a resumed stream that fails stays incomplete' failed before in six of its now twelve rows.

--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -134,6 +134,7 @@
   }
   head_received_ = false;
   not_executed_ = false;
+  failed_continuation_ = false;
   buffered_body_.clear();
   splitter_.DropPartialEvent();
   first_body_at_ = {};
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -113,6 +113,7 @@
   void RefuseQuarantined(const SuspectKey& key);
   void FailAfterSend(int status, const std::string& reason);
   void OnNotExecuted();
+  void OnContinuationFailed();
   bool IsStream() const;
   void CommitHead(std::optional<std::uint64_t> length);
   void CommitBufferedResponse();
@@ -148,6 +149,8 @@
   HttpResponseHead head_;
   bool head_received_ = false;
   bool not_executed_ = false;
+  // True if a resumed stream was answered by something else than its rest.
+  bool failed_continuation_ = false;
   // True once a send has ended without proof that the request was not executed.
   bool may_have_executed_ = false;
   // Body length and presence as stated by the response head.
--- a/src/plugins/gateway/exchange_response.cc
+++ b/src/plugins/gateway/exchange_response.cc
@@ -54,6 +54,9 @@
   }
   content_length_ = reader.content_length();
   has_body_ = reader.has_body();
+  const bool is_success =
+      head.status < kFirstErrorStatus && head.fields.Count(names.seal) > 0;
+  failed_continuation_ = head_committed_ && IsStream() && !is_success;
   if (head_committed_) {
     // The caller already has the head of the stream's first upstream.
     head_.status = head.status;
@@ -77,9 +80,7 @@
 }
 
 void Exchange::OnBody(std::string part) {
-  const bool failed_continuation =
-      head_committed_ && IsStream() && head_.status >= kFirstErrorStatus;
-  if (not_executed_ || failed_continuation) {
+  if (not_executed_ || failed_continuation_) {
     return;
   }
   const MonotonicTime now = BootTimeNow();
@@ -186,6 +187,10 @@
     OnNotExecuted();
     return;
   }
+  if (failed_continuation_) {
+    OnContinuationFailed();
+    return;
+  }
   const MonotonicTime now = BootTimeNow();
   const bool failed = head_.status >= kFirstServerErrorStatus;
   if (IsStream() && !failed) {
@@ -201,9 +206,8 @@
                                           std::to_string(head_.status))) {
     return;
   }
-  if (head_committed_ && IsStream() &&
-      (failed || splitter_.has_partial_event())) {
-    // A resumed stream failed on the other upstream, or ended within an event.
+  if (head_committed_ && IsStream() && splitter_.has_partial_event()) {
+    // A resumed stream ended within an event.
     session_->Abort();
     Complete("broken", head_.status, "the stream did not go on");
     return;
@@ -225,6 +229,15 @@
   session->Finish(keep_open);
 }
 
+// Nothing of such a response belongs to the stream that the caller receives.
+void Exchange::OnContinuationFailed() {
+  EndDispatch(head_.status >= kFirstServerErrorStatus
+                  ? DispatchResult::kFailed
+                  : DispatchResult::kServed);
+  ResendOrFail("the stream did not go on: the upstream answered " +
+               std::to_string(head_.status));
+}
+
 void Exchange::CommitBufferedResponse() {
   std::optional<std::uint64_t> length = buffered_body_.size();
   if (!has_body_) {
--- a/tests/auto/gateway/tst_answers.cc
+++ b/tests/auto/gateway/tst_answers.cc
@@ -134,6 +134,18 @@
                "id: 1\ndata: a\n\n", false, 1},
            Row{"stream without events", "/stream/", kStreamHead, ok, 502, "",
                true, 1},
+           Row{"ends within the head", "/once/",
+               "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nSeal: s1\r\nContent-Le", ok,
+               502, "", true, 1},
+           Row{"ends before the empty line of the head", "/once/",
+               "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nSeal: s1\r\n", ok, 502, "",
+               true, 1},
+           Row{"ends within the head, idempotent", "/again/",
+               "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nSeal: s1\r\n", ok, 200, "ok",
+               true, 2},
+           Row{"stream that ends within the head", "/stream/",
+               "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nSeal: s1\r\n", ok, 502, "",
+               true, 1},
        }) {
     CAPTURE(row.name);
     ScriptedServer first({AnswerOnce(row.first)});
@@ -170,15 +182,39 @@
   CHECK(resumed.find("For-Upstream: u1\r\n") != std::string::npos);
 }
 
-// Guards against a stream that looks complete although resuming it failed.
+// Guards against an error's text within a stream, and against a stream that
+// looks complete although resuming it failed.
 TEST_CASE("a resumed stream that fails stays incomplete") {
-  ScriptedServer first({AnswerOnce(kStreamHead + Chunk("id: 1\ndata: a\n\n"))});
-  ScriptedServer second({AnswerOnce(kFailure)});
-  GatewayHost host({first.address(), second.address()});
-  const TestAnswer answer = host.SendRequest("POST", "/resume/", "body");
-  CHECK(answer.status == 200);
-  CHECK(answer.body == "id: 1\ndata: a\n\n");
-  CHECK_FALSE(answer.complete);
+  const std::string error_fields =
+      "Req-Id: id-1\r\nSeal: s9\r\nContent-Length: 4\r\n\r\noops";
+  const std::string not_sealed =
+      "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nContent-Length: 16\r\n\r\n"
+      "id: 2\ndata: b\n\n";
+  for (const std::string& second : std::vector<std::string>{
+           kFailure,
+           "HTTP/1.1 404 Not Found\r\n" + error_fields,
+           "HTTP/1.1 400 Bad Request\r\nContent-Length: 4\r\n\r\noops",
+           "HTTP/1.1 429 Too Many Requests\r\n" + error_fields,
+           "HTTP/1.1 302 Found\r\n" + error_fields,
+           "HTTP/1.1 409 Conflict\r\nReq-Id: id-1\r\n\r\nuntil close",
+           kNotRun,
+           kMisdirected,
+           kReset,
+           not_sealed,
+           "garbage\r\n\r\n",
+           "HTTP/1.1 500 Internal Ser",
+       }) {
+    CAPTURE(second);
+    ScriptedServer first(
+        {AnswerOnce(kStreamHead + Chunk("id: 1\ndata: a\n\n"))});
+    ScriptedServer resumed({AnswerOnce(second)});
+    GatewayHost host({first.address(), resumed.address()});
+    const TestAnswer answer = host.SendRequest("POST", "/resume/", "body");
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "id: 1\ndata: a\n\n");
+    CHECK_FALSE(answer.complete);
+    CHECK(resumed.Requests().size() == 1);
+  }
 }
 
 // Guards against a request that crashes every upstream it runs on, wherever in
