gateway: treat a stream that ends within an event as broken off

Callers saw: a stream whose upstream ends it within an event, by closing the connection of a response without a length or by a last chunk, looked complete; a resumable one was not resumed, and one that ended within its first event became an empty 200. Cause: the end of the framing was taken for the end of the stream. Only resumed streams were checked, and these were closed instead of resumed. Change: the end of a stream is checked against its events, whatever the framing. Within an event it counts as broken off: resumed where the route allows it, else 502 or a closed connection. Also, an event without an end, which a host holds back for a resumable stream, is given up at 1 MiB; the search for its end starts where the last one stopped. Conclusion: responses without length and chunks are handled like the others.

--- a/src/libs/http_framing/event_stream_splitter.cc
+++ b/src/libs/http_framing/event_stream_splitter.cc
@@ -1,15 +1,21 @@
 #include "libs/http_framing/event_stream_splitter.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace flamingogauge {
 namespace {
 
 constexpr std::string_view kIdField = "id:";
 
-// Returns the position after the first empty line, or npos. Lines may end with
-// LF or CRLF.
-std::size_t EventEnd(std::string_view text) {
-  const std::size_t lf = text.find("\n\n");
-  const std::size_t crlf = text.find("\n\r\n");
+// An empty line and the end of the line before it.
+constexpr std::size_t kMaxEventEnd = 3;
+
+// Returns the position after the first empty line that ends after `from`, or
+// npos. Lines may end with LF or CRLF.
+std::size_t EventEnd(std::string_view text, std::size_t from) {
+  const std::size_t lf = text.find("\n\n", from);
+  const std::size_t crlf = text.find("\n\r\n", from);
   const std::size_t lf_end = lf == std::string_view::npos ? lf : lf + 2;
   const std::size_t crlf_end = crlf == std::string_view::npos ? crlf : crlf + 3;
   return lf_end < crlf_end ? lf_end : crlf_end;
@@ -18,12 +24,14 @@
 }  // namespace
 
 std::string EventStreamSplitter::Feed(std::string_view bytes) {
+  // What is pending has no end, but may have the beginning of one.
+  std::size_t from = pending_.size() - std::min(pending_.size(), kMaxEventEnd);
   pending_.append(bytes);
   std::size_t complete_size = 0;
   while (true) {
     const std::string_view rest =
         std::string_view(pending_).substr(complete_size);
-    const std::size_t end = EventEnd(rest);
+    const std::size_t end = EventEnd(rest, std::exchange(from, 0));
     if (end == std::string_view::npos) {
       break;
     }
--- a/src/libs/http_framing/event_stream_splitter.h
+++ b/src/libs/http_framing/event_stream_splitter.h
@@ -19,6 +19,8 @@
   void DropPartialEvent() { pending_.clear(); }
 
   bool has_partial_event() const { return !pending_.empty(); }
+  // The bytes of the incomplete event.
+  std::size_t partial_size() const { return pending_.size(); }
   // The "id" of the last complete event that had one.
   const std::string& last_event_id() const { return last_event_id_; }
   std::size_t event_count() const { return event_count_; }
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -137,6 +137,7 @@
   failed_continuation_ = false;
   buffered_body_.clear();
   splitter_.DropPartialEvent();
+  boundary_ = EventBoundaryTracker();
   first_body_at_ = {};
   events_ = 0;
   is_sound_ = false;
@@ -254,6 +255,11 @@
   ResendOrFail(reason);
 }
 
+void Exchange::OnBrokenOff(const std::string& reason) {
+  EndDispatch(DispatchResult::kTransportError);
+  ResendOrFail(reason);
+}
+
 void Exchange::ResendAfterProbe(const std::string& reason) {
   state_ = State::kWaiting;
   may_have_executed_ = true;
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "libs/dispatching/dispatcher.h"
+#include "libs/http_framing/event_boundary_tracker.h"
 #include "libs/http_framing/event_stream_splitter.h"
 #include "libs/http_framing/http_request_reader.h"
 #include "libs/kernel/event_log.h"
@@ -113,6 +114,8 @@
   void RefuseQuarantined(const SuspectKey& key);
   void FailAfterSend(int status, const std::string& reason);
   void OnNotExecuted();
+  // The response ended or became invalid before it was complete.
+  void OnBrokenOff(const std::string& reason);
   void OnContinuationFailed();
   bool IsStream() const;
   void CommitHead(std::optional<std::uint64_t> length);
@@ -162,6 +165,8 @@
   bool chunked_ = false;
   bool body_until_close_ = false;
   EventStreamSplitter splitter_;
+  // Of the current response.
+  EventBoundaryTracker boundary_;
   MonotonicTime first_body_at_;
   MonotonicTime last_body_at_;
   std::size_t events_ = 0;
--- a/src/plugins/gateway/exchange_response.cc
+++ b/src/plugins/gateway/exchange_response.cc
@@ -25,6 +25,9 @@
 // response is written for this long is not to blame for a later crash.
 constexpr std::chrono::milliseconds kSoundWritingTime{300};
 
+// An incomplete event of a resumable stream is held back in memory.
+constexpr std::size_t kMaxEventBytes = 1U << 20U;
+
 std::size_t CountEvents(std::string_view part) {
   std::size_t count = 0;
   for (std::size_t at = part.find("\n\n"); at != std::string_view::npos;
@@ -120,8 +123,15 @@
 }
 
 void Exchange::RelayStreamPart(std::string part) {
+  boundary_.Feed(part);
   std::string ready =
       accepted_.route->resumable ? splitter_.Feed(part) : std::move(part);
+  if (splitter_.partial_size() > kMaxEventBytes) {
+    connection_->Cancel();
+    connection_.reset();
+    OnBrokenOff("an event without an end");
+    return;
+  }
   if (ready.empty()) {
     return;
   }
@@ -191,6 +201,12 @@
     OnContinuationFailed();
     return;
   }
+  const bool is_cut_stream = IsStream() && head_.status < kFirstErrorStatus &&
+                             boundary_.is_within_event();
+  if (is_cut_stream) {
+    OnBrokenOff("the stream ended within an event");
+    return;
+  }
   const MonotonicTime now = BootTimeNow();
   const bool failed = head_.status >= kFirstServerErrorStatus;
   if (IsStream() && !failed) {
@@ -206,12 +222,6 @@
                                           std::to_string(head_.status))) {
     return;
   }
-  if (head_committed_ && IsStream() && splitter_.has_partial_event()) {
-    // A resumed stream ended within an event.
-    session_->Abort();
-    Complete("broken", head_.status, "the stream did not go on");
-    return;
-  }
   if (head_.status < kFirstErrorStatus &&
       head_.fields.Count(context_.settings.headers.seal) == 0) {
     FailAfterSend(kBadGateway, "a success without the upstream's seal");
--- a/tests/auto/gateway/tst_answers.cc
+++ b/tests/auto/gateway/tst_answers.cc
@@ -26,6 +26,10 @@
 const std::string kStreamHead =
     "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nSeal: s1\r\n"
     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+// The stream ends with its connection.
+const std::string kOpenStreamHead =
+    "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nSeal: s1\r\n"
+    "Content-Type: text/event-stream\r\n\r\n";
 const std::string kReset = "reset";
 
 std::string Chunk(const std::string& text) {
@@ -134,6 +138,26 @@
                "id: 1\ndata: a\n\n", false, 1},
            Row{"stream without events", "/stream/", kStreamHead, ok, 502, "",
                true, 1},
+           Row{"stream that ends within an event", "/stream/",
+               kStreamHead + Chunk("id: 1\ndata: a\n\nid: 2") + "0\r\n\r\n", ok,
+               200, "id: 1\ndata: a\n\nid: 2", false, 1},
+           Row{"stream without a length", "/stream/",
+               kOpenStreamHead + "id: 1\ndata: a\n\n", ok, 200,
+               "id: 1\ndata: a\n\n", true, 1},
+           Row{"stream without a length that ends within an event", "/stream/",
+               kOpenStreamHead + "id: 1\ndata: a\n\nid: 2\nda", ok, 200,
+               "id: 1\ndata: a\n\nid: 2\nda", false, 1},
+           Row{"resumable stream without a length", "/resume/",
+               kOpenStreamHead + "id: 1\ndata: a\n\n", ok, 200,
+               "id: 1\ndata: a\n\n", true, 1},
+           Row{"resumable stream that ends within an event", "/resume/",
+               kOpenStreamHead + "id: 1\ndata: a\n\nid: 2\nda",
+               kStreamHead + Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n", 200,
+               "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", true, 2},
+           Row{"resumable stream that ends within its first event", "/resume/",
+               kOpenStreamHead + "id: 1\nda",
+               kStreamHead + Chunk("id: 1\ndata: b\n\n") + "0\r\n\r\n", 200,
+               "id: 1\ndata: b\n\n", true, 2},
            Row{"ends within the head", "/once/",
                "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nSeal: s1\r\nContent-Le", ok,
                502, "", true, 1},
@@ -182,6 +206,26 @@
   CHECK(resumed.find("For-Upstream: u1\r\n") != std::string::npos);
 }
 
+// Guards against an upstream that fills the host's memory with an event that
+// never ends.
+TEST_CASE("an event without an end is given up") {
+  ScriptedServer endless({[](ScriptedConnection& connection) {
+    connection.ReadRequest();
+    connection.Write(kOpenStreamHead + "id: 1\ndata: a\n\nid: 2\ndata: ");
+    const std::string part(65536, 'x');
+    for (int n = 0; n < 40; ++n) {
+      connection.Write(part);
+    }
+    connection.HoldOpen();
+  }});
+  ScriptedServer second(
+      {AnswerOnce(kStreamHead + Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n")});
+  GatewayHost host({endless.address(), second.address()});
+  const TestAnswer answer = host.SendRequest("POST", "/resume/", "body");
+  CHECK(answer.complete);
+  CHECK(answer.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
 // Guards against an error's text within a stream, and against a stream that
 // looks complete although resuming it failed.
 TEST_CASE("a resumed stream that fails stays incomplete") {
--- a/tests/auto/http_framing/tst_event_stream_splitter.cc
+++ b/tests/auto/http_framing/tst_event_stream_splitter.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "libs/http_framing/event_boundary_tracker.h"
 #include "libs/http_framing/event_stream_splitter.h"
 
 namespace flamingogauge {
@@ -31,13 +32,16 @@
       CAPTURE(row.name);
       CAPTURE(piece);
       EventStreamSplitter splitter;
+      EventBoundaryTracker boundary;
       std::string events;
       for (std::size_t at = 0; at < row.text.size(); at += piece) {
         events += splitter.Feed(row.text.substr(at, piece));
+        boundary.Feed(row.text.substr(at, piece));
       }
       CHECK(events == row.events);
       CHECK(splitter.last_event_id() == row.last_id);
       CHECK(splitter.has_partial_event() == row.partial);
+      CHECK(boundary.is_within_event() == row.partial);
       splitter.DropPartialEvent();
       CHECK_FALSE(splitter.has_partial_event());
     }
