gateway: do not reuse connections on which a response may be repeated

Callers saw (a report of other operators, and here): an upstream wrote an earlier refusal once more on a kept connection as the next request arrived. That request was answered 503, which promises that it had not run, while it ran, or was sent to a second upstream. Cause: the id tells a late response from the awaited one, but some refusals have none (400, 421, 503 before the request is read), and a request that is sent again to the same upstream has the id of the first time. Both were taken for the answer. Change: a connection is kept only after a response that cannot be mistaken: not after a refusal (3xx, 4xx, 503) or an error without the id; and a request is not sent on a connection that has carried its id before. Scripted upstreams serve more connections, because the tests send one id again and again.

--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -154,7 +154,8 @@
           .Milliseconds("waited_ms", now - accepted_.arrived_at)
           .Number("routing_version",
                   static_cast<std::int64_t>(accepted_.routing->version)));
-  connection_ = context_.connections.Acquire(upstream.address, now);
+  connection_ =
+      context_.connections.Acquire(upstream.address, accepted_.request_id, now);
   connection_->Send({.bytes = ComposeRequest(upstream, now),
                      .request_id = accepted_.request_id,
                      .is_head = accepted_.request.method == "HEAD"},
--- a/src/plugins/gateway/upstream_connection.cc
+++ b/src/plugins/gateway/upstream_connection.cc
@@ -27,6 +27,8 @@
 constexpr double kUsedIdleFraction = 0.6;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kFirstErrorStatus = 300;
+constexpr int kFirstServerErrorStatus = 500;
+constexpr int kServiceUnavailable = 503;
 
 // Reads the "timeout" parameter of a Keep-Alive field.
 milliseconds IdleTime(const HttpFields& fields) {
@@ -227,11 +229,21 @@
   observer_->OnHead(*reader_);
 }
 
+// A faulty upstream may write a refusal once more, as the next request arrives.
+// Such a request would be taken for one that has not run.
+bool UpstreamConnection::MayBeRepeated(const HttpResponseHead& head) const {
+  return head.status >= kFirstErrorStatus &&
+         (head.status < kFirstServerErrorStatus ||
+          head.status == kServiceUnavailable ||
+          head.fields.Find(options_.request_id_header) == nullptr);
+}
+
 void UpstreamConnection::FinishCall() {
   UpstreamResponseObserver* observer = std::exchange(observer_, nullptr);
   const HttpFields& fields = reader_->head().fields;
   const bool reusable = reader_->keep_alive() && request_written_ &&
-                        !saw_foreign_response_ && input_.empty();
+                        !saw_foreign_response_ && input_.empty() &&
+                        !MayBeRepeated(reader_->head());
   const auto idle_time = std::chrono::duration_cast<Duration>(
       IdleTime(fields) * kUsedIdleFraction);
   usable_until_ = BootTimeNow() + idle_time;
--- a/src/plugins/gateway/upstream_connection.h
+++ b/src/plugins/gateway/upstream_connection.h
@@ -78,6 +78,8 @@
   // The connection must not be reused from this time on.
   MonotonicTime usable_until() const { return usable_until_; }
   const std::string& address() const { return options_.address; }
+  // The id of the current or last request.
+  const std::string& request_id() const { return request_.request_id; }
 
  private:
   void Connect();
@@ -87,6 +89,7 @@
   void ProcessInput();
   bool SkipForeignResponse();
   void HandleHead();
+  bool MayBeRepeated(const HttpResponseHead& head) const;
   void FinishCall();
   void OnEndOfInput(const boost::system::error_code& ec);
   void FailCall(UpstreamFailure failure, const std::string& reason);
--- a/src/plugins/gateway/upstream_connections.cc
+++ b/src/plugins/gateway/upstream_connections.cc
@@ -10,12 +10,14 @@
 
 std::shared_ptr<UpstreamConnection> UpstreamConnections::Acquire(
     const std::string& address,
+    const std::string& request_id,
     MonotonicTime now) {
   auto& idle = idle_[address];
   while (!idle.empty()) {
     std::shared_ptr<UpstreamConnection> connection = std::move(idle.back());
     idle.pop_back();
-    if (connection->is_open() && now < connection->usable_until()) {
+    if (connection->is_open() && now < connection->usable_until() &&
+        connection->request_id() != request_id) {
       return connection;
     }
     connection->Cancel();
--- a/src/plugins/gateway/upstream_connections.h
+++ b/src/plugins/gateway/upstream_connections.h
@@ -20,8 +20,11 @@
   UpstreamConnections(boost::asio::io_context& context,
                       std::string request_id_header);
 
-  // Returns an idle connection to `address`, or creates one.
+  // Returns an idle connection to `address`, or creates one. A connection that
+  // carried a request with this id is not reused for it: a response that the
+  // upstream writes twice could not be told from the next one.
   std::shared_ptr<UpstreamConnection> Acquire(const std::string& address,
+                                              const std::string& request_id,
                                               MonotonicTime now);
   // Closes idle connections whose keep-alive time has passed.
   void CloseExpired(MonotonicTime now);
--- a/tests/auto/gateway/tst_answers.cc
+++ b/tests/auto/gateway/tst_answers.cc
@@ -261,6 +261,49 @@
   }
 }
 
+// Guards against a refusal that an upstream writes twice on a connection: the
+// next request was told that it had not run, or ran on a second upstream.
+TEST_CASE("a repeated refusal is not taken for that of the next request") {
+  struct Row {
+    std::string name;
+    std::string refusal;
+    // The id of the second request.
+    std::string second_id;
+  };
+  const std::string without_id =
+      "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n"
+      "Content-Length: 0\r\n\r\n";
+  const std::string bad_request =
+      "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n";
+  for (const Row& row : {
+           Row{"with the id", kNotRun, "id-2"},
+           Row{"with the id, and the request is sent again", kNotRun, "id-1"},
+           Row{"without an id", without_id, "id-2"},
+           Row{"a bad request", bad_request, "id-2"},
+           Row{"a failure with the id, sent again", kFailure, "id-1"},
+       }) {
+    CAPTURE(row.name);
+    const std::string answer = UpstreamAnswer("ok", row.second_id);
+    // Repeats the refusal as the next request arrives, then runs that one.
+    const ScriptedServer::Script repeat = [&](ScriptedConnection& connection) {
+      connection.ReadRequest();
+      connection.Write(row.refusal);
+      if (!connection.ReadRequest().empty()) {
+        connection.Write(row.refusal + answer);
+      }
+    };
+    ScriptedServer upstream({repeat, AnswerOnce(answer)});
+    GatewayHost host({upstream.address()});
+    CHECK(host.SendRequest("POST", "/once/", "a").status != 200);
+    TestConnection connection(host.address());
+    connection.Send(FormatTestRequest(
+        "POST", "/once/",
+        {"Req-Id: " + row.second_id, "Key: key-1", "Limit-Ms: 4000"}, "b"));
+    CHECK(connection.ReadAnswer().body == "ok");
+    CHECK(upstream.Requests().size() == 2);
+  }
+}
+
 // Guards against a request that crashes every upstream it runs on, wherever in
 // their responses they end.
 TEST_CASE("a request under which three upstreams ended is not sent again") {
--- a/tests/auto/gateway/tst_requests.cc
+++ b/tests/auto/gateway/tst_requests.cc
@@ -18,17 +18,22 @@
 class RecordingUpstream {
  public:
   RecordingUpstream()
-      : server_({[this](ScriptedConnection& connection) {
-          while (!connection.ReadRequest().empty()) {
-            request_ = connection.last_request();
-            connection.Write(UpstreamAnswer("ok"));
-          }
-        }}) {}
+      : server_(std::vector<ScriptedServer::Script>(
+            kConnections,
+            [this](ScriptedConnection& connection) {
+              while (!connection.ReadRequest().empty()) {
+                request_ = connection.last_request();
+                connection.Write(UpstreamAnswer("ok"));
+              }
+            })) {}
 
   const std::string& address() const { return server_.address(); }
   const std::string& request() const { return request_; }
 
  private:
+  // Requests with the same id get a connection each.
+  static constexpr std::size_t kConnections = 8;
+
   std::string request_;
   ScriptedServer server_;
 };
--- a/tests/auto/gateway/tst_upstream_signals.cc
+++ b/tests/auto/gateway/tst_upstream_signals.cc
@@ -29,7 +29,7 @@
           connection.Write(bytes);
         }
       };
-  return std::vector<ScriptedServer::Script>(32, script);
+  return std::vector<ScriptedServer::Script>(128, script);
 }
 
 const std::string kNotRun =
