gateway: tell callers how long a request stays quarantined

Cause: a quarantined request was refused with 503 without Retry-After, so that its caller came back at once, again and again, for up to a minute. Change: the refusal carries the time until the quarantine ends. Test: 'a request under which three upstreams ended is not sent again' requires the field; it was absent before. Conclusion: callers that honour the field spare themselves and the hosts.

--- a/src/libs/dispatching/crash_quarantine.cc
+++ b/src/libs/dispatching/crash_quarantine.cc
@@ -429,18 +429,20 @@
       {.entry = {.key = key, .strikes = strikes}, .crashes = crashes});
 }
 
-std::optional<SuspectKey> CrashQuarantine::FindQuarantined(
+std::optional<CrashQuarantine::Refusal> CrashQuarantine::FindQuarantined(
     const RequestKeys& keys,
     MonotonicTime now) {
   EvaluateIfDue(now);
-  std::optional<SuspectKey> found;
+  std::optional<Refusal> found;
   if (quarantined_.empty()) {
     return found;
   }
   ForEachKey(keys, [&](const SuspectKey& key, std::size_t /*position*/) {
     const auto it = quarantined_.find(key);
     if (!found && it != quarantined_.end() && now < it->second.EndsAt()) {
-      found = key;
+      found = Refusal{
+          .key = key,
+          .time_left = duration_cast<milliseconds>(it->second.EndsAt() - now)};
     }
   });
   return found;
--- a/src/libs/dispatching/crash_quarantine.h
+++ b/src/libs/dispatching/crash_quarantine.h
@@ -48,6 +48,11 @@
     int crashes = 0;
   };
 
+  struct Refusal {
+    SuspectKey key;
+    std::chrono::milliseconds time_left{0};
+  };
+
   // A request of this host was lost in a crash at `lost_at`.
   void OnCrash(std::uint64_t upstream,
                RequestKeys keys,
@@ -61,9 +66,9 @@
   // Applies what another host reports.
   void Merge(const CrashEvidence& evidence, MonotonicTime now);
 
-  // Returns the quarantined key because of which the request is refused.
-  std::optional<SuspectKey> FindQuarantined(const RequestKeys& keys,
-                                            MonotonicTime now);
+  // Returns why and for how long the request is refused, if it is.
+  std::optional<Refusal> FindQuarantined(const RequestKeys& keys,
+                                         MonotonicTime now);
 
   // True if the request was lost in a recent crash.
   bool IsSuspect(std::uint64_t request) const;
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -118,9 +118,10 @@
            "the key cannot be confirmed");
     return;
   }
-  if (const auto key = context_.crashes.FindQuarantined(accepted_.keys, now)) {
+  if (const auto refusal =
+          context_.crashes.FindQuarantined(accepted_.keys, now)) {
     EndDispatch(DispatchResult::kAbandoned);
-    RefuseQuarantined(*key);
+    RefuseQuarantined(*refusal);
     return;
   }
   state_ = State::kSent;
@@ -378,19 +379,19 @@
   if (state_ != State::kWaiting) {
     return;
   }
-  const auto key =
+  const auto refusal =
       context_.crashes.FindQuarantined(accepted_.keys, BootTimeNow());
-  if (!key) {
+  if (!refusal) {
     return;
   }
   context_.placer.Remove(accepted_.id);
   context_.on_placer_changed();
-  RefuseQuarantined(*key);
+  RefuseQuarantined(*refusal);
 }
 
-void Exchange::RefuseQuarantined(const SuspectKey& key) {
+void Exchange::RefuseQuarantined(const CrashQuarantine::Refusal& refusal) {
   context_.metrics.Add("flamingogauge_quarantine_refusals_total", "");
-  Refuse(kServiceUnavailable, std::nullopt, QuarantineReason(key));
+  Refuse(kServiceUnavailable, refusal.time_left, QuarantineReason(refusal.key));
 }
 
 void Exchange::SendLocalResponse(int status,
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -111,7 +111,7 @@
   void LogLostResponse(UpstreamFailure failure,
                        const std::string& reason) const;
   bool ResendIfAllowed(bool maybe_executed, const std::string& reason);
-  void RefuseQuarantined(const SuspectKey& key);
+  void RefuseQuarantined(const CrashQuarantine::Refusal& refusal);
   void FailAfterSend(int status, const std::string& reason);
   void OnNotExecuted();
   // The response ended or became invalid before it was complete.
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -351,10 +351,11 @@
               (accepted.workspace != nullptr ? accepted.workspace->name : ""),
           request.body)
           .low;
-  if (const auto key = context_.crashes.FindQuarantined(accepted.keys,
-                                                        accepted.arrived_at)) {
+  if (const auto refusal = context_.crashes.FindQuarantined(
+          accepted.keys, accepted.arrived_at)) {
     context_.metrics.Add("flamingogauge_quarantine_refusals_total", "");
-    return Denial{kServiceUnavailable, QuarantineReason(*key), std::nullopt};
+    return Denial{kServiceUnavailable, QuarantineReason(refusal->key),
+                  refusal->time_left};
   }
   return CheckLimit(accepted);
 }
--- a/tests/auto/gateway/tst_answers.cc
+++ b/tests/auto/gateway/tst_answers.cc
@@ -336,7 +336,11 @@
       host.SendRequest("POST", row.path, "body");
     }
     CHECK(CountRequests(upstreams) == 3);
-    CHECK(host.SendRequest("POST", row.path, "body").status == 503);
+    const TestAnswer refusal = host.SendRequest("POST", row.path, "body");
+    CHECK(refusal.status == 503);
+    // Until the quarantine ends.
+    REQUIRE(refusal.headers.contains("retry-after"));
+    CHECK(std::stod(refusal.headers.at("retry-after")) > 50);
     CHECK(CountRequests(upstreams) == 3);
   }
 }
