dispatching: satisfy the linter in the crash evidence

Cause: clang-tidy reports the defaulted three-way comparison of SuspectKey (modernize-use-nullptr) and a widening cast in a test. Change: two comparison operators are written out; the cast widens its operand.

--- a/src/libs/dispatching/crash_evidence.h
+++ b/src/libs/dispatching/crash_evidence.h
@@ -2,9 +2,9 @@
 #define FLAMINGOGAUGE_LIBS_DISPATCHING_CRASH_EVIDENCE_H_
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace flamingogauge {
@@ -18,7 +18,10 @@
   // The request's fingerprint, or the id of the prompt part.
   std::uint64_t id = 0;
 
-  auto operator<=>(const SuspectKey&) const = default;
+  bool operator==(const SuspectKey&) const = default;
+  bool operator<(const SuspectKey& other) const {
+    return std::tie(kind, id) < std::tie(other.kind, other.id);
+  }
 };
 
 // Formats as "request 5d88cc16" or "prompt part 12ca9047".
--- a/tests/auto/dispatching/tst_crash_quarantine.cc
+++ b/tests/auto/dispatching/tst_crash_quarantine.cc
@@ -31,7 +31,7 @@
                     int upstreams,
                     MonotonicTime now) {
   for (int n = 0; n < upstreams; ++n) {
-    quarantine.OnCrash(static_cast<std::uint64_t>(100 + n), keys, now, now);
+    quarantine.OnCrash(100U + static_cast<std::uint64_t>(n), keys, now, now);
     now += seconds(1);
   }
   return now;
