gateway: bound the bytes of framing without an end

Callers would see: a host whose memory grows until it is ended, because an upstream or a caller sends the extension of a chunk, or a field after the body, that never ends. The time limits end it after seconds; at a gigabit a second that is hundreds of megabytes. Cause: only the head had a limit; the parser reads these parts as a whole, and the connection kept all bytes until then. Change: unparsed bytes are bounded, at 128 KiB of a response (502 or a resend) and at 64 KiB or the document's limit on heads of a request (400).

--- a/src/plugins/gateway/http_session.cc
+++ b/src/plugins/gateway/http_session.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <utility>
 
 #include "libs/http_framing/reason_phrase.h"
@@ -17,9 +18,13 @@
 using boost::system::error_code;
 using std::chrono::milliseconds;
 
+constexpr int kBadRequest = 400;
 // Limit on buffered input while a request is being answered; reading continues
 // after the response.
 constexpr std::size_t kMaxPipelinedBytes = 65536;
+// Bounds the extension of a chunk and the fields after a body, which the parser
+// reads as a whole.
+constexpr std::size_t kMaxUnparsedBytes = 65536;
 // With more unsent bytes than this, reading the upstream's response is paused.
 constexpr std::size_t kMaxUnsentBytes = 262144;
 // How long input is still read after shutting down the sending side. Closing at
@@ -102,6 +107,10 @@
     DispatchRequest();
     return;
   }
+  if (input_.size() > std::max(limits_.max_header_bytes, kMaxUnparsedBytes)) {
+    RefuseRequest(kBadRequest, "framing without an end");
+    return;
+  }
   if (reader_->header_complete()) {
     if (!header_was_complete) {
       SetTimer(limits_.idle_timeout);
--- a/src/plugins/gateway/upstream_connection.cc
+++ b/src/plugins/gateway/upstream_connection.cc
@@ -25,6 +25,9 @@
 // Fraction of the idle time that is used, so that the upstream does not close
 // the connection while a request is in transit.
 constexpr double kUsedIdleFraction = 0.6;
+// Bounds the extension of a chunk and the fields after a body, which the parser
+// reads as a whole. Above the limit on a head.
+constexpr std::size_t kMaxUnparsedBytes = 131072;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kFirstErrorStatus = 300;
 constexpr int kFirstServerErrorStatus = 500;
@@ -171,6 +174,10 @@
   }
   input_ += bytes;
   ProcessInput();
+  if (observer_ != nullptr && input_.size() > kMaxUnparsedBytes) {
+    FailCall(UpstreamFailure::kInvalidResponse, "framing without an end");
+    return;
+  }
   WaitForInput();
 }
 
--- a/tests/auto/gateway/tst_answers.cc
+++ b/tests/auto/gateway/tst_answers.cc
@@ -14,6 +14,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 const std::string kNotRun =
     "HTTP/1.1 503 Service Unavailable\r\nReq-Id: id-1\r\nNot-Run: 1\r\n"
@@ -226,6 +227,36 @@
   CHECK(answer.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
+// Guards against an upstream that fills the host's memory before the body, or
+// between its chunks.
+TEST_CASE("framing without an end is given up") {
+  struct Row {
+    std::string name;
+    std::string begin;
+  };
+  for (const Row& row : {
+           Row{"a field of the head", "HTTP/1.1 200 OK\r\nReq-Id: "},
+           Row{"the status line", "HTTP/1.1 200 "},
+           Row{"a chunk's extension", kStreamHead + "5;"},
+           Row{"a field of the trailer", kStreamHead + "0\r\nX: "},
+       }) {
+    CAPTURE(row.name);
+    ScriptedServer endless({[&row](ScriptedConnection& connection) {
+      connection.ReadRequest();
+      connection.Write(row.begin);
+      const std::string part(65536, 'x');
+      for (int n = 0; n < 40; ++n) {
+        connection.Write(part);
+      }
+      connection.HoldOpen();
+    }});
+    GatewayHost host({endless.address()});
+    const auto start = std::chrono::steady_clock::now();
+    CHECK(host.SendRequest("POST", "/stream/", "body").status == 502);
+    CHECK(std::chrono::steady_clock::now() - start < seconds(2));
+  }
+}
+
 // Guards against an error's text within a stream, and against a stream that
 // looks complete although resuming it failed.
 TEST_CASE("a resumed stream that fails stays incomplete") {
--- a/tests/auto/gateway/tst_requests.cc
+++ b/tests/auto/gateway/tst_requests.cc
@@ -131,6 +131,24 @@
   }
 }
 
+// Guards against a caller that fills the host's memory between the chunks of a
+// body.
+TEST_CASE("a request with framing without an end is refused") {
+  for (const char* framing : {"5;", "0\r\nX: "}) {
+    CAPTURE(framing);
+    GatewayHost host({});
+    TestConnection connection(host.address());
+    connection.Send(
+        "POST /again/x HTTP/1.1\r\nHost: test\r\nReq-Id: id-1\r\n"
+        "Key: key-1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    connection.Send(framing);
+    const std::string part(65536, 'x');
+    for (int n = 0; n < 8 && connection.Send(part); ++n) {
+    }
+    CHECK(connection.ReadAnswer().status == 400);
+  }
+}
+
 // Guards against lost or interchanged responses to pipelined requests.
 TEST_CASE("pipelined requests are answered in order") {
   ScriptedServer upstream({[](ScriptedConnection& connection) {
