dispatching: split the crash quarantine and bound what a flood costs

Cause: the class held the records, the analysis and the decisions in 600 lines. Change: CrashRecords keeps the crashes, BlameAnalysis (no state) finds the fewest keys that explain them, CrashQuarantine decides. Cases are collected once and charges removed as keys explain them; suspects are counted; above 1,000 suspects an evaluation follows the last one after 100 ms.

--- a/src/libs/dispatching/crash_evidence.cc
+++ b/src/libs/dispatching/crash_evidence.cc
@@ -10,6 +10,15 @@
   return kind + FormatHash(key.id);
 }
 
+std::vector<SuspectKey> AllKeys(const RequestKeys& keys) {
+  std::vector<SuspectKey> all = {
+      {.kind = SuspectKey::Kind::kRequest, .id = keys.request}};
+  for (const std::uint64_t it : keys.prompt_parts) {
+    all.push_back({.kind = SuspectKey::Kind::kPromptPart, .id = it});
+  }
+  return all;
+}
+
 std::string QuarantineReason(const SuspectKey& key) {
   return key.kind == SuspectKey::Kind::kRequest
              ? "the request has crashed several upstreams"
--- a/src/libs/dispatching/crash_evidence.h
+++ b/src/libs/dispatching/crash_evidence.h
@@ -40,6 +40,9 @@
   bool operator==(const RequestKeys&) const = default;
 };
 
+// All keys of the request: its own first, then those of the parts in order.
+std::vector<SuspectKey> AllKeys(const RequestKeys& keys);
+
 // A request that was lost when its upstream crashed.
 struct CrashRecord {
   // The upstream's PeerUpstreamKey.
--- a/src/libs/dispatching/crash_quarantine.h
+++ b/src/libs/dispatching/crash_quarantine.h
@@ -9,7 +9,9 @@
 #include <set>
 #include <vector>
 
+#include "libs/dispatching/blame_analysis.h"
 #include "libs/dispatching/crash_evidence.h"
+#include "libs/dispatching/crash_records.h"
 #include "libs/dispatching/sound_keys.h"
 #include "libs/kernel/time.h"
 
@@ -30,13 +32,6 @@
 // known to this host yet is not refused by it.
 class CrashQuarantine {
  public:
-  // Crashes in which a request was lost before it is quarantined.
-  static constexpr int kRequestThreshold = 3;
-  // The same for a prompt part. At least two of the crashes must have happened
-  // under other requests than the one that was lost most often.
-  static constexpr int kPartThreshold = 3;
-  // The same for a part with which responses were written before.
-  static constexpr int kSoundPartThreshold = 5;
   static constexpr std::size_t kMaxPromptParts = 16;
 
   // A change of the list of quarantined keys, for the log.
@@ -81,18 +76,9 @@
 
   std::size_t quarantined_count(MonotonicTime now) const;
   // Keys that were present in a recent crash.
-  std::size_t suspect_count() const { return suspects_.size(); }
+  std::size_t suspect_count() const { return records_.suspect_count(); }
 
  private:
-  struct LostRequest {
-    RequestKeys keys;
-    MonotonicTime learned_at;
-  };
-  // One crash of an upstream, as seen by all hosts.
-  struct Crash {
-    MonotonicTime at;
-    std::vector<LostRequest> lost;
-  };
   struct Quarantine {
     MonotonicTime began_at;
     int strikes = 1;
@@ -101,89 +87,50 @@
     // Until then, the first crash renews the quarantine.
     MonotonicTime ProbationEndsAt() const;
   };
-  // The crashes that speak against a key.
-  struct Case {
-    int crashes = 0;
-    // Crashes by the fingerprint of the request that was lost.
-    std::map<std::uint64_t, int> crashes_by_request;
-    // The key's position in the prompt; 0 for a request.
-    std::size_t position = 0;
-    bool was_sound = false;
-
-    bool IsProven(SuspectKey::Kind kind) const;
-  };
-  using Cases = std::map<SuspectKey, Case>;
-  struct Proof {
-    SuspectKey key;
-    int crashes = 0;
-  };
   struct SoundNews {
     MonotonicTime sound_at;
     MonotonicTime learned_at;
   };
 
-  // These return false if nothing is new.
+  // Returns false if nothing is new.
   bool AddCrash(std::uint64_t upstream,
                 const RequestKeys& keys,
                 MonotonicTime at,
                 MonotonicTime now);
-  bool AddSound(const SuspectKey& key,
+  void AddSound(const SuspectKey& key,
                 MonotonicTime sound_at,
                 MonotonicTime now);
-  bool AddQuarantine(const QuarantinedKey& entry, MonotonicTime now);
+  void AddQuarantine(const QuarantinedKey& entry, MonotonicTime now);
 
-  Crash& FindOrAddCrash(std::uint64_t upstream, MonotonicTime at);
   // Ends the quarantine of a key that was sound after its last crash.
   void ReleaseIfSound(const SuspectKey& key, MonotonicTime now);
-  std::optional<MonotonicTime> LastCrash(const SuspectKey& key) const;
   // Quarantines the fewest keys that explain the crashes.
   void Evaluate(MonotonicTime now);
-  // Sets the time at which the next crash counts against prompt parts.
-  void ScheduleEvaluation(MonotonicTime now);
+  // Evaluates new crashes, at once unless there is a flood of them.
+  void EvaluateSoon(MonotonicTime now);
   void EvaluateIfDue(MonotonicTime now);
-  static std::optional<Proof> FindWorst(const Cases& cases);
+  MonotonicTime EarliestEvaluation() const;
+  // The quarantined keys for which this host's records give no proof: other
+  // hosts decided on crashes that this one does not know.
+  std::set<SuspectKey> DecidedByOthers(const BlameAnalysis& analysis) const;
   // Ends the quarantines for which other keys turned out to be to blame.
   void ReleaseExplained(const std::set<SuspectKey>& explaining,
                         MonotonicTime now);
   void RenewQuarantines(MonotonicTime now);
-  // The cases of the crashes that none of the `explaining` keys explains.
-  Cases CollectCases(const std::set<SuspectKey>& explaining,
-                     MonotonicTime now) const;
-  void AddToCases(const Crash& crash,
-                  const std::set<SuspectKey>& explaining,
-                  MonotonicTime now,
-                  Cases& cases) const;
-  void AddToCase(const SuspectKey& key,
-                 std::size_t position,
-                 std::uint64_t request,
-                 const Crash& crash,
-                 Cases& cases) const;
-  // True if a lost request has one of the prompt parts.
-  static bool IsExplainedByPart(const Crash& crash,
-                                const std::set<SuspectKey>& explaining);
-  // True if a lost request other than `request` is one of the keys.
-  static bool IsExplainedByOther(const Crash& crash,
-                                 std::uint64_t request,
-                                 const std::set<SuspectKey>& explaining);
   void Begin(const SuspectKey& key,
              int strikes,
              int crashes,
              MonotonicTime now);
   void RemoveExpired(MonotonicTime now);
-  void RemoveOldestCrash();
-  void IndexSuspects();
-
-  // By the upstream's PeerUpstreamKey.
-  std::map<std::uint64_t, std::vector<Crash>> crashes_;
-  std::size_t lost_count_ = 0;
-  // The keys of all lost requests.
-  std::set<SuspectKey> suspects_;
+
+  CrashRecords records_;
   SoundKeys sound_;
   // What is reported of `sound_`: suspects only.
   std::map<SuspectKey, SoundNews> sound_news_;
   std::map<SuspectKey, Quarantine> quarantined_;
   std::vector<Change> changes_;
   MonotonicTime next_evaluation_ = MonotonicTime::max();
+  MonotonicTime evaluated_at_;
 };
 
 }  // namespace flamingogauge
--- a/tests/auto/gateway/tst_coordination_codec.cc
+++ b/tests/auto/gateway/tst_coordination_codec.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <variant>
 
+#include "libs/dispatching/crash_quarantine.h"
 #include "libs/kernel/random.h"
 #include "plugins/gateway/coordination_codec.h"
 
@@ -172,5 +173,32 @@
   CHECK_FALSE(DecodeCoordinationMessage("GET / HTTP/1.1\r\n\r\n"));
 }
 
+// Guards against evidence that no longer fits into a datagram in a flood of
+// crashes.
+TEST_CASE("the largest report of a quarantine fits into a datagram") {
+  constexpr std::size_t kMaxDatagramBytes = 65507;
+  CrashQuarantine quarantine;
+  Random random(1);
+  MonotonicTime now{std::chrono::hours(1)};
+  for (int n = 0; n < 1000; ++n) {
+    now += milliseconds(1);
+    RequestKeys keys{.request = random.Next()};
+    for (int part = 0; part < 20; ++part) {
+      keys.prompt_parts.push_back(random.Next());
+    }
+    quarantine.OnSound(keys, now - milliseconds(1), now);
+    for (int crash = 0; crash < 3; ++crash) {
+      quarantine.OnCrash(random.Next(), keys, now, now);
+    }
+  }
+  const CrashEvidence evidence = quarantine.Report(now);
+  CHECK(evidence.crashes.size() == 64);
+  CHECK(evidence.sound.size() == 64);
+  CHECK(evidence.quarantined.size() == 32);
+  HostMessage message = SampleHostMessage();
+  message.evidence = evidence;
+  CHECK(EncodeCoordinationMessage(message).size() < kMaxDatagramBytes / 4);
+}
+
 }  // namespace
 }  // namespace flamingogauge
