--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -5,7 +5,6 @@
 
 #include "libs/kernel/boot_clock.h"
 #include "libs/kernel/check.h"
-#include "libs/model/fingerprint.h"
 #include "plugins/gateway/fleet_events.h"
 #include "plugins/gateway/local_response.h"
 
@@ -262,66 +261,12 @@
   ResendOrFail(reason);
 }
 
-void Exchange::ResendAfterProbe(const std::string& reason) {
-  state_ = State::kWaiting;
-  may_have_executed_ = true;
-  context_.connections.Probe(
-      upstream_.address, [weak = weak_from_this(), reason](bool /*accepts*/) {
-        const auto self = weak.lock();
-        if (self && self->state_ == State::kWaiting) {
-          self->ResendOrFail(reason);
-        }
-      });
-}
-
 void Exchange::ResendOrFail(const std::string& reason) {
   if (!ResendIfAllowed(true, reason)) {
     FailAfterSend(kBadGateway, reason);
   }
 }
 
-// Connections end for other reasons as well: a fault of the network, or an
-// upstream that sheds load. Only a crashed upstream refuses new ones.
-void Exchange::RecordIfCrashed() {
-  const auto record = [&context = context_, upstream = upstream_.id,
-                       request_id = accepted_.request_id, keys = accepted_.keys,
-                       lost_at = BootTimeNow()](bool accepts) {
-    if (accepts) {
-      return;
-    }
-    context.log.Write(EventLine("upstream.crashed")
-                          .Text("upstream", upstream)
-                          .Text("request", request_id)
-                          .Text("fingerprint", FormatHash(keys.request)));
-    context.metrics.Add("flamingogauge_requests_lost_in_crashes_total", "");
-    context.crashes.OnCrash(PeerUpstreamKey(upstream), keys, lost_at,
-                            BootTimeNow());
-    context.on_quarantine_changed();
-  };
-  context_.connections.Probe(upstream_.address, record);
-}
-
-void Exchange::LogLostResponse(UpstreamFailure failure,
-                               const std::string& reason) const {
-  std::string parts;
-  for (const PromptPart& it : accepted_.prompt_parts) {
-    parts += (parts.empty() ? "" : ",") + FormatHash(it.id);
-  }
-  const MonotonicTime now = BootTimeNow();
-  EventLine line("request.response_lost");
-  line.Text("request", accepted_.request_id)
-      .Text("upstream", upstream_.id)
-      .Text("failure", ToString(failure))
-      .Text("fingerprint", FormatHash(accepted_.keys.request))
-      .Text("prompt_parts", parts)
-      .Milliseconds("sent_ms", now - sent_at_)
-      .Text("reason", reason);
-  if (first_body_at_ != MonotonicTime()) {
-    line.Milliseconds("writing_ms", now - first_body_at_);
-  }
-  context_.log.Write(std::move(line));
-}
-
 bool Exchange::ResendIfAllowed(bool maybe_executed, const std::string& reason) {
   const Route& route = *accepted_.route;
   may_have_executed_ = may_have_executed_ || maybe_executed;
@@ -375,25 +320,6 @@
   Complete("refused", status, reason);
 }
 
-void Exchange::RefuseIfQuarantined() {
-  if (state_ != State::kWaiting) {
-    return;
-  }
-  const auto refusal =
-      context_.crashes.FindQuarantined(accepted_.keys, BootTimeNow());
-  if (!refusal) {
-    return;
-  }
-  context_.placer.Remove(accepted_.id);
-  context_.on_placer_changed();
-  RefuseQuarantined(*refusal);
-}
-
-void Exchange::RefuseQuarantined(const CrashQuarantine::Refusal& refusal) {
-  context_.metrics.Add("flamingogauge_quarantine_refusals_total", "");
-  Refuse(kServiceUnavailable, refusal.time_left, QuarantineReason(refusal.key));
-}
-
 void Exchange::SendLocalResponse(int status,
                                  std::optional<milliseconds> retry_after) {
   const bool keep_open = KeepsConnection();
--- a/src/plugins/gateway/exchange_response.cc
+++ b/src/plugins/gateway/exchange_response.cc
@@ -114,14 +114,6 @@
   }
 }
 
-void Exchange::RecordSound(MonotonicTime began_at, MonotonicTime now) {
-  if (!is_sound_) {
-    is_sound_ = true;
-    context_.crashes.OnSound(accepted_.keys, began_at, now);
-    context_.on_quarantine_changed();
-  }
-}
-
 void Exchange::RelayStreamPart(std::string part) {
   boundary_.Feed(part);
   std::string ready =
--- a/tests/auto/gateway/tst_coordination_node.cc
+++ b/tests/auto/gateway/tst_coordination_node.cc
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "libs/dispatching/crash_quarantine.h"
 #include "libs/kernel/boot_clock.h"
 #include "plugins/gateway/coordination_node.h"
 #include "tests/support/free_address.h"
@@ -59,14 +60,18 @@
                  [this](HostMessage& message) {
                    message.draining = is_draining;
                    message.usage["w"] = {.spent = spent};
+                   message.evidence = crashes.Report(BootTimeNow());
                  },
              .on_placed = [] {},
              .on_summary =
                  [this](const FleetSummary& summary) {
                    last_summary = summary;
                  },
-             .on_crash_evidence = [](const CrashEvidence&) {},
-             .crash_evidence = [] { return CrashEvidence(); },
+             .on_crash_evidence =
+                 [this](const CrashEvidence& evidence) {
+                   crashes.Merge(evidence, BootTimeNow());
+                 },
+             .crash_evidence = [this] { return crashes.Report(BootTimeNow()); },
              .is_draining = [this] { return is_draining; },
              .on_host_gone = [](const std::string&) {},
              .on_host_unlisted =
@@ -101,6 +106,7 @@
 
   bool is_draining = false;
   double spent = 0;
+  CrashQuarantine crashes;
   FleetSummary last_summary;
   std::vector<std::uint64_t> placements;
   std::set<std::string> unlisted;
@@ -192,6 +198,42 @@
   CHECK(RunUntil(io, [&] { return near_host.node().HostCount() == 2; }));
 }
 
+// Guards against a request that goes on crashing upstreams at hosts that were
+// not told of the crashes, in another data centre or started later.
+TEST_CASE("hosts of all data centres learn of crashes, also later ones") {
+  boost::asio::io_context io;
+  Host near_coordinator(io, "c1", "d1", 0.9);
+  Host near_host(io, "h1", "d1", 0.1);
+  Host far_coordinator(io, "c2", "d2", 0.9);
+  Host far_host(io, "h2", "d2", 0.1);
+  Host late_host(io, "h3", "d2", 0.1);
+  const std::vector<HostEntry> listed = {
+      near_coordinator.entry(), near_host.entry(), far_coordinator.entry(),
+      far_host.entry(), late_host.entry()};
+  for (Host* it :
+       {&near_coordinator, &near_host, &far_coordinator, &far_host}) {
+    it->Start(listed);
+  }
+  const RequestKeys keys{.request = 7};
+  const auto refuses = [&keys](Host& host) {
+    return host.crashes.FindQuarantined(keys, BootTimeNow()).has_value();
+  };
+  // Each host sees one of the three crashes.
+  std::uint64_t upstream = 1;
+  for (Host* it : {&near_coordinator, &near_host, &far_host}) {
+    const MonotonicTime now = BootTimeNow();
+    it->crashes.OnCrash(upstream++, keys, now, now);
+  }
+  const auto start = std::chrono::steady_clock::now();
+  for (Host* it :
+       {&near_coordinator, &near_host, &far_coordinator, &far_host}) {
+    CHECK(RunUntil(io, [&] { return refuses(*it); }));
+  }
+  CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(1));
+  late_host.Start(listed);
+  CHECK(RunUntil(io, [&] { return refuses(late_host); }));
+}
+
 // Guards against a new host that has no part of the limits until the others
 // have read the list of hosts again: they are told to read it at once.
 TEST_CASE(
