--- a/src/libs/dispatching/crash_quarantine.h
+++ b/src/libs/dispatching/crash_quarantine.h
@@ -32,6 +32,7 @@
 // known to this host yet is not refused by it.
 class CrashQuarantine {
  public:
+  // Further parts of a lost request's prompt are not recorded.
   static constexpr std::size_t kMaxPromptParts = 16;
 
   // A change of the list of quarantined keys, for the log.
@@ -43,12 +44,15 @@
     int crashes = 0;
   };
 
+  // Why a request is refused.
   struct Refusal {
     SuspectKey key;
+    // Until the quarantine ends.
     std::chrono::milliseconds time_left{0};
   };
 
-  // A request of this host was lost in a crash at `lost_at`.
+  // A request of this host was lost in a crash at `lost_at`. `upstream` is a
+  // PeerUpstreamKey.
   void OnCrash(std::uint64_t upstream,
                RequestKeys keys,
                MonotonicTime lost_at,
@@ -65,7 +69,7 @@
   std::optional<Refusal> FindQuarantined(const RequestKeys& keys,
                                          MonotonicTime now);
 
-  // True if the request was lost in a recent crash.
+  // True if the request with this fingerprint was lost in a recent crash.
   bool IsSuspect(std::uint64_t request) const;
 
   // What other hosts should know. Bounded; the newest evidence goes first.
