--- a/src/libs/dispatching/crash_quarantine.h
+++ b/src/libs/dispatching/crash_quarantine.h
@@ -72,7 +72,7 @@
   // True if the request with this fingerprint was lost in a recent crash.
   bool IsSuspect(std::uint64_t request) const;
 
-  // What other hosts should know. Bounded; the newest evidence goes first.
+  // What other hosts should know. Bounded; the newest crashes go first.
   CrashEvidence Report(MonotonicTime now);
 
   // Removes and returns the changes since the last call.
