app: let only a finished drain or SIGINT end a draining process

Cause: two places ended the process. Drain() in serve_command.cc waited for "a second signal" and called _exit() on any of SIGTERM, SIGINT and SIGHUP; the other end is the completed drain. POST /drain sends SIGTERM to its own process, so that a SIGTERM of the supervisor after it, or a second POST /drain, did the same. Change: ProcessLife (no I/O) decides when the process ends: after the drain, or by SIGINT during it. Other requests are logged as process.request_ignored. The signals are blocked before the settings are read, so that one during the start waits.

--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -65,6 +65,7 @@
 }
 
 int Serve(const std::vector<std::string>& arguments) {
+  flamingogauge::BlockServeSignals();
   const flamingogauge::Result<void> read = flamingogauge::ReadFlags(arguments);
   if (!read) {
     std::fprintf(stderr, "flamingogauge: %s\n", ToString(read.error()).c_str());
--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <ctime>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -16,6 +17,7 @@
 #include "app/settings_reloader.h"
 #include "libs/kernel/log.h"
 #include "libs/kernel/plugin_manager.h"
+#include "libs/kernel/process_life.h"
 #include "libs/services/event_log_service.h"
 #include "libs/services/membership_view.h"
 #include "libs/services/request_intake.h"
@@ -51,7 +53,8 @@
 constexpr char kEmbeddedToken[] = "embedded-operators";
 // Placeholder address: the echo upstream client opens no connections.
 constexpr char kPlaceholderAddress[] = "127.0.0.1:1";
-constexpr timespec kSignalPollInterval{.tv_sec = 0, .tv_nsec = 20000000};
+// Interval at which a draining process checks whether it is done.
+constexpr timespec kDrainPollInterval{.tv_sec = 0, .tv_nsec = 20000000};
 // Interval at which the settings file is checked for changes, because it may
 // change without a SIGHUP.
 constexpr timespec kSettingsPollInterval{.tv_sec = 2, .tv_nsec = 0};
@@ -128,27 +131,6 @@
   }
 }
 
-// Drains in a separate thread, so that a second signal can end the process.
-bool Drain(PluginManager& manager, const sigset_t& signals) {
-  std::atomic<bool> done = false;
-  bool complete = false;
-  std::thread drainer([&manager, &done, &complete] {
-    complete =
-        manager.Shutdown(std::chrono::milliseconds(FLAGS_drain_time_limit_ms));
-    done = true;
-  });
-  while (!done) {
-    const int number = sigtimedwait(&signals, nullptr, &kSignalPollInterval);
-    if (number > 0) {
-      Log().Warning("second signal " + std::to_string(number) +
-                    ": exiting without draining");
-      _exit(kExitSignalBase + number);
-    }
-  }
-  drainer.join();
-  return complete;
-}
-
 std::string Join(const std::vector<std::string>& names) {
   std::string text;
   for (const std::string& it : names) {
@@ -181,31 +163,136 @@
   WriteEvent(manager, std::move(line));
 }
 
-// Waits for SIGTERM or SIGINT and returns the signal number. Meanwhile reloads
-// the settings on SIGHUP and when their file changes.
-int WaitForStop(const sigset_t& signals,
-                SettingsReloader& reloader,
-                PluginManager& manager) {
-  while (true) {
-    const int number = sigtimedwait(&signals, nullptr, &kSettingsPollInterval);
-    if (number == SIGHUP) {
-      ReloadSettings(reloader, manager, "SIGHUP");
-    } else if (number > 0) {
-      return number;
-    } else if (reloader.FileHasChanged()) {
-      ReloadSettings(reloader, manager, "the file changed");
+std::optional<ProcessRequest> RequestOf(int signal_number) {
+  switch (signal_number) {
+    case SIGHUP:
+      return ProcessRequest::kReload;
+    case SIGTERM:
+      return ProcessRequest::kStop;
+    case SIGINT:
+      return ProcessRequest::kInterrupt;
+    default:
+      return std::nullopt;
+  }
+}
+
+// Shuts the plugins down in a thread of its own, so that the main thread keeps
+// receiving signals.
+class Drain {
+ public:
+  explicit Drain(PluginManager& manager) : manager_(manager) {}
+  Drain(const Drain&) = delete;
+  Drain& operator=(const Drain&) = delete;
+  ~Drain() {
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+
+  void Start() {
+    thread_ = std::thread([this] {
+      is_complete_ = manager_.Shutdown(
+          std::chrono::milliseconds(FLAGS_drain_time_limit_ms));
+      is_done_ = true;
+    });
+  }
+  bool is_done() const { return is_done_; }
+  // False if the time limit passed first. Valid once it is done.
+  bool is_complete() const { return is_complete_; }
+
+ private:
+  PluginManager& manager_;
+  std::thread thread_;
+  bool is_complete_ = false;
+  std::atomic<bool> is_done_ = false;
+};
+
+void BeginDrain(PluginManager& manager, int signal_number, Drain& drain) {
+  Log().Info("signal " + std::to_string(signal_number) + ": draining");
+  WriteEvent(manager,
+             EventLine("process.stopping").Number("signal", signal_number));
+  // Reports the host as not ready before the first plugin drains.
+  if (auto intake =
+          manager.registry().Find<RequestIntake>(RequestIntake::kServiceName)) {
+    intake.value()->BeginDrain();
+  }
+  // Announced before the drain, so that other hosts immediately take over the
+  // groups that this host schedules.
+  if (auto members = manager.registry().Find<MembershipView>(
+          MembershipView::kServiceName)) {
+    members.value()->AnnounceLeaving();
+  }
+  drain.Start();
+}
+
+void LogIgnored(PluginManager& manager,
+                ProcessRequest request,
+                Duration draining_for) {
+  const auto elapsed =
+      std::chrono::duration_cast<std::chrono::milliseconds>(draining_for);
+  Log().Info(std::string(ToString(request)) +
+             " request ignored: the process has been draining for " +
+             std::to_string(elapsed.count()) + " ms");
+  WriteEvent(manager, EventLine("process.request_ignored")
+                          .Text("request", ToString(request))
+                          .Text("reason", "the process drains")
+                          .Milliseconds("draining_ms", draining_for));
+}
+
+// Handles signals and changes of the settings file until the process has
+// drained. Returns false if the drain's time limit passed first.
+bool RunUntilDrained(const sigset_t& signals,
+                     SettingsReloader& reloader,
+                     PluginManager& manager) {
+  ProcessLife life;
+  Drain drain(manager);
+  while (life.stage() != ProcessStage::kEnded) {
+    const bool is_serving = life.stage() == ProcessStage::kServing;
+    const int number =
+        sigtimedwait(&signals, nullptr,
+                     is_serving ? &kSettingsPollInterval : &kDrainPollInterval);
+    if (drain.is_done()) {
+      life.OnDrained();
+      continue;
+    }
+    std::optional<ProcessRequest> request = RequestOf(number);
+    if (!request && is_serving && reloader.FileHasChanged()) {
+      request = ProcessRequest::kReload;
+    }
+    if (!request) {
+      continue;
+    }
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    switch (life.OnRequest(*request, now)) {
+      case ProcessAction::kReload:
+        ReloadSettings(reloader, manager,
+                       number == SIGHUP ? "SIGHUP" : "the file changed");
+        break;
+      case ProcessAction::kDrain:
+        BeginDrain(manager, number, drain);
+        break;
+      case ProcessAction::kIgnore:
+        LogIgnored(manager, *request, life.DrainingFor(now));
+        break;
+      case ProcessAction::kExitAtOnce:
+        Log().Warning(
+            "interrupted while draining: exiting at once; requests in flight "
+            "are cut off");
+        _exit(kExitSignalBase + number);
     }
   }
+  return drain.is_complete();
 }
 
 }  // namespace
 
-int RunServeCommand(const std::vector<std::string>& arguments) {
-  // The signals are blocked before threads start, so that only this thread
-  // receives them, through sigtimedwait().
+void BlockServeSignals() {
   const sigset_t signals = HandledSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+}
+
+int RunServeCommand(const std::vector<std::string>& arguments) {
   RaiseDescriptorLimit();
   SettingsReloader reloader(arguments);
   PluginManager manager;
@@ -221,21 +308,7 @@
               : kExitFailure);
   }
   Log().Info("started");
-  const int number = WaitForStop(signals, reloader, manager);
-  Log().Info("signal " + std::to_string(number) + ": draining");
-  WriteEvent(manager, EventLine("process.stopping").Number("signal", number));
-  // Reports the host as not ready before the first plugin drains.
-  if (auto intake =
-          manager.registry().Find<RequestIntake>(RequestIntake::kServiceName)) {
-    intake.value()->BeginDrain();
-  }
-  // Announced before the drain, so that other hosts immediately take over the
-  // groups that this host schedules.
-  if (auto members = manager.registry().Find<MembershipView>(
-          MembershipView::kServiceName)) {
-    members.value()->AnnounceLeaving();
-  }
-  const bool complete = Drain(manager, signals);
+  const bool complete = RunUntilDrained(HandledSignals(), reloader, manager);
   Log().Info(complete ? "drained"
                       : "drain did not complete within the time limit");
   return complete ? 0 : kExitFailure;
--- a/tests/auto/end_to_end/tst_settings_reload.cc
+++ b/tests/auto/end_to_end/tst_settings_reload.cc
@@ -92,5 +92,26 @@
   CHECK(*status == 0);
 }
 
+// Guards against a change of the settings that ends a gateway while it drains,
+// long before its stop limit, and so cuts its requests off.
+TEST_CASE("a draining gateway ignores SIGHUP, changed settings and SIGTERM") {
+  const SettingsFile file;
+  const std::string start =
+      "--host_name=h1\n--gateway_stop_limit_s=2\n"
+      "--gateway_drain_min_time_ms=1000\n";
+  file.Write(start);
+  ChildProcess host(FLAMINGOGAUGE_BINARY,
+                    {"serve", "--flagfile=" + file.path()});
+  REQUIRE(host.WaitForOutput("process.started"));
+  host.Signal(SIGTERM);
+  REQUIRE(host.WaitForOutput("gateway.draining"));
+  file.Write(start + "--gateway_resend_ratio=0.3\n");
+  host.Signal(SIGHUP);
+  CHECK(host.WaitForOutput(R"("request":"reload","reason":"the process)"));
+  host.Signal(SIGTERM);
+  CHECK(host.WaitForOutput(R"("request":"stop","reason":"the process)"));
+  CHECK(host.Wait(kExitTimeLimit) == 0);
+}
+
 }  // namespace
 }  // namespace flamingogauge
