fleet: move the parser of addresses out of the gateway

The adapter of the platform has to check the addresses in entries of other writers with the same function; a plugin's header is not for others. No change in behaviour.

--- a/src/plugins/gateway/endpoint.h
+++ b/src/libs/fleet/endpoint.h
@@ -1,5 +1,5 @@
-#ifndef FLAMINGOGAUGE_PLUGINS_GATEWAY_ENDPOINT_H_
-#define FLAMINGOGAUGE_PLUGINS_GATEWAY_ENDPOINT_H_
+#ifndef FLAMINGOGAUGE_LIBS_FLEET_ENDPOINT_H_
+#define FLAMINGOGAUGE_LIBS_FLEET_ENDPOINT_H_
 
 #include <boost/asio/ip/address.hpp>
 
@@ -30,4 +30,4 @@
 
 }  // namespace flamingogauge
 
-#endif  // FLAMINGOGAUGE_PLUGINS_GATEWAY_ENDPOINT_H_
+#endif  // FLAMINGOGAUGE_LIBS_FLEET_ENDPOINT_H_
--- a/src/plugins/gateway/connect_probe.cc
+++ b/src/plugins/gateway/connect_probe.cc
@@ -5,7 +5,7 @@
 #include <chrono>
 #include <utility>
 
-#include "plugins/gateway/endpoint.h"
+#include "libs/fleet/endpoint.h"
 
 namespace flamingogauge {
 namespace {
--- a/src/plugins/gateway/datagram_socket.cc
+++ b/src/plugins/gateway/datagram_socket.cc
@@ -4,7 +4,7 @@
 
 #include <utility>
 
-#include "plugins/gateway/endpoint.h"
+#include "libs/fleet/endpoint.h"
 
 namespace flamingogauge {
 
--- a/src/plugins/gateway/upstream_connection.cc
+++ b/src/plugins/gateway/upstream_connection.cc
@@ -6,8 +6,8 @@
 #include <charconv>
 #include <utility>
 
+#include "libs/fleet/endpoint.h"
 #include "libs/kernel/boot_clock.h"
-#include "plugins/gateway/endpoint.h"
 #include "plugins/gateway/read_buffer.h"
 #include "plugins/gateway/socket_options.h"
 
