gateway: take a response for whole only if neither half reported an error

Cause: an error on one half of a connection was lost for the other half. While the request is still being written, the kernel reports the reset to the write; the read then ends in order, as if the upstream had closed the connection. The write's error was only noted as 'not written', and the end of the input completed the response. Change: ResponseCompletion (no I/O) decides from the reports of both halves. An end of the input completes a response without a length once the request has been written without an error; until then the end is undecided, and a failed write makes it truncated. A length or last chunk still completes a response at once. The reason of a lost response names the error of the write. Test: on the code before, 'a response that ends with its connection is whole or broken off' failed in the three rows with a reset (200 with half of the body in place of 502, in place of the resent response, and as a complete stream); sound upstreams that respond early, also over a connection closed in one direction, passed and pass.

--- a/src/plugins/gateway/upstream_connection.cc
+++ b/src/plugins/gateway/upstream_connection.cc
@@ -49,6 +49,15 @@
   return milliseconds(seconds * 1000);
 }
 
+std::string DescribeErrors(const error_code& read_error,
+                           const error_code& write_error) {
+  std::string text = read_error.message();
+  if (write_error) {
+    text += "; writing the request: " + write_error.message();
+  }
+  return text;
+}
+
 }  // namespace
 
 std::string_view ToString(UpstreamFailure failure) {
@@ -79,7 +88,9 @@
   request_ = std::move(request);
   observer_ = observer;
   reader_ = std::make_unique<HttpResponseReader>(request_.is_head);
-  request_written_ = false;
+  completion_ = ResponseCompletion();
+  read_error_ = {};
+  write_error_ = {};
   head_handled_ = false;
   skipping_response_ = false;
   paused_ = false;
@@ -127,11 +138,25 @@
   boost::asio::async_write(
       socket_, boost::asio::buffer(request_.bytes),
       [self = shared_from_this()](const error_code& ec, std::size_t /*n*/) {
-        // A write error is detected when the response is read.
-        self->request_written_ = !ec;
+        self->OnRequestWritten(ec);
       });
 }
 
+// A call does not fail with its write: an upstream may respond to a request
+// without reading all of it. The end of the response shows whether it is whole.
+void UpstreamConnection::OnRequestWritten(const error_code& ec) {
+  if (observer_ == nullptr) {
+    return;
+  }
+  if (ec) {
+    write_error_ = ec;
+    completion_.OnRequestWriteFailed();
+  } else {
+    completion_.OnRequestWritten();
+  }
+  FinishEndedCall();
+}
+
 void UpstreamConnection::SetPaused(bool paused) {
   paused_ = paused;
   if (!paused) {
@@ -208,7 +233,8 @@
       observer_->OnBody(std::move(body));
     }
     if (observer_ != nullptr && reader_->complete()) {
-      FinishCall();
+      completion_.OnFramingComplete();
+      FinishEndedCall();
       return;
     }
     if (used == 0) {
@@ -248,7 +274,8 @@
 void UpstreamConnection::FinishCall() {
   UpstreamResponseObserver* observer = std::exchange(observer_, nullptr);
   const HttpFields& fields = reader_->head().fields;
-  const bool reusable = reader_->keep_alive() && request_written_ &&
+  const bool reusable = reader_->keep_alive() &&
+                        completion_.is_request_written() &&
                         !saw_foreign_response_ && input_.empty() &&
                         !MayBeRepeated(reader_->head());
   const auto idle_time = std::chrono::duration_cast<Duration>(
@@ -269,16 +296,32 @@
     Close();
     return;
   }
-  if (ec == boost::asio::error::eof && head_handled_) {
-    reader_->FinishAtEndOfFile();
-    if (reader_->complete() && !reader_->failed()) {
+  read_error_ = ec;
+  if (ec != boost::asio::error::eof) {
+    completion_.OnReadFailed();
+  } else {
+    if (head_handled_) {
+      reader_->FinishAtEndOfFile();
+    }
+    completion_.OnEndOfInput(head_handled_ && reader_->complete() &&
+                             !reader_->failed());
+  }
+  FinishEndedCall();
+}
+
+void UpstreamConnection::FinishEndedCall() {
+  switch (completion_.end()) {
+    case ResponseEnd::kUndecided:
+      return;
+    case ResponseEnd::kWhole:
       FinishCall();
       return;
-    }
+    case ResponseEnd::kTruncated:
+      FailCall(head_handled_ ? UpstreamFailure::kTruncatedResponse
+                             : UpstreamFailure::kNoResponse,
+               DescribeErrors(read_error_, write_error_));
+      return;
   }
-  FailCall(head_handled_ ? UpstreamFailure::kTruncatedResponse
-                         : UpstreamFailure::kNoResponse,
-           ec.message());
 }
 
 void UpstreamConnection::FailCall(UpstreamFailure failure,
--- a/src/plugins/gateway/upstream_connection.h
+++ b/src/plugins/gateway/upstream_connection.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "libs/http_framing/http_response_reader.h"
+#include "libs/http_framing/response_completion.h"
 #include "libs/kernel/time.h"
 
 namespace flamingogauge {
@@ -91,7 +92,10 @@
   void HandleHead();
   bool MayBeRepeated(const HttpResponseHead& head) const;
   void FinishCall();
+  void OnRequestWritten(const boost::system::error_code& ec);
   void OnEndOfInput(const boost::system::error_code& ec);
+  // Ends the call once it is known whether its response is whole.
+  void FinishEndedCall();
   void FailCall(UpstreamFailure failure, const std::string& reason);
   void Close();
 
@@ -103,12 +107,15 @@
   UpstreamResponseObserver* observer_ = nullptr;
   UpstreamRequest request_;
   std::unique_ptr<HttpResponseReader> reader_;
+  ResponseCompletion completion_;
+  // The errors that reading and writing have ended with, if any.
+  boost::system::error_code read_error_;
+  boost::system::error_code write_error_;
   std::string input_;
   MonotonicTime usable_until_;
   bool connected_ = false;
   bool reading_ = false;
   bool paused_ = false;
-  bool request_written_ = false;
   bool head_handled_ = false;
   bool skipping_response_ = false;
   // A response to another request was received; the connection is not reused.
--- a/tests/auto/faults/tst_lost_hosts.cc
+++ b/tests/auto/faults/tst_lost_hosts.cc
@@ -39,7 +39,8 @@
   BookingResult result{.key = key};
   for (int it = 0; it < kAttempts; ++it) {
     TestConnection connection(
-        deployment.host((first_host + it) % kHosts).callers, kCallerTimeLimit);
+        deployment.host((first_host + it) % kHosts).callers,
+        {.time_limit = kCallerTimeLimit});
     if (!connection.IsOpen() || !connection.Send(BookingRequest(key))) {
       continue;
     }
--- a/tests/auto/faults/tst_malformed_bytes.cc
+++ b/tests/auto/faults/tst_malformed_bytes.cc
@@ -50,7 +50,7 @@
     CAPTURE(address);
     int sent = 0;
     for (int it = 0; it < kConnections; ++it) {
-      TestConnection connection(address, kReadTimeLimit);
+      TestConnection connection(address, {.time_limit = kReadTimeLimit});
       REQUIRE(connection.IsOpen());
       sent += connection.Send(MalformedBytes(random)) ? 1 : 0;
       if (random.NextBool(0.5)) {
--- /dev/null
+++ b/tests/auto/gateway/tst_response_end.cc
@@ -0,0 +1,92 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include "tests/auto/gateway/gateway_host.h"
+#include "tests/support/scripted_server.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+
+// More than the socket buffers take, so that the request is still being written
+// when the response ends; below the limit on bodies.
+constexpr std::size_t kBodyBytes = 4000000;
+constexpr milliseconds kPause{100};
+
+const std::string kFirstHalf = "data: one\n\n";
+const std::string kSecondHalf = "data: two\n\n";
+// A response that ends with its connection.
+const std::string kHead =
+    "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nSeal: s1\r\nConnection: close\r\n\r\n";
+
+enum class Ending {
+  // The upstream ends in the middle of the response: its kernel resets the
+  // connection, because bytes of the request are unread.
+  kReset,
+  // The upstream completes the response, then reads the rest of the request.
+  kReadThenClose,
+  // The same, but it ends its half of the connection first.
+  kCloseThenRead,
+};
+
+ScriptedServer::Script RespondEarly(Ending ending) {
+  return [ending](ScriptedConnection& connection) {
+    connection.ReadHead();
+    connection.Write(kHead + kFirstHalf);
+    std::this_thread::sleep_for(kPause);
+    if (ending == Ending::kReset) {
+      return;
+    }
+    connection.Write(kSecondHalf);
+    if (ending == Ending::kCloseThenRead) {
+      connection.ShutdownSending();
+      std::this_thread::sleep_for(kPause);
+    }
+    connection.ReadRestOfBody(kBodyBytes);
+  };
+}
+
+struct EndingCase {
+  std::string path;
+  Ending ending;
+  int status;
+  const char* body;
+  bool complete;
+};
+
+// Guards against half of a response that passes for the whole: the reset of its
+// connection is reported to the write of the request, not to the read.
+TEST_CASE("a response that ends with its connection is whole or broken off") {
+  const std::string whole = kFirstHalf + kSecondHalf;
+  for (const EndingCase& it :
+       {EndingCase{"/once/", Ending::kReset, 502, "", true},
+        EndingCase{"/again/", Ending::kReset, 200, "resent", true},
+        EndingCase{"/stream/", Ending::kReset, 200, kFirstHalf.c_str(), false},
+        EndingCase{"/once/", Ending::kReadThenClose, 200, whole.c_str(), true},
+        EndingCase{"/stream/", Ending::kReadThenClose, 200, whole.c_str(),
+                   true},
+        EndingCase{"/once/", Ending::kCloseThenRead, 200, whole.c_str(), true},
+        EndingCase{"/stream/", Ending::kCloseThenRead, 200, whole.c_str(),
+                   true}}) {
+    CAPTURE(it.path);
+    CAPTURE(static_cast<int>(it.ending));
+    ScriptedServer first({RespondEarly(it.ending)});
+    ScriptedServer second({[](ScriptedConnection& connection) {
+      connection.ReadRequest();
+      connection.Write(UpstreamAnswer("resent"));
+    }});
+    GatewayHost host({first.address(), second.address()});
+    const TestAnswer answer =
+        host.SendRequest("POST", it.path, std::string(kBodyBytes, 'p'));
+    CHECK(answer.status == it.status);
+    CHECK(answer.body == it.body);
+    CHECK(answer.complete == it.complete);
+  }
+}
+
+}  // namespace
+}  // namespace flamingogauge
--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -13,6 +14,9 @@
 namespace flamingogauge {
 namespace {
 
+constexpr int kSmallBufferBytes = 8192;
+constexpr int kSmallSegmentBytes = 1460;
+
 // Set on each connection thread, so that ReadRequest() can record requests in
 // the server.
 thread_local ScriptedServer* current_server = nullptr;
@@ -44,6 +48,35 @@
   }
 }
 
+void ScriptedConnection::ReadHead() {
+  std::array<char, 512> buf{};
+  while (buffer_.find("\r\n\r\n") == std::string::npos) {
+    const ssize_t n = recv(fd_, buf.data(), buf.size(), 0);
+    if (n <= 0) {
+      return;
+    }
+    buffer_.append(buf.data(), static_cast<std::size_t>(n));
+  }
+  current_server->RecordRequest(buffer_.substr(0, buffer_.find(" HTTP/")));
+  buffer_.erase(0, buffer_.find("\r\n\r\n") + 4);
+}
+
+bool ScriptedConnection::ReadRestOfBody(std::size_t n) {
+  std::array<char, 65536> buf{};
+  while (buffer_.size() < n) {
+    const ssize_t part = recv(fd_, buf.data(), buf.size(), 0);
+    if (part <= 0) {
+      return false;
+    }
+    buffer_.append(buf.data(), static_cast<std::size_t>(part));
+  }
+  return true;
+}
+
+void ScriptedConnection::ShutdownSending() const {
+  shutdown(fd_, SHUT_WR);
+}
+
 void ScriptedConnection::Write(std::string_view bytes) const {
   [[maybe_unused]] const auto n =
       send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
@@ -64,9 +97,16 @@
   current_server->StopListening();
 }
 
-ScriptedServer::ScriptedServer(std::vector<Script> scripts)
+ScriptedServer::ScriptedServer(std::vector<Script> scripts,
+                               const ScriptedServerOptions& options)
     : scripts_(std::move(scripts)),
       listen_fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  if (options.has_small_buffers) {
+    setsockopt(listen_fd_, SOL_SOCKET, SO_RCVBUF, &kSmallBufferBytes,
+               sizeof(int));
+    setsockopt(listen_fd_, IPPROTO_TCP, TCP_MAXSEG, &kSmallSegmentBytes,
+               sizeof(int));
+  }
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -1,6 +1,7 @@
 #ifndef FLAMINGOGAUGE_TESTS_SUPPORT_SCRIPTED_SERVER_H_
 #define FLAMINGOGAUGE_TESTS_SUPPORT_SCRIPTED_SERVER_H_
 
+#include <cstddef>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -18,6 +19,14 @@
   // Reads a request with its body. Returns the method and target of its request
   // line, or "" if the connection ends first.
   std::string ReadRequest();
+  // Reads the head of a request and leaves its body unread, as far as it has
+  // not arrived with the head.
+  void ReadHead();
+  // Reads the rest of a body of which `n` bytes were sent; false if the
+  // connection ends first.
+  bool ReadRestOfBody(std::size_t n);
+  // Ends the sending half of the connection.
+  void ShutdownSending() const;
   // The head and body of the last request read.
   const std::string& last_request() const { return last_request_; }
   void Write(std::string_view bytes) const;
@@ -34,6 +43,12 @@
   std::string last_request_;
 };
 
+struct ScriptedServerOptions {
+  // Makes the kernel take over little of a request that is not read: as on a
+  // network, and not on the loopback interface, segments and windows are small.
+  bool has_small_buffers = false;
+};
+
 // A TCP server on a loopback port chosen by the kernel. The n-th accepted
 // connection runs the n-th script and is then closed. On each further
 // connection one request is answered with 404.
@@ -41,7 +56,8 @@
  public:
   using Script = std::function<void(ScriptedConnection&)>;
 
-  explicit ScriptedServer(std::vector<Script> scripts);
+  explicit ScriptedServer(std::vector<Script> scripts,
+                          const ScriptedServerOptions& options = {});
   ~ScriptedServer();
   ScriptedServer(const ScriptedServer&) = delete;
   ScriptedServer& operator=(const ScriptedServer&) = delete;
--- a/tests/support/test_connection.cc
+++ b/tests/support/test_connection.cc
@@ -2,18 +2,22 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <cerrno>
 #include <utility>
 
 namespace flamingogauge {
 namespace {
 
 constexpr std::string_view kLineEnd = "\r\n";
+constexpr int kSmallBufferBytes = 8192;
+constexpr int kSmallSegmentBytes = 1460;
 
 std::string LowerCase(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(), [](unsigned char it) {
@@ -55,7 +59,7 @@
 }
 
 TestConnection::TestConnection(const std::string& address,
-                               std::chrono::milliseconds time_limit) {
+                               const TestConnectionOptions& options) {
   const std::size_t colon = address.rfind(':');
   sockaddr_in target{};
   target.sin_family = AF_INET;
@@ -63,10 +67,16 @@
       htons(static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))));
   inet_pton(AF_INET, address.substr(0, colon).c_str(), &target.sin_addr);
   fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const timeval limit{.tv_sec = time_limit.count() / 1000,
-                      .tv_usec = time_limit.count() % 1000 * 1000};
+  const auto time_limit = options.time_limit.count();
+  const timeval limit{.tv_sec = time_limit / 1000,
+                      .tv_usec = time_limit % 1000 * 1000};
   ::setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
   ::setsockopt(fd_, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
+  if (options.has_small_buffers) {
+    ::setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &kSmallBufferBytes, sizeof(int));
+    ::setsockopt(fd_, IPPROTO_TCP, TCP_MAXSEG, &kSmallSegmentBytes,
+                 sizeof(int));
+  }
   if (::connect(fd_, reinterpret_cast<const sockaddr*>(&target),
                 sizeof(target)) != 0) {
     Close();
@@ -150,6 +160,16 @@
   return buffer_.empty() && ::recv(fd_, buf.data(), buf.size(), 0) == 0;
 }
 
+std::optional<std::string> TestConnection::ReadToEnd() {
+  errno = 0;
+  while (ReadMore()) {
+  }
+  if (errno != 0) {
+    return std::nullopt;
+  }
+  return std::exchange(buffer_, {});
+}
+
 void TestConnection::Reset() {
   const linger abort{.l_onoff = 1, .l_linger = 0};
   ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
--- a/tests/support/test_connection.h
+++ b/tests/support/test_connection.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,13 +25,20 @@
   std::vector<std::string> Events() const;
 };
 
+struct TestConnectionOptions {
+  // Applies to each read and write.
+  std::chrono::milliseconds time_limit = std::chrono::seconds(20);
+  // Makes the kernel take over little of a response that is not read: as on a
+  // network, and not on the loopback interface, segments and windows are small.
+  bool has_small_buffers = false;
+};
+
 // A blocking client connection that gives tests access to the received bytes.
 class TestConnection {
  public:
-  // Connects to "ip:port". `time_limit` applies to each read and write.
-  explicit TestConnection(
-      const std::string& address,
-      std::chrono::milliseconds time_limit = std::chrono::seconds(20));
+  // Connects to "ip:port".
+  explicit TestConnection(const std::string& address,
+                          const TestConnectionOptions& options = {});
   TestConnection(const TestConnection&) = delete;
   TestConnection& operator=(const TestConnection&) = delete;
   ~TestConnection();
@@ -49,6 +57,10 @@
   // are left or the read fails or times out.
   bool ReadsEnd();
 
+  // Reads all bytes up to the end of the connection. Returns nothing if it was
+  // reset or a read timed out.
+  std::optional<std::string> ReadToEnd();
+
   // Closes the connection with a TCP reset, as a crashed client does.
   void Reset();
   void Close();
