platform: let an odd entry cost that entry only

Cause: an answer of the store was parsed as one JSON text. What the parser rejects in one entry (escapes of lone surrogates, raw control characters, numbers out of range) discarded the whole answer, and the same call was repeated for ever. Bytes that are no UTF-8 were replaced by '?', so that such an entry could even name an upstream. Numbers were cast without a check (undefined for 1e300), and any text passed for an address. Left-out entries are counted, and logged once in 10 s for a table.

--- a/src/libs/services/fleet_store.h
+++ b/src/libs/services/fleet_store.h
@@ -25,10 +25,19 @@
   std::shared_ptr<const T> value;
 };
 
+// An entry that a page left out because it cannot be read or used.
+struct LeftOutEntry {
+  // Empty if the name cannot be read either.
+  std::string name;
+  std::uint64_t revision = 0;
+};
+
 // A part of a list, or the changes since a revision.
 template <typename T>
 struct FleetPage {
+  // Includes the left-out entries that have a name, without a value.
   std::vector<FleetEntry<T>> entries;
+  std::vector<LeftOutEntry> left_out;
   // True when a list continues after the last entry.
   bool has_more = false;
   // The store's revision; changes are watched from here.
--- a/src/plugins/directory/store_reader.cc
+++ b/src/plugins/directory/store_reader.cc
@@ -23,6 +23,9 @@
 // How long calls must have failed before other hosts are told, so that a single
 // lost answer does not make another host take over.
 constexpr milliseconds kFailureTolerance{500};
+// Between log lines about left-out entries of one table, which may be part of
+// each answer.
+constexpr std::chrono::seconds kLeftOutLogInterval{10};
 
 template <typename T>
 constexpr std::string_view kTableName;
@@ -206,6 +209,9 @@
   const Error* error = answer ? nullptr : &answer.error();
   const bool changed = follower.OnAnswer(answer, BootTimeNow());
   CountCall(kTableName<T>, error);
+  if (answer) {
+    ReportLeftOut(answer.value(), BootTimeNow());
+  }
   const FleetChanges changes = ApplyAnswer(follower, changed);
   if constexpr (!std::is_same_v<T, HostEntry>) {
     LogAvailability(error);
@@ -271,6 +277,28 @@
       Label("table", table) + "," + Label("result", CallResultName(error)));
 }
 
+template <typename T>
+void StoreReader::ReportLeftOut(const FleetPage<T>& page, MonotonicTime now) {
+  if (page.left_out.empty()) {
+    return;
+  }
+  const std::string_view table = kTableName<T>;
+  metrics_.Add("flamingogauge_entries_left_out_total", Label("table", table),
+               static_cast<double>(page.left_out.size()));
+  const auto [it, is_first] = left_out_logged_at_.try_emplace(table, now);
+  if (!is_first && now - it->second < kLeftOutLogInterval) {
+    return;
+  }
+  it->second = now;
+  const LeftOutEntry& first = page.left_out.front();
+  log_.Write(
+      EventLine("directory.entry_left_out")
+          .Text("table", table)
+          .Text("name", first.name)
+          .Number("revision", static_cast<std::int64_t>(first.revision))
+          .Number("entries", static_cast<std::int64_t>(page.left_out.size())));
+}
+
 void StoreReader::LogAvailability(const Error* error) {
   const bool failing = routing_.is_failing() || upstreams_.is_failing();
   if (failing == failure_logged_) {
--- a/src/plugins/directory/store_reader.h
+++ b/src/plugins/directory/store_reader.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -74,6 +75,10 @@
                            bool changed);
   // Counts a call by table and result.
   void CountCall(std::string_view table, const Error* error);
+  // Counts the entries that an answer left out, and logs them at a bounded
+  // rate.
+  template <typename T>
+  void ReportLeftOut(const FleetPage<T>& page, MonotonicTime now);
   void LogAvailability(const Error* error);
   void LogRegression(const RoutingTable& routing);
   // The earliest failure since which calls have not succeeded.
@@ -99,6 +104,8 @@
   // True once the document was confirmed since reading started.
   bool has_confirmed_ = false;
   bool failure_logged_ = false;
+  // By table: when left-out entries were last logged.
+  std::map<std::string_view, MonotonicTime> left_out_logged_at_;
 };
 
 }  // namespace flamingogauge
--- a/tests/auto/platform_adapter/tst_decoders.cc
+++ b/tests/auto/platform_adapter/tst_decoders.cc
@@ -110,7 +110,10 @@
   };
   for (const Row& row :
        {Row{"service", 5}, Row{"address", nullptr}, Row{"state", "other"},
-        Row{"state", 1}, Row{"slots", "8"}, Row{"slots", 0}}) {
+        Row{"state", 1}, Row{"slots", "8"}, Row{"slots", 0},
+        Row{"slots", 1e300}, Row{"slots", 4294967297}, Row{"address", "x:80"},
+        Row{"address", "10.0.0.9"}, Row{"address", "10.0.0.9:65536"},
+        Row{"address", "10.0.0.9:0"}}) {
     CAPTURE(row.field);
     json changed = complete;
     changed[row.field] = row.value;
--- a/tests/auto/platform_adapter/tst_directory_on_store.cc
+++ b/tests/auto/platform_adapter/tst_directory_on_store.cc
@@ -57,6 +57,7 @@
     return changed_.wait_for(
         lock, kTimeLimit, [this, &condition] { return condition(snapshot_); });
   }
+  std::string Metrics() const { return metrics_.Expose(); }
   FleetSnapshot snapshot() {
     std::lock_guard<std::mutex> lock(mutex_);
     return snapshot_;
@@ -109,6 +110,32 @@
   }
 }
 
+// Guards against an odd entry of another writer that keeps a host from reading
+// the list when it starts, and from following it later.
+TEST_CASE("a directory follows its tables past odd entries") {
+  FakeObjectStore fake;
+  fake.Put("config", "main", Manifest(1));
+  fake.Put("servers", "a", Upstream("ready"));
+  fake.Put("servers", "odd-1", "1e999");
+  Directory directory(fake);
+  REQUIRE(directory.WaitFor([](const FleetSnapshot& it) {
+    return HasVersion(it, 1) && it.upstreams->size() == 1;
+  }));
+  fake.Put("servers", "odd-2", R"("\udcff")");
+  fake.Put("servers", "b", Upstream("ready"));
+  fake.Put("servers", "a", Upstream("draining"));
+  CHECK(directory.WaitFor([](const FleetSnapshot& it) {
+    return it.upstreams->size() == 2 && it.upstreams->at(0).draining;
+  }));
+  // An entry that becomes unreadable names no upstream any more.
+  fake.Put("servers", "b", "1e999");
+  CHECK(directory.WaitFor(
+      [](const FleetSnapshot& it) { return it.upstreams->size() == 1; }));
+  CHECK(directory.Metrics().find(
+            "flamingogauge_entries_left_out_total{table=\"upstreams\"}") !=
+        std::string::npos);
+}
+
 // Guards against API keys that stay trusted although no read confirms them.
 TEST_CASE("the confirmation time stands still while the store is unavailable") {
   FakeObjectStore fake;
--- a/tests/auto/platform_adapter/tst_platform_fleet_store.cc
+++ b/tests/auto/platform_adapter/tst_platform_fleet_store.cc
@@ -4,6 +4,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "platform/platform_fleet_store.h"
 #include "tests/fakes/fake_object_store/fake_object_store.h"
@@ -63,6 +64,118 @@
   CHECK(second.value().entries[0].name == "c");
 }
 
+// The specs that another writer may leave in an object. None can be used.
+std::vector<std::string> OddSpecs() {
+  return {
+      // Bytes that are no UTF-8, as they are and as escapes.
+      "\"\xff\xfe\"", R"("\udcff\udcfe")", R"({"\udcff":1})",
+      // A raw control character.
+      "\"a\nb\"",
+      // Numbers out of range, where a number is expected and elsewhere.
+      R"({"service":"s","address":"10.0.0.9:80","slots":1e999,"state":"ready"})",
+      R"({"service":"s","address":"10.0.0.9:80","slots":8,"state":"ready","x":-1e999})",
+      R"({"service":"s","address":"10.0.0.9:80","slots":1e300,"state":"ready"})",
+      R"({"service":"s","address":"10.0.0.9:80","slots":-9223372036854775809,"state":"ready"})",
+      // Addresses to which no connection is possible.
+      R"({"service":"s","address":"10.0.0.9:65536","slots":8,"state":"ready"})",
+      R"({"service":"s","address":"10.0.0.9:0","slots":8,"state":"ready"})",
+      R"({"service":"s","address":"10.0.0.9:-1","slots":8,"state":"ready"})",
+      R"({"service":"s","address":"nowhere:80","slots":8,"state":"ready"})",
+      // Very deep nesting, also within what else cannot be parsed.
+      std::string(100000, '[') + std::string(100000, ']'),
+      std::string(100000, '[') + "1e999" + std::string(100000, ']'),
+      // Another type, and strings that look like the end of the object.
+      "7", "[]", "null", R"(["]}\"}],{", 1e999])", "1e999"};
+}
+
+// Guards against one odd entry that hides all others of its kind: hosts would
+// follow no list any more, or end.
+TEST_CASE("an odd entry costs that entry only") {
+  for (const std::string& spec : OddSpecs()) {
+    CAPTURE(spec.substr(0, 100));
+    FakeObjectStore fake;
+    fake.Put("servers", "a", kUpstream);
+    PlatformFleetStore store(OptionsFor(fake));
+    const std::uint64_t revision = fake.revision();
+    fake.Put("servers", "b", spec);
+    fake.Put("servers", "c", kUpstream);
+    const UpstreamPage list = List(store);
+    REQUIRE(list);
+    REQUIRE(list.value().entries.size() == 3);
+    CHECK(list.value().entries[0].value != nullptr);
+    CHECK(list.value().entries[1].name == "b");
+    CHECK(list.value().entries[1].value == nullptr);
+    CHECK(list.value().entries[2].value != nullptr);
+    REQUIRE(list.value().left_out.size() == 1);
+    CHECK(list.value().left_out[0].name == "b");
+    const UpstreamPage watch = Watch(store, revision, milliseconds(100));
+    REQUIRE(watch);
+    REQUIRE(watch.value().entries.size() == 2);
+    CHECK(watch.value().entries[0].value == nullptr);
+    CHECK(watch.value().entries[1].value != nullptr);
+    CHECK(watch.value().left_out.size() == 1);
+    CHECK(watch.value().store_revision == fake.revision());
+  }
+}
+
+// Guards against an entry whose name cannot be read that hides the others, and
+// against a list that is taken for complete after a page of such entries.
+TEST_CASE("entries with unreadable names are left out") {
+  FakeObjectStore fake({.page_size = 2});
+  fake.Put("servers", "a", kUpstream);
+  fake.Put("servers", "b\xff", kUpstream);
+  fake.Put("servers", "c", kUpstream);
+  PlatformFleetStore store(OptionsFor(fake));
+  const UpstreamPage first = List(store);
+  REQUIRE(first);
+  CHECK(first.value().entries.size() == 1);
+  REQUIRE(first.value().left_out.size() == 1);
+  CHECK(first.value().left_out[0].name.empty());
+  CHECK(List(store, "a").value().entries.size() == 1);
+  fake.Put("servers", "b\xff\xff", kUpstream);
+  CHECK_FALSE(List(store, "a"));
+}
+
+// Guards against an odd entry of the hosts or of the routing documents that
+// hides the others.
+TEST_CASE("odd entries of hosts and documents cost those entries only") {
+  const std::string host = R"({"reportAddress":"10.0.0.1:1","dataCentre":"z"})";
+  for (const std::string& spec :
+       {std::string(R"({"reportAddress":"10.0.0.1:99999"})"),
+        std::string(R"({"reportAddress":"10.0.0.1:1","capacity":1e999})"),
+        std::string("\"\xff\"")}) {
+    CAPTURE(spec);
+    FakeObjectStore fake;
+    fake.Put("flamingogauge-hosts", "h1", host);
+    fake.Put("flamingogauge-hosts", "h2", spec);
+    fake.Put("config", "a-copy", spec);
+    fake.Put("config", "main", R"({"version":3,"routes":[]})");
+    PlatformFleetStore store(OptionsFor(fake));
+    std::promise<Result<FleetPage<HostEntry>>> hosts;
+    store.hosts().List("", false, [&hosts](Result<FleetPage<HostEntry>> page) {
+      hosts.set_value(std::move(page));
+    });
+    const auto host_page = hosts.get_future().get();
+    REQUIRE(host_page);
+    REQUIRE(host_page.value().entries.size() == 2);
+    CHECK(host_page.value().entries[0].value != nullptr);
+    CHECK(host_page.value().entries[1].value == nullptr);
+    CHECK(host_page.value().left_out.size() == 1);
+    std::promise<Result<FleetPage<RoutingTable>>> documents;
+    store.routing().List("", false,
+                         [&documents](Result<FleetPage<RoutingTable>> page) {
+                           documents.set_value(std::move(page));
+                         });
+    const auto document_page = documents.get_future().get();
+    REQUIRE(document_page);
+    REQUIRE(document_page.value().entries.size() == 2);
+    CHECK(document_page.value().entries[0].value == nullptr);
+    REQUIRE(document_page.value().entries[1].value != nullptr);
+    CHECK(document_page.value().entries[1].value->version == 3);
+    CHECK(document_page.value().left_out.empty());
+  }
+}
+
 // Guards against changes that a watch misses or reports incorrectly.
 TEST_CASE("a watch reports changes and removals") {
   FakeObjectStore fake;
