gateway: do not take an upstream that reads late for one that is gone

Cause: TCP_USER_TIMEOUT, which finds a peer that no longer acknowledges, also ends a connection whose receive window stays closed, although the peer acknowledges each probe of the window. Change: while bytes of a request have not been sent once, the send queue is sampled each 400 ms. If none are in flight and the probes are acknowledged, the limit is lifted; ReceiverWatch (no I/O) decides it, and lets the limit apply again when bytes are in flight or probes stay unanswered for as long as the limit. The request's own time limit holds in any case. Requests that are sent at once cost one more system call.

--- a/src/plugins/gateway/socket_options.cc
+++ b/src/plugins/gateway/socket_options.cc
@@ -1,6 +1,8 @@
 #include "plugins/gateway/socket_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace flamingogauge {
@@ -27,8 +29,34 @@
   SetTcpOption(fd, TCP_KEEPIDLE, interval);
   SetTcpOption(fd, TCP_KEEPINTVL, interval);
   SetTcpOption(fd, TCP_KEEPCNT, kMaxUnansweredProbes);
-  SetTcpOption(fd, TCP_USER_TIMEOUT,
-               static_cast<int>(options.unacknowledged_limit.count()));
+  SetUnacknowledgedLimit(socket, options.unacknowledged_limit);
+}
+
+void SetUnacknowledgedLimit(boost::asio::ip::tcp::socket& socket,
+                            std::chrono::milliseconds limit) {
+  SetTcpOption(socket.native_handle(), TCP_USER_TIMEOUT,
+               static_cast<int>(limit.count()));
+}
+
+std::optional<SendQueue> ReadSendQueue(boost::asio::ip::tcp::socket& socket) {
+  const int fd = socket.native_handle();
+  int unsent = 0;
+  if (::ioctl(fd, SIOCOUTQNSD, &unsent) != 0) {
+    return std::nullopt;
+  }
+  if (unsent == 0) {
+    return SendQueue{};
+  }
+  int unacknowledged = 0;
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (::ioctl(fd, SIOCOUTQ, &unacknowledged) != 0 ||
+      ::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    return std::nullopt;
+  }
+  return SendQueue{.unsent_bytes = unsent,
+                   .in_flight_bytes = unacknowledged - unsent,
+                   .unanswered_probes = info.tcpi_probes};
 }
 
 }  // namespace flamingogauge
--- a/src/plugins/gateway/socket_options.h
+++ b/src/plugins/gateway/socket_options.h
@@ -4,6 +4,9 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <chrono>
+#include <optional>
+
+#include "plugins/gateway/receiver_watch.h"
 
 namespace flamingogauge {
 
@@ -21,6 +24,14 @@
 void ConfigureSocket(boost::asio::ip::tcp::socket& socket,
                      const SocketOptions& options);
 
+// Changes the limit on unacknowledged bytes; zero lifts it.
+void SetUnacknowledgedLimit(boost::asio::ip::tcp::socket& socket,
+                            std::chrono::milliseconds limit);
+
+// Returns the send queue of a connected socket, or nothing if the system does
+// not tell. The members are zero if all bytes have been sent once.
+std::optional<SendQueue> ReadSendQueue(boost::asio::ip::tcp::socket& socket);
+
 }  // namespace flamingogauge
 
 #endif  // FLAMINGOGAUGE_PLUGINS_GATEWAY_SOCKET_OPTIONS_H_
--- a/src/plugins/gateway/upstream_connection.cc
+++ b/src/plugins/gateway/upstream_connection.cc
@@ -20,6 +20,10 @@
 
 // Connecting to a running upstream takes one round trip.
 constexpr milliseconds kConnectTimeLimit{400};
+// The connection is closed when sent bytes stay unacknowledged for this long.
+constexpr milliseconds kUnacknowledgedLimit{2000};
+// Interval at which the send queue is sampled; several times within the limit.
+constexpr milliseconds kWatchInterval{400};
 // Idle time that is assumed if the upstream states no timeout.
 constexpr milliseconds kDefaultIdleTime{4000};
 // Fraction of the idle time that is used, so that the upstream does not close
@@ -80,6 +84,8 @@
     std::function<void(const std::shared_ptr<UpstreamConnection>&)> on_idle)
     : socket_(context),
       timer_(context),
+      watch_timer_(context),
+      receiver_watch_(kUnacknowledgedLimit),
       options_(std::move(options)),
       on_idle_(std::move(on_idle)) {}
 
@@ -128,7 +134,8 @@
           return;
         }
         self->connected_ = true;
-        ConfigureSocket(self->socket_, {});
+        ConfigureSocket(self->socket_,
+                        {.unacknowledged_limit = kUnacknowledgedLimit});
         self->WriteRequest();
         self->WaitForInput();
       });
@@ -140,6 +147,33 @@
       [self = shared_from_this()](const error_code& ec, std::size_t /*n*/) {
         self->OnRequestWritten(ec);
       });
+  WatchReceiver();
+}
+
+void UpstreamConnection::WatchReceiver() {
+  const std::optional<SendQueue> queue = ReadSendQueue(socket_);
+  if (!queue || queue->unsent_bytes == 0) {
+    if (limit_is_lifted_) {
+      SetLimitLifted(false);
+    }
+    return;
+  }
+  const bool applies = receiver_watch_.LimitApplies(*queue, BootTimeNow());
+  if (applies == limit_is_lifted_) {
+    SetLimitLifted(!applies);
+  }
+  watch_timer_.expires_after(kWatchInterval);
+  watch_timer_.async_wait([self = shared_from_this()](const error_code& ec) {
+    if (!ec && self->connected_) {
+      self->WatchReceiver();
+    }
+  });
+}
+
+void UpstreamConnection::SetLimitLifted(bool lifted) {
+  limit_is_lifted_ = lifted;
+  SetUnacknowledgedLimit(socket_,
+                         lifted ? milliseconds(0) : kUnacknowledgedLimit);
 }
 
 // A call does not fail with its write: an upstream may respond to a request
@@ -340,6 +374,7 @@
 
 void UpstreamConnection::Close() {
   timer_.cancel();
+  watch_timer_.cancel();
   error_code ec;
   socket_.close(ec);
   connected_ = false;
--- a/src/plugins/gateway/upstream_connection.h
+++ b/src/plugins/gateway/upstream_connection.h
@@ -13,6 +13,7 @@
 #include "libs/http_framing/http_response_reader.h"
 #include "libs/http_framing/response_completion.h"
 #include "libs/kernel/time.h"
+#include "plugins/gateway/receiver_watch.h"
 
 namespace flamingogauge {
 
@@ -85,6 +86,11 @@
  private:
   void Connect();
   void WriteRequest();
+  // Samples the send queue until the request has been sent, as long as the peer
+  // does not read it.
+  void WatchReceiver();
+  // Lifts or restores the kernel's limit on unacknowledged bytes.
+  void SetLimitLifted(bool lifted);
   void WaitForInput();
   void OnReadable();
   void ProcessInput();
@@ -101,6 +107,8 @@
 
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer watch_timer_;
+  ReceiverWatch receiver_watch_;
   const UpstreamConnectionOptions options_;
   const std::function<void(const std::shared_ptr<UpstreamConnection>&)>
       on_idle_;
@@ -114,6 +122,7 @@
   std::string input_;
   MonotonicTime usable_until_;
   bool connected_ = false;
+  bool limit_is_lifted_ = false;
   bool reading_ = false;
   bool paused_ = false;
   bool head_handled_ = false;
--- a/tests/auto/gateway/tst_response_end.cc
+++ b/tests/auto/gateway/tst_response_end.cc
@@ -88,5 +88,47 @@
   }
 }
 
+struct UnreadCase {
+  std::string name;
+  // Before the first event, between events, and their number.
+  milliseconds first_after;
+  milliseconds interval;
+  int events;
+};
+
+// Guards against a sound upstream that is taken for a dead one, and its
+// response cut off, because it reads the request's body late.
+TEST_CASE("an upstream may leave a body unread for longer than 2 s") {
+  const std::string body(70000, 'p');
+  for (const UnreadCase& it :
+       {UnreadCase{"it responds", milliseconds(0), milliseconds(100), 30},
+        UnreadCase{"it is silent", milliseconds(3000), milliseconds(0), 2}}) {
+    CAPTURE(it.name);
+    std::string events;
+    for (int n = 0; n < it.events; ++n) {
+      events += "data: " + std::to_string(n) + "\n\n";
+    }
+    bool read_all = false;
+    ScriptedServer upstream(
+        {[&](ScriptedConnection& connection) {
+          connection.ReadHead();
+          std::this_thread::sleep_for(it.first_after);
+          connection.Write(kHead);
+          for (int n = 0; n < it.events; ++n) {
+            connection.Write("data: " + std::to_string(n) + "\n\n");
+            std::this_thread::sleep_for(it.interval);
+          }
+          read_all = connection.ReadRestOfBody(body.size());
+        }},
+        {.has_small_buffers = true});
+    GatewayHost host({upstream.address()});
+    const TestAnswer answer = host.SendRequest("POST", "/stream/", body);
+    CHECK(answer.status == 200);
+    CHECK(answer.complete);
+    CHECK(answer.body == events);
+    CHECK(read_all);
+  }
+}
+
 }  // namespace
 }  // namespace flamingogauge
