gateway: read a connection again after a response to a slow caller

Cause: if the last part of a response filled the queue for its caller, reading was paused, and nobody resumed it once the response had ended. Change: the end of a call resumes reading, and so does the next call. Test: on the code before, 'a connection is read again after a response to a slow caller' failed in three runs of three, for two or three of its sixteen sizes.

--- a/src/plugins/gateway/upstream_connection.cc
+++ b/src/plugins/gateway/upstream_connection.cc
@@ -102,6 +102,7 @@
   paused_ = false;
   if (connected_) {
     WriteRequest();
+    WaitForInput();
   } else {
     Connect();
   }
@@ -315,6 +316,9 @@
   const auto idle_time = std::chrono::duration_cast<Duration>(
       IdleTime(fields) * kUsedIdleFraction);
   usable_until_ = BootTimeNow() + idle_time;
+  // Reading may be paused for the caller of this response; the next one needs
+  // it, and so does the detection of a close.
+  paused_ = false;
   request_.bytes.clear();
   if (!reusable) {
     Close();
--- a/tests/auto/gateway/tst_response_end.cc
+++ b/tests/auto/gateway/tst_response_end.cc
@@ -130,5 +130,38 @@
   }
 }
 
+// Guards against a connection that is not read any more after a response whose
+// last part had to wait for a slow caller: the next request on it fails with
+// 504, although the upstream responds.
+TEST_CASE("a connection is read again after a response to a slow caller") {
+  constexpr std::size_t kLastPart = 60000;
+  // In one of these sizes, the last part is what fills the queue for the
+  // caller; it depends on how much the kernel takes over.
+  for (std::size_t size = 300000; size <= 900000; size += 40000) {
+    CAPTURE(size);
+    ScriptedServer upstream({[size](ScriptedConnection& connection) {
+      connection.ReadRequest();
+      const std::string response = UpstreamAnswer(std::string(size, 'b'));
+      const std::size_t first = response.size() - kLastPart;
+      connection.Write(response.substr(0, first));
+      std::this_thread::sleep_for(kPause / 2);
+      connection.Write(response.substr(first));
+      if (!connection.ReadRequest().empty()) {
+        connection.Write(UpstreamAnswer("second", "id-2"));
+      }
+    }});
+    GatewayHost host({upstream.address()});
+    TestConnection slow(host.address(), {.has_small_buffers = true});
+    slow.Send(FormatTestRequest("POST", "/once/", TestHeaders(), "a"));
+    std::this_thread::sleep_for(kPause);
+    CHECK(slow.ReadAnswer().body.size() == size);
+    TestConnection next(host.address());
+    next.Send(FormatTestRequest(
+        "POST", "/short/", {"Req-Id: id-2", "Key: key-1", "Limit-Ms: 4000"},
+        "a"));
+    CHECK(next.ReadAnswer().body == "second");
+  }
+}
+
 }  // namespace
 }  // namespace flamingogauge
