gateway: reset a truncated response that ends with its connection

Callers with HTTP/1.0 saw a truncated response as a whole one. Cause: for such a caller a response without a length ends with the connection, and a response that is given up was ended by an orderly close, which means 'complete'. Change: these responses are ended by a reset. Others keep the orderly close, which delivers what has been written. Test: on the code before, 'a caller with HTTP/1.0 notices a truncated response' failed.

--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -221,7 +221,7 @@
     return;
   }
   if (head_committed_) {
-    session_->Abort();
+    AbortResponse();
     Complete("broken", head_.status, reason);
     return;
   }
@@ -299,10 +299,17 @@
   return true;
 }
 
+void Exchange::AbortResponse() {
+  if (body_until_close_) {
+    session_->AbortWithReset();
+  } else {
+    session_->Abort();
+  }
+}
+
 void Exchange::FailAfterSend(int status, const std::string& reason) {
   if (head_committed_) {
-    // Closing the connection lets the caller detect the truncated response.
-    session_->Abort();
+    AbortResponse();
     Complete("broken", status, reason);
     return;
   }
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -117,6 +117,9 @@
   bool ResendIfAllowed(bool maybe_executed, const std::string& reason);
   void RefuseQuarantined(const CrashQuarantine::Refusal& refusal);
   void FailAfterSend(int status, const std::string& reason);
+  // Closes the caller's connection, so that a response that has been started is
+  // recognised as incomplete.
+  void AbortResponse();
   void OnNotExecuted();
   // The response ended or became invalid before it was complete.
   void OnBrokenOff(const std::string& reason);
--- a/src/plugins/gateway/http_session.cc
+++ b/src/plugins/gateway/http_session.cc
@@ -285,6 +285,12 @@
   Close();
 }
 
+void HttpSession::AbortWithReset() {
+  error_code ec;
+  socket_.set_option(boost::asio::socket_base::linger(true, 0), ec);
+  Abort();
+}
+
 void HttpSession::Close() {
   ++timer_generation_;
   timer_.cancel();
--- a/src/plugins/gateway/http_session.h
+++ b/src/plugins/gateway/http_session.h
@@ -54,6 +54,9 @@
   // Closes the connection at once, so that the caller can detect that a started
   // response is incomplete.
   void Abort();
+  // The same with a reset, for a response that ends with its connection: an
+  // orderly close would make it look complete.
+  void AbortWithReset();
   // Called once if the caller disconnects before the response is finished.
   void SetDisconnectHandler(std::function<void()> on_disconnect) {
     on_disconnect_ = std::move(on_disconnect);
--- a/tests/auto/gateway/tst_response_end.cc
+++ b/tests/auto/gateway/tst_response_end.cc
@@ -88,6 +88,36 @@
   }
 }
 
+struct OldCallerCase {
+  // What the upstream sends before it closes the connection.
+  std::string response;
+  bool complete;
+};
+
+// Guards against a truncated response that looks complete to a caller with
+// HTTP/1.0, for whom a response without a length ends with its connection.
+TEST_CASE("a caller with HTTP/1.0 notices a truncated response") {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nSeal: s1\r\n"
+      "Transfer-Encoding: chunked\r\n\r\nb\r\ndata: one\n\n\r\n";
+  for (const OldCallerCase& it : {OldCallerCase{chunked, false},
+                                  OldCallerCase{chunked + "0\r\n\r\n", true}}) {
+    CAPTURE(it.complete);
+    ScriptedServer upstream({[&it](ScriptedConnection& connection) {
+      connection.ReadRequest();
+      connection.Write(it.response);
+      std::this_thread::sleep_for(kPause);
+    }});
+    GatewayHost host({upstream.address()});
+    TestConnection connection(host.address());
+    connection.Send(
+        "GET /stream/ HTTP/1.0\r\nHost: test\r\nReq-Id: id-1\r\n"
+        "Key: key-1\r\nLimit-Ms: 4000\r\n\r\n");
+    CHECK(connection.ReadUntil("data: one"));
+    CHECK(connection.ReadToEnd().has_value() == it.complete);
+  }
+}
+
 struct UnreadCase {
   std::string name;
   // Before the first event, between events, and their number.
