app: keep running while the settings file is missing

It is read at SIGHUP and within 2 s after a change, and a missing file counts as changed. Change: ReadFlags() opens the file first and returns an error that names it; the settings in force stay, and the file is read once it is back. At a start the error is printed as any other. Test: on the code before, 'settings stay in force while their file is missing' failed in all checks, with SIGHUP and without.

--- a/src/app/flag_reader.cc
+++ b/src/app/flag_reader.cc
@@ -3,10 +3,13 @@
 #include <gflags/gflags.h>
 
 #include <cstdlib>
+#include <fstream>
 
 namespace flamingogauge {
 namespace {
 
+constexpr char kFlagfileFlag[] = "flagfile";
+
 Error FlagError(const std::string& message) {
   return {.code = ErrorCode::kInvalidArgument,
           .step = "read flags",
@@ -24,6 +27,13 @@
   if (!gflags::GetCommandLineFlagInfo(name.c_str(), &info)) {
     return FlagError("--" + name + " is unknown; try: flamingogauge help");
   }
+  // gflags would exit the process.
+  if (name == kFlagfileFlag && !std::ifstream(value)) {
+    return Error{.code = ErrorCode::kUnavailable,
+                 .step = "read flags",
+                 .peer = value,
+                 .message = "the file cannot be read"};
+  }
   if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty()) {
     return FlagError("--" + name + " is \"" + value + "\", allowed is a " +
                      info.type);
--- a/src/app/flag_reader.h
+++ b/src/app/flag_reader.h
@@ -12,8 +12,8 @@
 
 // Sets gflags from the environment variables FLAGS_<name>, then from arguments
 // of the forms --name=value, --name value, --name and --noname, which take
-// precedence. Returns an error for an invalid flag, where the parser of gflags
-// would exit the process with status 1.
+// precedence. Returns an error for an invalid flag or a missing file of
+// --flagfile, where the parser of gflags would exit the process with status 1.
 Result<void> ReadFlags(const std::vector<std::string>& arguments);
 
 // Returns the flags of the program, without those of the gflags library.
--- a/tests/auto/end_to_end/tst_settings_reload.cc
+++ b/tests/auto/end_to_end/tst_settings_reload.cc
@@ -40,6 +40,7 @@
     std::ofstream(next) << addresses_ << lines;
     ::rename(next.c_str(), path_.c_str());
   }
+  void Remove() const { ::unlink(path_.c_str()); }
   const std::string& path() const { return path_; }
 
  private:
@@ -92,6 +93,30 @@
   CHECK(*status == 0);
 }
 
+// Guards against a process that ends when its settings file is missing for a
+// while.
+TEST_CASE("settings stay in force while their file is missing") {
+  const SettingsFile file;
+  const std::string start = "--host_name=h1\n--gateway_stop_limit_s=1\n";
+  for (const bool signal : {true, false}) {
+    CAPTURE(signal);
+    file.Write(start);
+    ChildProcess host(FLAMINGOGAUGE_BINARY,
+                      {"serve", "--flagfile=" + file.path()});
+    REQUIRE(host.WaitForOutput("process.started"));
+    file.Remove();
+    if (signal) {
+      host.Signal(SIGHUP);
+    }
+    CHECK(host.WaitForOutput("the file cannot be read"));
+    file.Write(start + "--gateway_resend_ratio=0.3\n");
+    CHECK(host.WaitForOutput(
+        R"("result":"done","changed":"gateway_resend_ratio")"));
+    host.Signal(SIGTERM);
+    CHECK(host.Wait(kExitTimeLimit) == 0);
+  }
+}
+
 // Guards against a change of the settings that ends a gateway while it drains,
 // long before its stop limit, and so cuts its requests off.
 TEST_CASE("a draining gateway ignores SIGHUP, changed settings and SIGTERM") {
