directory: go on accepting after a connection that was reset early

Cause: the peer's address of such a connection cannot be read, which throws; the exception ended the chain of accepts. A failed accept, for example without file descriptors, did the same. Change: an error of one connection drops that connection; after a failed accept the next one follows after 50 ms.

--- a/src/plugins/directory/relay_node.cc
+++ b/src/plugins/directory/relay_node.cc
@@ -17,6 +17,8 @@
 constexpr std::size_t kQueueCapacity = 4096;
 // Questions of other hosts that are held at the same time.
 constexpr std::size_t kMaxHeldQuestions = 1024;
+// Delay after a failed accept, for example when file descriptors run out.
+constexpr kj::Duration kAcceptRetryDelay = 50 * kj::MILLISECONDS;
 
 Error AskError(ErrorCode code, const std::string& peer, std::string message) {
   return {.code = code,
@@ -117,15 +119,35 @@
   }
 
   kj::Promise<void> Accept() {
-    return listener_->accept().then([this](kj::Own<kj::AsyncIoStream> stream) {
-      auto server =
-          kj::heap<RelayServer>(PeerIpOf(*stream), allowed_, dispatch_);
-      auto connection = kj::refcounted<RelayConnection>(
-          kj::mv(stream), wire::DirectoryRelay::Client(kj::mv(server)));
-      auto ended = connection->OnDisconnect();
-      tasks_.add(ended.attach(kj::mv(connection)));
-      return Accept();
-    });
+    return listener_->accept().then(
+        [this](kj::Own<kj::AsyncIoStream> stream) {
+          Serve(kj::mv(stream));
+          return Accept();
+        },
+        [this](kj::Exception&& exception) {
+          log_.Warning(std::string("accept failed: ") +
+                       exception.getDescription().cStr());
+          return io_.provider->getTimer()
+              .afterDelay(kAcceptRetryDelay)
+              .then([this] { return Accept(); });
+        });
+  }
+
+  // The peer may have reset the connection already; that must not affect the
+  // acceptance of others.
+  void Serve(kj::Own<kj::AsyncIoStream> stream) {
+    KJ_IF_MAYBE (exception, kj::runCatchingExceptions([this, &stream] {
+                   auto server = kj::heap<RelayServer>(PeerIpOf(*stream),
+                                                       allowed_, dispatch_);
+                   auto connection = kj::refcounted<RelayConnection>(
+                       kj::mv(stream),
+                       wire::DirectoryRelay::Client(kj::mv(server)));
+                   auto ended = connection->OnDisconnect();
+                   tasks_.add(ended.attach(kj::mv(connection)));
+                 })) {
+      log_.Debug(std::string("connection not served: ") +
+                 exception->getDescription().cStr());
+    }
   }
 
   kj::Promise<kj::Own<RelayConnection>> Connect(const std::string& address) {
