directory: test that unusable addresses of hosts end no process

An address in another host's entry may hold anything. Asking there fails with an error, on the code before as well, so that this guards what holds.

--- a/tests/auto/platform_adapter/tst_relay_node.cc
+++ b/tests/auto/platform_adapter/tst_relay_node.cc
@@ -37,5 +37,24 @@
   CHECK(answered.get_future().get());
 }
 
+// Guards against an address in another host's entry that ends the process.
+TEST_CASE("asking at an unusable address fails") {
+  RelayNode node([](const RelayQuestion& /*question*/,
+                    const RelayNode::ReplyCallback& /*reply*/) {});
+  REQUIRE(node.Start(FreeAddress(SOCK_STREAM)));
+  for (const std::string& address :
+       {std::string("127.0.0.1:99999"), std::string("127.0.0.1:x"),
+        std::string(":"), std::string()}) {
+    CAPTURE(address);
+    std::promise<bool> answered;
+    node.Ask({.name = "node", .address = address}, {},
+             std::chrono::milliseconds(3000),
+             [&answered](const Result<RelayReply>& reply) {
+               answered.set_value(reply.has_value());
+             });
+    CHECK_FALSE(answered.get_future().get());
+  }
+}
+
 }  // namespace
 }  // namespace flamingogauge
