gateway: do not wait for a request whose connection has ended

Cause: a session that ends in the middle of a request still said that it receives one; while something keeps the session alive, a drain would have waited for it.

--- a/src/plugins/gateway/http_session.cc
+++ b/src/plugins/gateway/http_session.cc
@@ -226,7 +226,7 @@
 
 bool HttpSession::is_receiving() const {
   if (receiving_ || answering_ || closing_) {
-    return receiving_;
+    return receiving_ && socket_.is_open();
   }
   // Bytes that the kernel has received may be the beginning of a request.
   error_code ec;
