--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -4,17 +4,16 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
-#include <atomic>
 #include <csignal>
 #include <ctime>
 #include <memory>
 #include <optional>
 #include <string>
-#include <thread>
 #include <utility>
 
 #include "app/gateway_plugins.h"
 #include "app/settings_reloader.h"
+#include "app/shutdown_thread.h"
 #include "libs/kernel/log.h"
 #include "libs/kernel/plugin_manager.h"
 #include "libs/kernel/process_life.h"
@@ -176,38 +175,9 @@
   }
 }
 
-// Shuts the plugins down in a thread of its own, so that the main thread keeps
-// receiving signals.
-class Drain {
- public:
-  explicit Drain(PluginManager& manager) : manager_(manager) {}
-  Drain(const Drain&) = delete;
-  Drain& operator=(const Drain&) = delete;
-  ~Drain() {
-    if (thread_.joinable()) {
-      thread_.join();
-    }
-  }
-
-  void Start() {
-    thread_ = std::thread([this] {
-      is_complete_ = manager_.Shutdown(
-          std::chrono::milliseconds(FLAGS_drain_time_limit_ms));
-      is_done_ = true;
-    });
-  }
-  bool is_done() const { return is_done_; }
-  // False if the time limit passed first. Valid once it is done.
-  bool is_complete() const { return is_complete_; }
-
- private:
-  PluginManager& manager_;
-  std::thread thread_;
-  bool is_complete_ = false;
-  std::atomic<bool> is_done_ = false;
-};
-
-void BeginDrain(PluginManager& manager, int signal_number, Drain& drain) {
+void BeginDrain(PluginManager& manager,
+                int signal_number,
+                ShutdownThread& shutdown) {
   Log().Info("signal " + std::to_string(signal_number) + ": draining");
   WriteEvent(manager,
              EventLine("process.stopping").Number("signal", signal_number));
@@ -222,7 +192,7 @@
           MembershipView::kServiceName)) {
     members.value()->AnnounceLeaving();
   }
-  drain.Start();
+  shutdown.Start(std::chrono::milliseconds(FLAGS_drain_time_limit_ms));
 }
 
 void LogIgnored(PluginManager& manager,
@@ -245,13 +215,13 @@
                      SettingsReloader& reloader,
                      PluginManager& manager) {
   ProcessLife life;
-  Drain drain(manager);
+  ShutdownThread shutdown(manager);
   while (life.stage() != ProcessStage::kEnded) {
     const bool is_serving = life.stage() == ProcessStage::kServing;
     const int number =
         sigtimedwait(&signals, nullptr,
                      is_serving ? &kSettingsPollInterval : &kDrainPollInterval);
-    if (drain.is_done()) {
+    if (shutdown.is_done()) {
       life.OnDrained();
       continue;
     }
@@ -269,7 +239,7 @@
                        number == SIGHUP ? "SIGHUP" : "the file changed");
         break;
       case ProcessAction::kDrain:
-        BeginDrain(manager, number, drain);
+        BeginDrain(manager, number, shutdown);
         break;
       case ProcessAction::kIgnore:
         LogIgnored(manager, *request, life.DrainingFor(now));
@@ -281,7 +251,7 @@
         _exit(kExitSignalBase + number);
     }
   }
-  return drain.is_complete();
+  return shutdown.is_complete();
 }
 
 }  // namespace
