tests: share a flag between threads as an atomic

The thread sanitizer reported a race in 'an upstream may leave a body unread for longer than 2 s' in the first whole run of the check: the upstream's thread sets a plain bool that the test reads after the response. The order was given by the connection's end only, which the sanitizer does not see. The race is in the test, not in the program.

--- a/tests/auto/gateway/tst_response_end.cc
+++ b/tests/auto/gateway/tst_response_end.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <chrono>
 #include <string>
 #include <thread>
@@ -138,7 +139,7 @@
     for (int n = 0; n < it.events; ++n) {
       events += "data: " + std::to_string(n) + "\n\n";
     }
-    bool read_all = false;
+    std::atomic<bool> read_all = false;
     ScriptedServer upstream(
         {[&](ScriptedConnection& connection) {
           connection.ReadHead();
@@ -156,7 +157,7 @@
     CHECK(answer.status == 200);
     CHECK(answer.complete);
     CHECK(answer.body == events);
-    CHECK(read_all);
+    CHECK(read_all.load());
   }
 }
 
