--- a/src/libs/http_framing/response_completion.cc
+++ b/src/libs/http_framing/response_completion.cc
@@ -25,9 +25,9 @@
   return ResponseEnd::kUndecided;
 }
 
-void ResponseCompletion::Decide(ResponseEnd end) {
-  if (this->end() == ResponseEnd::kUndecided) {
-    decided_ = end;
+void ResponseCompletion::Decide(ResponseEnd decision) {
+  if (end() == ResponseEnd::kUndecided) {
+    decided_ = decision;
   }
 }
 
--- a/src/libs/http_framing/response_completion.h
+++ b/src/libs/http_framing/response_completion.h
@@ -39,7 +39,7 @@
   enum class Write { kPending, kDone, kFailed };
 
   // The first decision stands.
-  void Decide(ResponseEnd end);
+  void Decide(ResponseEnd decision);
 
   Write write_ = Write::kPending;
   ResponseEnd decided_ = ResponseEnd::kUndecided;
--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -11,12 +10,11 @@
 #include <cstdlib>
 #include <utility>
 
+#include "tests/support/small_buffers.h"
+
 namespace flamingogauge {
 namespace {
 
-constexpr int kSmallBufferBytes = 8192;
-constexpr int kSmallSegmentBytes = 1460;
-
 // Set on each connection thread, so that ReadRequest() can record requests in
 // the server.
 thread_local ScriptedServer* current_server = nullptr;
@@ -102,10 +100,7 @@
     : scripts_(std::move(scripts)),
       listen_fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
   if (options.has_small_buffers) {
-    setsockopt(listen_fd_, SOL_SOCKET, SO_RCVBUF, &kSmallBufferBytes,
-               sizeof(int));
-    setsockopt(listen_fd_, IPPROTO_TCP, TCP_MAXSEG, &kSmallSegmentBytes,
-               sizeof(int));
+    UseSmallBuffers(listen_fd_);
   }
   sockaddr_in address{};
   address.sin_family = AF_INET;
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -44,8 +44,7 @@
 };
 
 struct ScriptedServerOptions {
-  // Makes the kernel take over little of a request that is not read: as on a
-  // network, and not on the loopback interface, segments and windows are small.
+  // Makes the kernel take over little of a request that is not read.
   bool has_small_buffers = false;
 };
 
--- a/tests/support/test_connection.cc
+++ b/tests/support/test_connection.cc
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -12,12 +11,12 @@
 #include <cerrno>
 #include <utility>
 
+#include "tests/support/small_buffers.h"
+
 namespace flamingogauge {
 namespace {
 
 constexpr std::string_view kLineEnd = "\r\n";
-constexpr int kSmallBufferBytes = 8192;
-constexpr int kSmallSegmentBytes = 1460;
 
 std::string LowerCase(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(), [](unsigned char it) {
@@ -73,9 +72,7 @@
   ::setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
   ::setsockopt(fd_, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
   if (options.has_small_buffers) {
-    ::setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &kSmallBufferBytes, sizeof(int));
-    ::setsockopt(fd_, IPPROTO_TCP, TCP_MAXSEG, &kSmallSegmentBytes,
-                 sizeof(int));
+    UseSmallBuffers(fd_);
   }
   if (::connect(fd_, reinterpret_cast<const sockaddr*>(&target),
                 sizeof(target)) != 0) {
--- a/tests/support/test_connection.h
+++ b/tests/support/test_connection.h
@@ -28,8 +28,7 @@
 struct TestConnectionOptions {
   // Applies to each read and write.
   std::chrono::milliseconds time_limit = std::chrono::seconds(20);
-  // Makes the kernel take over little of a response that is not read: as on a
-  // network, and not on the loopback interface, segments and windows are small.
+  // Makes the kernel take over little of a response that is not read.
   bool has_small_buffers = false;
 };
 
