coordination: messages and hooks for roll-outs, paces and fair queues

Cause: the parts of the hard-load issue need what no host tells another yet: the version of an upstream, the workspace of a waiting request, whether its caller returns as told, the time to the first event, learned paces, and the state of roll-outs. Change: the fields of the messages, the version of an entry, and VersionGate, which a dispatcher asks before it places a request. Nothing sets or uses them yet; without a gate all versions are admitted as before. Result: no change in behaviour; the codec's and the decoder's tests cover the new fields.

--- a/src/libs/coordination/coordination_messages.h
+++ b/src/libs/coordination/coordination_messages.h
@@ -37,6 +37,8 @@
   std::vector<PromptPart> prompt_parts;
   bool was_sent = false;
   std::vector<std::uint64_t> excluded_upstreams;
+  std::uint64_t workspace = 0;
+  bool returned = false;
 };
 
 // The result of a request that a host had sent to an upstream.
@@ -47,6 +49,18 @@
   DispatchResult result = DispatchResult::kServed;
   // Zero if it was not measured.
   std::chrono::duration<double> event_interval{0};
+  // From sending the request to the first event; zero if it was not measured.
+  std::chrono::duration<double> first_event{0};
+  double prompt_tokens = 0;
+};
+
+// How many requests an upstream answers at a time as promised, as learned from
+// its answers.
+struct UpstreamPaceReport {
+  std::uint64_t upstream = 0;
+  double requests = 0;
+  // Of the newest answer that the pace was learned from.
+  std::chrono::milliseconds age{0};
 };
 
 // The state of a host, as it reports it to the coordinators of its data centre
@@ -122,6 +136,8 @@
   int reachable_hosts = 0;
   std::vector<std::string> draining_hosts;
   CrashEvidence evidence;
+  // Only those that have changed lately.
+  std::vector<UpstreamPaceReport> paces;
 };
 
 }  // namespace flamingogauge
--- a/src/libs/coordination/coordinator.cc
+++ b/src/libs/coordination/coordinator.cc
@@ -189,7 +189,9 @@
       .prompt_tokens = request.prompt_tokens,
       .expected_output_tokens = request.expected_output_tokens,
       .prompt_parts = request.prompt_parts,
-      .was_sent = request.was_sent};
+      .was_sent = request.was_sent,
+      .workspace = request.workspace,
+      .returned = request.returned};
   for (const std::uint64_t key : request.excluded_upstreams) {
     if (const UpstreamView* upstream = queue_.FindByPeerKey(key)) {
       waiting.excluded_upstreams.push_back(upstream->entry().id);
--- a/src/libs/coordination/placer.cc
+++ b/src/libs/coordination/placer.cc
@@ -408,7 +408,9 @@
       .prompt_tokens = request.prompt_tokens,
       .expected_output_tokens = request.expected_output_tokens,
       .prompt_parts = request.prompt_parts,
-      .was_sent = request.was_sent};
+      .was_sent = request.was_sent,
+      .workspace = request.workspace,
+      .returned = request.returned};
   for (const std::string& it : request.excluded_upstreams) {
     placement.excluded_upstreams.push_back(PeerUpstreamKey(it));
   }
--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -186,6 +186,10 @@
       continue;
     }
     upstream->OnSent(*request, now);
+    if (options_.version_gate != nullptr) {
+      options_.version_gate->OnPlaced(request->service,
+                                      upstream->entry().version, now);
+    }
     throughput_[request->service].placed_at.push_back(now);
     placements.push_back(
         {.request = request->id, .upstream = upstream->entry()});
@@ -196,6 +200,12 @@
   return placements;
 }
 
+bool Dispatcher::GateAdmits(const UpstreamEntry& upstream,
+                            MonotonicTime now) const {
+  return options_.version_gate == nullptr ||
+         options_.version_gate->Admits(upstream.service, upstream.version, now);
+}
+
 UpstreamView* Dispatcher::Choose(const WaitingRequest& request,
                                  MonotonicTime now) {
   std::vector<UpstreamView*> healthy;
@@ -208,7 +218,7 @@
   const std::vector<std::string>& excluded = request.excluded_upstreams;
   bool has_healthy = false;
   for (UpstreamView* it : service->second) {
-    if (!it->IsAvailable(now)) {
+    if (!it->IsAvailable(now) || !GateAdmits(it->entry(), now)) {
       continue;
     }
     const bool is_suspect = it->IsSuspect(now);
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "libs/dispatching/upstream_view.h"
+#include "libs/dispatching/version_gate.h"
 #include "libs/dispatching/waiting_request.h"
 #include "libs/fleet/upstream_entry.h"
 #include "libs/kernel/random.h"
@@ -25,6 +26,9 @@
   // Average number of output tokens per stream event.
   double tokens_per_event = 6;
   std::uint64_t seed = 1;
+  // Null if upstreams of all versions get requests. Must outlive the
+  // dispatcher.
+  VersionGate* version_gate = nullptr;
 };
 
 // A decision to send a request to an upstream.
@@ -137,6 +141,7 @@
                                   double position,
                                   MonotonicTime now);
   std::vector<WaitingRequest*> WaitingInOrder(MonotonicTime now);
+  bool GateAdmits(const UpstreamEntry& upstream, MonotonicTime now) const;
   UpstreamView* Choose(const WaitingRequest& request, MonotonicTime now);
   UpstreamView* ChooseAmong(const std::vector<UpstreamView*>& upstreams,
                             const WaitingRequest& request,
--- a/src/libs/dispatching/waiting_request.h
+++ b/src/libs/dispatching/waiting_request.h
@@ -36,6 +36,10 @@
   // True if the request was sent before and is resent or resumed on another
   // upstream; it then waits for as long as its caller does.
   bool was_sent = false;
+  // Hash of the workspace's name; 0 on anonymous routes.
+  std::uint64_t workspace = 0;
+  // True if its caller was refused before and returns as it was told.
+  bool returned = false;
   // Upstreams that this request has already been sent to.
   std::vector<std::string> excluded_upstreams;
 };
--- a/src/libs/fleet/upstream_entry.h
+++ b/src/libs/fleet/upstream_entry.h
@@ -14,6 +14,8 @@
   // "ip:port".
   std::string address;
   std::string data_centre;
+  // The version of the software that it runs; empty if unknown.
+  std::string version;
   int slots = 0;
   // True if the upstream is shutting down and accepts no new requests.
   bool draining = false;
--- a/src/libs/protocol/coordination.capnp
+++ b/src/libs/protocol/coordination.capnp
@@ -5,6 +5,7 @@
 
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("flamingogauge::wire");
+using Rollouts = import "rollouts.capnp";
 
 struct CoordinationDatagram {
   union {
@@ -71,6 +72,10 @@
   promptParts @9 :List(PromptPart);
   wasSent @10 :Bool;
   excludedUpstreams @11 :List(UInt64);
+  # Hash of the workspace's name; 0 on anonymous routes.
+  workspace @12 :UInt64;
+  # The caller was refused before and returns as it was told.
+  returned @13 :Bool;
 }
 
 struct UpstreamResult {
@@ -79,6 +84,17 @@
   # A value of the enumeration DispatchResult.
   result @2 :UInt8;
   eventIntervalSeconds @3 :Float32;
+  # From sending the request to the first event; 0 if it was not measured.
+  firstEventSeconds @4 :Float32;
+  promptTokens @5 :Float32;
+}
+
+struct UpstreamPace {
+  upstream @0 :UInt64;
+  # How many requests it answers at a time as promised.
+  requests @1 :Float32;
+  # Of the newest answer that the pace was learned from.
+  ageMs @2 :UInt32;
 }
 
 struct HostMessage {
@@ -98,6 +114,7 @@
   crashes @13 :List(CrashRecord);
   sound @14 :List(SoundKey);
   quarantined @15 :List(QuarantinedKey);
+  rollouts @16 :Rollouts.RolloutReport;
 }
 
 struct PlacementGrant {
@@ -134,4 +151,7 @@
   crashes @9 :List(CrashRecord);
   sound @10 :List(SoundKey);
   quarantined @11 :List(QuarantinedKey);
+  rollouts @12 :Rollouts.RolloutReport;
+  # Only those that have changed lately.
+  paces @13 :List(UpstreamPace);
 }
--- a/src/libs/protocol/directory.capnp
+++ b/src/libs/protocol/directory.capnp
@@ -70,6 +70,7 @@
   draining @5 :Bool;
   coldRemainingMs @6 :Int64;
   startedAtMs @7 :Int64;
+  version @8 :Text;
 }
 
 struct ListedHost {
--- a/src/plugins/directory/relay_codec.cc
+++ b/src/plugins/directory/relay_codec.cc
@@ -21,6 +21,7 @@
   to.setService(entry.service);
   to.setAddress(entry.address);
   to.setDataCentre(entry.data_centre);
+  to.setVersion(entry.version);
   to.setSlots(static_cast<std::uint32_t>(entry.slots));
   to.setDraining(entry.draining);
   to.setColdRemainingMs(entry.cold_remaining.count());
@@ -32,6 +33,7 @@
           .service = from.getService().cStr(),
           .address = from.getAddress().cStr(),
           .data_centre = from.getDataCentre().cStr(),
+          .version = from.getVersion().cStr(),
           .slots = static_cast<int>(from.getSlots()),
           .draining = from.getDraining(),
           .cold_remaining = milliseconds(from.getColdRemainingMs()),
--- a/src/plugins/gateway/coordination_codec.cc
+++ b/src/plugins/gateway/coordination_codec.cc
@@ -176,6 +176,8 @@
   to.setWasSent(request.was_sent);
   WriteNumbers(request.excluded_upstreams,
                to.initExcludedUpstreams(SizeOf(request.excluded_upstreams)));
+  to.setWorkspace(request.workspace);
+  to.setReturned(request.returned);
 }
 
 PlacementRequest ReadRequest(wire::PlacementRequest::Reader from) {
@@ -190,7 +192,9 @@
       .prompt_tokens = from.getPromptTokens(),
       .expected_output_tokens = from.getExpectedOutputTokens(),
       .was_sent = from.getWasSent(),
-      .excluded_upstreams = ReadNumbers(from.getExcludedUpstreams())};
+      .excluded_upstreams = ReadNumbers(from.getExcludedUpstreams()),
+      .workspace = from.getWorkspace(),
+      .returned = from.getReturned()};
   for (const auto& it : from.getPromptParts()) {
     request.prompt_parts.push_back(
         {.id = it.getId(), .tokens = it.getTokens()});
@@ -227,8 +231,10 @@
     results[n].setNumber(it.number);
     results[n].setUpstream(it.upstream);
     results[n].setResult(static_cast<std::uint8_t>(it.result));
-    results[n++].setEventIntervalSeconds(
+    results[n].setEventIntervalSeconds(
         static_cast<float>(it.event_interval.count()));
+    results[n].setFirstEventSeconds(static_cast<float>(it.first_event.count()));
+    results[n++].setPromptTokens(static_cast<float>(it.prompt_tokens));
   }
   WriteUsage(message.usage, to.initUsage(SizeOf(message.usage)));
   WriteEvidence(message.evidence, to);
@@ -255,7 +261,10 @@
                                .upstream = it.getUpstream(),
                                .result = ReadResult(it.getResult()),
                                .event_interval = std::chrono::duration<double>(
-                                   it.getEventIntervalSeconds())});
+                                   it.getEventIntervalSeconds()),
+                               .first_event = std::chrono::duration<double>(
+                                   it.getFirstEventSeconds()),
+                               .prompt_tokens = it.getPromptTokens()});
   }
   return message;
 }
@@ -317,6 +326,13 @@
     draining.set(n++, it);
   }
   WriteEvidence(summary.evidence, to);
+  n = 0;
+  auto paces = to.initPaces(SizeOf(summary.paces));
+  for (const UpstreamPaceReport& it : summary.paces) {
+    paces[n].setUpstream(it.upstream);
+    paces[n].setRequests(static_cast<float>(it.requests));
+    paces[n++].setAgeMs(ToAgeMs(it.age));
+  }
 }
 
 FleetSummary Read(wire::FleetSummary::Reader from) {
@@ -333,6 +349,11 @@
   for (const auto& it : from.getDrainingHosts()) {
     summary.draining_hosts.emplace_back(it.cStr());
   }
+  for (const auto& it : from.getPaces()) {
+    summary.paces.push_back({.upstream = it.getUpstream(),
+                             .requests = it.getRequests(),
+                             .age = milliseconds(it.getAgeMs())});
+  }
   return summary;
 }
 
--- a/tests/auto/gateway/tst_coordination_codec.cc
+++ b/tests/auto/gateway/tst_coordination_codec.cc
@@ -54,11 +54,15 @@
                         .expected_output_tokens = 300,
                         .prompt_parts = {{.id = 8, .tokens = 60}},
                         .was_sent = true,
-                        .excluded_upstreams = {11}}},
+                        .excluded_upstreams = {11},
+                        .workspace = 1ULL << 62U,
+                        .returned = true}},
           .results = {{.number = 4,
                        .upstream = 12,
                        .result = DispatchResult::kTransportError,
-                       .event_interval = std::chrono::duration<double>(0.25)}},
+                       .event_interval = std::chrono::duration<double>(0.25),
+                       .first_event = std::chrono::duration<double>(0.5),
+                       .prompt_tokens = 6610}},
           .usage = {{"acme", {.spent = 1e9, .credits = -5}}},
           .evidence = TestEvidence()};
 }
@@ -93,11 +97,15 @@
   CHECK(request.prompt_parts[0].tokens == 60);
   CHECK(request.was_sent);
   CHECK(request.excluded_upstreams == std::vector<std::uint64_t>{11});
+  CHECK(request.workspace == 1ULL << 62U);
+  CHECK(request.returned);
   REQUIRE(read.results.size() == 1);
   CHECK(read.results[0].number == 4);
   CHECK(read.results[0].upstream == 12);
   CHECK(read.results[0].result == DispatchResult::kTransportError);
   CHECK(read.results[0].event_interval.count() == 0.25);
+  CHECK(read.results[0].first_event.count() == 0.5);
+  CHECK(read.results[0].prompt_tokens == 6610);
   CHECK(read.usage.at("acme").spent == 1e9);
   CHECK(read.usage.at("acme").credits == -5);
   CHECK(read.evidence == sent.evidence);
@@ -130,16 +138,18 @@
 // Guards against a summary that is taken for a data centre's report, or the
 // reverse: their sums cover other hosts.
 TEST_CASE("a summary and a report decode to what they are") {
-  const FleetSummary sent{.coordinator = "c",
-                          .data_centre = "z1",
-                          .process = 3,
-                          .sequence = 4,
-                          .draining = true,
-                          .running = {{11, 3}},
-                          .usage = {{"acme", {.spent = 12, .credits = 3}}},
-                          .reachable_hosts = 295,
-                          .draining_hosts = {"h1", "h2"},
-                          .evidence = TestEvidence()};
+  const FleetSummary sent{
+      .coordinator = "c",
+      .data_centre = "z1",
+      .process = 3,
+      .sequence = 4,
+      .draining = true,
+      .running = {{11, 3}},
+      .usage = {{"acme", {.spent = 12, .credits = 3}}},
+      .reachable_hosts = 295,
+      .draining_hosts = {"h1", "h2"},
+      .evidence = TestEvidence(),
+      .paces = {{.upstream = 11, .requests = 2.5, .age = milliseconds(40)}}};
   for (const FleetSummary& read :
        {RoundTrip(sent), RoundTrip(DataCentreReport{sent}).summary}) {
     CHECK(read.coordinator == "c");
@@ -152,6 +162,10 @@
     CHECK(read.reachable_hosts == 295);
     CHECK(read.draining_hosts == sent.draining_hosts);
     CHECK(read.evidence == sent.evidence);
+    REQUIRE(read.paces.size() == 1);
+    CHECK(read.paces[0].upstream == 11);
+    CHECK(read.paces[0].requests == 2.5);
+    CHECK(read.paces[0].age == milliseconds(40));
   }
 }
 
--- a/tests/auto/platform_adapter/tst_decoders.cc
+++ b/tests/auto/platform_adapter/tst_decoders.cc
@@ -100,6 +100,7 @@
   CHECK(upstream->service == "s1");
   CHECK(upstream->address == "10.0.0.9:80");
   CHECK(upstream->data_centre == "z");
+  CHECK(upstream->version == "v1");
   CHECK(upstream->slots == 8);
   CHECK(upstream->draining);
   CHECK(upstream->cold_remaining == milliseconds(40));
