rollouts: follow an operator's order to move a service to a version

Cause: nothing read the orders, so that upstreams of an unjudged version got requests like all others.

--- a/src/libs/coordination/coordination_messages.h
+++ b/src/libs/coordination/coordination_messages.h
@@ -11,6 +11,7 @@
 #include "libs/dispatching/shared_rate_limiter.h"
 #include "libs/dispatching/upstream_view.h"
 #include "libs/dispatching/waiting_request.h"
+#include "libs/rollouts/rollout_messages.h"
 
 // The messages between the hosts of a deployment and their coordinators.
 // Upstreams are identified by PeerUpstreamKey. Times are durations from the
@@ -89,6 +90,7 @@
   std::vector<UpstreamResult> results;
   UsageByWorkspace usage;
   CrashEvidence evidence;
+  RolloutReport rollouts;
 };
 
 // The permission to send a request to an upstream.
@@ -136,6 +138,7 @@
   int reachable_hosts = 0;
   std::vector<std::string> draining_hosts;
   CrashEvidence evidence;
+  RolloutReport rollouts;
   // Only those that have changed lately.
   std::vector<UpstreamPaceReport> paces;
 };
--- a/src/libs/coordination/placer.cc
+++ b/src/libs/coordination/placer.cc
@@ -239,6 +239,13 @@
   }
   const auto it = pending_.find(id->second);
   const UpstreamView* upstream = local_.FindByPeerKey(grant.upstream);
+  const VersionGate* gate = options_.dispatcher.version_gate;
+  if (upstream != nullptr && gate != nullptr &&
+      !gate->AcceptsGrant(upstream->entry(), now)) {
+    // This host knows more about the version than the coordinator.
+    Reassign(id->second, now);
+    return;
+  }
   if (upstream == nullptr || !upstream->IsAvailable(now) ||
       upstream->IsSuspect(now)) {
     // This host knows more about the upstream than the coordinator.
--- a/src/libs/directory/fleet_view.h
+++ b/src/libs/directory/fleet_view.h
@@ -16,6 +16,7 @@
   bool routing = false;
   bool upstreams = false;
   bool hosts = false;
+  bool rollouts = false;
   // A newer confirmation of the routing document.
   bool confirmation = false;
 };
--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -187,8 +187,8 @@
     }
     upstream->OnSent(*request, now);
     if (options_.version_gate != nullptr) {
-      options_.version_gate->OnPlaced(request->service,
-                                      upstream->entry().version, now);
+      options_.version_gate->OnPlaced(upstream->entry(), request->priority,
+                                      now);
     }
     throughput_[request->service].placed_at.push_back(now);
     placements.push_back(
@@ -203,11 +203,34 @@
 bool Dispatcher::GateAdmits(const UpstreamEntry& upstream,
                             MonotonicTime now) const {
   return options_.version_gate == nullptr ||
-         options_.version_gate->Admits(upstream.service, upstream.version, now);
+         options_.version_gate->Admits(upstream, now);
+}
+
+UpstreamView* Dispatcher::ChooseForTrial(const WaitingRequest& request,
+                                         MonotonicTime now) {
+  if (options_.version_gate == nullptr || request.was_sent) {
+    return nullptr;
+  }
+  for (const std::string& id : options_.version_gate->TrialUpstreams(
+           request.service, request.priority, now)) {
+    const auto it = upstreams_.find(id);
+    if (it == upstreams_.end()) {
+      continue;
+    }
+    UpstreamView& upstream = it->second;
+    if (upstream.IsAvailable(now) && !upstream.IsSuspect(now) &&
+        upstream.running() < upstream.Limit()) {
+      return &upstream;
+    }
+  }
+  return nullptr;
 }
 
 UpstreamView* Dispatcher::Choose(const WaitingRequest& request,
                                  MonotonicTime now) {
+  if (UpstreamView* trial = ChooseForTrial(request, now)) {
+    return trial;
+  }
   std::vector<UpstreamView*> healthy;
   std::vector<UpstreamView*> suspect;
   std::vector<UpstreamView*> tried;
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -143,6 +143,10 @@
   std::vector<WaitingRequest*> WaitingInOrder(MonotonicTime now);
   bool GateAdmits(const UpstreamEntry& upstream, MonotonicTime now) const;
   UpstreamView* Choose(const WaitingRequest& request, MonotonicTime now);
+  // Returns an upstream of a version that is tried, if the request should do
+  // so; a request that was sent before does not.
+  UpstreamView* ChooseForTrial(const WaitingRequest& request,
+                               MonotonicTime now);
   UpstreamView* ChooseAmong(const std::vector<UpstreamView*>& upstreams,
                             const WaitingRequest& request,
                             MonotonicTime now) const;
--- /dev/null
+++ b/src/libs/rollouts/rollout_judge.cc
@@ -0,0 +1,254 @@
+#include "libs/rollouts/rollout_judge.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <map>
+#include <numeric>
+
+#include "libs/model/fingerprint.h"
+
+namespace flamingogauge {
+namespace {
+
+// Of the old versions, on a route, for a comparison of times.
+constexpr double kMinOldAnswers = 20;
+// A share of bad answers must exceed the old versions' by this much, and by
+// this many standard deviations, to be the version's fault.
+constexpr double kFailureMargin = 0.1;
+constexpr double kSlowMargin = 0.15;
+constexpr double kDeviations = 4;
+constexpr double kMinBadAnswers = 5;
+// If all answers come from one upstream, its own faults cannot be told from
+// those of its version, so that more are needed.
+constexpr double kMinBadAnswersOfOne = 12;
+// Without its worst upstream the version must still exceed the old ones' share
+// by this part of the margin.
+constexpr double kRestMarginPart = 0.5;
+constexpr double kRestDeviations = 2;
+// The bin that holds this share of the old answers still counts as normal, and
+// the next one as well.
+constexpr double kNormalShare = 0.9;
+constexpr std::size_t kToleratedOctaves = 1;
+
+constexpr std::uint64_t kMinTargetAnswers = 60;
+constexpr std::uint64_t kMinRouteAnswers = 20;
+
+constexpr char kFailures[] = "failures";
+constexpr char kSlowAnswers[] = "slow answers";
+
+using Durations = std::array<double, kDurationBins>;
+
+// Answers, how many of them are bad, and how many would be if the old versions
+// had given them.
+struct Tally {
+  double answers = 0;
+  double bad = 0;
+  double expected = 0;
+  // Of the expected number.
+  double variance = 0;
+
+  void Add(const Tally& other) {
+    answers += other.answers;
+    bad += other.bad;
+    expected += other.expected;
+    variance += other.variance;
+  }
+  void Remove(const Tally& other) {
+    answers -= other.answers;
+    bad -= other.bad;
+    expected -= other.expected;
+    variance -= other.variance;
+  }
+  double Share(double count) const { return answers > 0 ? count / answers : 0; }
+};
+
+// One kind of bad answers, by upstream of the target.
+using Comparison = std::map<std::uint64_t, Tally>;
+
+struct RouteCounts {
+  EvidenceCount old;
+  std::map<std::uint64_t, EvidenceCount> target;
+};
+
+std::map<std::uint64_t, RouteCounts> ByRoute(
+    const EvidencePool::Counts& counts) {
+  std::map<std::uint64_t, RouteCounts> routes;
+  for (const auto& [key, count] : counts) {
+    RouteCounts& route = routes[key.route];
+    (key.upstream == 0 ? route.old : route.target[key.upstream]) = count;
+  }
+  return routes;
+}
+
+// The first bin whose answers are slow.
+std::size_t FirstSlowBin(const EvidenceCount& old) {
+  const double total =
+      std::accumulate(old.durations.begin(), old.durations.end(), 0.0);
+  double seen = 0;
+  std::size_t bin = 0;
+  for (; bin + 1 < kDurationBins; ++bin) {
+    seen += old.durations[bin];
+    if (seen >= kNormalShare * total) {
+      break;
+    }
+  }
+  return bin + 1 + kToleratedOctaves;
+}
+
+double CountFrom(const EvidenceCount& count, std::size_t bin) {
+  double sum = 0;
+  for (std::size_t n = bin; n < kDurationBins; ++n) {
+    sum += count.durations[n];
+  }
+  return sum;
+}
+
+// `bad` counts the bad ones among some answers.
+template <typename Bad>
+Comparison Compare(const RouteCounts& route, const Bad& bad) {
+  // A share of few answers is taken for higher than it was seen.
+  const double normal =
+      (bad(route.old) + 1) / (route.old.answers + kMinOldAnswers);
+  Comparison comparison;
+  for (const auto& [upstream, count] : route.target) {
+    const double expected = count.answers * normal;
+    comparison[upstream] = {.answers = static_cast<double>(count.answers),
+                            .bad = bad(count),
+                            .expected = expected,
+                            .variance = expected * (1 - normal)};
+  }
+  return comparison;
+}
+
+Comparison CompareFailures(const RouteCounts& route) {
+  return Compare(route, [](const EvidenceCount& it) {
+    return static_cast<double>(it.failures);
+  });
+}
+
+Comparison CompareTimes(const RouteCounts& route) {
+  const std::size_t first_slow = FirstSlowBin(route.old);
+  if (route.old.answers < kMinOldAnswers || first_slow >= kDurationBins) {
+    return {};
+  }
+  return Compare(route, [first_slow](const EvidenceCount& it) {
+    return CountFrom(it, first_slow);
+  });
+}
+
+bool Exceeds(const Tally& tally, double margin, double min_bad) {
+  return tally.bad >= min_bad &&
+         tally.Share(tally.bad) >= tally.Share(tally.expected) + margin &&
+         tally.bad >=
+             tally.expected + kDeviations * std::sqrt(tally.variance) + 1.5;
+}
+
+Tally Sum(const Comparison& comparison) {
+  Tally sum;
+  for (const auto& [upstream, tally] : comparison) {
+    sum.Add(tally);
+  }
+  return sum;
+}
+
+bool IsFaultOfVersion(const Comparison& comparison, double margin) {
+  Tally rest = Sum(comparison);
+  if (comparison.size() < 2) {
+    return Exceeds(rest, margin, kMinBadAnswersOfOne);
+  }
+  if (!Exceeds(rest, margin, kMinBadAnswers)) {
+    return false;
+  }
+  const auto worst = std::max_element(
+      comparison.begin(), comparison.end(),
+      [](const auto& a, const auto& b) { return a.second.bad < b.second.bad; });
+  rest.Remove(worst->second);
+  return rest.bad >=
+             rest.expected + kRestDeviations * std::sqrt(rest.variance) + 1 &&
+         rest.Share(rest.bad) >=
+             rest.Share(rest.expected) + margin * kRestMarginPart;
+}
+
+std::string Percent(double share) {
+  return std::to_string(std::lround(share * 100)) + "%";
+}
+
+std::optional<RolloutVerdict> FindFaultIn(const std::string& what,
+                                          const std::string& where,
+                                          const Comparison& comparison,
+                                          double margin) {
+  if (!IsFaultOfVersion(comparison, margin)) {
+    return std::nullopt;
+  }
+  const Tally sum = Sum(comparison);
+  return RolloutVerdict{
+      .reason = what + " on " + where + ": " + Percent(sum.Share(sum.bad)) +
+                " of " + std::to_string(std::lround(sum.answers)) +
+                " answers of the target, expected from the old versions " +
+                Percent(sum.Share(sum.expected))};
+}
+
+}  // namespace
+
+std::optional<RolloutVerdict> FindFault(const EvidencePool::Counts& counts) {
+  Comparison all_failures;
+  Comparison all_times;
+  std::optional<RolloutVerdict> verdict;
+  for (const auto& [id, route] : ByRoute(counts)) {
+    const Comparison failures = CompareFailures(route);
+    const Comparison times = CompareTimes(route);
+    for (const auto& [upstream, tally] : failures) {
+      all_failures[upstream].Add(tally);
+    }
+    for (const auto& [upstream, tally] : times) {
+      all_times[upstream].Add(tally);
+    }
+    const std::string where = "route " + FormatHash(id);
+    if (!verdict) {
+      verdict = FindFaultIn(kFailures, where, failures, kFailureMargin);
+    }
+    if (!verdict) {
+      verdict = FindFaultIn(kSlowAnswers, where, times, kSlowMargin);
+    }
+  }
+  if (!verdict) {
+    verdict =
+        FindFaultIn(kFailures, "all routes", all_failures, kFailureMargin);
+  }
+  return verdict
+             ? verdict
+             : FindFaultIn(kSlowAnswers, "all routes", all_times, kSlowMargin);
+}
+
+std::uint64_t TargetAnswers(const EvidencePool::Counts& counts) {
+  std::uint64_t answers = 0;
+  for (const auto& [key, count] : counts) {
+    answers += key.upstream == 0 ? 0 : count.answers;
+  }
+  return answers;
+}
+
+std::uint64_t OldAnswers(const EvidencePool::Counts& counts) {
+  std::uint64_t answers = 0;
+  for (const auto& [key, count] : counts) {
+    answers += key.upstream == 0 ? count.answers : 0;
+  }
+  return answers;
+}
+
+bool HasEnoughAnswers(const EvidencePool::Counts& counts) {
+  if (TargetAnswers(counts) < kMinTargetAnswers) {
+    return false;
+  }
+  const auto routes = ByRoute(counts);
+  return std::all_of(routes.begin(), routes.end(), [](const auto& it) {
+    std::uint64_t answers = 0;
+    for (const auto& [upstream, count] : it.second.target) {
+      answers += count.answers;
+    }
+    return answers >= kMinRouteAnswers;
+  });
+}
+
+}  // namespace flamingogauge
--- /dev/null
+++ b/src/libs/rollouts/rollout_judge.h
@@ -0,0 +1,32 @@
+#ifndef FLAMINGOGAUGE_LIBS_ROLLOUTS_ROLLOUT_JUDGE_H_
+#define FLAMINGOGAUGE_LIBS_ROLLOUTS_ROLLOUT_JUDGE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "libs/rollouts/evidence_pool.h"
+
+namespace flamingogauge {
+
+// Why a version is bad, with the figures that were compared.
+struct RolloutVerdict {
+  std::string reason;
+};
+
+// Compares the upstreams of the target with those of the old versions: failures
+// and slow answers, on each route and on all together. Returns a verdict if the
+// target is bad, and nothing as long as there is too little evidence for one.
+std::optional<RolloutVerdict> FindFault(const EvidencePool::Counts& counts);
+
+// The number of answers of the target's upstreams, and of the old versions'.
+std::uint64_t TargetAnswers(const EvidencePool::Counts& counts);
+std::uint64_t OldAnswers(const EvidencePool::Counts& counts);
+
+// True if the target has answered often enough to be trusted with all requests:
+// in total, and on each route on which the old versions have.
+bool HasEnoughAnswers(const EvidencePool::Counts& counts);
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_LIBS_ROLLOUTS_ROLLOUT_JUDGE_H_
--- /dev/null
+++ b/src/libs/rollouts/rollout_progress.h
@@ -0,0 +1,67 @@
+#ifndef FLAMINGOGAUGE_LIBS_ROLLOUTS_ROLLOUT_PROGRESS_H_
+#define FLAMINGOGAUGE_LIBS_ROLLOUTS_ROLLOUT_PROGRESS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "libs/fleet/host_entry.h"
+#include "libs/kernel/time.h"
+#include "libs/rollouts/rollout_messages.h"
+
+namespace flamingogauge {
+
+// Follows which hosts still send requests to the old versions of an order, or
+// have some there. A host counts until it has reported that it has moved; one
+// that stays silent counts as gone after a while.
+class RolloutProgress {
+ public:
+  explicit RolloutProgress(std::string data_centre)
+      : data_centre_(std::move(data_centre)) {}
+
+  void SetHosts(const std::vector<HostEntry>& hosts, MonotonicTime now);
+  void OnHost(const std::string& host,
+              const std::vector<RolloutState>& rollouts,
+              MonotonicTime now);
+  void OnDataCentre(const std::string& data_centre,
+                    const std::vector<RolloutState>& rollouts,
+                    MonotonicTime now);
+
+  struct Remaining {
+    // Requests at the old versions, as last reported.
+    std::uint32_t running = 0;
+    // Hosts, or data centres, that may still send some there.
+    std::uint32_t behind = 0;
+
+    bool IsNone() const { return running == 0 && behind == 0; }
+  };
+  // In this data centre.
+  Remaining Nearby(std::uint64_t order, MonotonicTime now) const;
+  // In all data centres.
+  Remaining Everywhere(std::uint64_t order, MonotonicTime now) const;
+
+ private:
+  struct Member {
+    MonotonicTime heard_at;
+    // Of the newest report, by order.
+    std::map<std::uint64_t, RolloutState> rollouts;
+  };
+
+  static void Apply(const std::vector<RolloutState>& rollouts,
+                    Member& member,
+                    MonotonicTime now);
+  static void Count(const Member& member,
+                    std::uint64_t order,
+                    MonotonicTime now,
+                    Remaining& remaining);
+
+  const std::string data_centre_;
+  // The listed hosts of this data centre, and the other data centres.
+  std::map<std::string, Member> hosts_;
+  std::map<std::string, Member> others_;
+};
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_LIBS_ROLLOUTS_ROLLOUT_PROGRESS_H_
--- a/src/libs/services/fleet_source.h
+++ b/src/libs/services/fleet_source.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "libs/fleet/host_entry.h"
+#include "libs/fleet/rollout_order.h"
 #include "libs/fleet/upstream_entry.h"
 #include "libs/kernel/error.h"
 #include "libs/kernel/time.h"
@@ -23,6 +24,10 @@
   MonotonicTime routing_confirmed_at;
   std::shared_ptr<const std::vector<UpstreamEntry>> upstreams;
   std::shared_ptr<const std::vector<HostEntry>> hosts;
+  // Null as long as this host has not read the orders itself.
+  std::shared_ptr<const std::vector<RolloutOrder>> rollouts;
+  // True while this host reads the store itself.
+  bool reads_store = false;
 };
 
 // Publishes what is known of the fleet.
--- a/src/libs/services/fleet_store.h
+++ b/src/libs/services/fleet_store.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "libs/fleet/host_entry.h"
+#include "libs/fleet/rollout_order.h"
 #include "libs/fleet/upstream_entry.h"
 #include "libs/kernel/error.h"
 #include "libs/routing/routing_table.h"
@@ -80,10 +81,19 @@
   virtual FleetTable<RoutingTable>& routing() = 0;
   virtual FleetTable<UpstreamEntry>& upstreams() = 0;
   virtual FleetTable<HostEntry>& hosts() = 0;
+  // The operators' orders to roll out a version.
+  virtual FleetTable<RolloutOrder>& rollouts() = 0;
 
   // Writes the host's own entry; replaces an older one of the same name.
   virtual void RegisterHost(const HostEntry& host, DoneCallback callback) = 0;
   virtual void RemoveHost(const std::string& name, DoneCallback callback) = 0;
+
+  // Replaces the status of the order `name` if it still has `revision`;
+  // otherwise kAlreadyExists.
+  virtual void WriteRolloutStatus(const std::string& name,
+                                  std::uint64_t revision,
+                                  const RolloutStatus& status,
+                                  DoneCallback callback) = 0;
 };
 
 }  // namespace flamingogauge
--- a/src/plugins/directory/directory_settings.cc
+++ b/src/plugins/directory/directory_settings.cc
@@ -2,6 +2,7 @@
 
 #include <gflags/gflags.h>
 
+#include "libs/fleet/rollout_limits.h"
 #include "libs/kernel/setting_range.h"
 
 DEFINE_string(host_name, "", "name of this host, unique in the deployment");
@@ -26,6 +27,10 @@
 DEFINE_uint32(directory_upstreams_watch_wait_ms,
               2500,
               "wait time of a watch of the list of upstreams, in ms");
+DEFINE_uint32(
+    directory_rollouts_watch_wait_ms,
+    5000,
+    "wait time of a watch of the orders to roll out a version, in ms");
 DEFINE_uint32(directory_hosts_interval_ms,
               3000,
               "interval between reads of the list of hosts, in ms");
@@ -53,7 +58,10 @@
           .normal_age = changes.normal_age(),
           .upstreams_watch_wait =
               milliseconds(FLAGS_directory_upstreams_watch_wait_ms),
-          .hosts_interval = milliseconds(FLAGS_directory_hosts_interval_ms)};
+          .hosts_interval = milliseconds(FLAGS_directory_hosts_interval_ms),
+          .follows_rollouts = RolloutLimitsFromFlags().is_enabled(),
+          .rollouts_watch_wait =
+              milliseconds(FLAGS_directory_rollouts_watch_wait_ms)};
 }
 
 Result<void> CheckDirectorySettings(const DirectorySettings& settings) {
@@ -68,6 +76,8 @@
                settings.routing_watch_wait, kMinWaitMs, kMaxWaitMs),
        RangeOf("directory_upstreams_watch_wait_ms",
                settings.upstreams_watch_wait, kMinWaitMs, kMaxWaitMs),
+       RangeOf("directory_rollouts_watch_wait_ms", settings.rollouts_watch_wait,
+               kMinWaitMs, kMaxWaitMs),
        RangeOf("directory_hosts_interval_ms", settings.hosts_interval,
                kMinWaitMs, kMaxWaitMs),
        RangeOf("host_capacity", settings.host.capacity, 0, kMaxCapacity)});
--- a/src/plugins/directory/directory_settings.h
+++ b/src/plugins/directory/directory_settings.h
@@ -26,6 +26,10 @@
   std::chrono::milliseconds upstreams_watch_wait{2500};
   // The interval between reads of the list of hosts.
   std::chrono::milliseconds hosts_interval{3000};
+  // True if orders to roll out a version are followed.
+  bool follows_rollouts = false;
+  // Wait time of a watch of these orders.
+  std::chrono::milliseconds rollouts_watch_wait{5000};
 };
 
 // Reads the --directory_* and --host_* flags and the change limits.
--- a/src/plugins/directory/directory_worker.cc
+++ b/src/plugins/directory/directory_worker.cc
@@ -241,12 +241,23 @@
   if (changes.hosts) {
     OnHostsChanged();
   }
+  if (changes.rollouts) {
+    CopyRollouts();
+  }
   if (changes.confirmation || changes.routing || changes.upstreams ||
-      changes.hosts) {
+      changes.hosts || changes.rollouts) {
     Publish();
   }
 }
 
+void DirectoryWorker::CopyRollouts() {
+  auto orders = std::make_shared<std::vector<RolloutOrder>>();
+  for (const auto& [name, order] : reader_.rollouts()) {
+    orders->push_back(*order);
+  }
+  snapshot_.rollouts = std::move(orders);
+}
+
 void DirectoryWorker::OnHostsChanged() {
   snapshot_.hosts = CopyValues(view_.hosts());
   policy_.SetHosts(*snapshot_.hosts);
@@ -361,6 +372,7 @@
 }
 
 void DirectoryWorker::Publish() {
+  snapshot_.reads_store = reads_store_;
   {
     std::lock_guard<std::mutex> lock(dump_mutex_);
     published_ = snapshot_;
--- a/src/plugins/directory/directory_worker.h
+++ b/src/plugins/directory/directory_worker.h
@@ -67,6 +67,7 @@
   void ReplyToQuestions(MonotonicTime now);
   void OnChanges(const FleetChanges& changes);
   void OnHostsChanged();
+  void CopyRollouts();
   MonotonicTime NextWakeUp(MonotonicTime now) const;
   void Publish();
   void LogSource(const SourceDecision& decision);
--- a/src/plugins/directory/store_reader.cc
+++ b/src/plugins/directory/store_reader.cc
@@ -35,6 +35,8 @@
 constexpr std::string_view kTableName<UpstreamEntry> = "upstreams";
 template <>
 constexpr std::string_view kTableName<HostEntry> = "hosts";
+template <>
+constexpr std::string_view kTableName<RolloutOrder> = "rollouts";
 
 std::string_view CallResultName(const Error* error) {
   if (error == nullptr) {
@@ -71,6 +73,8 @@
       routing_(TableFollowerOptions()),
       upstreams_(TableFollowerOptions()),
       hosts_({.min_outage = kGracePeriodDisabled}),
+      // A removed order must not go on after an outage.
+      rollouts_({.min_outage = kGracePeriodDisabled}),
       started_at_(BootTimeNow()) {}
 
 void StoreReader::SetWaits(const DirectorySettings& settings) {
@@ -117,6 +121,10 @@
     CatchUpWithView();
     StartCall(upstreams_, store_.upstreams(), settings_.upstreams_watch_wait,
               false, now);
+    if (settings_.follows_rollouts) {
+      StartCall(rollouts_, store_.rollouts(), settings_.rollouts_watch_wait,
+                false, now);
+    }
   }
   if ((active_ || wants_hosts) && now >= next_hosts_list_at_) {
     // In general the list of hosts is not needed at its newest. A list that may
@@ -149,6 +157,9 @@
     at = routing_.is_failing()
              ? routing_.WakeAt()
              : std::min(routing_.WakeAt(), upstreams_.WakeAt());
+    if (settings_.follows_rollouts && !routing_.is_failing()) {
+      at = std::min(at, rollouts_.WakeAt());
+    }
   }
   if ((active_ || wants_hosts) && !hosts_.in_flight()) {
     at = std::min(at, std::max(hosts_.WakeAt(), next_hosts_list_at_));
@@ -213,7 +224,8 @@
     ReportLeftOut(answer.value(), BootTimeNow());
   }
   const FleetChanges changes = ApplyAnswer(follower, changed);
-  if constexpr (!std::is_same_v<T, HostEntry>) {
+  if constexpr (std::is_same_v<T, RoutingTable> ||
+                std::is_same_v<T, UpstreamEntry>) {
     LogAvailability(error);
   }
   if (error == nullptr) {
@@ -271,6 +283,13 @@
   return changes;
 }
 
+FleetChanges StoreReader::ApplyAnswer(
+    const TableFollower<RolloutOrder>& follower,
+    bool changed) {
+  return {.rollouts =
+              changed && !follower.is_failing() && follower.revision() != 0};
+}
+
 void StoreReader::CountCall(std::string_view table, const Error* error) {
   metrics_.Add(
       "flamingogauge_store_calls_total",
--- a/src/plugins/directory/store_reader.h
+++ b/src/plugins/directory/store_reader.h
@@ -54,6 +54,9 @@
   MonotonicTime WakeAt(bool wants_hosts) const;
 
   StoreReading Reading(MonotonicTime now) const;
+  const TableFollower<RolloutOrder>::Entries& rollouts() const {
+    return rollouts_.entries();
+  }
   // True once a list of hosts has been read.
   bool has_listed_hosts() const { return has_listed_hosts_; }
 
@@ -73,6 +76,8 @@
                            bool changed);
   FleetChanges ApplyAnswer(const TableFollower<HostEntry>& follower,
                            bool changed);
+  FleetChanges ApplyAnswer(const TableFollower<RolloutOrder>& follower,
+                           bool changed);
   // Counts a call by table and result.
   void CountCall(std::string_view table, const Error* error);
   // Counts the entries that an answer left out, and logs them at a bounded
@@ -95,6 +100,7 @@
   TableFollower<RoutingTable> routing_;
   TableFollower<UpstreamEntry> upstreams_;
   TableFollower<HostEntry> hosts_;
+  TableFollower<RolloutOrder> rollouts_;
   const MonotonicTime started_at_;
   MonotonicTime next_hosts_list_at_;
   bool wants_newest_hosts_ = false;
--- a/src/plugins/gateway/coordination_codec.cc
+++ b/src/plugins/gateway/coordination_codec.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "plugins/gateway/rollout_codec.h"
 #include "protocol/coordination.capnp.h"
 
 namespace flamingogauge {
@@ -238,6 +239,7 @@
   }
   WriteUsage(message.usage, to.initUsage(SizeOf(message.usage)));
   WriteEvidence(message.evidence, to);
+  WriteRollouts(message.rollouts, to.initRollouts());
 }
 
 HostMessage Read(wire::HostMessage::Reader from) {
@@ -252,7 +254,8 @@
                       .last_grant = from.getLastGrant(),
                       .waiting = ReadNumbers(from.getWaiting()),
                       .usage = ReadUsage(from.getUsage()),
-                      .evidence = ReadEvidence(from)};
+                      .evidence = ReadEvidence(from),
+                      .rollouts = ReadRollouts(from.getRollouts())};
   for (const auto& it : from.getRequests()) {
     message.requests.push_back(ReadRequest(it));
   }
@@ -326,6 +329,7 @@
     draining.set(n++, it);
   }
   WriteEvidence(summary.evidence, to);
+  WriteRollouts(summary.rollouts, to.initRollouts());
   n = 0;
   auto paces = to.initPaces(SizeOf(summary.paces));
   for (const UpstreamPaceReport& it : summary.paces) {
@@ -345,7 +349,8 @@
       .running = ReadLoad(from.getRunning()),
       .usage = ReadUsage(from.getUsage()),
       .reachable_hosts = static_cast<int>(from.getReachableHosts()),
-      .evidence = ReadEvidence(from)};
+      .evidence = ReadEvidence(from),
+      .rollouts = ReadRollouts(from.getRollouts())};
   for (const auto& it : from.getDrainingHosts()) {
     summary.draining_hosts.emplace_back(it.cStr());
   }
--- a/src/plugins/gateway/coordination_node.cc
+++ b/src/plugins/gateway/coordination_node.cc
@@ -46,10 +46,12 @@
   return kLogger;
 }
 
-DispatcherOptions QueueOptions(const GatewaySettings& settings) {
+DispatcherOptions QueueOptions(const GatewaySettings& settings,
+                               VersionGate* version_gate) {
   return {.data_centre = settings.data_centre,
           .regions = settings.regions,
-          .seed = ComputeContentHash(settings.host).low};
+          .seed = ComputeContentHash(settings.host).low,
+          .version_gate = version_gate};
 }
 
 }  // namespace
@@ -60,7 +62,8 @@
                                    Placer& placer,
                                    EventLog& log,
                                    MetricsRegistry& metrics,
-                                   CoordinationHandlers handlers)
+                                   CoordinationHandlers handlers,
+                                   VersionGate* version_gate)
     : io_(io),
       host_(settings.host),
       address_(settings.report_address),
@@ -73,7 +76,7 @@
       handlers_(std::move(handlers)),
       coordinator_({.host = settings.host,
                     .process = process,
-                    .dispatcher = QueueOptions(settings)}),
+                    .dispatcher = QueueOptions(settings, version_gate)}),
       socket_(io,
               [this](const std::string& bytes, const std::string& sender) {
                 OnDatagram(bytes, sender);
@@ -158,6 +161,10 @@
   return count;
 }
 
+bool CoordinationNode::IsCoordinator() const {
+  return placer_.Coordinator(BootTimeNow()) == host_;
+}
+
 void CoordinationNode::ScheduleStates() {
   state_timer_.expires_after(interval_);
   state_timer_.async_wait([this](const boost::system::error_code& ec) {
@@ -224,6 +231,7 @@
   message.process = process_;
   message.sequence = ++sequence_;
   handlers_.complete_state(message);
+  handlers_.rollouts.complete_state(coordinator, message);
   if (coordinator == host_) {
     ApplyState(message);
   } else {
@@ -241,6 +249,7 @@
     log_.Write(EventLine("host.regained").Text("host", message.host));
   }
   handlers_.on_crash_evidence(message.evidence);
+  handlers_.rollouts.on_host(message);
   ScheduleRun();
   ScheduleSummaries();
   ScheduleReports();
@@ -313,9 +322,12 @@
                       summary_rounds_ % kStandbySummaryRounds == 0;
   const CrashEvidence evidence = handlers_.crash_evidence();
   const bool draining = handlers_.is_draining();
+  const RolloutReport rollouts =
+      to_all ? handlers_.rollouts.summary() : RolloutReport{};
   for (auto& it : coordinator_.SummariesForHosts(to_all, now)) {
     it.message.evidence = evidence;
     it.message.draining = draining;
+    it.message.rollouts = rollouts;
     if (it.address == address_) {
       ApplySummary(it.message);
     } else {
@@ -328,6 +340,7 @@
   const MonotonicTime now = BootTimeNow();
   placer_.OnSummary(summary, now);
   handlers_.on_crash_evidence(summary.evidence);
+  handlers_.rollouts.on_summary(summary);
   if (summary.coordinator == placer_.Coordinator(now)) {
     draining_hosts_ = {summary.draining_hosts.begin(),
                        summary.draining_hosts.end()};
@@ -360,6 +373,7 @@
                               coordinator_.DataCentreReport(BootTimeNow())};
   report.summary.draining = handlers_.is_draining();
   report.summary.evidence = handlers_.crash_evidence();
+  report.summary.rollouts = handlers_.rollouts.data_centre_report();
   for (const auto& [data_centre, coordinators] : remote_coordinators_) {
     for (std::size_t n = 0; n < coordinators.size(); ++n) {
       if (n == 0 || report_rounds_ % kStandbyReportRounds == 0) {
@@ -429,6 +443,7 @@
   }
   coordinator_.OnDataCentreReport(report.summary, BootTimeNow());
   handlers_.on_crash_evidence(report.summary.evidence);
+  handlers_.rollouts.on_data_centre(report.summary);
   if (coordinator_.waiting_count() > 0) {
     ScheduleRun();
   }
--- a/src/plugins/gateway/coordination_node.h
+++ b/src/plugins/gateway/coordination_node.h
@@ -25,6 +25,22 @@
 
 namespace flamingogauge {
 
+// Callbacks that add what is known of roll-outs to messages, and that apply
+// what other hosts tell. Without them nothing is told.
+struct RolloutMessageHandlers {
+  std::function<void(const std::string& coordinator, HostMessage&)>
+      complete_state = [](const std::string&, HostMessage&) {};
+  std::function<RolloutReport()> summary = [] { return RolloutReport{}; };
+  std::function<RolloutReport()> data_centre_report = [] {
+    return RolloutReport{};
+  };
+  std::function<void(const HostMessage&)> on_host = [](const HostMessage&) {};
+  std::function<void(const FleetSummary&)> on_summary =
+      [](const FleetSummary&) {};
+  std::function<void(const FleetSummary&)> on_data_centre =
+      [](const FleetSummary&) {};
+};
+
 // Callbacks that a CoordinationNode needs from its owner.
 struct CoordinationHandlers {
   // Adds this host's consumption, crash evidence and the like to its state.
@@ -36,6 +52,7 @@
   std::function<void(const CrashEvidence&)> on_crash_evidence;
   std::function<CrashEvidence()> crash_evidence;
   std::function<bool()> is_draining;
+  RolloutMessageHandlers rollouts;
   // Called for a listed host of this data centre that has been silent for so
   // long that it is considered permanently gone.
   std::function<void(const std::string& host)> on_host_gone;
@@ -55,7 +72,8 @@
                    Placer& placer,
                    EventLog& log,
                    MetricsRegistry& metrics,
-                   CoordinationHandlers handlers);
+                   CoordinationHandlers handlers,
+                   VersionGate* version_gate = nullptr);
 
   // Opens the socket and starts periodic messages.
   Result<void> Start();
@@ -64,12 +82,16 @@
   void SetHosts(const std::vector<HostEntry>& hosts);
   void SetUpstreams(const std::vector<UpstreamEntry>& upstreams);
 
+  // Requests that wait here may now go to other upstreams.
+  void OnGateChanged() { ScheduleRun(); }
   // Sends the placer's urgent changes soon.
   void OnPlacerChanged();
 
   // The number of hosts that share the limits, including this one.
   std::size_t HostCount() const;
   const Coordinator& coordinator() const { return coordinator_; }
+  // True if this host is the coordinator in use.
+  bool IsCoordinator() const;
 
  private:
   void RegisterGauges();
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -5,6 +5,7 @@
 
 #include "libs/kernel/boot_clock.h"
 #include "libs/kernel/check.h"
+#include "libs/model/fingerprint.h"
 #include "plugins/gateway/fleet_events.h"
 #include "plugins/gateway/local_response.h"
 
@@ -394,7 +395,21 @@
   FailAfterSend(kBadGateway, kStoppingReason);
 }
 
+void Exchange::ReportEndedRequest(DispatchResult result) const {
+  if (state_ != State::kSent || !context_.on_request_ended) {
+    return;
+  }
+  context_.on_request_ended(
+      {.upstream = upstream_,
+       .result = result,
+       .answer = {.route = ComputeContentHash(accepted_.route->name).low,
+                  .took = BootTimeNow() - sent_at_,
+                  .prompt_tokens = accepted_.prompt_tokens,
+                  .events = events_}});
+}
+
 void Exchange::EndDispatch(DispatchResult result) {
+  ReportEndedRequest(result);
   LogHealthChange(context_.placer.OnEnded(upstream_.id, result, BootTimeNow()));
   context_.on_placer_changed();
   context_.schedule_placement();
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -101,6 +101,7 @@
   void OnDeadline();
   void OnCallerDisconnected();
   void EndDispatch(DispatchResult result);
+  void ReportEndedRequest(DispatchResult result) const;
   void OnUpstreamLeaving();
   // Holds requests back if the upstream has asked for it.
   void OnTurnedAway(const HttpFields& fields);
--- a/src/plugins/gateway/gateway_plugin.cc
+++ b/src/plugins/gateway/gateway_plugin.cc
@@ -12,9 +12,11 @@
 #include "libs/kernel/boot_clock.h"
 #include "libs/services/event_log_service.h"
 #include "libs/services/fleet_source.h"
+#include "libs/services/fleet_store.h"
 #include "plugins/gateway/coordination_node.h"
 #include "plugins/gateway/http_acceptor.h"
 #include "plugins/gateway/relay.h"
+#include "plugins/gateway/rollout_node.h"
 #include "plugins/gateway/status_handler.h"
 
 namespace flamingogauge {
@@ -44,6 +46,8 @@
   EventLog* log = nullptr;
   FleetSource* source = nullptr;
   MetricsRegistry* metrics = nullptr;
+  // Null if roll-outs are not followed. Used by `relay` and `coordination`.
+  std::unique_ptr<RolloutNode> rollouts;
   std::unique_ptr<Relay> relay;
   std::unique_ptr<StatusHandler> status;
   std::unique_ptr<HttpAcceptor> callers;
@@ -54,14 +58,69 @@
   std::function<void()> drained;
   std::thread thread;
 
+  VersionGate* Gate() const { return rollouts ? &rollouts->gate() : nullptr; }
+  Result<void> MakeRollouts(ServiceRegistry& registry);
+  void ConnectRollouts();
+  RolloutMessageHandlers RolloutHandlersForMessages();
   std::unique_ptr<CoordinationNode> MakeCoordination();
   void OnFleet(const FleetSnapshot& snapshot);
   void Tick();
   UnfinishedWork CountUnfinished() const;
   void LogDrain(std::string_view event, const UnfinishedWork& work) const;
+  std::string DumpState() const;
   void CheckDrain();
 };
 
+Result<void> GatewayPlugin::Private::MakeRollouts(ServiceRegistry& registry) {
+  if (!settings.rollouts.is_enabled()) {
+    return boost::outcome_v2::success();
+  }
+  Result<FleetStore*> store =
+      registry.Find<FleetStore>(FleetStore::kServiceName);
+  if (!store) {
+    return store.error();
+  }
+  rollouts = std::make_unique<RolloutNode>(io, settings, *store.value(), *log,
+                                           *metrics);
+  return boost::outcome_v2::success();
+}
+
+void GatewayPlugin::Private::ConnectRollouts() {
+  if (!rollouts) {
+    return;
+  }
+  rollouts->SetHandlers(
+      {.upstreams = [this]() -> const std::map<std::string, UpstreamView>& {
+         return relay->placer().upstreams();
+       },
+       .is_coordinator = [this] { return coordination->IsCoordinator(); },
+       .on_gate_changed =
+           [this] {
+             relay->SchedulePlacement();
+             coordination->OnGateChanged();
+           }});
+  relay->SetRequestObserver([this](const EndedRequest& request) {
+    rollouts->OnRequestEnded(request);
+  });
+}
+
+RolloutMessageHandlers GatewayPlugin::Private::RolloutHandlersForMessages() {
+  if (!rollouts) {
+    return {};
+  }
+  RolloutNode& node = *rollouts;
+  return {.complete_state =
+              [&node](const std::string& coordinator, HostMessage& message) {
+                node.CompleteState(coordinator, message);
+              },
+          .summary = [&node] { return node.Summary(); },
+          .data_centre_report = [&node] { return node.DataCentreReport(); },
+          .on_host = [&node](const HostMessage& it) { node.OnHostMessage(it); },
+          .on_summary = [&node](const FleetSummary& it) { node.OnSummary(it); },
+          .on_data_centre =
+              [&node](const FleetSummary& it) { node.OnDataCentreReport(it); }};
+}
+
 std::unique_ptr<CoordinationNode> GatewayPlugin::Private::MakeCoordination() {
   return std::make_unique<CoordinationNode>(
       io, settings, relay->process(), relay->placer(), *log, *metrics,
@@ -80,15 +139,20 @@
               },
           .crash_evidence = [this] { return relay->ReportCrashEvidence(); },
           .is_draining = [this] { return relay->is_draining(); },
+          .rollouts = RolloutHandlersForMessages(),
           .on_host_gone =
               [this](const std::string& host) { source->OnHostSilent(host); },
           .on_host_unlisted =
               [this](const std::string& host) {
                 source->OnHostUnlisted(host);
-              }});
+              }},
+      Gate());
 }
 
 void GatewayPlugin::Private::OnFleet(const FleetSnapshot& snapshot) {
+  if (rollouts) {
+    rollouts->OnFleet(snapshot);
+  }
   if (hosts != snapshot.hosts) {
     hosts = snapshot.hosts;
     coordination->SetHosts(*hosts);
@@ -131,6 +195,15 @@
                  .Milliseconds("left_ms", settings.stop_limit - elapsed));
 }
 
+std::string GatewayPlugin::Private::DumpState() const {
+  std::string dump = relay->DumpState();
+  if (rollouts) {
+    dump.pop_back();
+    dump += ",\"rollouts\":" + rollouts->DumpState() + "}";
+  }
+  return dump;
+}
+
 void GatewayPlugin::Private::CheckDrain() {
   DrainProgress& drain = relay->drain();
   if (drain.IsClosing()) {
@@ -200,17 +273,21 @@
   Private& self = *private_;
   self.source = source.value();
   self.metrics = metrics.value();
+  if (Result<void> made = self.MakeRollouts(registry); !made) {
+    return made;
+  }
   self.relay = std::make_unique<Relay>(
       self.io, self.settings, *self.log, *self.metrics,
-      [&self] { self.coordination->OnPlacerChanged(); });
+      [&self] { self.coordination->OnPlacerChanged(); }, self.Gate());
   self.status = std::make_unique<StatusHandler>(StatusHandlerOptions{
       .ready_path = self.settings.ready_path,
       .is_ready = [&self] { return self.relay->IsReady(); },
       .metrics = [&self] { return self.metrics->Expose(); },
-      .state = [&self] { return self.relay->DumpState(); }});
+      .state = [&self] { return self.DumpState(); }});
   self.callers = std::make_unique<HttpAcceptor>(self.io, *self.relay);
   self.status_acceptor = std::make_unique<HttpAcceptor>(self.io, *self.status);
   self.coordination = self.MakeCoordination();
+  self.ConnectRollouts();
   for (Result<void> opened :
        {self.callers->Listen(self.settings.listen_address),
         self.status_acceptor->Listen(self.settings.status_address),
@@ -241,6 +318,9 @@
     self->settings.Reload(settings);
     self->coordination->SetInterval(settings.report_interval);
     self->coordination->SetRegions(settings.regions);
+    if (self->rollouts) {
+      self->rollouts->SetRegions(settings.regions);
+    }
     self->relay->Reload(settings);
   });
   return boost::outcome_v2::success();
@@ -259,7 +339,7 @@
   auto dump = std::make_shared<std::promise<std::string>>();
   std::future<std::string> ready = dump->get_future();
   boost::asio::post(private_->io, [self = private_.get(), dump] {
-    dump->set_value(self->relay->DumpState());
+    dump->set_value(self->DumpState());
   });
   return ready.wait_for(kDumpTimeLimit) == std::future_status::ready
              ? ready.get()
--- a/src/plugins/gateway/gateway_settings.cc
+++ b/src/plugins/gateway/gateway_settings.cc
@@ -82,7 +82,8 @@
               static_cast<std::int64_t>(FLAGS_gateway_stop_limit_s * 1000)),
           .drain_time_limit = DrainTimeLimit(FLAGS_gateway_stop_limit_s),
           .drain_min_time = milliseconds(FLAGS_gateway_drain_min_time_ms),
-          .report_interval = milliseconds(FLAGS_gateway_report_interval_ms)};
+          .report_interval = milliseconds(FLAGS_gateway_report_interval_ms),
+          .rollouts = RolloutLimitsFromFlags()};
 }
 
 void GatewaySettings::Reload(const GatewaySettings& from) {
@@ -107,6 +108,9 @@
                    .message = "\"" + it + "\" is not of the form ip:port"};
     }
   }
+  if (Result<void> checked = CheckRolloutLimits(settings.rollouts); !checked) {
+    return checked;
+  }
   return CheckSettingRanges(
       {RangeOf("change_apply_limit_ms", settings.changes.apply, 500, 600000),
        RangeOf("key_revocation_limit_ms", settings.changes.revoke, 1000,
--- a/src/plugins/gateway/gateway_settings.h
+++ b/src/plugins/gateway/gateway_settings.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "libs/fleet/change_limits.h"
+#include "libs/fleet/rollout_limits.h"
 #include "libs/kernel/error.h"
 #include "libs/relay/header_names.h"
 
@@ -39,6 +40,8 @@
   std::chrono::milliseconds drain_time_limit{6800};
   std::chrono::milliseconds drain_min_time{3500};
   std::chrono::milliseconds report_interval{400};
+  // Read at the start only.
+  RolloutLimits rollouts;
 
   // Applies the settings that may change at run time; addresses, names and
   // headers are kept.
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -36,12 +36,14 @@
           .window = settings.resend_window};
 }
 
-PlacerOptions PlacementOptions(const GatewaySettings& settings) {
+PlacerOptions PlacementOptions(const GatewaySettings& settings,
+                               VersionGate* version_gate) {
   return {.host = settings.host,
           .data_centre = settings.data_centre,
           .dispatcher = {.data_centre = settings.data_centre,
                          .regions = settings.regions,
-                         .seed = ComputeContentHash(settings.host).low}};
+                         .seed = ComputeContentHash(settings.host).low,
+                         .version_gate = version_gate}};
 }
 
 }  // namespace
@@ -50,21 +52,23 @@
              const GatewaySettings& settings,
              EventLog& log,
              MetricsRegistry& metrics,
-             std::function<void()> on_placer_changed)
+             std::function<void()> on_placer_changed,
+             VersionGate* version_gate)
     : context_{
           .io = io,
           .settings = settings,
           .log = log,
           .metrics = metrics,
           .fleet = {},
-          .placer = Placer(PlacementOptions(settings)),
+          .placer = Placer(PlacementOptions(settings, version_gate)),
           .rate_limiter = SharedRateLimiter(BootTimeNow()),
           .resends = ResendBudget(ResendOptions(settings)),
           .crashes = {},
           .connections = UpstreamConnections(io, settings.headers.request_id),
           .schedule_placement = [this] { SchedulePlacement(); },
           .on_placer_changed = std::move(on_placer_changed),
-          .on_quarantine_changed = [this] { OnQuarantineChanged(); }},
+          .on_quarantine_changed = [this] { OnQuarantineChanged(); },
+          .on_request_ended = {}},
       placement_timer_(io),
       process_(
           static_cast<std::uint64_t>(BootTimeNow().time_since_epoch().count())),
--- a/src/plugins/gateway/relay.h
+++ b/src/plugins/gateway/relay.h
@@ -26,7 +26,8 @@
         const GatewaySettings& settings,
         EventLog& log,
         MetricsRegistry& metrics,
-        std::function<void()> on_placer_changed);
+        std::function<void()> on_placer_changed,
+        VersionGate* version_gate = nullptr);
 
   // Applies the settings that may change at run time.
   void Reload(const GatewaySettings& settings);
@@ -40,6 +41,10 @@
   void SetHostCount(std::size_t hosts);
   // Adds consumption, crash evidence and the shutdown to this host's state.
   void CompleteState(HostMessage& message);
+  // Called at the end of each request at an upstream.
+  void SetRequestObserver(std::function<void(const EndedRequest&)> observer) {
+    context_.on_request_ended = std::move(observer);
+  }
   // Schedules the placement of waiting requests after the current event.
   void SchedulePlacement();
   // Handles requests that arrived during start-up and closes expired idle
--- a/src/plugins/gateway/relay_context.h
+++ b/src/plugins/gateway/relay_context.h
@@ -13,6 +13,7 @@
 #include "libs/dispatching/shared_rate_limiter.h"
 #include "libs/kernel/event_log.h"
 #include "libs/metrics/metrics_registry.h"
+#include "libs/rollouts/rollout_controller.h"
 #include "libs/services/fleet_source.h"
 #include "plugins/gateway/gateway_settings.h"
 #include "plugins/gateway/upstream_connections.h"
@@ -40,6 +41,9 @@
   std::function<void()> on_placer_changed;
   // To be called after evidence was added to `crashes`.
   std::function<void()> on_quarantine_changed;
+  // Called at the end of each request at an upstream; empty if nobody compares
+  // versions.
+  std::function<void(const EndedRequest&)> on_request_ended;
 
   bool is_draining() const { return drain.has_value(); }
 };
--- a/tests/auto/platform_adapter/tst_directory_relay.cc
+++ b/tests/auto/platform_adapter/tst_directory_relay.cc
@@ -82,12 +82,19 @@
   FleetTable<RoutingTable>& routing() override { return routing_; }
   FleetTable<UpstreamEntry>& upstreams() override { return upstreams_; }
   FleetTable<HostEntry>& hosts() override { return hosts_; }
+  FleetTable<RolloutOrder>& rollouts() override { return rollouts_; }
   void RegisterHost(const HostEntry& host, DoneCallback callback) override {
     store_.RegisterHost(host, std::move(callback));
   }
   void RemoveHost(const std::string& name, DoneCallback callback) override {
     store_.RemoveHost(name, std::move(callback));
   }
+  void WriteRolloutStatus(const std::string& name,
+                          std::uint64_t revision,
+                          const RolloutStatus& status,
+                          DoneCallback callback) override {
+    store_.WriteRolloutStatus(name, revision, status, std::move(callback));
+  }
 
   void SetRefused(bool refused) { refused_ = refused; }
 
@@ -99,6 +106,7 @@
   RefusableTable<RoutingTable> routing_{store_.routing(), refused_};
   RefusableTable<UpstreamEntry> upstreams_{store_.upstreams(), refused_};
   RefusableTable<HostEntry> hosts_{store_.hosts(), refused_};
+  RefusableTable<RolloutOrder> rollouts_{store_.rollouts(), refused_};
 };
 
 std::string Manifest(int version) {
--- a/tests/fakes/fake_object_store/fake_object_store.cc
+++ b/tests/fakes/fake_object_store/fake_object_store.cc
@@ -29,6 +29,7 @@
   std::uint64_t revision = 0;
   std::uint64_t created = 0;
   std::string spec;
+  std::string status = "null";
 };
 
 struct StoreEvent {
@@ -89,7 +90,7 @@
          std::to_string(object.revision) + R"(,"createRevision":)" +
          std::to_string(object.created) +
          R"(,"finalizers":[],"deleting":false},"spec":)" + object.spec +
-         R"(,"status":null})";
+         R"(,"status":)" + object.status + "}";
 }
 
 std::string FormatAnswer(int status, const std::string& body) {
@@ -160,6 +161,9 @@
   void Change(const std::shared_ptr<HttpSession>& session,
               const ParsedRequest& request,
               const StoreCall& call);
+  void ChangeStatus(const std::shared_ptr<HttpSession>& session,
+                    const json& body,
+                    const StoreCall& call);
   std::string EventsAfter(const std::string& kind,
                           std::uint64_t after,
                           bool& any) const;
@@ -369,10 +373,19 @@
     return;
   }
   const json body = json::parse(request.body, nullptr, false);
-  if (body.is_discarded() || !body.contains("spec")) {
+  if (body.is_discarded() ||
+      !(body.contains("spec") || body.contains("status"))) {
     Answer(session, 400, "{}");
     return;
   }
+  constexpr std::string_view kStatusPart = "/status";
+  if (call.name.ends_with(kStatusPart)) {
+    ChangeStatus(
+        session, body,
+        {.kind = call.kind,
+         .name = call.name.substr(0, call.name.size() - kStatusPart.size())});
+    return;
+  }
   const bool creates = request.method == "POST";
   const std::string name =
       creates ? body["metadata"].value("name", "") : call.name;
@@ -391,6 +404,30 @@
          FormatObject(name, *Find(call.kind, name)));
 }
 
+void FakeObjectStore::Server::ChangeStatus(
+    const std::shared_ptr<HttpSession>& session,
+    const json& body,
+    const StoreCall& call) {
+  const StoredSpec* known = Find(call.kind, call.name);
+  if (known == nullptr) {
+    Answer(session, 404, "{}");
+    return;
+  }
+  const std::uint64_t expected = body["metadata"].value("revision", 0U);
+  if (expected != 0 && expected != known->revision) {
+    Answer(session, 409, FormatObject(call.name, *known));
+    return;
+  }
+  StoredSpec& object = kinds_[call.kind][call.name];
+  object.revision = ++revision;
+  object.status = body["status"].dump();
+  events_.push_back({.revision = revision,
+                     .kind = call.kind,
+                     .object = FormatObject(call.name, object)});
+  NotifyWaiters(call.kind);
+  Answer(session, 200, FormatObject(call.name, object));
+}
+
 FakeObjectStore::FakeObjectStore(FakeObjectStoreOptions options)
     : server_(std::make_unique<Server>(options)) {
   server_->Start();
@@ -430,6 +467,14 @@
   });
 }
 
+std::string FakeObjectStore::Status(const std::string& kind,
+                                    const std::string& name) const {
+  return server_->Run([&] {
+    const StoredSpec* object = server_->Find(kind, name);
+    return object == nullptr ? std::string() : object->status;
+  });
+}
+
 std::uint64_t FakeObjectStore::revision() const {
   return server_->Run([this] { return server_->revision; });
 }
--- a/tests/fakes/fake_object_store/fake_object_store.h
+++ b/tests/fakes/fake_object_store/fake_object_store.h
@@ -51,6 +51,9 @@
 
   // The spec of an object, or "" if the object does not exist.
   std::string Spec(const std::string& kind, const std::string& name) const;
+  // The status of an object, "null" if it has none, or "" if the object does
+  // not exist.
+  std::string Status(const std::string& kind, const std::string& name) const;
   std::uint64_t revision() const;
   std::uint64_t call_count() const;
 
