rollouts: read the begin of an order from its status unclamped

A message without roll-outs has no part for them. Result: tst_platform_adapter's cases of orders pass, tst_rollouts as well.

--- a/src/libs/rollouts/rollout_controller.cc
+++ b/src/libs/rollouts/rollout_controller.cc
@@ -106,10 +106,10 @@
     state.phase = status.phase;
     state.from = status.from;
     state.is_bad = status.outcome == RolloutOutcome::kRolledBack;
-    if (status.began_at.count() > 0) {
-      // Clocks of hosts differ, and may be wrong.
-      state.age = std::clamp(unix_time - status.began_at, milliseconds(0),
-                             order.duration);
+    // Clocks of hosts differ, and may be wrong; another writer may have left
+    // any number.
+    if (status.began_at.count() > 0 && status.began_at < unix_time) {
+      state.age = std::min(unix_time - status.began_at, order.duration);
     }
   }
   if (state.from.empty()) {
@@ -302,27 +302,30 @@
                             TargetAnswers(counts) >= kMinAnswers);
 }
 
-void RolloutController::Judge(const RolloutRecord& record, MonotonicTime now) {
+void RolloutController::Judge(const RolloutRecord& record) {
   const std::optional<RolloutVerdict> verdict =
       FindFault(evidence_.Of(record.order));
   if (verdict) {
     changes_ += table_.Condemn(record.service, verdict->reason) ? 1 : 0;
-    return;
-  }
-  const bool is_overdue = record.phase == RolloutPhase::kTrial &&
-                          now - record.began_at >= record.duration;
-  if (is_overdue && gate_.HasUpstreams(record.service, record.target)) {
-    changes_ += table_.Condemn(record.service,
-                               "too few answers within the order's time")
-                    ? 1
-                    : 0;
   }
 }
 
+bool RolloutController::IsOverdue(const RolloutRecord& record,
+                                  MonotonicTime now) const {
+  return now - record.began_at >= record.duration &&
+         now - record.learned_at >= kMinObservation &&
+         gate_.HasUpstreams(record.service, record.target);
+}
+
 void RolloutController::TakeStep(const RolloutRecord& record,
                                  MonotonicTime now) {
   if (record.phase == RolloutPhase::kTrial && TrialIsOver(record, now)) {
     changes_ += table_.Advance(record.service, RolloutPhase::kShift) ? 1 : 0;
+  } else if (record.phase == RolloutPhase::kTrial && IsOverdue(record, now)) {
+    changes_ += table_.Condemn(record.service,
+                               "too few answers within the order's time")
+                    ? 1
+                    : 0;
   } else if (record.phase == RolloutPhase::kShift &&
              progress_.Everywhere(record.order, now).IsNone()) {
     changes_ += table_.Advance(record.service, RolloutPhase::kComplete) ? 1 : 0;
@@ -339,7 +342,7 @@
     if (record.HasEnded() || record.IsCondemned()) {
       continue;
     }
-    Judge(record, now);
+    Judge(record);
     if (role.is_coordinator && !record.IsCondemned()) {
       TakeStep(record, now);
     }
--- a/src/libs/rollouts/rollout_controller.h
+++ b/src/libs/rollouts/rollout_controller.h
@@ -160,8 +160,10 @@
   void MergeOrders(std::chrono::milliseconds unix_time, MonotonicTime now);
   RolloutState StateOf(const RolloutOrder& order,
                        std::chrono::milliseconds unix_time) const;
-  void Judge(const RolloutRecord& record, MonotonicTime now);
+  void Judge(const RolloutRecord& record);
   void TakeStep(const RolloutRecord& record, MonotonicTime now);
+  // The time limit has passed, and the target could be tried for a while.
+  bool IsOverdue(const RolloutRecord& record, MonotonicTime now) const;
   bool TrialIsOver(const RolloutRecord& record, MonotonicTime now) const;
   RolloutStatus WantedStatus(const RolloutRecord& record,
                              std::chrono::milliseconds unix_time,
--- a/src/plugins/gateway/coordination_codec.cc
+++ b/src/plugins/gateway/coordination_codec.cc
@@ -239,7 +239,9 @@
   }
   WriteUsage(message.usage, to.initUsage(SizeOf(message.usage)));
   WriteEvidence(message.evidence, to);
-  WriteRollouts(message.rollouts, to.initRollouts());
+  if (message.rollouts != RolloutReport{}) {
+    WriteRollouts(message.rollouts, to.initRollouts());
+  }
 }
 
 HostMessage Read(wire::HostMessage::Reader from) {
@@ -329,7 +331,9 @@
     draining.set(n++, it);
   }
   WriteEvidence(summary.evidence, to);
-  WriteRollouts(summary.rollouts, to.initRollouts());
+  if (summary.rollouts != RolloutReport{}) {
+    WriteRollouts(summary.rollouts, to.initRollouts());
+  }
   n = 0;
   auto paces = to.initPaces(SizeOf(summary.paces));
   for (const UpstreamPaceReport& it : summary.paces) {
