dispatching: only a host that knows the proof ends a quarantine by analysis

Cause: each host weighed each quarantine by the crashes that it knows itself. A host that was cut off or had restarted since the decision knows only the crashes after it; a sound request that was lost in as many of these as the prompt part then passed for the better explanation, and the host ended the part's quarantine on all hosts. Change: a host weighs a quarantine only if its records of the time of the decision prove the key; otherwise it leaves the end to hosts that know more, to a sound response, or to the time limit. The records need no new message: a decision's age is known with it. Result: 'a host that lacks the proof does not end a quarantine' failed in two of its three rows before and passes; a host that knows the proof still ends one by a better explanation.

--- a/src/libs/dispatching/blame_analysis.cc
+++ b/src/libs/dispatching/blame_analysis.cc
@@ -63,9 +63,16 @@
                              MonotonicTime now)
     : records_(records), sound_(sound), now_(now), cases_(CollectCases()) {}
 
-bool BlameAnalysis::IsProven(const SuspectKey& key) const {
+bool BlameAnalysis::IsProven(const SuspectKey& key, MonotonicTime until) const {
   const auto found = cases_.find(key);
-  return found != cases_.end() && found->second.IsProven();
+  if (found == cases_.end()) {
+    return false;
+  }
+  Case it = found->second;
+  std::erase_if(it.charges, [until](const Charge& charge) {
+    return charge.crash->at > until;
+  });
+  return it.IsProven();
 }
 
 std::vector<BlameAnalysis::Proof> BlameAnalysis::Explain(
--- a/src/libs/dispatching/blame_analysis.h
+++ b/src/libs/dispatching/blame_analysis.h
@@ -43,9 +43,9 @@
                 const SoundKeys& sound,
                 MonotonicTime now);
 
-  // True if the crashes prove the key to be to blame, whatever else was lost in
-  // them.
-  bool IsProven(const SuspectKey& key) const;
+  // True if the crashes until `until` prove the key to be to blame, whatever
+  // else was lost in them.
+  bool IsProven(const SuspectKey& key, MonotonicTime until) const;
   // Returns the fewest keys that explain the crashes for which none of the
   // `explaining` keys does, and adds them to these.
   std::vector<Proof> Explain(std::set<SuspectKey>& explaining) const;
--- a/src/libs/dispatching/crash_quarantine.cc
+++ b/src/libs/dispatching/crash_quarantine.cc
@@ -195,7 +195,7 @@
     const BlameAnalysis& analysis) const {
   std::set<SuspectKey> keys;
   for (const auto& [key, it] : quarantined_) {
-    if (!analysis.IsProven(key)) {
+    if (!analysis.IsProven(key, it.began_at)) {
       keys.insert(key);
     }
   }
--- a/src/libs/dispatching/crash_quarantine.h
+++ b/src/libs/dispatching/crash_quarantine.h
@@ -114,8 +114,8 @@
   void EvaluateSoon(MonotonicTime now);
   void EvaluateIfDue(MonotonicTime now);
   MonotonicTime EarliestEvaluation() const;
-  // The quarantined keys for which this host's records give no proof: other
-  // hosts decided on crashes that this one does not know.
+  // The quarantined keys that were decided on crashes that this host does not
+  // know, or no longer: its records of the time of the decision are no proof.
   std::set<SuspectKey> DecidedByOthers(const BlameAnalysis& analysis) const;
   // Ends the quarantines for which other keys turned out to be to blame.
   void ReleaseExplained(const std::set<SuspectKey>& explaining,
--- a/tests/auto/dispatching/tst_crash_quarantine.cc
+++ b/tests/auto/dispatching/tst_crash_quarantine.cc
@@ -309,6 +309,97 @@
   CHECK_FALSE(IsRefused(quarantine, Request(60, {3, 4}), now));
 }
 
+// The evidence of crashes one second apart, the last one a second before the
+// message; each under another request with the part 9, and some of them also
+// under the sound request 77.
+CrashEvidence PartCrashes(int first, int last, std::vector<int> also_sound) {
+  CrashEvidence evidence;
+  for (int n = first; n <= last; ++n) {
+    const auto upstream = 100U + static_cast<std::uint64_t>(n);
+    const milliseconds age = seconds(1 + last - n);
+    evidence.crashes.push_back(
+        {.upstream = upstream, .keys = Request(upstream, {1, 9}), .age = age});
+    if (std::find(also_sound.begin(), also_sound.end(), n) !=
+        also_sound.end()) {
+      evidence.crashes.push_back(
+          {.upstream = upstream, .keys = Request(77, {1, 3}), .age = age});
+    }
+  }
+  return evidence;
+}
+
+// Guards against a host that ends a quarantine on all hosts because of the few
+// crashes that it knows: it was cut off, or has restarted, since the others
+// decided.
+TEST_CASE("a host that lacks the proof does not end a quarantine") {
+  struct Row {
+    std::string name;
+    // The first of the eight crashes that the host learned of.
+    int first_known;
+    // The crashes in which a sound request was lost as well.
+    std::vector<int> also_sound;
+  };
+  for (const Row& row : {
+           Row{"as many crashes of each", 6, {6, 7, 8}},
+           Row{"the request was lost more often", 6, {5, 6, 7, 8}},
+           Row{"half of the proof", 3, {5, 6, 7, 8}},
+       }) {
+    CAPTURE(row.name);
+    const MonotonicTime now = kStart;
+    // The others decided after the fourth crash, 3.4 s ago.
+    const CrashEvidence decision{
+        .quarantined = {
+            {.key = {.kind = SuspectKey::Kind::kPromptPart, .id = 9},
+             .age = milliseconds(3400)}}};
+    CrashQuarantine late;
+    late.Merge(decision, now);
+    // Of the request's crashes it may know more than of the part's.
+    CrashEvidence known = PartCrashes(row.first_known, 8, row.also_sound);
+    for (const CrashRecord& it : PartCrashes(1, 8, row.also_sound).crashes) {
+      if (it.keys.request == 77) {
+        known.crashes.push_back(it);
+      }
+    }
+    late.Merge(known, now);
+    CHECK(IsRefused(late, Request(60, {9}), now + seconds(1)));
+    // Nor does it end the quarantine at the others.
+    CrashQuarantine other;
+    other.Merge(decision, now);
+    other.Merge(late.Report(now + seconds(1)), now + seconds(1));
+    CHECK(IsRefused(other, Request(60, {9}), now + seconds(1)));
+  }
+}
+
+// Guards against sound requests that are refused for a minute because a host
+// knew its own lost requests only when it decided.
+TEST_CASE("a host that knows the proof ends a quarantine by a better one") {
+  CrashQuarantine hasty;
+  MonotonicTime now = kStart;
+  // Only its own requests, which share the part 1.
+  for (std::uint64_t n = 1; n <= 3; ++n) {
+    hasty.OnCrash(n, Request(n, {1, n + 10}), now, now);
+    now += seconds(1);
+  }
+  REQUIRE(IsRefused(hasty, Request(60, {1}), now));
+  CrashQuarantine informed;
+  informed.Merge(hasty.Report(now), now);
+  REQUIRE(IsRefused(informed, Request(60, {1}), now));
+  // Other hosts have lost requests with the part 9 in these crashes, and in a
+  // fourth one.
+  CrashEvidence evidence;
+  for (std::uint64_t n = 1; n <= 4; ++n) {
+    evidence.crashes.push_back({.upstream = n,
+                                .keys = Request(n + 20, {n + 30, 9}),
+                                .age = seconds(4 - n)});
+  }
+  informed.Merge(evidence, now);
+  now += seconds(1);
+  CHECK_FALSE(IsRefused(informed, Request(60, {1}), now));
+  CHECK(IsRefused(informed, Request(60, {9}), now));
+  hasty.Merge(informed.Report(now), now);
+  CHECK_FALSE(IsRefused(hasty, Request(60, {1}), now));
+}
+
 // Guards against a flood of crashes that displaces the newest evidence, and
 // against messages and records without bound.
 TEST_CASE("in a flood of crashes the newest evidence is kept and reported") {
