dispatching: a host withdraws a quarantine for itself only

Cause: a host that found a better explanation ended the replaced quarantine on all hosts by reporting the key as sound. The record of soundness also cleared the key of all earlier crashes. Change: what is replaced is withdrawn on the host that finds so, and comes into force again there if the better explanation falls. All hosts get the same evidence and conclude the same; only a response that was written ends a quarantine on all. Result: 'a host that was cut off does not end a quarantine of the others' failed before and passes.

--- a/src/libs/dispatching/crash_quarantine.cc
+++ b/src/libs/dispatching/crash_quarantine.cc
@@ -73,10 +73,10 @@
   for (const SoundKey& it : evidence.sound) {
     AddSound(it.key, now - it.age, now);
   }
+  bool is_new = false;
   for (const QuarantinedKey& it : evidence.quarantined) {
-    AddQuarantine(it, now);
+    is_new = AddQuarantine(it, now) || is_new;
   }
-  bool is_new = false;
   for (const CrashRecord& it : evidence.crashes) {
     is_new = AddCrash(it.upstream, it.keys, now - it.age, now) || is_new;
   }
@@ -121,28 +121,32 @@
   }
 }
 
-void CrashQuarantine::AddQuarantine(const QuarantinedKey& entry,
+bool CrashQuarantine::AddQuarantine(const QuarantinedKey& entry,
                                     MonotonicTime now) {
   const Quarantine added{.began_at = now - entry.age, .strikes = entry.strikes};
   const auto sound_at = sound_.Find(entry.key);
   if (now >= added.EndsAt() || (sound_at && *sound_at > added.began_at)) {
-    return;
+    return false;
   }
   const auto known = quarantined_.find(entry.key);
   if (known == quarantined_.end() || now >= known->second.EndsAt()) {
-    if (known != quarantined_.end() || quarantined_.size() < kMaxQuarantined) {
+    const bool has_room =
+        known != quarantined_.end() || quarantined_.size() < kMaxQuarantined;
+    if (has_room) {
       quarantined_.insert_or_assign(entry.key, added);
-      changes_.push_back({.entry = entry});
+      RecordChange(entry.key, added, true, now);
     }
-    return;
+    return has_room;
   }
   // Of two hosts' decisions the earlier one counts, so that a decision that is
   // passed on does not last longer with each message.
-  const Quarantine& it = known->second;
+  Quarantine& it = known->second;
   if (added.strikes > it.strikes ||
       (added.strikes == it.strikes && added.began_at < it.began_at)) {
-    known->second = added;
+    it.began_at = added.began_at;
+    it.strikes = added.strikes;
   }
+  return false;
 }
 
 void CrashQuarantine::ReleaseIfSound(const SuspectKey& key, MonotonicTime now) {
@@ -152,11 +156,22 @@
       *sound_at <= records_.LastCrash(key).value_or(it->second.began_at)) {
     return;
   }
-  changes_.push_back({.entry = {.key = key,
-                                .age = Age(it->second.began_at, now),
-                                .strikes = it->second.strikes},
-                      .began = false});
+  if (!it->second.is_withdrawn) {
+    RecordChange(key, it->second, false, now);
+  }
   quarantined_.erase(it);
+  // What it explained may be due to a key that was withdrawn.
+  next_evaluation_ = std::min(next_evaluation_, now);
+}
+
+void CrashQuarantine::RecordChange(const SuspectKey& key,
+                                   const Quarantine& quarantine,
+                                   bool began,
+                                   MonotonicTime now) {
+  changes_.push_back({.entry = {.key = key,
+                                .age = Age(quarantine.began_at, now),
+                                .strikes = quarantine.strikes},
+                      .began = began});
 }
 
 void CrashQuarantine::Evaluate(MonotonicTime now) {
@@ -170,7 +185,7 @@
       Begin(it.key, 1, it.crashes, now);
     }
   }
-  ReleaseExplained(explaining, now);
+  WithdrawExplained(explaining, now);
   evaluated_at_ = now;
   next_evaluation_ = std::max(analysis.NextChange(), EarliestEvaluation());
 }
@@ -203,24 +218,23 @@
 }
 
 // A host knows its own lost requests first, and may blame one that was lost
-// beside the request that is to blame.
-void CrashQuarantine::ReleaseExplained(const std::set<SuspectKey>& explaining,
-                                       MonotonicTime now) {
-  std::vector<SuspectKey> released;
-  for (const auto& [key, it] : quarantined_) {
-    if (!explaining.contains(key)) {
-      released.push_back(key);
+// beside the request that is to blame. A host that was cut off may be wrong
+// about both, so that this is no proof that the key is sound.
+void CrashQuarantine::WithdrawExplained(const std::set<SuspectKey>& explaining,
+                                        MonotonicTime now) {
+  for (auto& [key, it] : quarantined_) {
+    const bool is_withdrawn = !explaining.contains(key);
+    if (is_withdrawn != std::exchange(it.is_withdrawn, is_withdrawn) &&
+        now < it.EndsAt()) {
+      RecordChange(key, it, !is_withdrawn, now);
     }
   }
-  for (const SuspectKey& it : released) {
-    AddSound(it, now, now);
-  }
 }
 
 void CrashQuarantine::RenewQuarantines(MonotonicTime now) {
   std::vector<std::pair<SuspectKey, int>> renewed;
   for (const auto& [key, it] : quarantined_) {
-    if (now < it.EndsAt()) {
+    if (now < it.EndsAt() || it.is_withdrawn) {
       continue;
     }
     const auto last_crash = records_.LastCrash(key);
@@ -251,7 +265,7 @@
   }
   for (const SuspectKey& key : AllKeys(keys)) {
     const auto it = quarantined_.find(key);
-    if (it != quarantined_.end() && now < it->second.EndsAt()) {
+    if (it != quarantined_.end() && it->second.IsInForce(now)) {
       return Refusal{
           .key = key,
           .time_left = duration_cast<milliseconds>(it->second.EndsAt() - now)};
@@ -277,7 +291,7 @@
     }
   }
   for (const auto& [key, it] : quarantined_) {
-    if (now < it.EndsAt() &&
+    if (it.IsInForce(now) &&
         report.quarantined.size() < kMaxReportedQuarantined) {
       report.quarantined.push_back(
           {.key = key, .age = Age(it.began_at, now), .strikes = it.strikes});
@@ -293,7 +307,7 @@
 std::size_t CrashQuarantine::quarantined_count(MonotonicTime now) const {
   return static_cast<std::size_t>(std::count_if(
       quarantined_.begin(), quarantined_.end(),
-      [now](const auto& it) { return now < it.second.EndsAt(); }));
+      [now](const auto& it) { return it.second.IsInForce(now); }));
 }
 
 void CrashQuarantine::RemoveExpired(MonotonicTime now) {
@@ -302,7 +316,8 @@
     return now - it.second.learned_at > kReportPeriod;
   });
   std::erase_if(quarantined_, [now](const auto& it) {
-    return now >= it.second.ProbationEndsAt();
+    return now >= (it.second.is_withdrawn ? it.second.EndsAt()
+                                          : it.second.ProbationEndsAt());
   });
 }
 
--- a/src/libs/dispatching/crash_quarantine.h
+++ b/src/libs/dispatching/crash_quarantine.h
@@ -86,7 +86,13 @@
   struct Quarantine {
     MonotonicTime began_at;
     int strikes = 1;
+    // True while this host, which knows the proof, finds others to blame. The
+    // key is not refused here; other hosts decide for themselves.
+    bool is_withdrawn = false;
 
+    bool IsInForce(MonotonicTime now) const {
+      return !is_withdrawn && now < EndsAt();
+    }
     MonotonicTime EndsAt() const;
     // Until then, the first crash renews the quarantine.
     MonotonicTime ProbationEndsAt() const;
@@ -104,7 +110,8 @@
   void AddSound(const SuspectKey& key,
                 MonotonicTime sound_at,
                 MonotonicTime now);
-  void AddQuarantine(const QuarantinedKey& entry, MonotonicTime now);
+  // Returns true if the key was not known as quarantined.
+  bool AddQuarantine(const QuarantinedKey& entry, MonotonicTime now);
 
   // Ends the quarantine of a key that was sound after its last crash.
   void ReleaseIfSound(const SuspectKey& key, MonotonicTime now);
@@ -117,14 +124,19 @@
   // The quarantined keys that were decided on crashes that this host does not
   // know, or no longer: its records of the time of the decision are no proof.
   std::set<SuspectKey> DecidedByOthers(const BlameAnalysis& analysis) const;
-  // Ends the quarantines for which other keys turned out to be to blame.
-  void ReleaseExplained(const std::set<SuspectKey>& explaining,
-                        MonotonicTime now);
+  // Withdraws the quarantines for which other keys turned out to be to blame,
+  // and puts those into force again that are to blame after all.
+  void WithdrawExplained(const std::set<SuspectKey>& explaining,
+                         MonotonicTime now);
   void RenewQuarantines(MonotonicTime now);
   void Begin(const SuspectKey& key,
              int strikes,
              int crashes,
              MonotonicTime now);
+  void RecordChange(const SuspectKey& key,
+                    const Quarantine& quarantine,
+                    bool began,
+                    MonotonicTime now);
   void RemoveExpired(MonotonicTime now);
 
   CrashRecords records_;
--- a/tests/auto/dispatching/tst_crash_quarantine.cc
+++ b/tests/auto/dispatching/tst_crash_quarantine.cc
@@ -400,6 +400,35 @@
   CHECK_FALSE(IsRefused(hasty, Request(60, {1}), now));
 }
 
+// Guards against a host that was cut off, blames what it knows, and ends a
+// quarantine on all hosts when it comes back.
+TEST_CASE("a host that was cut off does not end a quarantine of the others") {
+  CrashQuarantine cut_off;
+  CrashQuarantine other;
+  MonotonicTime now = kStart;
+  // Both know three crashes under requests with the part 9.
+  const CrashEvidence shared = PartCrashes(1, 3, {});
+  cut_off.Merge(shared, now);
+  other.Merge(shared, now);
+  REQUIRE(IsRefused(cut_off, Request(60, {9}), now));
+  REQUIRE(IsRefused(other, Request(60, {9}), now));
+  // Of the next crashes it knows its own lost requests only, none of which has
+  // the part 9. It does not learn that part 1 is in use elsewhere.
+  for (std::uint64_t n = 11; n <= 14; ++n) {
+    cut_off.OnCrash(n, Request(n, {1, 30 + n}), now, now);
+    now += seconds(1);
+    other.OnSound(Request(61, {1}), now, now);
+  }
+  CHECK(IsRefused(cut_off, Request(60, {1}), now));
+  const CrashEvidence after_cut = cut_off.Report(now);
+  cut_off.Merge(other.Report(now), now);
+  other.Merge(after_cut, now);
+  now += milliseconds(100);
+  CHECK(IsRefused(other, Request(60, {9}), now));
+  CHECK(IsRefused(cut_off, Request(60, {9}), now));
+  CHECK_FALSE(IsRefused(cut_off, Request(60, {1}), now));
+}
+
 // Guards against a flood of crashes that displaces the newest evidence, and
 // against messages and records without bound.
 TEST_CASE("in a flood of crashes the newest evidence is kept and reported") {
