dispatching: allow for different delays when a host looks for the proof of a quarantine

Cause: a request is quarantined at its third crash, so that a host that learns of the crash a few milliseconds later than of the decision took itself for one that lacks the proof.

--- a/src/libs/dispatching/crash_quarantine.cc
+++ b/src/libs/dispatching/crash_quarantine.cc
@@ -20,6 +20,9 @@
 // follows the last one at this interval.
 constexpr std::size_t kManySuspects = 1000;
 constexpr milliseconds kFloodInterval{100};
+// The times of a crash and of the decision on it differ by less than this
+// between hosts, as their messages take different ways.
+constexpr milliseconds kMaxTimeDifference{300};
 constexpr seconds kFirstQuarantine{60};
 constexpr hours kMaxQuarantine{1};
 constexpr std::size_t kMaxQuarantined = 256;
@@ -210,7 +213,7 @@
     const BlameAnalysis& analysis) const {
   std::set<SuspectKey> keys;
   for (const auto& [key, it] : quarantined_) {
-    if (!analysis.IsProven(key, it.began_at)) {
+    if (!analysis.IsProven(key, it.began_at + kMaxTimeDifference)) {
       keys.insert(key);
     }
   }
--- a/tests/auto/dispatching/tst_crash_quarantine.cc
+++ b/tests/auto/dispatching/tst_crash_quarantine.cc
@@ -400,6 +400,21 @@
   CHECK_FALSE(IsRefused(hasty, Request(60, {1}), now));
 }
 
+// Guards against a sound request that stays refused on a host that learns of
+// the last crash a moment later than of the decision on it.
+TEST_CASE("the proof of a quarantine may arrive after it") {
+  CrashQuarantine quarantine;
+  const MonotonicTime now = kStart;
+  quarantine.Merge(
+      {.quarantined = {{.key = RequestKey(77), .age = milliseconds(150)}}},
+      now);
+  REQUIRE(IsRefused(quarantine, Request(77), now));
+  quarantine.Merge(PartCrashes(1, 4, {2, 3, 4}), now + milliseconds(900));
+  // The last crash was 50 ms after the decision by the clock of this host.
+  CHECK_FALSE(IsRefused(quarantine, Request(77), now + seconds(1)));
+  CHECK(IsRefused(quarantine, Request(60, {9}), now + seconds(1)));
+}
+
 // Guards against a host that was cut off, blames what it knows, and ends a
 // quarantine on all hosts when it comes back.
 TEST_CASE("a host that was cut off does not end a quarantine of the others") {
