dispatching: crash reports hold each suspect and quarantined key in turn

Cause: of more than 64 sound suspects or 32 quarantined keys a message held those with the smallest keys, so that other hosts never learned of the further ones. Change: each report goes on after the last entry of the one before. Messages keep their bounds.

--- a/src/libs/dispatching/crash_quarantine.cc
+++ b/src/libs/dispatching/crash_quarantine.cc
@@ -35,6 +35,22 @@
   return duration_cast<milliseconds>(now - time);
 }
 
+// Calls `visit` for the entries after the one with the key `last`, and around
+// to it, until `visit` returns false. Sets `last` to the last one visited.
+template <typename Map, typename Visit>
+void VisitInTurn(const Map& map, SuspectKey& last, const Visit& visit) {
+  auto it = map.upper_bound(last);
+  for (std::size_t n = 0; n < map.size(); ++n, ++it) {
+    if (it == map.end()) {
+      it = map.begin();
+    }
+    last = it->first;
+    if (!visit(*it)) {
+      return;
+    }
+  }
+}
+
 }  // namespace
 
 MonotonicTime CrashQuarantine::Quarantine::EndsAt() const {
@@ -288,18 +304,19 @@
   CrashEvidence report;
   report.crashes =
       records_.Newest(now - kReportPeriod, kMaxReportedCrashes, now);
-  for (const auto& [key, it] : sound_news_) {
-    if (report.sound.size() < kMaxReportedSound) {
-      report.sound.push_back({.key = key, .age = Age(it.sound_at, now)});
-    }
-  }
-  for (const auto& [key, it] : quarantined_) {
-    if (it.IsInForce(now) &&
-        report.quarantined.size() < kMaxReportedQuarantined) {
-      report.quarantined.push_back(
-          {.key = key, .age = Age(it.began_at, now), .strikes = it.strikes});
+  VisitInTurn(sound_news_, reported_sound_, [&](const auto& it) {
+    report.sound.push_back(
+        {.key = it.first, .age = Age(it.second.sound_at, now)});
+    return report.sound.size() < kMaxReportedSound;
+  });
+  VisitInTurn(quarantined_, reported_quarantined_, [&](const auto& it) {
+    if (it.second.IsInForce(now)) {
+      report.quarantined.push_back({.key = it.first,
+                                    .age = Age(it.second.began_at, now),
+                                    .strikes = it.second.strikes});
     }
-  }
+    return report.quarantined.size() < kMaxReportedQuarantined;
+  });
   return report;
 }
 
--- a/src/libs/dispatching/crash_quarantine.h
+++ b/src/libs/dispatching/crash_quarantine.h
@@ -72,7 +72,8 @@
   // True if the request with this fingerprint was lost in a recent crash.
   bool IsSuspect(std::uint64_t request) const;
 
-  // What other hosts should know. Bounded; the newest crashes go first.
+  // What other hosts should know. Bounded: the newest crashes go first, the
+  // other entries take turns from one report to the next.
   CrashEvidence Report(MonotonicTime now);
 
   // Removes and returns the changes since the last call.
@@ -144,6 +145,9 @@
   // What is reported of `sound_`: suspects only.
   std::map<SuspectKey, SoundNews> sound_news_;
   std::map<SuspectKey, Quarantine> quarantined_;
+  // The last entries of `sound_news_` and `quarantined_` in a report.
+  SuspectKey reported_sound_;
+  SuspectKey reported_quarantined_;
   std::vector<Change> changes_;
   MonotonicTime next_evaluation_ = MonotonicTime::max();
   MonotonicTime evaluated_at_;
--- a/tests/auto/dispatching/tst_crash_quarantine.cc
+++ b/tests/auto/dispatching/tst_crash_quarantine.cc
@@ -461,5 +461,39 @@
   CHECK(report.crashes.front().keys == Request(7));
 }
 
+// Guards against suspects that were sound, or quarantined keys, of which other
+// hosts never learn because a message has no room for all.
+TEST_CASE("what has no room in a report is in one of the next") {
+  constexpr std::size_t kKeys = 150;
+  CrashQuarantine from;
+  MonotonicTime now = kStart;
+  CrashEvidence evidence;
+  for (std::uint64_t n = 1; n <= kKeys; ++n) {
+    evidence.quarantined.push_back({.key = RequestKey(n)});
+    from.OnCrash(1000 + n, Request(1000 + n), now, now);
+    from.OnSound(Request(1000 + n), now, now + milliseconds(1));
+  }
+  from.Merge(evidence, now);
+  std::vector<std::uint64_t> quarantined;
+  std::vector<std::uint64_t> sound;
+  for (int n = 0; n < 5; ++n) {
+    now += milliseconds(50);
+    const CrashEvidence report = from.Report(now);
+    CHECK(report.quarantined.size() == 32);
+    CHECK(report.sound.size() == 64);
+    for (const QuarantinedKey& it : report.quarantined) {
+      quarantined.push_back(it.key.id);
+    }
+    for (const SoundKey& it : report.sound) {
+      sound.push_back(it.key.id);
+    }
+  }
+  for (std::uint64_t n = 1; n <= kKeys; ++n) {
+    CAPTURE(n);
+    CHECK(std::count(quarantined.begin(), quarantined.end(), n) >= 1);
+    CHECK(std::count(sound.begin(), sound.end(), 1000 + n) >= 1);
+  }
+}
+
 }  // namespace
 }  // namespace flamingogauge
