--- a/tests/auto/end_to_end/deployment.cc
+++ b/tests/auto/end_to_end/deployment.cc
@@ -38,7 +38,7 @@
   service_ = StartFake(FLAMINGOGAUGE_FAKE_SERVICE, options.service_arguments);
   const std::string file = WriteDocument(options);
   for (int it = 0; it < options.hosts; ++it) {
-    StartHost(it + 1, file, options.host_arguments);
+    StartHost(it + 1, file, options);
   }
   for (Host& it : hosts_) {
     it.peers = ValueOrFail(it.process->WaitForOutput("listens for peers on "),
@@ -64,7 +64,7 @@
 
 void Deployment::StartHost(int number,
                            const std::string& document_file,
-                           const std::vector<std::string>& more_arguments) {
+                           const DeploymentOptions& options) {
   std::string seeds;
   if (!hosts_.empty()) {
     Host& first = hosts_.front();
@@ -83,10 +83,11 @@
                                      std::string("--operators_token=") + kToken,
                                      "--platform_address=" + platform_.address,
                                      "--initial_document=" + document_file};
-  arguments.insert(arguments.end(), more_arguments.begin(),
-                   more_arguments.end());
-  hosts_.push_back({.process = std::make_unique<ChildProcess>(
-                        FLAMINGOGAUGE_BINARY, arguments)});
+  arguments.insert(arguments.end(), options.host_arguments.begin(),
+                   options.host_arguments.end());
+  hosts_.push_back(
+      {.process = std::make_unique<ChildProcess>(
+           FLAMINGOGAUGE_BINARY, arguments, options.host_process)});
 }
 
 std::string Deployment::WriteDocument(const DeploymentOptions& options) const {
--- a/tests/auto/end_to_end/deployment.h
+++ b/tests/auto/end_to_end/deployment.h
@@ -17,6 +17,7 @@
   std::vector<std::string> engine_arguments;
   std::vector<std::string> service_arguments;
   std::vector<std::string> host_arguments;
+  ChildProcessOptions host_process;
   int max_concurrency = 64;
   // Time limit of a request in milliseconds, from its acceptance to the end of
   // the response.
@@ -67,7 +68,7 @@
                         const std::vector<std::string>& arguments);
   void StartHost(int number,
                  const std::string& document_file,
-                 const std::vector<std::string>& more_arguments);
+                 const DeploymentOptions& options);
   std::string WriteDocument(const DeploymentOptions& options) const;
 
   Fake platform_;
--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -17,10 +17,28 @@
 constexpr std::chrono::seconds kOutputTimeLimit{20};
 constexpr std::chrono::milliseconds kPollInterval{5};
 
+// Returns the command that runs a program with a limit on open descriptors, or
+// without one if it is 0. A shell sets it, also the hard limit, up to which the
+// program could raise its own; the program replaces the shell.
+std::vector<std::string> WithDescriptorLimit(
+    const std::string& program,
+    const std::vector<std::string>& arguments,
+    std::size_t limit) {
+  std::vector<std::string> command{program};
+  if (limit != 0) {
+    command = {"/bin/sh", "-c",
+               "ulimit -n " + std::to_string(limit) + " && exec \"$0\" \"$@\"",
+               program};
+  }
+  command.insert(command.end(), arguments.begin(), arguments.end());
+  return command;
+}
+
 }  // namespace
 
 ChildProcess::ChildProcess(const std::string& program,
-                           const std::vector<std::string>& arguments) {
+                           const std::vector<std::string>& arguments,
+                           const ChildProcessOptions& options) {
   std::array<int, 2> pipe{};
   if (::pipe2(pipe.data(), O_CLOEXEC) != 0) {
     throw std::runtime_error("cannot create a pipe");
@@ -30,14 +48,23 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, pipe[1], STDOUT_FILENO);
   posix_spawn_file_actions_adddup2(&actions, pipe[1], STDERR_FILENO);
+  const std::vector<std::string> command =
+      WithDescriptorLimit(program, arguments, options.max_descriptors);
   std::vector<char*> argv;
-  argv.push_back(const_cast<char*>(program.c_str()));
-  for (const std::string& it : arguments) {
+  for (const std::string& it : command) {
     argv.push_back(const_cast<char*>(it.c_str()));
   }
   argv.push_back(nullptr);
-  const int error = ::posix_spawn(&pid_, program.c_str(), &actions, nullptr,
-                                  argv.data(), environ);
+  std::vector<char*> variables;
+  for (const std::string& it : options.environment) {
+    variables.push_back(const_cast<char*>(it.c_str()));
+  }
+  for (char** it = environ; *it != nullptr; ++it) {
+    variables.push_back(*it);
+  }
+  variables.push_back(nullptr);
+  const int error = ::posix_spawn(&pid_, command.front().c_str(), &actions,
+                                  nullptr, argv.data(), variables.data());
   posix_spawn_file_actions_destroy(&actions);
   ::close(pipe[1]);
   if (error != 0) {
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <cstddef>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -14,13 +15,21 @@
 
 namespace flamingogauge {
 
+struct ChildProcessOptions {
+  // Variables of the form NAME=VALUE besides those of the test.
+  std::vector<std::string> environment;
+  // The process's limit on open descriptors; that of the test if 0.
+  std::size_t max_descriptors = 0;
+};
+
 // A child process started by a test. A thread collects its standard output and
 // standard error. The destructor kills the process if it has not been waited
 // for.
 class ChildProcess {
  public:
   ChildProcess(const std::string& program,
-               const std::vector<std::string>& arguments);
+               const std::vector<std::string>& arguments,
+               const ChildProcessOptions& options = {});
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
   ~ChildProcess();
@@ -38,6 +47,8 @@
 
   std::string Output() const;
 
+  pid_t pid() const { return pid_; }
+
  private:
   void ReadAll();
 
