--- a/src/libs/http_framing/http_fields.cc
+++ b/src/libs/http_framing/http_fields.cc
@@ -97,6 +97,18 @@
   });
 }
 
+std::size_t HttpFields::HeldBytes() const {
+  // Shorter strings are stored in the object itself.
+  static const std::size_t kInlineBytes = std::string().capacity();
+  std::size_t bytes = fields_.capacity() * sizeof(HttpField);
+  for (const HttpField& it : fields_) {
+    for (const std::string* text : {&it.name, &it.value}) {
+      bytes += text->capacity() > kInlineBytes ? text->capacity() : 0;
+    }
+  }
+  return bytes;
+}
+
 void AppendField(std::string_view name,
                  std::string_view value,
                  std::string& out) {
--- a/src/libs/http_framing/http_fields.h
+++ b/src/libs/http_framing/http_fields.h
@@ -31,6 +31,8 @@
   void RemoveHopByHop();
   void Remove(std::string_view name);
   const std::vector<HttpField>& all() const { return fields_; }
+  // The memory in use, in bytes.
+  std::size_t HeldBytes() const;
 
  private:
   std::vector<HttpField> fields_;
--- a/src/libs/http_framing/http_request_reader.cc
+++ b/src/libs/http_framing/http_request_reader.cc
@@ -38,6 +38,10 @@
 
 }  // namespace
 
+std::size_t ParsedRequest::HeldBytes() const {
+  return target.size() + body.size() + fields.HeldBytes();
+}
+
 class HttpRequestReader::Parser final : public http::basic_parser<true> {
  public:
   ParsedRequest request;
@@ -185,6 +189,10 @@
   return parser_->request.fields.HasToken("Expect", "100-continue");
 }
 
+std::size_t HttpRequestReader::held_bytes() const {
+  return parser_->request.HeldBytes();
+}
+
 ParsedRequest HttpRequestReader::Take() {
   parser_->request.keep_alive = parser_->keep_alive();
   return std::move(parser_->request);
--- a/src/libs/http_framing/http_request_reader.h
+++ b/src/libs/http_framing/http_request_reader.h
@@ -18,6 +18,9 @@
   std::string body;
   bool is_http_1_0 = false;
   bool keep_alive = true;
+
+  // The memory in use, in bytes.
+  std::size_t HeldBytes() const;
 };
 
 struct HttpRequestReaderOptions {
@@ -49,6 +52,9 @@
   // body.
   bool expects_continue() const;
 
+  // The memory in use for the received part of the request, in bytes.
+  std::size_t held_bytes() const;
+
   // Moves the request out. Must be called once, after complete().
   ParsedRequest Take();
 
