gateway: bound what is held for callers, and their connections

Cause: a session took the next pipelined request as soon as the response to the one before was made, whether or not it had been read, so that unsent bytes grew without a bound; input went on being collected after a refusal whose response was not read; bodies, buffered responses and unread streams were bounded one by one and not in their sum; connections were accepted until descriptors ran out, which left none for upstreams.

Change: the next request is taken, and input beyond 64 KB is read, once the response before has been written. All that is held is accounted in a pool for each address; beyond a share of the host's memory connections are refused (503, as not run) or reset, those of callers that do not read first. Beyond the connection limit the ones that are idle or unread for longest are closed. A caller that reads nothing for 15 s is reset; one that reads slowly is no longer cut off by the idle time-out after its response. A paused response goes on as soon as a quarter of the backlog has been read, so that the upstream does not give it up. Sent request bytes and empty input buffers are freed. Lines of refused requests are bounded to 100 a second.

--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -19,6 +19,7 @@
 constexpr int kMisdirected = 421;
 constexpr char kLastEventId[] = "Last-Event-ID";
 constexpr milliseconds kRetryAfterRefusal{500};
+constexpr milliseconds kRetryAfterMemory{1000};
 constexpr milliseconds kMinStreamStallLimit{2000};
 
 // Returns the latest time at which sending the request is still useful. Callers
@@ -54,6 +55,13 @@
       self->OnCallerDisconnected();
     }
   });
+  session_->SetMemoryShortHandler([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->OnMemoryShort();
+    }
+  });
+  // With the copy that is sent.
+  session_->SetHeld(HeldKind::kRequest, 2 * accepted_.request.HeldBytes());
   deadline_timer_.expires_after(accepted_.deadline - BootTimeNow());
   deadline_timer_.async_wait(
       [weak = weak_from_this()](const boost::system::error_code& ec) {
@@ -142,8 +150,9 @@
   head_received_ = false;
   not_executed_ = false;
   failed_continuation_ = false;
-  buffered_body_.clear();
+  std::string().swap(buffered_body_);
   splitter_.DropPartialEvent();
+  AccountResponse();
   boundary_ = EventBoundaryTracker();
   first_body_at_ = {};
   events_ = 0;
@@ -363,6 +372,22 @@
 }
 
 void Exchange::OnCallerDisconnected() {
+  Abandon("the caller left");
+}
+
+void Exchange::OnMemoryShort() {
+  const std::string reason = "the host is short of memory";
+  if (state_ == State::kWaiting && !head_committed_) {
+    context_.placer.Remove(accepted_.id);
+    Refuse(kServiceUnavailable, kRetryAfterMemory, reason);
+    return;
+  }
+  // A part of the response may be written, which must not look complete.
+  session_->AbortWithReset();
+  Abandon(reason);
+}
+
+void Exchange::Abandon(const std::string& reason) {
   if (state_ == State::kDone) {
     return;
   }
@@ -376,7 +401,7 @@
     connection_.reset();
     EndDispatch(DispatchResult::kAbandoned);
   }
-  Complete("abandoned", 0, "the caller left");
+  Complete("abandoned", 0, reason);
 }
 
 void Exchange::AbortOnShutdown() {
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -100,6 +100,13 @@
                              MonotonicTime now) const;
   void OnDeadline();
   void OnCallerDisconnected();
+  // Ends the request because the host holds too much: refuses it if it waits.
+  void OnMemoryShort();
+  void Abandon(const std::string& reason);
+  // Passes on or buffers a part of the response.
+  void TakeBody(std::string part);
+  // Accounts the part of the response that is held back.
+  void AccountResponse();
   void EndDispatch(DispatchResult result);
   void OnUpstreamLeaving();
   // Holds requests back if the upstream has asked for it.
--- a/src/plugins/gateway/exchange_response.cc
+++ b/src/plugins/gateway/exchange_response.cc
@@ -86,6 +86,21 @@
   if (not_executed_ || failed_continuation_) {
     return;
   }
+  TakeBody(std::move(part));
+  AccountResponse();
+  // Last, because it may end this exchange.
+  session_->RelieveMemory();
+}
+
+void Exchange::AccountResponse() {
+  if (state_ == State::kDone) {
+    return;
+  }
+  session_->SetHeld(HeldKind::kResponse,
+                    buffered_body_.size() + splitter_.partial_size());
+}
+
+void Exchange::TakeBody(std::string part) {
   const MonotonicTime now = BootTimeNow();
   if (IsStream() && head_.status < kFirstErrorStatus) {
     RecordEvents(part, now);
--- a/src/plugins/gateway/gateway_plugin.cc
+++ b/src/plugins/gateway/gateway_plugin.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <future>
 #include <thread>
 #include <utility>
@@ -12,6 +13,7 @@
 #include "libs/kernel/boot_clock.h"
 #include "libs/services/event_log_service.h"
 #include "libs/services/fleet_source.h"
+#include "plugins/gateway/closed_connections.h"
 #include "plugins/gateway/coordination_node.h"
 #include "plugins/gateway/http_acceptor.h"
 #include "plugins/gateway/relay.h"
@@ -27,6 +29,10 @@
 constexpr milliseconds kDrainCheckInterval{50};
 // Limits how long a state dump waits for the gateway's thread.
 constexpr milliseconds kDumpTimeLimit{500};
+// What the status address may hold and accept: enough for the platform, a
+// collector of metrics and a person.
+constexpr std::size_t kStatusHeldFraction = 8;
+constexpr std::size_t kMaxStatusConnections = 64;
 
 }  // namespace
 
@@ -46,6 +52,7 @@
   MetricsRegistry* metrics = nullptr;
   std::unique_ptr<Relay> relay;
   std::unique_ptr<StatusHandler> status;
+  std::unique_ptr<ClosedConnections> closed_connections;
   std::unique_ptr<HttpAcceptor> callers;
   std::unique_ptr<HttpAcceptor> status_acceptor;
   std::unique_ptr<CoordinationNode> coordination;
@@ -55,6 +62,9 @@
   std::thread thread;
 
   std::unique_ptr<CoordinationNode> MakeCoordination();
+  void MakeAcceptors();
+  void ApplySessionLimits();
+  void RegisterHeldGauges();
   void OnFleet(const FleetSnapshot& snapshot);
   void Tick();
   UnfinishedWork CountUnfinished() const;
@@ -88,6 +98,46 @@
               }});
 }
 
+void GatewayPlugin::Private::MakeAcceptors() {
+  const auto on_closed = [this](CloseReason reason, std::size_t held_bytes) {
+    closed_connections->OnClosed(reason, held_bytes, BootTimeNow());
+  };
+  closed_connections = std::make_unique<ClosedConnections>(*log, *metrics);
+  callers = std::make_unique<HttpAcceptor>(
+      io, *relay, SessionPoolOptions{.on_closed = on_closed});
+  status_acceptor = std::make_unique<HttpAcceptor>(
+      io, *status, SessionPoolOptions{.on_closed = on_closed});
+  ApplySessionLimits();
+  RegisterHeldGauges();
+}
+
+void GatewayPlugin::Private::ApplySessionLimits() {
+  callers->pool().SetLimits(settings.max_held_bytes, settings.max_connections,
+                            settings.unread_limit);
+  status_acceptor->pool().SetLimits(
+      settings.max_held_bytes / kStatusHeldFraction,
+      std::min(settings.max_connections, kMaxStatusConnections),
+      settings.unread_limit);
+}
+
+// Read on the gateway's thread, which answers the status requests.
+void GatewayPlugin::Private::RegisterHeldGauges() {
+  for (const HeldKind kind : {HeldKind::kInput, HeldKind::kRequest,
+                              HeldKind::kResponse, HeldKind::kUnsent}) {
+    metrics->SetGauge(
+        "flamingogauge_held_" + std::string(ToString(kind)) + "_bytes",
+        [this, kind] {
+          return static_cast<double>(callers->pool().budget().total(kind));
+        });
+  }
+  metrics->SetGauge("flamingogauge_held_max_bytes", [this] {
+    return static_cast<double>(callers->pool().budget().max_bytes());
+  });
+  metrics->SetGauge("flamingogauge_caller_connections", [this] {
+    return static_cast<double>(callers->pool().size());
+  });
+}
+
 void GatewayPlugin::Private::OnFleet(const FleetSnapshot& snapshot) {
   if (hosts != snapshot.hosts) {
     hosts = snapshot.hosts;
@@ -107,6 +157,8 @@
   tick_timer.async_wait([this](const boost::system::error_code& ec) {
     if (!ec) {
       relay->Tick();
+      callers->pool().CheckUnread(BootTimeNow());
+      status_acceptor->pool().CheckUnread(BootTimeNow());
       Tick();
     }
   });
@@ -208,8 +260,7 @@
       .is_ready = [&self] { return self.relay->IsReady(); },
       .metrics = [&self] { return self.metrics->Expose(); },
       .state = [&self] { return self.relay->DumpState(); }});
-  self.callers = std::make_unique<HttpAcceptor>(self.io, *self.relay);
-  self.status_acceptor = std::make_unique<HttpAcceptor>(self.io, *self.status);
+  self.MakeAcceptors();
   self.coordination = self.MakeCoordination();
   for (Result<void> opened :
        {self.callers->Listen(self.settings.listen_address),
@@ -242,6 +293,7 @@
     self->coordination->SetInterval(settings.report_interval);
     self->coordination->SetRegions(settings.regions);
     self->relay->Reload(settings);
+    self->ApplySessionLimits();
   });
   return boost::outcome_v2::success();
 }
--- a/src/plugins/gateway/gateway_settings.cc
+++ b/src/plugins/gateway/gateway_settings.cc
@@ -3,6 +3,7 @@
 #include <gflags/gflags.h>
 
 #include "libs/kernel/setting_range.h"
+#include "libs/limits/host_limits.h"
 
 DECLARE_string(host_name);
 DECLARE_string(host_data_centre);
@@ -39,6 +40,20 @@
               200,
               "interval between load reports to other hosts, in ms");
 
+DEFINE_double(
+    gateway_held_memory_share,
+    0.25,
+    "share of --host_memory_mb that the gateway may hold for callers: "
+    "requests and responses on their way");
+DEFINE_uint64(gateway_max_connections,
+              0,
+              "connections of callers that may be open; 0: three quarters of "
+              "the sockets that --host_max_descriptors leaves");
+DEFINE_uint32(gateway_unread_limit_ms,
+              15000,
+              "time after which a caller that reads nothing of a response is "
+              "disconnected, in ms");
+
 namespace flamingogauge {
 namespace {
 
@@ -68,6 +83,7 @@
 
 GatewaySettings GatewaySettingsFromFlags() {
   using std::chrono::milliseconds;
+  const HostLimits limits = HostLimitsFromFlags();
   return {.host = FLAGS_host_name,
           .data_centre = FLAGS_host_data_centre,
           .listen_address = FLAGS_gateway_listen_address,
@@ -82,7 +98,14 @@
               static_cast<std::int64_t>(FLAGS_gateway_stop_limit_s * 1000)),
           .drain_time_limit = DrainTimeLimit(FLAGS_gateway_stop_limit_s),
           .drain_min_time = milliseconds(FLAGS_gateway_drain_min_time_ms),
-          .report_interval = milliseconds(FLAGS_gateway_report_interval_ms)};
+          .report_interval = milliseconds(FLAGS_gateway_report_interval_ms),
+          .max_held_bytes = static_cast<std::size_t>(
+              static_cast<double>(limits.memory_bytes) *
+              FLAGS_gateway_held_memory_share),
+          .max_connections = FLAGS_gateway_max_connections != 0
+                                 ? FLAGS_gateway_max_connections
+                                 : limits.MaxCallerConnections(),
+          .unread_limit = milliseconds(FLAGS_gateway_unread_limit_ms)};
 }
 
 void GatewaySettings::Reload(const GatewaySettings& from) {
@@ -95,6 +118,9 @@
   drain_time_limit = from.drain_time_limit;
   drain_min_time = from.drain_min_time;
   report_interval = from.report_interval;
+  max_held_bytes = from.max_held_bytes;
+  max_connections = from.max_connections;
+  unread_limit = from.unread_limit;
 }
 
 Result<void> CheckGatewaySettings(const GatewaySettings& settings) {
@@ -107,8 +133,17 @@
                    .message = "\"" + it + "\" is not of the form ip:port"};
     }
   }
+  Result<void> limits = CheckHostLimitFlags();
+  if (!limits) {
+    return limits;
+  }
   return CheckSettingRanges(
-      {RangeOf("change_apply_limit_ms", settings.changes.apply, 500, 600000),
+      {RangeOf("gateway_held_memory_share", FLAGS_gateway_held_memory_share,
+               0.05, 0.8),
+       RangeOf("gateway_max_connections", settings.max_connections, 8,
+               1U << 20U),
+       RangeOf("gateway_unread_limit_ms", settings.unread_limit, 1000, 600000),
+       RangeOf("change_apply_limit_ms", settings.changes.apply, 500, 600000),
        RangeOf("key_revocation_limit_ms", settings.changes.revoke, 1000,
                600000),
        RangeOf("gateway_resend_ratio", settings.resend_ratio, 0, 10),
--- a/src/plugins/gateway/gateway_settings.h
+++ b/src/plugins/gateway/gateway_settings.h
@@ -2,6 +2,7 @@
 #define FLAMINGOGAUGE_PLUGINS_GATEWAY_GATEWAY_SETTINGS_H_
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <string>
 
@@ -40,6 +41,12 @@
   std::chrono::milliseconds drain_min_time{3500};
   std::chrono::milliseconds report_interval{400};
 
+  // Bounds on what callers may occupy; see docs/design/crowds.md.
+  std::size_t max_held_bytes = std::size_t{64} << 20U;
+  std::size_t max_connections = 4096;
+  // How long a caller may leave a response unread.
+  std::chrono::milliseconds unread_limit{15000};
+
   // Applies the settings that may change at run time; addresses, names and
   // headers are kept.
   void Reload(const GatewaySettings& from);
--- a/src/plugins/gateway/http_acceptor.cc
+++ b/src/plugins/gateway/http_acceptor.cc
@@ -13,15 +13,18 @@
 using boost::system::error_code;
 
 constexpr int kBacklog = 1024;
-constexpr std::size_t kAcceptsPerCleanup = 64;
 // Delay after a failed accept, for example when file descriptors run out.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
 
 }  // namespace
 
 HttpAcceptor::HttpAcceptor(boost::asio::io_context& context,
-                           HttpRequestHandler& handler)
-    : acceptor_(context), retry_timer_(context), handler_(handler) {}
+                           HttpRequestHandler& handler,
+                           SessionPoolOptions options)
+    : acceptor_(context),
+      retry_timer_(context),
+      handler_(handler),
+      pool_(std::make_shared<SessionPool>(std::move(options))) {}
 
 Result<void> HttpAcceptor::Listen(const std::string& address) {
   const auto endpoint = ParseEndpoint<tcp::endpoint>(address);
@@ -70,16 +73,17 @@
       });
       return;
     }
-    auto session = std::make_shared<HttpSession>(std::move(socket), handler_);
-    sessions_.push_back(session);
-    session->Start();
-    if (++accepts_since_cleanup_ >= kAcceptsPerCleanup) {
-      RemoveClosedSessions();
-    }
+    Start(std::move(socket));
     Accept();
   });
 }
 
+void HttpAcceptor::Start(tcp::socket socket) {
+  if (pool_->MakeRoom()) {
+    std::make_shared<HttpSession>(std::move(socket), handler_, pool_)->Start();
+  }
+}
+
 void HttpAcceptor::Stop() {
   error_code ec;
   retry_timer_.cancel();
@@ -87,27 +91,18 @@
 }
 
 void HttpAcceptor::CloseIdle() {
-  for (const auto& it : sessions_) {
-    if (const auto session = it.lock()) {
-      session->CloseIfIdle();
-    }
+  for (const auto& it : pool_->sessions()) {
+    it->CloseIfIdle();
   }
 }
 
 SessionCounts HttpAcceptor::Count() const {
   SessionCounts counts;
-  for (const auto& it : sessions_) {
-    if (const auto session = it.lock()) {
-      counts.receiving += session->is_receiving() ? 1 : 0;
-      counts.flushing += session->is_flushing() ? 1 : 0;
-    }
+  for (const auto& it : pool_->sessions()) {
+    counts.receiving += it->is_receiving() ? 1 : 0;
+    counts.flushing += it->is_flushing() ? 1 : 0;
   }
   return counts;
 }
 
-void HttpAcceptor::RemoveClosedSessions() {
-  accepts_since_cleanup_ = 0;
-  std::erase_if(sessions_, [](const auto& it) { return it.expired(); });
-}
-
 }  // namespace flamingogauge
--- a/src/plugins/gateway/http_acceptor.h
+++ b/src/plugins/gateway/http_acceptor.h
@@ -7,10 +7,10 @@
 
 #include <memory>
 #include <string>
-#include <vector>
 
 #include "libs/kernel/error.h"
 #include "plugins/gateway/http_session.h"
+#include "plugins/gateway/session_pool.h"
 
 namespace flamingogauge {
 
@@ -24,7 +24,9 @@
 // Accepts connections on one address and starts a session for each.
 class HttpAcceptor {
  public:
-  HttpAcceptor(boost::asio::io_context& context, HttpRequestHandler& handler);
+  HttpAcceptor(boost::asio::io_context& context,
+               HttpRequestHandler& handler,
+               SessionPoolOptions options = {});
 
   Result<void> Listen(const std::string& address);
   // The "ip:port" listened on; gives the actual port if port 0 was requested.
@@ -34,16 +36,17 @@
   // Closes the connections that have no request in progress.
   void CloseIdle();
   SessionCounts Count() const;
+  SessionPool& pool() { return *pool_; }
 
  private:
   void Accept();
-  void RemoveClosedSessions();
+  void Start(boost::asio::ip::tcp::socket socket);
 
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer retry_timer_;
   HttpRequestHandler& handler_;
-  std::vector<std::weak_ptr<HttpSession>> sessions_;
-  std::size_t accepts_since_cleanup_ = 0;
+  // Shared with the sessions, which may outlive the acceptor.
+  const std::shared_ptr<SessionPool> pool_;
 };
 
 }  // namespace flamingogauge
--- a/src/plugins/gateway/http_session.cc
+++ b/src/plugins/gateway/http_session.cc
@@ -1,7 +1,7 @@
 #include "plugins/gateway/http_session.h"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
+#include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -19,14 +19,17 @@
 using std::chrono::milliseconds;
 
 constexpr int kBadRequest = 400;
-// Limit on buffered input while a request is being answered; reading continues
-// after the response.
+// Limit on input that is received ahead, while a response is made or written;
+// reading continues after it.
 constexpr std::size_t kMaxPipelinedBytes = 65536;
 // Bounds the extension of a chunk and the fields after a body, which the parser
 // reads as a whole.
 constexpr std::size_t kMaxUnparsedBytes = 65536;
 // With more unsent bytes than this, reading the upstream's response is paused.
 constexpr std::size_t kMaxUnsentBytes = 262144;
+// With fewer, it goes on: soon enough that the upstream does not give up a
+// response because nobody reads it.
+constexpr std::size_t kResumeUnsentBytes = 196608;
 // How long input is still read after shutting down the sending side. Closing at
 // once could reset the connection and lose the last response.
 constexpr milliseconds kLingerTime{1000};
@@ -34,25 +37,46 @@
 constexpr milliseconds kCallerUnacknowledgedLimit{6000};
 constexpr std::chrono::seconds kCallerProbeInterval{5};
 constexpr int kRequestTimeout = 408;
+constexpr int kServiceUnavailable = 503;
+constexpr char kRetryAfterMemory[] = "Retry-After: 1\r\n";
 
 }  // namespace
 
-HttpSession::HttpSession(tcp::socket socket, HttpRequestHandler& handler)
+HttpSession::HttpSession(tcp::socket socket,
+                         HttpRequestHandler& handler,
+                         std::shared_ptr<SessionPool> pool)
     : socket_(std::move(socket)),
       timer_(socket_.get_executor()),
       handler_(handler),
+      pool_(std::move(pool)),
       limits_(handler.Limits()) {}
 
+HttpSession::~HttpSession() {
+  pool_->Remove(id_);
+}
+
 void HttpSession::Start() {
+  id_ = pool_->Add(weak_from_this());
+  idle_since_ = BootTimeNow();
   ConfigureSocket(socket_, {.unacknowledged_limit = kCallerUnacknowledgedLimit,
                             .probe_interval = kCallerProbeInterval});
   SetTimer(limits_.idle_timeout);
   WaitForInput();
 }
 
+bool HttpSession::AcceptsNextRequest() const {
+  return !answering_ && !closing_ && unsent_.empty();
+}
+
+std::size_t HttpSession::InputRoom() const {
+  if (closing_ || AcceptsNextRequest()) {
+    return kReadBufferBytes;
+  }
+  return kMaxPipelinedBytes - std::min(kMaxPipelinedBytes, input_.size());
+}
+
 void HttpSession::WaitForInput() {
-  if (reading_ || !socket_.is_open() ||
-      (answering_ && input_.size() >= kMaxPipelinedBytes)) {
+  if (reading_ || !socket_.is_open() || InputRoom() == 0) {
     return;
   }
   reading_ = true;
@@ -66,8 +90,13 @@
 }
 
 void HttpSession::OnReadable() {
+  RelieveMemory();
+  const std::size_t room = InputRoom();
+  if (!socket_.is_open() || room == 0) {
+    return;
+  }
   error_code ec;
-  const std::string_view bytes = ReadAvailable(socket_, ec);
+  const std::string_view bytes = ReadAvailable(socket_, ec, room);
   if (WouldBlock(ec)) {
     WaitForInput();
     return;
@@ -76,15 +105,49 @@
     OnDisconnected();
     return;
   }
-  if (!lingering_) {
+  if (!closing_) {
     input_ += bytes;
     ProcessInput();
+    TrimInput();
+    AccountHeld();
   }
   WaitForInput();
 }
 
+void HttpSession::TrimInput() {
+  if (input_.empty()) {
+    std::string().swap(input_);
+  }
+}
+
+void HttpSession::AccountHeld() {
+  if (!socket_.is_open()) {
+    return;
+  }
+  std::size_t input = reader_ ? reader_->held_bytes() : 0;
+  input += input_.size();
+  if (InputRoom() == 0) {
+    // Left to the kernel, whose memory is that of the host, too.
+    error_code ec;
+    input += socket_.available(ec);
+  }
+  MemoryBudget& budget = pool_->budget();
+  budget.Set(id_, HeldKind::kInput, input);
+  budget.Set(id_, HeldKind::kUnsent, unsent_.held_bytes());
+}
+
+void HttpSession::SetHeld(HeldKind kind, std::size_t bytes) {
+  if (socket_.is_open()) {
+    pool_->budget().Set(id_, kind, bytes);
+  }
+}
+
+void HttpSession::RelieveMemory() {
+  pool_->RelieveMemory();
+}
+
 void HttpSession::ProcessInput() {
-  if (answering_ || closing_ || input_.empty()) {
+  if (!AcceptsNextRequest() || input_.empty()) {
     return;
   }
   if (!receiving_) {
@@ -129,77 +192,110 @@
   answering_ = true;
   ParsedRequest request = reader_->Take();
   reader_.reset();
+  TrimInput();
+  AccountHeld();
+  SetHeld(HeldKind::kRequest, request.HeldBytes());
   handler_.OnRequest(shared_from_this(), std::move(request), request_began_at_);
 }
 
 void HttpSession::RefuseRequest(int status, const std::string& reason) {
   handler_.OnRefused(status, reason);
-  Write("HTTP/1.1 " + std::to_string(status) + " " +
-        std::string(ReasonPhrase(status)) +
-        "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
   receiving_ = false;
   answering_ = true;
+  Write("HTTP/1.1 " + std::to_string(status) + " " +
+        std::string(ReasonPhrase(status)) + "\r\n" +
+        (status == kServiceUnavailable ? kRetryAfterMemory : "") +
+        "Content-Length: 0\r\nConnection: close\r\n\r\n");
   Finish(false);
 }
 
 void HttpSession::Write(std::string bytes) {
+  if (!socket_.is_open()) {
+    return;
+  }
   if (unsent_.empty()) {
-    unsent_ = std::move(bytes);
-  } else {
-    unsent_ += bytes;
+    last_written_at_ = BootTimeNow();
+  }
+  unsent_.Append(std::move(bytes));
+  if (!writing_) {
+    // Most responses fit into the socket's send buffer in a single write.
+    Flush();
   }
-  StartWrite();
+  AccountHeld();
 }
 
-void HttpSession::StartWrite() {
-  if (!sending_.empty() || unsent_.empty() || !socket_.is_open()) {
-    return;
+void HttpSession::Flush() {
+  while (!unsent_.empty()) {
+    error_code ec;
+    const std::string_view bytes = unsent_.bytes();
+    const std::size_t n =
+        socket_.write_some(boost::asio::buffer(bytes.data(), bytes.size()), ec);
+    if (WouldBlock(ec)) {
+      WaitForWritable();
+      return;
+    }
+    if (ec) {
+      unsent_.Clear();
+      boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        self->OnDisconnected();
+      });
+      return;
+    }
+    unsent_.Consume(n);
+    last_written_at_ = BootTimeNow();
   }
-  sending_.swap(unsent_);
-  // Most responses fit into the socket's send buffer in a single write.
-  error_code ec;
-  const std::size_t n = socket_.write_some(boost::asio::buffer(sending_), ec);
-  if (!ec && n == sending_.size()) {
-    OnWritten(ec);
-    return;
+}
+
+void HttpSession::WaitForWritable() {
+  writing_ = true;
+  socket_.async_wait(tcp::socket::wait_write,
+                     [self = shared_from_this()](const error_code& ec) {
+                       self->writing_ = false;
+                       if (!ec && self->socket_.is_open()) {
+                         self->OnWritable();
+                       }
+                     });
+}
+
+void HttpSession::OnWritable() {
+  Flush();
+  AccountHeld();
+  if (unsent_.size() <= kResumeUnsentBytes && on_writable_) {
+    const auto on_writable = on_writable_;
+    on_writable();
   }
-  if (ec && !WouldBlock(ec)) {
-    boost::asio::post(socket_.get_executor(),
-                      [self = shared_from_this()] { self->OnDisconnected(); });
+  if (!unsent_.empty() || answering_) {
     return;
   }
-  sending_.erase(0, n);
-  boost::asio::async_write(socket_, boost::asio::buffer(sending_),
-                           [self = shared_from_this()](
-                               const error_code& write_ec, std::size_t /*n*/) {
-                             self->OnWritten(write_ec);
-                           });
-}
-
-void HttpSession::OnWritten(const error_code& ec) {
-  sending_.clear();
-  if (ec) {
-    OnDisconnected();
+  if (closing_) {
+    CloseAfterWrite();
     return;
   }
-  StartWrite();
-  if (sending_.empty() && unsent_.empty()) {
-    if (closing_) {
-      CloseAfterWrite();
-    } else if (on_writable_) {
-      const auto on_writable = on_writable_;
-      on_writable();
-    }
+  if (!receiving_) {
+    idle_since_ = BootTimeNow();
+    SetTimer(limits_.idle_timeout);
   }
+  ProcessInput();
+  TrimInput();
+  AccountHeld();
+  WaitForInput();
 }
 
 void HttpSession::Finish(bool keep_open) {
   on_disconnect_ = nullptr;
   on_writable_ = nullptr;
+  on_memory_short_ = nullptr;
   answering_ = false;
+  idle_since_ = BootTimeNow();
+  SetHeld(HeldKind::kRequest, 0);
+  SetHeld(HeldKind::kResponse, 0);
   if (!keep_open) {
     closing_ = true;
-    if (sending_.empty() && unsent_.empty()) {
+    reader_.reset();
+    input_.clear();
+    TrimInput();
+    AccountHeld();
+    if (unsent_.empty()) {
       CloseAfterWrite();
     }
     return;
@@ -208,6 +304,8 @@
   // A pipelined request is handled after the current call has returned.
   boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
     self->ProcessInput();
+    self->TrimInput();
+    self->AccountHeld();
     self->WaitForInput();
   });
 }
@@ -218,12 +316,52 @@
   }
   lingering_ = true;
   input_.clear();
+  TrimInput();
+  AccountHeld();
+  idle_since_ = BootTimeNow();
   error_code ec;
   socket_.shutdown(tcp::socket::shutdown_send, ec);
   SetTimer(kLingerTime);
   WaitForInput();
 }
 
+void HttpSession::CloseFor(CloseReason reason) {
+  if (reason == CloseReason::kMemory && receiving_ && !closing_) {
+    RefuseRequest(kServiceUnavailable, "the host is short of memory");
+    return;
+  }
+  if (reason == CloseReason::kMemory && answering_ && on_memory_short_) {
+    const auto on_memory_short = on_memory_short_;
+    on_memory_short();
+    return;
+  }
+  if (!answering_ && unsent_.empty()) {
+    Close();
+    return;
+  }
+  // What has been written of a response must not look complete.
+  const auto on_disconnect = std::exchange(on_disconnect_, nullptr);
+  AbortWithReset();
+  if (on_disconnect) {
+    on_disconnect();
+  }
+}
+
+ConnectionActivity HttpSession::Activity() const {
+  ConnectionActivity activity{.id = id_, .since = idle_since_};
+  if (lingering_) {
+    activity.phase = ConnectionPhase::kLingering;
+  } else if (answering_) {
+    activity.phase = ConnectionPhase::kAnswering;
+  } else if (!unsent_.empty()) {
+    activity.phase = ConnectionPhase::kUnread;
+    activity.since = last_written_at_;
+  } else if (receiving_) {
+    activity.since = request_began_at_;
+  }
+  return activity;
+}
+
 bool HttpSession::is_receiving() const {
   if (receiving_ || answering_ || closing_) {
     return receiving_ && socket_.is_open();
@@ -234,8 +372,7 @@
 }
 
 bool HttpSession::is_flushing() const {
-  return !answering_ && socket_.is_open() &&
-         (!sending_.empty() || !unsent_.empty());
+  return !answering_ && socket_.is_open() && !unsent_.empty();
 }
 
 void HttpSession::CloseIfIdle() {
@@ -246,7 +383,7 @@
 }
 
 bool HttpSession::has_write_backlog() const {
-  return sending_.size() + unsent_.size() > kMaxUnsentBytes;
+  return unsent_.size() > kMaxUnsentBytes;
 }
 
 void HttpSession::SetTimer(milliseconds delay) {
@@ -265,15 +402,15 @@
     RefuseRequest(kRequestTimeout, "the request did not arrive in time");
     return;
   }
-  if (!answering_) {
+  // The time that a caller may take to read a response is bounded by the pool.
+  if (!answering_ && unsent_.empty()) {
     Close();
   }
 }
 
 void HttpSession::OnDisconnected() {
   const auto on_disconnect = std::exchange(on_disconnect_, nullptr);
-  on_writable_ = nullptr;
-  Close();
+  Abort();
   if (on_disconnect) {
     on_disconnect();
   }
@@ -282,6 +419,7 @@
 void HttpSession::Abort() {
   on_disconnect_ = nullptr;
   on_writable_ = nullptr;
+  on_memory_short_ = nullptr;
   Close();
 }
 
@@ -297,6 +435,11 @@
   closing_ = true;
   error_code ec;
   socket_.close(ec);
+  unsent_.Clear();
+  input_.clear();
+  TrimInput();
+  reader_.reset();
+  pool_->Remove(id_);
 }
 
 }  // namespace flamingogauge
--- a/src/plugins/gateway/http_session.h
+++ b/src/plugins/gateway/http_session.h
@@ -11,8 +11,11 @@
 #include <string_view>
 
 #include "libs/http_framing/http_request_reader.h"
+#include "libs/http_framing/output_buffer.h"
 #include "libs/kernel/time.h"
+#include "libs/limits/connection_choice.h"
 #include "libs/routing/routing_table.h"
+#include "plugins/gateway/session_pool.h"
 
 namespace flamingogauge {
 
@@ -36,13 +39,17 @@
   virtual void OnRefused(int status, const std::string& reason) = 0;
 };
 
-// A caller's connection. Processes requests one at a time; the next one is
-// processed after the response to the previous one is finished.
+// A caller's connection. Processes requests one at a time: the next one is
+// processed after the response to the previous one has been written. Until
+// then, only a bounded part of what the caller sends ahead is received.
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
  public:
-  HttpSession(boost::asio::ip::tcp::socket socket, HttpRequestHandler& handler);
+  HttpSession(boost::asio::ip::tcp::socket socket,
+              HttpRequestHandler& handler,
+              std::shared_ptr<SessionPool> pool);
   HttpSession(const HttpSession&) = delete;
   HttpSession& operator=(const HttpSession&) = delete;
+  ~HttpSession();
 
   void Start();
 
@@ -61,13 +68,31 @@
   void SetDisconnectHandler(std::function<void()> on_disconnect) {
     on_disconnect_ = std::move(on_disconnect);
   }
-  // Called when all queued bytes have been written.
+  // Called when so much has been written that a paused response can go on.
   void SetWritableHandler(std::function<void()> on_writable) {
     on_writable_ = std::move(on_writable);
   }
+  // Called if the host is short of memory and the request is to be ended, with
+  // the session's functions.
+  void SetMemoryShortHandler(std::function<void()> on_memory_short) {
+    on_memory_short_ = std::move(on_memory_short);
+  }
+  // States what the handler holds for the request or for a part of its response
+  // that it has not written yet.
+  void SetHeld(HeldKind kind, std::size_t bytes);
+  // Accounts what is received and not processed, and what is not written.
+  void AccountHeld();
+  // Closes connections if the host holds more than it may, perhaps this one;
+  // see SessionPool.
+  void RelieveMemory();
+  // Ends the connection because of a bound.
+  void CloseFor(CloseReason reason);
 
   bool has_write_backlog() const;
-  bool is_answering() const { return answering_; }
+  bool has_unsent() const { return !unsent_.empty(); }
+  // When bytes were last written while others were waiting.
+  MonotonicTime last_written_at() const { return last_written_at_; }
+  ConnectionActivity Activity() const;
   // Whether a part of the next request has been received.
   bool is_receiving() const;
   // Whether a part of a finished response has not been written yet.
@@ -83,8 +108,17 @@
   void ProcessInput();
   void DispatchRequest();
   void RefuseRequest(int status, const std::string& reason);
-  void StartWrite();
-  void OnWritten(const boost::system::error_code& ec);
+  void RefuseForMemory();
+  // Writes what the socket takes.
+  void Flush();
+  void WaitForWritable();
+  void OnWritable();
+  // Whether the next request may be processed.
+  bool AcceptsNextRequest() const;
+  // How much may be received now; 0 to leave it to the kernel.
+  std::size_t InputRoom() const;
+  // Frees the memory of the input if there is none.
+  void TrimInput();
   void CloseAfterWrite();
   void SetTimer(std::chrono::milliseconds delay);
   void OnTimer();
@@ -94,18 +128,24 @@
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
   HttpRequestHandler& handler_;
+  const std::shared_ptr<SessionPool> pool_;
+  std::uint64_t id_ = 0;
   CallerLimits limits_;
   std::unique_ptr<HttpRequestReader> reader_;
   // Received bytes that are not yet parsed.
   std::string input_;
-  std::string unsent_;
-  std::string sending_;
+  OutputBuffer unsent_;
   std::function<void()> on_disconnect_;
   std::function<void()> on_writable_;
+  std::function<void()> on_memory_short_;
   MonotonicTime request_began_at_;
+  MonotonicTime last_written_at_;
+  // When the connection became idle or began to linger.
+  MonotonicTime idle_since_;
   // Incremented when the timer is set, so that an outdated expiry is ignored.
   unsigned timer_generation_ = 0;
   bool reading_ = false;
+  bool writing_ = false;
   bool receiving_ = false;
   bool continue_sent_ = false;
   bool answering_ = false;
--- a/src/plugins/gateway/read_buffer.h
+++ b/src/plugins/gateway/read_buffer.h
@@ -5,6 +5,7 @@
 #include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <string_view>
@@ -19,13 +20,18 @@
          ec == boost::asio::error::try_again;
 }
 
-// Reads the available bytes of a non-blocking socket. The buffer is shared by
+// Reads the available bytes of a non-blocking socket, `max_bytes` at most. The
+// buffer is shared by
 // all connections of a thread, so that idle connections need no memory for
 // input; the returned bytes are valid until the next call.
-inline std::string_view ReadAvailable(boost::asio::ip::tcp::socket& socket,
-                                      boost::system::error_code& ec) {
+inline std::string_view ReadAvailable(
+    boost::asio::ip::tcp::socket& socket,
+    boost::system::error_code& ec,
+    std::size_t max_bytes = kReadBufferBytes) {
   thread_local std::array<char, kReadBufferBytes> buf;
-  return {buf.data(), socket.read_some(boost::asio::buffer(buf), ec)};
+  const std::size_t room = std::min(max_bytes, buf.size());
+  return {buf.data(),
+          socket.read_some(boost::asio::buffer(buf.data(), room), ec)};
 }
 
 }  // namespace flamingogauge
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -29,6 +29,10 @@
 // reconsidered without an event.
 constexpr milliseconds kPlacementInterval{50};
 constexpr std::size_t kMaxDumpedExchanges = 200;
+// Leaves most of the log to the requests that are served.
+constexpr int kDeniedLinesPerSecond = 100;
+// Ids of requests are as long as their sender likes.
+constexpr std::size_t kMaxLoggedIdBytes = 200;
 
 ResendBudgetOptions ResendOptions(const GatewaySettings& settings) {
   return {.ratio = settings.resend_ratio,
@@ -68,7 +72,9 @@
       placement_timer_(io),
       process_(
           static_cast<std::uint64_t>(BootTimeNow().time_since_epoch().count())),
-      started_at_(BootTimeNow()) {
+      started_at_(BootTimeNow()),
+      denied_lines_(kDeniedLinesPerSecond),
+      malformed_lines_(kDeniedLinesPerSecond) {
   RegisterGauges();
 }
 
@@ -161,9 +167,10 @@
 }
 
 void Relay::HandleEarlyRequests() {
-  for (EarlyRequest& it : std::exchange(early_requests_, {})) {
+  for (auto& [id, it] : std::exchange(early_requests_, {})) {
     const std::shared_ptr<HttpSession> session = it.session.lock();
     if (session && session->is_open()) {
+      session->SetDisconnectHandler(nullptr);
       Handle(session, std::move(it.request), it.arrived_at);
     }
   }
@@ -259,9 +266,12 @@
 }
 
 void Relay::OnRefused(int status, const std::string& reason) {
-  context_.log.Write(EventLine("request.malformed")
-                         .Number("status", status)
-                         .Text("reason", reason));
+  if (const auto left_out = malformed_lines_.Allow(BootTimeNow())) {
+    context_.log.Write(EventLine("request.malformed")
+                           .Number("status", status)
+                           .Text("reason", reason)
+                           .Number("left_out", *left_out));
+  }
   context_.metrics.Add("flamingogauge_requests_total",
                        Label("outcome", "malformed"));
 }
@@ -270,9 +280,11 @@
                       ParsedRequest request,
                       MonotonicTime arrived_at) {
   if (IsStarting()) {
-    early_requests_.push_back({.session = session,
-                               .request = std::move(request),
-                               .arrived_at = arrived_at});
+    const std::uint64_t id = next_id_++;
+    early_requests_.emplace(id, EarlyRequest{.session = session,
+                                             .request = std::move(request),
+                                             .arrived_at = arrived_at});
+    session->SetDisconnectHandler([this, id] { early_requests_.erase(id); });
     return;
   }
   Handle(session, std::move(request), arrived_at);
@@ -404,11 +416,13 @@
   return std::nullopt;
 }
 
-void Relay::Deny(const std::shared_ptr<HttpSession>& session,
-                 const AcceptedRequest& accepted,
-                 const Denial& denial) {
+void Relay::LogDenied(const AcceptedRequest& accepted, const Denial& denial) {
+  const auto left_out = denied_lines_.Allow(BootTimeNow());
+  if (!left_out) {
+    return;
+  }
   EventLine line("request.denied");
-  line.Text("request", accepted.request_id)
+  line.Text("request", accepted.request_id.substr(0, kMaxLoggedIdBytes))
       .Number("status", denial.status)
       .Text("reason", denial.reason);
   if (accepted.route != nullptr) {
@@ -426,7 +440,16 @@
         .Number("limit_burst",
                 static_cast<std::int64_t>(accepted.workspace->burst));
   }
+  if (*left_out > 0) {
+    line.Number("left_out", *left_out);
+  }
   context_.log.Write(std::move(line));
+}
+
+void Relay::Deny(const std::shared_ptr<HttpSession>& session,
+                 const AcceptedRequest& accepted,
+                 const Denial& denial) {
+  LogDenied(accepted, denial);
   context_.metrics.Add("flamingogauge_requests_total",
                        Label("outcome", "denied"));
   context_.metrics.Add("flamingogauge_unanswered_total",
--- a/src/plugins/gateway/relay.h
+++ b/src/plugins/gateway/relay.h
@@ -6,12 +6,14 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
 
 #include "libs/coordination/coordination_messages.h"
 #include "libs/dispatching/prior_wait_estimator.h"
+#include "libs/kernel/line_limiter.h"
 #include "plugins/gateway/exchange.h"
 #include "plugins/gateway/http_session.h"
 #include "plugins/gateway/relay_context.h"
@@ -95,6 +97,7 @@
   std::optional<Denial> Accept(AcceptedRequest& accepted);
   std::optional<Denial> CheckKey(AcceptedRequest& accepted);
   std::optional<Denial> CheckLimit(AcceptedRequest& accepted);
+  void LogDenied(const AcceptedRequest& accepted, const Denial& denial);
   void Deny(const std::shared_ptr<HttpSession>& session,
             const AcceptedRequest& accepted,
             const Denial& denial);
@@ -110,7 +113,10 @@
   const std::uint64_t process_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
   const MonotonicTime started_at_;
-  std::vector<EarlyRequest> early_requests_;
+  // In the order of their arrival; without those whose caller has left.
+  std::map<std::uint64_t, EarlyRequest> early_requests_;
+  LineLimiter denied_lines_;
+  LineLimiter malformed_lines_;
   std::uint64_t next_id_ = 1;
   bool placement_scheduled_ = false;
   PriorWaitEstimator prior_wait_estimator_;
--- a/src/plugins/gateway/upstream_connection.cc
+++ b/src/plugins/gateway/upstream_connection.cc
@@ -180,6 +180,8 @@
 // A call does not fail with its write: an upstream may respond to a request
 // without reading all of it. The end of the response shows whether it is whole.
 void UpstreamConnection::OnRequestWritten(const error_code& ec) {
+  // Not needed any more, and a body may be large.
+  std::string().swap(request_.bytes);
   if (observer_ == nullptr) {
     return;
   }
@@ -319,7 +321,7 @@
   // Reading may be paused for the caller of this response; the next one needs
   // it, and so does the detection of a close.
   paused_ = false;
-  request_.bytes.clear();
+  std::string().swap(input_);
   if (!reusable) {
     Close();
   }
--- a/tests/auto/gateway/gateway_host.cc
+++ b/tests/auto/gateway/gateway_host.cc
@@ -107,9 +107,13 @@
 };
 
 GatewayHost::GatewayHost(const std::vector<std::string>& upstream_addresses,
-                         bool publish)
+                         bool publish,
+                         const CrowdLimits& limits)
     : upstreams_(std::make_shared<std::vector<UpstreamEntry>>()) {
-  const GatewaySettings settings = TestSettings();
+  GatewaySettings settings = TestSettings();
+  settings.max_held_bytes = limits.max_held_bytes;
+  settings.max_connections = limits.max_connections;
+  settings.unread_limit = limits.unread_limit;
   address_ = settings.listen_address;
   status_address_ = settings.status_address;
   auto source = std::make_unique<FakeFleetSource>();
--- a/tests/auto/gateway/gateway_host.h
+++ b/tests/auto/gateway/gateway_host.h
@@ -2,6 +2,7 @@
 #define FLAMINGOGAUGE_TESTS_AUTO_GATEWAY_GATEWAY_HOST_H_
 
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
@@ -22,13 +23,21 @@
 // The key "key-1" belongs to the workspace "acme".
 std::shared_ptr<const RoutingTable> TestRouting();
 
+// The bounds on what callers may occupy; those of GatewaySettings by default.
+struct CrowdLimits {
+  std::size_t max_held_bytes = std::size_t{64} << 20U;
+  std::size_t max_connections = 4096;
+  std::chrono::milliseconds unread_limit{15000};
+};
+
 // Runs a gateway in the test process with fleet data published by the test.
 class GatewayHost {
  public:
   // Starts the gateway with upstreams "u0", "u1" and so on at the given
   // addresses. Publishes the routing document if `publish`.
   explicit GatewayHost(const std::vector<std::string>& upstream_addresses,
-                       bool publish = true);
+                       bool publish = true,
+                       const CrowdLimits& limits = {});
   GatewayHost(const GatewayHost&) = delete;
   GatewayHost& operator=(const GatewayHost&) = delete;
   ~GatewayHost();
--- /dev/null
+++ b/tests/auto/gateway/tst_held.cc
@@ -0,0 +1,176 @@
+// What the gateway holds for callers that read slowly, send ahead or are many.
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/auto/gateway/gateway_host.h"
+#include "tests/support/scripted_server.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+
+std::string RequestIdOf(const std::string& request) {
+  constexpr std::string_view kName = "Req-Id: ";
+  const std::size_t begin = request.find(kName) + kName.size();
+  return request.substr(begin, request.find("\r\n", begin) - begin);
+}
+
+// Responds to each request with `body`, on as many connections as needed.
+std::vector<ScriptedServer::Script> Always(const std::string& body) {
+  const ScriptedServer::Script script = [body](ScriptedConnection& connection) {
+    while (!connection.ReadRequest().empty()) {
+      connection.Write(
+          UpstreamAnswer(body, RequestIdOf(connection.last_request())));
+    }
+  };
+  return std::vector<ScriptedServer::Script>(256, script);
+}
+
+std::string Request(const std::string& path, const std::string& id) {
+  return FormatTestRequest(
+      "GET", path, {"Req-Id: " + id, "Key: key-1", "Limit-Ms: 4000"}, "");
+}
+
+std::string Body(std::size_t size) {
+  std::string body;
+  for (std::size_t n = 0; body.size() < size; ++n) {
+    body +=
+        "id: " + std::to_string(n) + "\ndata: " + std::string(90, 'x') + "\n\n";
+  }
+  return body;
+}
+
+// Guards against a bound on what is sent ahead that loses or reorders requests
+// of a caller that reads its answers.
+TEST_CASE("requests sent ahead are all answered, in order") {
+  constexpr int kRequests = 100;
+  ScriptedServer upstream(Always("ok"));
+  GatewayHost host({upstream.address()});
+  TestConnection connection(host.address());
+  std::string requests;
+  for (int n = 0; n < kRequests; ++n) {
+    const std::string path = n % 3 == 0 ? "/nowhere/" : "/again/";
+    requests += Request(path, "id-" + std::to_string(n));
+  }
+  REQUIRE(connection.Send(requests));
+  for (int n = 0; n < kRequests; ++n) {
+    const TestAnswer answer = connection.ReadAnswer();
+    CAPTURE(n);
+    REQUIRE(answer.status == (n % 3 == 0 ? 404 : 200));
+    CHECK(answer.headers.at("req-id") == "id-" + std::to_string(n));
+  }
+}
+
+// Guards against a large response that is cut off because its caller reads it
+// slowly, and against requests after it that are never processed.
+TEST_CASE("large responses arrive whole at a slow reader") {
+  struct Row {
+    std::string path;
+    std::size_t size;
+  };
+  // The first is buffered by the gateway as a whole, the others are not.
+  for (const Row& row : {Row{"/again/", 200000}, Row{"/again/", 2000000},
+                         Row{"/stream/", 2000000}}) {
+    CAPTURE(row.path);
+    CAPTURE(row.size);
+    const std::string body = Body(row.size);
+    ScriptedServer upstream(Always(body));
+    GatewayHost host({upstream.address()});
+    TestConnection connection(host.address(), {.has_small_buffers = true,
+                                               .read_pause = milliseconds(1)});
+    REQUIRE(connection.Send(Request(row.path, "id-1") +
+                            Request("/nowhere/", "id-2")));
+    const TestAnswer answer = connection.ReadAnswer();
+    CHECK(answer.status == 200);
+    CHECK(answer.complete);
+    CHECK(answer.body == body);
+    const TestAnswer next = connection.ReadAnswer();
+    CHECK(next.status == 404);
+    CHECK(next.headers.at("req-id") == "id-2");
+  }
+}
+
+// Guards against memory that a caller who never reads occupies for ever, and
+// against a response that looks complete when it is cut off.
+TEST_CASE("a caller that reads nothing for long is reset") {
+  for (const bool is_http_1_0 : {false, true}) {
+    CAPTURE(is_http_1_0);
+    ScriptedServer upstream(Always(Body(8000000)));
+    GatewayHost host({upstream.address()}, true,
+                     {.unread_limit = milliseconds(1000)});
+    TestConnection connection(host.address(), {.has_small_buffers = true});
+    std::string request = Request("/stream/", "id-1");
+    if (is_http_1_0) {
+      request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+    }
+    REQUIRE(connection.Send(request));
+    const auto give_up = std::chrono::steady_clock::now() + milliseconds(20000);
+    while (host.GetStatus("/metrics")
+                   .body.find("flamingogauge_closed_connections_total{reason="
+                              "\"unread\"} 1") == std::string::npos &&
+           std::chrono::steady_clock::now() < give_up) {
+    }
+    CHECK_FALSE(connection.ReadToEnd().has_value());
+  }
+}
+
+// Guards against bodies that are received beyond the bound on memory, and
+// against a bound that keeps small requests from being served.
+TEST_CASE("a body beyond the bound on memory is refused as not run") {
+  constexpr std::size_t kBodyBytes = 900000;
+  ScriptedServer upstream(Always("ok"));
+  GatewayHost host({upstream.address()}, true,
+                   {.max_held_bytes = std::size_t{1} << 20U});
+  const std::string head =
+      FormatTestRequest("PUT", "/again/",
+                        {"Req-Id: id-1", "Key: key-1",
+                         "Content-Length: " + std::to_string(kBodyBytes + 1)},
+                        "");
+  std::vector<std::unique_ptr<TestConnection>> crowd;
+  for (int n = 0; n < 4; ++n) {
+    crowd.push_back(std::make_unique<TestConnection>(host.address()));
+    REQUIRE(crowd.back()->Send(head));
+    crowd.back()->Send(std::string(kBodyBytes, 'x'));
+  }
+  int refused = 0;
+  for (const auto& it : crowd) {
+    // The last byte: those that are not refused are answered.
+    it->Send("x");
+    const TestAnswer answer = it->ReadAnswer();
+    if (answer.status == 503) {
+      ++refused;
+      CHECK(answer.headers.at("retry-after") == "1");
+      CHECK(answer.headers.at("connection") == "close");
+    }
+  }
+  CHECK(refused > 0);
+  CHECK(host.SendRequest("GET", "/again/").status == 200);
+  // Refused requests were not passed on.
+  CHECK(upstream.Requests().size() <= 5U - refused);
+}
+
+// Guards against idle connections that keep a further caller out.
+TEST_CASE("a further connection replaces the one that is idle for longest") {
+  constexpr std::size_t kConnections = 8;
+  ScriptedServer upstream(Always("ok"));
+  GatewayHost host({upstream.address()}, true,
+                   {.max_connections = kConnections});
+  std::vector<std::unique_ptr<TestConnection>> idle;
+  for (std::size_t n = 0; n < kConnections; ++n) {
+    idle.push_back(std::make_unique<TestConnection>(host.address()));
+    REQUIRE(idle.back()->Send(Request("/nowhere/", "id-1")));
+    REQUIRE(idle.back()->ReadAnswer().status == 404);
+  }
+  CHECK(host.SendRequest("GET", "/again/").status == 200);
+  CHECK(idle.front()->ReadToEnd() == "");
+  REQUIRE(idle.back()->Send(Request("/nowhere/", "id-1")));
+  CHECK(idle.back()->ReadAnswer().status == 404);
+}
+
+}  // namespace
+}  // namespace flamingogauge
--- a/tests/support/test_connection.cc
+++ b/tests/support/test_connection.cc
@@ -9,6 +9,7 @@
 #include <array>
 #include <cctype>
 #include <cerrno>
+#include <thread>
 #include <utility>
 
 #include "tests/support/small_buffers.h"
@@ -58,7 +59,8 @@
 }
 
 TestConnection::TestConnection(const std::string& address,
-                               const TestConnectionOptions& options) {
+                               const TestConnectionOptions& options)
+    : read_pause_(options.read_pause) {
   const std::size_t colon = address.rfind(':');
   sockaddr_in target{};
   target.sin_family = AF_INET;
@@ -97,6 +99,7 @@
 
 bool TestConnection::ReadMore() {
   std::array<char, 65536> buf{};
+  std::this_thread::sleep_for(read_pause_);
   const ssize_t n = ::recv(fd_, buf.data(), buf.size(), 0);
   if (n <= 0) {
     return false;
--- a/tests/support/test_connection.h
+++ b/tests/support/test_connection.h
@@ -30,6 +30,8 @@
   std::chrono::milliseconds time_limit = std::chrono::seconds(20);
   // Makes the kernel take over little of a response that is not read.
   bool has_small_buffers = false;
+  // Time before each read, for a caller that reads slowly.
+  std::chrono::milliseconds read_pause{0};
 };
 
 // A blocking client connection that gives tests access to the received bytes.
@@ -68,6 +70,7 @@
   bool ReadMore();
 
   int fd_ = -1;
+  const std::chrono::milliseconds read_pause_;
   std::string buffer_;
 };
 
