http_server: bound what is held for all connections together

Cause: requests up to the size limit and unread responses up to 1 MB were bounded for each connection and not in their sum; the operators' address took bodies of 16 MB on 256 connections before it checked the token. Each connection uses two descriptors, which ran out. Pistache's parser keeps the memory of a body when it is reset, and the allocator kept freed blocks, because its threshold for returning them grows with each large block.

What is received, in progress or unread counts; beyond a share of the host's memory connections are reset, those of callers that do not read first, and their memory is freed at once. At the connection limit idle connections are closed for a further one. A connection that is dropped is reset, so that a part of a response without a length does not look complete. The parser's request is moved out before a reset; the allocator's threshold stays at 128 KB.

--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -1,6 +1,7 @@
 #include "app/serve_command.h"
 
 #include <gflags/gflags.h>
+#include <malloc.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -82,6 +83,15 @@
   }
 }
 
+// Keeps the threshold above which the allocator returns a freed block to the
+// system at its initial value. By default it grows with the largest block that
+// was freed, up to 32 MB; what has been held for callers for a moment would
+// then stay resident, in pieces.
+void ReturnFreedMemory() {
+  constexpr int kThresholdBytes = 131072;
+  ::mallopt(M_MMAP_THRESHOLD, kThresholdBytes);
+}
+
 // Adds the plugins in dependency order: each one after those whose services it
 // uses.
 void AddPlugins(PluginManager& manager) {
@@ -264,6 +274,7 @@
 
 int RunServeCommand(const std::vector<std::string>& arguments) {
   RaiseDescriptorLimit();
+  ReturnFreedMemory();
   SettingsReloader reloader(arguments);
   PluginManager manager;
   AddPlugins(manager);
--- a/src/libs/http_server/http_connection.cc
+++ b/src/libs/http_server/http_connection.cc
@@ -23,9 +23,13 @@
 HttpConnection::HttpConnection(int fd,
                                std::uint64_t id,
                                WritePoller* poller,
+                               HeldMemory* held,
+                               std::function<void()> relieve,
                                const HttpServerSettings& settings)
     : id_(id),
       poller_(poller),
+      held_(held),
+      relieve_(std::move(relieve)),
       settings_(settings),
       fd_(::fcntl(fd, F_DUPFD_CLOEXEC, 0)),
       idle_since_(Now()) {}
@@ -58,6 +62,11 @@
   return closing_ || gone_ || dropped_;
 }
 
+bool HttpConnection::IsDropped() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return gone_ || dropped_;
+}
+
 bool HttpConnection::IsBusy() const {
   std::lock_guard<std::mutex> lock(mutex_);
   return !gone_ && !dropped_ && (has_exchange_ || OutstandingLocked() > 0);
@@ -86,21 +95,28 @@
 std::size_t HttpConnection::Write(std::uint64_t number,
                                   std::string_view bytes,
                                   AnswerEnd end) {
-  std::lock_guard<std::mutex> lock(mutex_);
-  if (gone_ || dropped_ || !has_exchange_ || number != exchange_) {
-    return 0;
+  std::size_t outstanding = 0;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    if (gone_ || dropped_ || !has_exchange_ || number != exchange_) {
+      return 0;
+    }
+    outstanding = OutstandingLocked();
+    if (outstanding > 0 &&
+        outstanding + bytes.size() > settings_.max_outstanding_bytes) {
+      // The caller does not read. The connection is shut down, and Pistache
+      // then reports the disconnection.
+      DropLocked();
+      return outstanding;
+    }
+    EndAnswerLocked(end);
+    AppendLocked(bytes);
+    outstanding = OutstandingLocked();
   }
-  if (OutstandingLocked() > 0 &&
-      OutstandingLocked() + bytes.size() > settings_.max_outstanding_bytes) {
-    // The caller does not read. The connection is shut down, and Pistache then
-    // reports the disconnection.
-    dropped_ = true;
-    ShutdownLocked(SHUT_RDWR);
-    return OutstandingLocked();
+  if (outstanding > 0) {
+    relieve_();
   }
-  EndAnswerLocked(end);
-  AppendLocked(bytes);
-  return OutstandingLocked();
+  return outstanding;
 }
 
 void HttpConnection::WriteInterim(std::string_view bytes) {
@@ -115,6 +131,7 @@
     return;
   }
   has_exchange_ = false;
+  held_->Set(id_, HeldKind::kRequest, 0);
   on_gone_ = nullptr;
   on_drained_ = nullptr;
   idle_since_ = Now();
@@ -134,6 +151,44 @@
     FlushLocked();
   }
   above_resume_ = above_resume_ || OutstandingLocked() > settings_.resume_bytes;
+  AccountUnsentLocked();
+}
+
+void HttpConnection::AccountUnsentLocked() {
+  if (!gone_ && !dropped_) {
+    held_->Set(id_, HeldKind::kUnsent, OutstandingLocked());
+  }
+}
+
+void HttpConnection::SetHeldInput(std::size_t bytes) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (!gone_ && !dropped_) {
+    held_->Set(id_, HeldKind::kInput, bytes);
+  }
+}
+
+void HttpConnection::SetHeldRequest(std::size_t bytes) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (!gone_ && !dropped_ && has_exchange_) {
+    held_->Set(id_, HeldKind::kRequest, bytes);
+  }
+}
+
+ConnectionActivity HttpConnection::Activity() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ConnectionActivity activity{.id = id_, .since = idle_since_};
+  if (has_exchange_) {
+    activity.phase = ConnectionPhase::kAnswering;
+  } else if (OutstandingLocked() > 0) {
+    activity.phase = ConnectionPhase::kUnread;
+    activity.since = last_progress_;
+  } else if (closing_) {
+    activity.phase = ConnectionPhase::kLingering;
+    activity.since = closing_since_;
+  } else if (request_begun_) {
+    activity.since = request_begun_at_;
+  }
+  return activity;
 }
 
 void HttpConnection::FlushLocked() {
@@ -172,6 +227,7 @@
       return;
     }
     FlushLocked();
+    AccountUnsentLocked();
     if (above_resume_ && OutstandingLocked() <= settings_.resume_bytes) {
       above_resume_ = false;
       on_drained = on_drained_;
@@ -198,7 +254,14 @@
 
 std::function<void()> HttpConnection::MarkGone() {
   std::lock_guard<std::mutex> lock(mutex_);
-  if (!std::exchange(gone_, true) && fd_ >= 0) {
+  const bool was_gone = std::exchange(gone_, true);
+  if (!was_gone) {
+    // Later the server, which owns the account, may be gone, too.
+    held_->Remove(id_);
+    std::string().swap(unsent_);
+    sent_ = 0;
+  }
+  if (!was_gone && fd_ >= 0) {
     // Pistache's descriptor keeps the socket open, so closing this duplicate
     // does not remove it from the poller.
     poller_->Remove(fd_);
@@ -216,8 +279,7 @@
   }
   if (OutstandingLocked() > 0 &&
       now - last_progress_ > settings_.stall_time_limit) {
-    dropped_ = true;
-    ShutdownLocked(SHUT_RDWR);
+    DropLocked();
     return ConnectionCheckResult::kSlowReader;
   }
   if (closing_ && OutstandingLocked() == 0 &&
@@ -244,7 +306,18 @@
 
 void HttpConnection::Abort() {
   std::lock_guard<std::mutex> lock(mutex_);
+  DropLocked();
+}
+
+void HttpConnection::DropLocked() {
   dropped_ = true;
+  std::string().swap(unsent_);
+  sent_ = 0;
+  held_->Remove(id_);
+  if (fd_ >= 0) {
+    const linger reset{.l_onoff = 1, .l_linger = 0};
+    ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  }
   ShutdownLocked(SHUT_RDWR);
 }
 
--- a/src/libs/http_server/http_connection.h
+++ b/src/libs/http_server/http_connection.h
@@ -8,10 +8,12 @@
 #include <string>
 #include <string_view>
 
+#include "libs/http_server/held_memory.h"
 #include "libs/http_server/http_head_scanner.h"
 #include "libs/http_server/http_server.h"
 #include "libs/http_server/write_poller.h"
 #include "libs/kernel/time.h"
+#include "libs/limits/connection_choice.h"
 
 namespace flamingogauge {
 
@@ -30,10 +32,14 @@
 // when other connections have queued writes.
 class HttpConnection {
  public:
-  // Duplicates `fd`. `id` identifies the connection in the poller.
+  // Duplicates `fd`. `id` identifies the connection in the poller and in
+  // `held`. `relieve` is called without a lock after more has been written than
+  // the caller reads; it may close this connection and others.
   HttpConnection(int fd,
                  std::uint64_t id,
                  WritePoller* poller,
+                 HeldMemory* held,
+                 std::function<void()> relieve,
                  const HttpServerSettings& settings);
   HttpConnection(const HttpConnection&) = delete;
   HttpConnection& operator=(const HttpConnection&) = delete;
@@ -47,6 +53,8 @@
   std::uint64_t StartExchange(bool close_after_answer);
   bool HasExchange() const;
   bool IsClosing() const;
+  // Returns true once the connection has been shut down at once.
+  bool IsDropped() const;
   // Returns true while a response is in progress or partly unsent.
   bool IsBusy() const;
   bool ClosesAfterAnswer() const;
@@ -66,6 +74,13 @@
 
   std::size_t Outstanding() const;
 
+  // States what is held of the request that is received or handled, in bytes.
+  void SetHeldInput(std::size_t bytes);
+  void SetHeldRequest(std::size_t bytes);
+
+  // What the connection is occupied with.
+  ConnectionActivity Activity() const;
+
   // Records that bytes of a request arrived, and whether its head is complete.
   void NoteInput(bool head_complete, MonotonicTime now);
   // Closes the connection after the current or next response, for example
@@ -88,6 +103,10 @@
  private:
   void EndAnswerLocked(AnswerEnd end);
   void ShutdownLocked(int how);
+  // Shuts down the connection and frees what is held for it. The caller sees a
+  // reset, so that a part of a response does not look complete.
+  void DropLocked();
+  void AccountUnsentLocked();
   std::size_t OutstandingLocked() const { return unsent_.size() - sent_; }
   void AppendLocked(std::string_view bytes);
   // Sends as much as the socket accepts and arms the poller for the rest.
@@ -95,6 +114,8 @@
 
   const std::uint64_t id_;
   WritePoller* const poller_;
+  HeldMemory* const held_;
+  const std::function<void()> relieve_;
   const HttpServerSettings settings_;
 
   mutable std::mutex mutex_;
--- a/src/libs/http_server/http_server.cc
+++ b/src/libs/http_server/http_server.cc
@@ -60,14 +60,35 @@
 struct ConnectionData {
   ConnectionData(const Pistache::Tcp::Peer& peer,
                  WritePoller* poller,
+                 HeldMemory* held,
+                 std::function<void()> relieve,
                  const HttpServerSettings& settings)
       : connection(std::make_shared<HttpConnection>(peer.fd(),
                                                     peer.getID(),
                                                     poller,
+                                                    held,
+                                                    std::move(relieve),
                                                     settings)),
         parser(settings.max_request_bytes) {}
 
+  // Prepares for the next request. To be called with the lock on the parser.
+  void ResetParser() {
+    // The parser's own reset keeps the memory of the body.
+    { const Http::Request old = std::move(parser.request); }
+    parser.reset();
+  }
+
+  // Frees what has been received of a request, unless a thread is just parsing
+  // it, which then does so itself.
+  void FreeInput() {
+    std::unique_lock<std::mutex> lock(parser_mutex, std::try_to_lock);
+    if (lock.owns_lock()) {
+      ResetParser();
+    }
+  }
+
   const std::shared_ptr<HttpConnection> connection;
+  std::mutex parser_mutex;
   Http::RequestParser parser;
   HttpHeadScanner scanner;
   bool continue_sent = false;
@@ -78,7 +99,8 @@
   Impl(HttpServerSettings settings, Handler handler, ErrorFormat error_format)
       : settings_(std::move(settings)),
         handler_(std::move(handler)),
-        error_format_(std::move(error_format)) {}
+        error_format_(std::move(error_format)),
+        held_(settings_.max_held_bytes) {}
 
   Result<void> Start();
   void Drain(std::function<void()> done);
@@ -91,6 +113,11 @@
   ConnectionData* Add(const std::shared_ptr<Pistache::Tcp::Peer>& peer);
   void Remove(const std::shared_ptr<Pistache::Tcp::Peer>& peer);
   void ReleaseDisconnectedPeers();
+  // Closes connections until what is held is within the bound.
+  void RelieveMemory();
+  // Closes connections if as many are open as are allowed. Returns false if all
+  // are occupied with requests.
+  bool MakeRoomLocked();
   void Handle(const Http::Request& request, ConnectionData& data);
   void Reject(ConnectionData& data, int status, const std::string& text);
 
@@ -106,10 +133,12 @@
   const ErrorFormat error_format_;
   std::unique_ptr<Http::Endpoint> endpoint_;
   std::uint16_t port_ = 0;
+  // Destroyed after the connections, which use it.
+  HeldMemory held_;
   mutable std::mutex mutex_;
   WritePoller poller_;
   bool stopping_ = false;
-  std::unordered_map<std::size_t, std::unique_ptr<ConnectionData>> connections_;
+  std::unordered_map<std::size_t, std::shared_ptr<ConnectionData>> connections_;
   // Peers whose connection has ended. Pistache's accepting thread may still
   // reference them; they are kept until no other reference exists, so that they
   // are destroyed on this object's thread and after the worker's last use.
@@ -172,10 +201,18 @@
 
  private:
   void Parse(ConnectionData& data, std::string_view bytes) {
-    Http::RequestParser& parser = data.parser;
     data.scanner.Feed(bytes);
     data.connection->NoteInput(data.scanner.head_complete(),
                                std::chrono::steady_clock::now());
+    // Pistache keeps the bytes and a copy of the body.
+    data.connection->SetHeldInput(2 * data.scanner.received_bytes());
+    server_->RelieveMemory();
+    const std::lock_guard<std::mutex> lock(data.parser_mutex);
+    Http::RequestParser& parser = data.parser;
+    if (data.connection->IsClosing()) {
+      data.ResetParser();
+      return;
+    }
     try {
       if (!parser.feed(bytes.data(), bytes.size())) {
         server_->Reject(
@@ -187,8 +224,9 @@
       }
       if (parser.parse() == Http::Private::State::Done) {
         server_->Handle(parser.request, data);
-        parser.reset();
+        data.ResetParser();
         data.scanner.Reset();
+        data.connection->SetHeldInput(0);
         data.continue_sent = false;
       } else if (data.scanner.head_complete() &&
                  parser.step()->id() == Http::Private::RequestLineStep::Id) {
@@ -344,14 +382,14 @@
 
 ConnectionData* HttpServer::Impl::Add(
     const std::shared_ptr<Pistache::Tcp::Peer>& peer) {
-  auto owned = std::make_unique<ConnectionData>(*peer, &poller_, settings_);
+  auto owned = std::make_shared<ConnectionData>(
+      *peer, &poller_, &held_, [this] { RelieveMemory(); }, settings_);
   ConnectionData* data = owned.get();
   bool accepted = false;
   {
     std::lock_guard<std::mutex> lock(mutex_);
-    accepted = !stopping_ && data->connection->IsOpen() &&
-               connections_.size() < settings_.max_connections;
-    connections_[peer->getID()] = std::move(owned);
+    accepted = !stopping_ && data->connection->IsOpen() && MakeRoomLocked();
+    connections_[peer->getID()] = owned;
     counts_.rejected += accepted ? 0 : 1;
   }
   if (!accepted) {
@@ -361,9 +399,54 @@
   return data;
 }
 
+bool HttpServer::Impl::MakeRoomLocked() {
+  if (connections_.size() < settings_.max_connections) {
+    return true;
+  }
+  // Those that are being closed are on the list until Pistache has done so.
+  std::vector<ConnectionActivity> activities;
+  for (const auto& [id, it] : connections_) {
+    if (!it->connection->IsDropped()) {
+      activities.push_back(it->connection->Activity());
+    }
+  }
+  if (activities.size() < settings_.max_connections) {
+    return true;
+  }
+  const std::vector<std::uint64_t> chosen =
+      ChooseConnectionsToClose(std::move(activities));
+  for (const std::uint64_t id : chosen) {
+    connections_.at(id)->connection->Abort();
+  }
+  counts_.closed_for_room += chosen.size();
+  return !chosen.empty();
+}
+
+void HttpServer::Impl::RelieveMemory() {
+  const std::vector<std::uint64_t> chosen = held_.TakeToClose();
+  if (chosen.empty()) {
+    return;
+  }
+  std::vector<std::shared_ptr<ConnectionData>> connections;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    counts_.closed_for_memory += chosen.size();
+    for (const std::uint64_t id : chosen) {
+      const auto found = connections_.find(id);
+      if (found != connections_.end()) {
+        connections.push_back(found->second);
+      }
+    }
+  }
+  for (const auto& it : connections) {
+    it->connection->Abort();
+    it->FreeInput();
+  }
+}
+
 void HttpServer::Impl::Remove(
     const std::shared_ptr<Pistache::Tcp::Peer>& peer) {
-  std::unique_ptr<ConnectionData> removed;
+  std::shared_ptr<ConnectionData> removed;
   std::lock_guard<std::mutex> lock(mutex_);
   disconnected_peers_.push_back(peer);
   const auto found = connections_.find(peer->getID());
@@ -391,6 +474,7 @@
                       LowerCase(converted.Header("connection")).find("close") !=
                           std::string::npos;
   const std::uint64_t number = data.connection->StartExchange(closes);
+  data.connection->SetHeldRequest(converted.body.size());
   {
     std::lock_guard<std::mutex> lock(mutex_);
     ++counts_.requests;
@@ -421,6 +505,7 @@
   std::lock_guard<std::mutex> lock(mutex_);
   HttpServerCounts counts = counts_;
   counts.connections = connections_.size();
+  counts.held_bytes = held_.total();
   return counts;
 }
 
--- a/src/libs/http_server/http_server.h
+++ b/src/libs/http_server/http_server.h
@@ -21,7 +21,10 @@
   int threads = 2;
   // Maximum size of the head and body of one request.
   std::size_t max_request_bytes = 4U << 20U;
+  // Each uses two descriptors. With a further one, idle ones are closed.
   std::size_t max_connections = 8192;
+  // Bound on what is held for all connections: requests and unread responses.
+  std::size_t max_held_bytes = std::size_t{256} << 20U;
   // Unsent bytes above which a caller is disconnected, and at or below which
   // `on_drained` of its exchange is called.
   std::size_t max_outstanding_bytes = 1U << 20U;
@@ -56,6 +59,11 @@
   std::uint64_t dropped_slow_readers = 0;
   std::uint64_t timed_out = 0;
   std::uint64_t rejected = 0;
+  // Connections closed because of max_held_bytes and of max_connections.
+  std::uint64_t closed_for_memory = 0;
+  std::uint64_t closed_for_room = 0;
+  // Bytes held for all connections.
+  std::uint64_t held_bytes = 0;
 };
 
 // An HTTP/1.1 server on Pistache. Its handler runs on Pistache's threads and
--- a/src/plugins/callers/callers_plugin.cc
+++ b/src/plugins/callers/callers_plugin.cc
@@ -100,7 +100,10 @@
          ",\"dropped_slow_readers\":" +
          std::to_string(counts.dropped_slow_readers) +
          ",\"timed_out\":" + std::to_string(counts.timed_out) +
-         ",\"rejected\":" + std::to_string(counts.rejected) + "}";
+         ",\"rejected\":" + std::to_string(counts.rejected) +
+         ",\"closed_for_memory\":" + std::to_string(counts.closed_for_memory) +
+         ",\"closed_for_room\":" + std::to_string(counts.closed_for_room) +
+         ",\"held_bytes\":" + std::to_string(counts.held_bytes) + "}";
 }
 
 }  // namespace flamingogauge
--- a/src/plugins/callers/callers_settings.cc
+++ b/src/plugins/callers/callers_settings.cc
@@ -2,7 +2,10 @@
 
 #include <gflags/gflags.h>
 
+#include <algorithm>
+
 #include "libs/kernel/setting_range.h"
+#include "libs/limits/host_limits.h"
 
 namespace {
 
@@ -24,6 +27,11 @@
 DEFINE_uint64(callers_max_outstanding_bytes,
               kDefaults.max_outstanding_bytes,
               "unread bytes above which a caller is disconnected");
+DEFINE_double(
+    callers_held_memory_share,
+    0.25,
+    "share of --host_memory_mb that may be held for callers: requests "
+    "and unread responses");
 DEFINE_uint32(
     callers_head_time_limit_ms,
     kDefaults.head_time_limit.count(),
@@ -45,7 +53,13 @@
   server.address = FLAGS_callers_address;
   server.threads = static_cast<int>(FLAGS_callers_threads);
   server.max_request_bytes = FLAGS_callers_max_request_bytes;
-  server.max_connections = FLAGS_callers_max_connections;
+  const HostLimits limits = HostLimitsFromFlags();
+  server.max_connections = std::min<std::size_t>(
+      FLAGS_callers_max_connections,
+      std::max<std::size_t>(1, limits.MaxCallerConnections() / 2));
+  server.max_held_bytes =
+      static_cast<std::size_t>(static_cast<double>(limits.memory_bytes) *
+                               FLAGS_callers_held_memory_share);
   server.max_outstanding_bytes = FLAGS_callers_max_outstanding_bytes;
   server.head_time_limit = milliseconds(FLAGS_callers_head_time_limit_ms);
   server.request_time_limit = milliseconds(FLAGS_callers_request_time_limit_ms);
@@ -58,11 +72,18 @@
   const HttpServerSettings& server = settings.server;
   constexpr double kHour = 3600000;
   constexpr double kGibibyte = 1U << 30U;
+  Result<void> limits = CheckHostLimitFlags();
+  if (!limits) {
+    return limits;
+  }
   Result<void> checked = CheckSettingRanges({
+      RangeOf("callers_held_memory_share", FLAGS_callers_held_memory_share,
+              0.05, 0.8),
       RangeOf("callers_threads", server.threads, 1, 64),
       RangeOf("callers_max_request_bytes", server.max_request_bytes, 1024,
               kGibibyte),
-      RangeOf("callers_max_connections", server.max_connections, 1, 1U << 20U),
+      RangeOf("callers_max_connections", FLAGS_callers_max_connections, 1,
+              1U << 20U),
       RangeOf("callers_max_outstanding_bytes", server.max_outstanding_bytes,
               static_cast<double>(server.resume_bytes), kGibibyte),
       RangeOf("callers_head_time_limit_ms", server.head_time_limit, 1, kHour),
--- a/src/plugins/operators/operators_plugin.cc
+++ b/src/plugins/operators/operators_plugin.cc
@@ -4,11 +4,13 @@
 #include <openssl/sha.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "libs/limits/host_limits.h"
 #include "plugins/operators/query_string.h"
 
 namespace flamingogauge {
@@ -20,6 +22,12 @@
 constexpr char kJsonType[] = "application/json";
 constexpr char kTextType[] = "text/plain; charset=utf-8";
 constexpr std::size_t kMaxListedMembers = 500;
+constexpr std::size_t kMaxDocumentBytes = std::size_t{16} << 20U;
+// Operators are few; most of a host's sockets and memory is for callers.
+constexpr std::size_t kConnectionFraction = 16;
+constexpr std::size_t kMinConnections = 8;
+constexpr std::size_t kMaxConnections = 256;
+constexpr std::size_t kHeldFraction = 8;
 constexpr std::string_view kQuarantinePath = "/quarantine/";
 
 Digest Hash(std::string_view text) {
@@ -78,12 +86,19 @@
   if (!found) {
     return found;
   }
+  const HostLimits limits = HostLimitsFromFlags();
   server_ = std::make_unique<HttpServer>(
-      HttpServerSettings{.address = settings_.address,
-                         .threads = 1,
-                         .max_request_bytes = 16U << 20U,
-                         .max_connections = 256,
-                         .max_outstanding_bytes = 32U << 20U},
+      HttpServerSettings{
+          .address = settings_.address,
+          .threads = 1,
+          .max_request_bytes = kMaxDocumentBytes,
+          .max_connections =
+              std::clamp(limits.MaxCallerConnections() / kConnectionFraction,
+                         kMinConnections, kMaxConnections),
+          // A document is received, or read by an operator.
+          .max_held_bytes = std::max(limits.memory_bytes / kHeldFraction,
+                                     2 * kMaxDocumentBytes),
+          .max_outstanding_bytes = 2 * kMaxDocumentBytes},
       [this](const HttpRequest& request,
              const std::shared_ptr<HttpExchange>& exchange) {
         Handle(request, exchange);
