--- a/src/libs/rollouts/evidence_pool.h
+++ b/src/libs/rollouts/evidence_pool.h
@@ -2,11 +2,11 @@
 #define FLAMINGOGAUGE_LIBS_ROLLOUTS_EVIDENCE_POOL_H_
 
 #include <chrono>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "libs/kernel/time.h"
@@ -42,7 +42,10 @@
     // 0 for the old versions.
     std::uint64_t upstream = 0;
 
-    auto operator<=>(const Key&) const = default;
+    bool operator<(const Key& other) const {
+      return std::tie(order, route, upstream) <
+             std::tie(other.order, other.route, other.upstream);
+    }
   };
   using Counts = std::map<Key, EvidenceCount>;
 
--- a/src/libs/rollouts/rollout_judge.cc
+++ b/src/libs/rollouts/rollout_judge.cc
@@ -19,6 +19,8 @@
 constexpr double kSlowMargin = 0.15;
 constexpr double kDeviations = 4;
 constexpr double kMinBadAnswers = 5;
+// The first answers to come are often the failures, which take less time.
+constexpr double kMinAnswers = 12;
 // If all answers come from one upstream, its own faults cannot be told from
 // those of its version, so that more are needed.
 constexpr double kMinBadAnswersOfOne = 12;
@@ -138,7 +140,7 @@
 }
 
 bool Exceeds(const Tally& tally, double margin, double min_bad) {
-  return tally.bad >= min_bad &&
+  return tally.answers >= kMinAnswers && tally.bad >= min_bad &&
          tally.Share(tally.bad) >= tally.Share(tally.expected) + margin &&
          tally.bad >=
              tally.expected + kDeviations * std::sqrt(tally.variance) + 1.5;
