--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -1,7 +1,6 @@
 #include "libs/dispatching/dispatcher.h"
 
 #include <algorithm>
-#include <limits>
 #include <set>
 #include <utility>
 
@@ -12,22 +11,6 @@
 
 using std::chrono::milliseconds;
 
-// Prefill rate of an average engine, in prompt tokens per second.
-constexpr double kPrefillTokensPerSecond = 55000;
-// Cost of the traffic to another data centre or region, expressed in seconds of
-// waiting time.
-constexpr double kOtherDataCentreCost = 0.03;
-constexpr double kOtherRegionCost = 0.08;
-// Cost of a fully loaded upstream, in seconds.
-constexpr double kLoadCost = 0.1;
-// Cost of an upstream that fails every request, in seconds.
-constexpr double kFailureCost = 1.0;
-// Random cost in seconds that keeps hosts that see the same load from all
-// choosing the same upstream.
-constexpr double kJitter = 0.01;
-// Cost of each second of expected output; steers long outputs to fast
-// upstreams.
-constexpr double kOutputCost = 0.08;
 // Expected time from placement to the first event on an upstream of normal
 // speed.
 constexpr milliseconds kFirstEventTime{150};
@@ -40,20 +23,6 @@
 // do not retry at the same time.
 constexpr double kRetryAfterSpread = 0.5;
 
-// The mean event interval of the upstreams that have a measurement, in seconds;
-// 0 if there is none.
-double MeanEventInterval(const std::vector<UpstreamView*>& upstreams) {
-  double sum = 0;
-  int count = 0;
-  for (const UpstreamView* it : upstreams) {
-    if (it->event_interval_seconds() > 0) {
-      sum += it->event_interval_seconds();
-      ++count;
-    }
-  }
-  return count == 0 ? 0 : sum / count;
-}
-
 }  // namespace
 
 std::uint64_t PeerUpstreamKey(const std::string& upstream) {
@@ -61,7 +30,12 @@
 }
 
 Dispatcher::Dispatcher(DispatcherOptions options)
-    : options_(std::move(options)), random_(options_.seed) {}
+    : options_(std::move(options)),
+      random_(options_.seed),
+      placement_({.data_centre = options_.data_centre,
+                  .regions = options_.regions,
+                  .tokens_per_event = options_.tokens_per_event,
+                  .seed = options_.seed}) {}
 
 void Dispatcher::SetUpstreams(const std::vector<UpstreamEntry>& upstreams,
                               MonotonicTime now) {
@@ -231,74 +205,11 @@
     }
   }
   if (healthy.empty() && suspect.empty()) {
-    return ChooseAmong(tried, request, now);
+    return placement_.ChooseAmong(tried, request, now);
   }
   // As long as the service has a healthy upstream, requests wait for it instead
   // of going to a suspect one. If all upstreams are suspect, all are tried.
-  return ChooseAmong(has_healthy ? healthy : suspect, request, now);
-}
-
-UpstreamView* Dispatcher::ChooseAmong(
-    const std::vector<UpstreamView*>& upstreams,
-    const WaitingRequest& request,
-    MonotonicTime now) const {
-  const double mean_event_interval = MeanEventInterval(upstreams);
-  UpstreamView* best = nullptr;
-  double best_cost = std::numeric_limits<double>::infinity();
-  for (UpstreamView* it : upstreams) {
-    if (it->running() >= it->Limit()) {
-      continue;
-    }
-    const double cost = Cost(*it, request, mean_event_interval, now);
-    if (cost < best_cost) {
-      best_cost = cost;
-      best = it;
-    }
-  }
-  return best;
-}
-
-double Dispatcher::Cost(const UpstreamView& upstream,
-                        const WaitingRequest& request,
-                        double mean_event_interval,
-                        MonotonicTime now) const {
-  const double slowness =
-      mean_event_interval > 0 && upstream.event_interval_seconds() > 0
-          ? upstream.event_interval_seconds() / mean_event_interval
-          : 1.0;
-  const double cached = upstream.CachedTokens(request, now);
-  const double prefill =
-      std::max(0.0, request.prompt_tokens - cached) / kPrefillTokensPerSecond;
-  const double load =
-      static_cast<double>(upstream.running()) / upstream.entry().slots;
-  double cost = slowness * (prefill + load * kLoadCost + mean_event_interval);
-  cost += OutputSeconds(upstream, request, mean_event_interval) * kOutputCost;
-  cost += DistanceCost(upstream.entry());
-  cost += upstream.FailureShare(now) * kFailureCost;
-  cost += random_.NextDouble() * kJitter;
-  return cost;
-}
-
-double Dispatcher::OutputSeconds(const UpstreamView& upstream,
-                                 const WaitingRequest& request,
-                                 double mean_event_interval) const {
-  const double event_interval = upstream.event_interval_seconds() > 0
-                                    ? upstream.event_interval_seconds()
-                                    : mean_event_interval;
-  return request.expected_output_tokens / options_.tokens_per_event *
-         event_interval;
-}
-
-double Dispatcher::DistanceCost(const UpstreamEntry& upstream) const {
-  if (upstream.data_centre == options_.data_centre) {
-    return 0;
-  }
-  const auto own = options_.regions.find(options_.data_centre);
-  const auto other = options_.regions.find(upstream.data_centre);
-  const bool same_region = own != options_.regions.end() &&
-                           other != options_.regions.end() &&
-                           own->second == other->second;
-  return same_region ? kOtherDataCentreCost : kOtherRegionCost;
+  return placement_.ChooseAmong(has_healthy ? healthy : suspect, request, now);
 }
 
 double Dispatcher::PerSecond(std::deque<MonotonicTime>& times,
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -11,6 +11,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "libs/dispatching/placement_cost.h"
 #include "libs/dispatching/upstream_view.h"
 #include "libs/dispatching/version_gate.h"
 #include "libs/dispatching/waiting_request.h"
@@ -53,7 +54,7 @@
 
   // Replaces the region of each data centre.
   void SetRegions(std::map<std::string, std::string> regions) {
-    options_.regions = std::move(regions);
+    placement_.SetRegions(std::move(regions));
   }
 
   // How long the newest report of a host stays valid.
@@ -143,24 +144,10 @@
   std::vector<WaitingRequest*> WaitingInOrder(MonotonicTime now);
   bool GateAdmits(const UpstreamEntry& upstream, MonotonicTime now) const;
   UpstreamView* Choose(const WaitingRequest& request, MonotonicTime now);
-  UpstreamView* ChooseAmong(const std::vector<UpstreamView*>& upstreams,
-                            const WaitingRequest& request,
-                            MonotonicTime now) const;
-  // The expected cost of a placement, in seconds. `mean_event_interval` is the
-  // mean over the candidate upstreams.
-  double Cost(const UpstreamView& upstream,
-              const WaitingRequest& request,
-              double mean_event_interval,
-              MonotonicTime now) const;
-  double DistanceCost(const UpstreamEntry& upstream) const;
-  // Expected duration of the output on `upstream`, in seconds, from the
-  // caller's estimate of its length.
-  double OutputSeconds(const UpstreamView& upstream,
-                       const WaitingRequest& request,
-                       double mean_event_interval) const;
 
   DispatcherOptions options_;
-  mutable Random random_;
+  Random random_;
+  PlacementCost placement_;
   std::map<std::string, UpstreamView> upstreams_;
   // Point into `upstreams_`.
   std::unordered_map<std::string, std::vector<UpstreamView*>> by_service_;
--- /dev/null
+++ b/src/libs/dispatching/placement_cost.h
@@ -0,0 +1,62 @@
+#ifndef FLAMINGOGAUGE_LIBS_DISPATCHING_PLACEMENT_COST_H_
+#define FLAMINGOGAUGE_LIBS_DISPATCHING_PLACEMENT_COST_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "libs/dispatching/upstream_view.h"
+#include "libs/dispatching/waiting_request.h"
+#include "libs/kernel/random.h"
+#include "libs/kernel/time.h"
+
+namespace flamingogauge {
+
+struct PlacementCostOptions {
+  // The data centre of the deciding host.
+  std::string data_centre;
+  // The region of each data centre.
+  std::map<std::string, std::string> regions;
+  // Average number of output tokens per stream event.
+  double tokens_per_event = 6;
+  std::uint64_t seed = 1;
+};
+
+// Compares the upstreams that a request may go to by where it is expected to
+// end first, at the least cost for others.
+class PlacementCost {
+ public:
+  explicit PlacementCost(PlacementCostOptions options);
+
+  // Replaces the region of each data centre.
+  void SetRegions(std::map<std::string, std::string> regions) {
+    options_.regions = std::move(regions);
+  }
+
+  // Returns the cheapest of the upstreams that have a free place, or null.
+  UpstreamView* ChooseAmong(const std::vector<UpstreamView*>& upstreams,
+                            const WaitingRequest& request,
+                            MonotonicTime now);
+
+ private:
+  // The expected cost of a placement, in seconds. `mean_event_interval` is the
+  // mean over the candidate upstreams.
+  double Cost(const UpstreamView& upstream,
+              const WaitingRequest& request,
+              double mean_event_interval,
+              MonotonicTime now);
+  double DistanceCost(const UpstreamEntry& upstream) const;
+  // Expected duration of the output on `upstream`, in seconds, from the
+  // caller's estimate of its length.
+  double OutputSeconds(const UpstreamView& upstream,
+                       const WaitingRequest& request,
+                       double mean_event_interval) const;
+
+  PlacementCostOptions options_;
+  Random random_;
+};
+
+}  // namespace flamingogauge
+
+#endif  // FLAMINGOGAUGE_LIBS_DISPATCHING_PLACEMENT_COST_H_
