dispatching: learn how many requests an upstream answers at a time

An upstream that had just started got all its slots in one moment, and one whose connection broke got a single request until that one had been served to its end, seconds later, and then all slots at once. Its pace now begins with 2 requests (1 after a broken connection), adds one for each answer that begins as promised, and halves when answers begin late, it refuses for lack of room or fails most requests. What is promised follows from the prompt's length on the service and from the upstream's own speed, so that a slow upstream keeps its pace. Hosts report first events at once; coordinators exchange the paces that changed lately, 16 at most, five times a second.

A coordinator leaves a part of the free places of other data centres to the coordinators that see the same ones.

--gateway_upstream_start_requests=0 turns it off.

--- a/src/app/settings_reloader.cc
+++ b/src/app/settings_reloader.cc
@@ -17,16 +17,18 @@
 
 // Flags that take effect only after a restart: the names and addresses by which
 // other processes identify this one, and the options of the object store
-// client, which is created once.
+// client and of the dispatchers, which are created once.
 const std::set<std::string>& RestartFlags() {
-  static const std::set<std::string> kFlags = {"host_name",
-                                               "host_data_centre",
-                                               "host_report_address",
-                                               "gateway_listen_address",
-                                               "gateway_status_address",
-                                               "fleet_store_address",
-                                               "fleet_store_call_time_limit_ms",
-                                               "fleet_store_calls_per_second"};
+  static const std::set<std::string> kFlags = {
+      "host_name",
+      "host_data_centre",
+      "host_report_address",
+      "gateway_listen_address",
+      "gateway_status_address",
+      "gateway_upstream_start_requests",
+      "fleet_store_address",
+      "fleet_store_call_time_limit_ms",
+      "fleet_store_calls_per_second"};
   return kFlags;
 }
 
--- a/src/libs/coordination/coordinator.cc
+++ b/src/libs/coordination/coordinator.cc
@@ -15,6 +15,20 @@
 // How long a silent host's consumption is kept apart from that of others, so
 // that it can continue where it was.
 constexpr std::chrono::seconds kHostRetention{60};
+// Bounds the bytes that paces take in messages: so many, so often. A change is
+// repeated for as long as kPaceRepetition, as messages may be lost.
+constexpr std::size_t kMaxPaces = 16;
+constexpr milliseconds kPaceInterval{200};
+constexpr milliseconds kPaceRepetition{500};
+
+// Returns whether an interval has passed since `last`, and restarts it then.
+bool IsDue(MonotonicTime& last, milliseconds interval, MonotonicTime now) {
+  if (now - last < interval) {
+    return false;
+  }
+  last = now;
+  return true;
+}
 
 }  // namespace
 
@@ -99,6 +113,11 @@
     }
     host.last_result = it.number;
     queue_.RecordResult(it.upstream, it.result, now);
+    if (it.first_event.count() > 0) {
+      queue_.OnFirstEvent(it.upstream,
+                          std::chrono::duration_cast<Duration>(it.first_event),
+                          it.prompt_tokens, now);
+    }
     if (it.event_interval.count() > 0) {
       if (const UpstreamView* upstream = queue_.FindByPeerKey(it.upstream)) {
         queue_.OnEventInterval(upstream->entry().id, it.event_interval);
@@ -269,6 +288,32 @@
   known = {.report = report, .heard_at = now};
   queue_.OnPeerLoad("data centre " + report.data_centre, report.running, now);
   remote_usage_.Record(report.coordinator, report.process, report.usage);
+  for (const UpstreamPaceReport& it : report.paces) {
+    queue_.OnPaceReport(it.upstream, it.requests, now - it.age, now);
+  }
+}
+
+std::vector<UpstreamPaceReport> Coordinator::ChangedPaces(
+    bool with_reported,
+    MonotonicTime now) const {
+  std::vector<UpstreamPaceReport> paces;
+  for (const auto& [id, upstream] : queue_.upstreams()) {
+    const UpstreamPace& pace = upstream.pace();
+    const bool has_changed =
+        pace.changed_at() && now - *pace.changed_at() <= kPaceRepetition;
+    if (!has_changed || !pace.learned_at() ||
+        (!with_reported && pace.cause() == PaceCause::kReported)) {
+      continue;
+    }
+    paces.push_back({.upstream = PeerUpstreamKey(id),
+                     .requests = pace.requests(),
+                     .age = std::chrono::duration_cast<milliseconds>(
+                         now - *pace.learned_at())});
+    if (paces.size() == kMaxPaces) {
+      break;
+    }
+  }
+  return paces;
 }
 
 int Coordinator::ReachableNearby(MonotonicTime now) const {
@@ -319,6 +364,10 @@
     draining.insert(draining.end(), names.begin(), names.end());
   }
   const int reachable = ReachableHosts(now);
+  std::vector<UpstreamPaceReport> paces;
+  if (to_all && IsDue(paces_summarised_at_, kPaceInterval, now)) {
+    paces = ChangedPaces(true, now);
+  }
   std::vector<AddressedMessage<FleetSummary>> messages;
   for (auto& [name, host] : hosts_) {
     const bool is_served = !host.waiting.empty() || !host.grants.empty();
@@ -331,7 +380,8 @@
                          .sequence = ++host.summary_count,
                          .running = total,
                          .reachable_hosts = reachable,
-                         .draining_hosts = draining};
+                         .draining_hosts = draining,
+                         .paces = paces};
     for (const auto& [key, requests] : host.running) {
       const auto it = summary.running.find(key);
       if (it != summary.running.end() && (it->second -= requests) <= 0) {
@@ -365,6 +415,9 @@
     }
   }
   nearby_usage_.AddTotalExcept("", report.usage);
+  if (IsDue(paces_reported_at_, kPaceInterval, now)) {
+    report.paces = ChangedPaces(false, now);
+  }
   return report;
 }
 
--- a/src/libs/coordination/coordinator.h
+++ b/src/libs/coordination/coordinator.h
@@ -66,10 +66,15 @@
   // Returns the report for the coordinators of other data centres.
   FleetSummary DataCentreReport(MonotonicTime now);
 
+  // Returns the changes of paces since the last call.
+  std::vector<PaceChange> TakePaceChanges() { return queue_.TakePaceChanges(); }
+
   // Drops the requests and grants of hosts that have become silent. Returns
   // their names.
   std::vector<std::string> ExpireHosts(MonotonicTime now);
 
+  // Its queue and its view of the upstreams.
+  const Dispatcher& dispatcher() const { return queue_; }
   std::size_t waiting_count() const { return queue_.waiting_count(); }
   // The number of hosts heard of recently, in all data centres.
   int ReachableHosts(MonotonicTime now) const;
@@ -131,6 +136,10 @@
   bool IsFresh(MonotonicTime heard_at, MonotonicTime now) const {
     return now - heard_at <= lifetime_;
   }
+  // The paces that changed lately, up to a bound; those that another
+  // coordinator reported only if `with_reported`.
+  std::vector<UpstreamPaceReport> ChangedPaces(bool with_reported,
+                                               MonotonicTime now) const;
   int ReachableNearby(MonotonicTime now) const;
   std::vector<std::string> DrainingNearby() const;
 
@@ -145,6 +154,9 @@
   std::unordered_map<std::uint64_t, WaitingTicket> tickets_;
   std::uint64_t next_id_ = 1;
   std::uint64_t report_count_ = 0;
+  // When paces were last part of the messages to hosts and data centres.
+  MonotonicTime paces_summarised_at_;
+  MonotonicTime paces_reported_at_;
 };
 
 }  // namespace flamingogauge
--- a/src/libs/coordination/placer.cc
+++ b/src/libs/coordination/placer.cc
@@ -138,6 +138,19 @@
   local_.OnEventInterval(upstream, event_interval);
 }
 
+void Placer::OnFirstEvent(const std::string& upstream,
+                          Duration took,
+                          double prompt_tokens,
+                          MonotonicTime now) {
+  const std::uint64_t key = PeerUpstreamKey(upstream);
+  AddResult({.upstream = key,
+             .result = DispatchResult::kAbandoned,
+             .first_event = took,
+             .prompt_tokens = prompt_tokens},
+            now);
+  local_.OnFirstEvent(key, took, prompt_tokens, now);
+}
+
 void Placer::OnRetryAfter(const std::string& upstream,
                           milliseconds retry_after,
                           MonotonicTime now) {
@@ -267,6 +280,9 @@
   }
   if (summary.coordinator == Coordinator(now)) {
     local_.OnPeerLoad(kOtherHosts, summary.running, now);
+    for (const UpstreamPaceReport& it : summary.paces) {
+      local_.OnPaceReport(it.upstream, it.requests, now - it.age, now);
+    }
   }
 }
 
--- a/src/libs/coordination/placer.h
+++ b/src/libs/coordination/placer.h
@@ -69,6 +69,11 @@
   void OnEventInterval(const std::string& upstream,
                        std::chrono::duration<double> event_interval,
                        MonotonicTime now);
+  // An answer began `took` after its request was sent.
+  void OnFirstEvent(const std::string& upstream,
+                    Duration took,
+                    double prompt_tokens,
+                    MonotonicTime now);
   // The upstream has asked this host to send it nothing for `retry_after`.
   // Coordinators are told with each request that waits, as they may grant other
   // hosts a place there.
--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -14,6 +14,10 @@
 // Expected time from placement to the first event on an upstream of normal
 // speed.
 constexpr milliseconds kFirstEventTime{150};
+// An answer is late if it begins after this many times the expected time.
+constexpr double kPatience = 4;
+// One that begins within this time is never late.
+constexpr milliseconds kMinPromise{100};
 // Sliding window over which arrivals and placements are counted.
 constexpr std::chrono::seconds kThroughputWindow{2};
 constexpr double kMinPlacementsPerSecond = 1;
@@ -35,7 +39,8 @@
       placement_({.data_centre = options_.data_centre,
                   .regions = options_.regions,
                   .tokens_per_event = options_.tokens_per_event,
-                  .seed = options_.seed}) {}
+                  .seed = options_.seed,
+                  .shares_places = options_.pace.start_requests > 0}) {}
 
 void Dispatcher::SetUpstreams(const std::vector<UpstreamEntry>& upstreams,
                               MonotonicTime now) {
@@ -44,10 +49,11 @@
     listed.insert(it.id);
     const auto known = upstreams_.find(it.id);
     if (known == upstreams_.end()) {
-      upstreams_.emplace(it.id, UpstreamView(it));
+      AddUpstream(it, now);
     } else if (known->second.entry().started_at_ms != it.started_at_ms ||
                known->second.entry().address != it.address) {
-      known->second = UpstreamView(it);
+      upstreams_.erase(known);
+      AddUpstream(it, now);
     } else {
       known->second.SetEntry(it);
     }
@@ -55,10 +61,20 @@
   std::erase_if(upstreams_, [&listed](const auto& it) {
     return !listed.contains(it.first);
   });
+  has_listed_ = has_listed_ || !upstreams.empty();
   IndexUpstreams();
   ExpirePeerReports(now);
 }
 
+// The first list does not tell which upstreams have just started.
+void Dispatcher::AddUpstream(const UpstreamEntry& entry, MonotonicTime now) {
+  const auto it =
+      upstreams_.emplace(entry.id, UpstreamView(entry, options_.pace)).first;
+  if (has_listed_ || entry.cold_remaining.count() > 0) {
+    it->second.OnStarted(now);
+  }
+}
+
 void Dispatcher::IndexUpstreams() {
   by_service_.clear();
   by_peer_key_.clear();
@@ -180,28 +196,61 @@
          options_.version_gate->Admits(upstream.service, upstream.version, now);
 }
 
+PlacementObstacle Dispatcher::FindObstacle(const UpstreamView& upstream,
+                                           const WaitingRequest& request,
+                                           MonotonicTime now) const {
+  if (upstream.entry().draining) {
+    return PlacementObstacle::kDraining;
+  }
+  if (upstream.is_leaving()) {
+    return PlacementObstacle::kLeaving;
+  }
+  if (upstream.has_been_replaced()) {
+    return PlacementObstacle::kReplaced;
+  }
+  if (upstream.IsHeldBack(now)) {
+    return PlacementObstacle::kHeldBack;
+  }
+  if (!GateAdmits(upstream.entry(), now)) {
+    return PlacementObstacle::kVersionNotAdmitted;
+  }
+  const std::vector<std::string>& excluded = request.excluded_upstreams;
+  const bool is_tried = std::find(excluded.begin(), excluded.end(),
+                                  upstream.entry().id) != excluded.end();
+  if (upstream.IsSuspect(now)) {
+    return is_tried ? PlacementObstacle::kTriedAndSuspect
+                    : PlacementObstacle::kSuspect;
+  }
+  if (is_tried) {
+    return PlacementObstacle::kTried;
+  }
+  return upstream.running() >= upstream.Limit(now) ? PlacementObstacle::kFull
+                                                   : PlacementObstacle::kNone;
+}
+
 UpstreamView* Dispatcher::Choose(const WaitingRequest& request,
                                  MonotonicTime now) {
-  std::vector<UpstreamView*> healthy;
-  std::vector<UpstreamView*> suspect;
-  std::vector<UpstreamView*> tried;
   const auto service = by_service_.find(request.service);
   if (service == by_service_.end()) {
     return nullptr;
   }
-  const std::vector<std::string>& excluded = request.excluded_upstreams;
-  bool has_healthy = false;
+  std::vector<UpstreamView*> healthy;
+  std::vector<UpstreamView*> suspect;
+  std::vector<UpstreamView*> tried;
   for (UpstreamView* it : service->second) {
-    if (!it->IsAvailable(now) || !GateAdmits(it->entry(), now)) {
-      continue;
-    }
-    const bool is_suspect = it->IsSuspect(now);
-    has_healthy = has_healthy || !is_suspect;
-    if (std::find(excluded.begin(), excluded.end(), it->entry().id) ==
-        excluded.end()) {
-      (is_suspect ? suspect : healthy).push_back(it);
-    } else if (!is_suspect) {
-      tried.push_back(it);
+    switch (FindObstacle(*it, request, now)) {
+      case PlacementObstacle::kNone:
+      case PlacementObstacle::kFull:
+        healthy.push_back(it);
+        break;
+      case PlacementObstacle::kSuspect:
+        suspect.push_back(it);
+        break;
+      case PlacementObstacle::kTried:
+        tried.push_back(it);
+        break;
+      default:
+        break;
     }
   }
   if (healthy.empty() && suspect.empty()) {
@@ -209,6 +258,7 @@
   }
   // As long as the service has a healthy upstream, requests wait for it instead
   // of going to a suspect one. If all upstreams are suspect, all are tried.
+  const bool has_healthy = !healthy.empty() || !tried.empty();
   return placement_.ChooseAmong(has_healthy ? healthy : suspect, request, now);
 }
 
@@ -338,6 +388,56 @@
   }
 }
 
+double Dispatcher::SlownessOf(const UpstreamView& upstream) const {
+  const auto service = by_service_.find(upstream.entry().service);
+  const double mean = MeanEventInterval(service->second);
+  const double own = upstream.event_interval_seconds();
+  return mean > 0 && own > 0 ? own / mean : upstream.start_ratio();
+}
+
+// Compares an upstream with what such a prompt takes on the others of its
+// service and with its own speed, so that a slow one does not count as failing.
+void Dispatcher::OnFirstEvent(std::uint64_t upstream_key,
+                              Duration took,
+                              double prompt_tokens,
+                              MonotonicTime now) {
+  const auto it = by_peer_key_.find(upstream_key);
+  if (it == by_peer_key_.end()) {
+    return;
+  }
+  UpstreamView& upstream = *it->second;
+  FirstEventModel& model = first_events_[upstream.entry().service];
+  const double slowness = SlownessOf(upstream);
+  const FirstEventModel::Seconds seconds(took);
+  const auto expected = model.Expect(prompt_tokens);
+  const bool is_on_time =
+      !expected || seconds <= std::max(FirstEventModel::Seconds(kMinPromise),
+                                       *expected * slowness * kPatience);
+  const double ratio = expected ? seconds / *expected : 1.0;
+  model.Add(prompt_tokens, seconds / slowness);
+  upstream.OnAnswer(is_on_time, took, ratio, now);
+}
+
+void Dispatcher::OnPaceReport(std::uint64_t upstream_key,
+                              double requests,
+                              MonotonicTime learned_at,
+                              MonotonicTime now) {
+  const auto it = by_peer_key_.find(upstream_key);
+  if (it != by_peer_key_.end()) {
+    it->second->OnPaceReport(requests, learned_at, now);
+  }
+}
+
+std::vector<PaceChange> Dispatcher::TakePaceChanges() {
+  std::vector<PaceChange> changes;
+  for (auto& [id, upstream] : upstreams_) {
+    if (std::optional<PaceChange> change = upstream.TakePaceChange()) {
+      changes.push_back(std::move(*change));
+    }
+  }
+  return changes;
+}
+
 bool Dispatcher::HasAnyUpstream() const {
   return !upstreams_.empty();
 }
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -11,6 +11,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "libs/dispatching/first_event_model.h"
 #include "libs/dispatching/placement_cost.h"
 #include "libs/dispatching/upstream_view.h"
 #include "libs/dispatching/version_gate.h"
@@ -27,6 +28,7 @@
   // Average number of output tokens per stream event.
   double tokens_per_event = 6;
   std::uint64_t seed = 1;
+  UpstreamPaceOptions pace;
   // Null if upstreams of all versions get requests. Must outlive the
   // dispatcher.
   VersionGate* version_gate = nullptr;
@@ -45,6 +47,23 @@
   std::string reason;
 };
 
+// Why an upstream cannot get a request now.
+enum class PlacementObstacle {
+  kNone,
+  kDraining,
+  kLeaving,
+  kReplaced,
+  // It has asked this host for a pause.
+  kHeldBack,
+  kVersionNotAdmitted,
+  // The request was sent there before.
+  kTried,
+  // It is avoided while another upstream can be used.
+  kSuspect,
+  kTriedAndSuspect,
+  kFull,
+};
+
 // Queues the requests of one host, assigns them to upstreams and refuses those
 // that would wait too long. Each host decides on its own, based on its own load
 // and the load reported by other hosts; it never waits for another host.
@@ -97,11 +116,31 @@
   HealthChange RecordResult(std::uint64_t upstream_key,
                             DispatchResult result,
                             MonotonicTime now);
+  // An answer of this or another host began `took` after its request was sent.
+  void OnFirstEvent(std::uint64_t upstream_key,
+                    Duration took,
+                    double prompt_tokens,
+                    MonotonicTime now);
+  // Another coordinator learned an upstream's pace from an answer at
+  // `learned_at`.
+  void OnPaceReport(std::uint64_t upstream_key,
+                    double requests,
+                    MonotonicTime learned_at,
+                    MonotonicTime now);
   // Sends the upstream no request until then, as it has asked for.
   void HoldBackUntil(const std::string& upstream, MonotonicTime time);
   void OnEventInterval(const std::string& upstream,
                        std::chrono::duration<double> event_interval);
 
+  // Says why an upstream of the request's service cannot get it now.
+  PlacementObstacle FindObstacle(const UpstreamView& upstream,
+                                 const WaitingRequest& request,
+                                 MonotonicTime now) const;
+
+  // Returns the changes of paces since the last call, at most one for each
+  // upstream.
+  std::vector<PaceChange> TakePaceChanges();
+
   // Returns the upstream with this PeerUpstreamKey, or null.
   const UpstreamView* FindByPeerKey(std::uint64_t key) const;
   bool HasAnyUpstream() const;
@@ -127,6 +166,9 @@
   };
 
   void IndexUpstreams();
+  void AddUpstream(const UpstreamEntry& entry, MonotonicTime now);
+  // How much longer than the average upstream of its service it takes.
+  double SlownessOf(const UpstreamView& upstream) const;
   // Adds a host's reported load, multiplied by `sign`, to the upstreams.
   void AddPeerLoad(const std::map<std::uint64_t, int>& running, int sign);
   void ExpirePeerReports(MonotonicTime now);
@@ -160,6 +202,9 @@
   // Waiting requests that Reject() has already assessed.
   std::unordered_set<std::uint64_t> assessed_;
   std::map<std::string, Throughput> throughput_;
+  // By service.
+  std::map<std::string, FirstEventModel> first_events_;
+  bool has_listed_ = false;
 };
 
 // The compact key that identifies an upstream in reports between hosts.
--- a/src/libs/dispatching/placement_cost.cc
+++ b/src/libs/dispatching/placement_cost.cc
@@ -23,9 +23,12 @@
 // Cost of each second of expected output; steers long outputs to fast
 // upstreams.
 constexpr double kOutputCost = 0.08;
+// For each of its requests that are on their way to an upstream of another data
+// centre, a host leaves so many places there to others.
+constexpr double kOthersShare = 2;
+
+}  // namespace
 
-// The mean event interval of the upstreams that have a measurement, in seconds;
-// 0 if there is none.
 double MeanEventInterval(const std::vector<UpstreamView*>& upstreams) {
   double sum = 0;
   int count = 0;
@@ -38,8 +41,6 @@
   return count == 0 ? 0 : sum / count;
 }
 
-}  // namespace
-
 PlacementCost::PlacementCost(PlacementCostOptions options)
     : options_(std::move(options)), random_(options_.seed) {}
 
@@ -51,10 +52,11 @@
   UpstreamView* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
   for (UpstreamView* it : upstreams) {
-    if (it->running() >= it->Limit()) {
+    if (!HasPlace(*it, now)) {
       continue;
     }
-    const double cost = Cost(*it, request, mean_event_interval, now);
+    const double cost = Cost(*it, request, mean_event_interval, now).Total() +
+                        random_.NextDouble() * kJitter;
     if (cost < best_cost) {
       best_cost = cost;
       best = it;
@@ -63,10 +65,20 @@
   return best;
 }
 
-double PlacementCost::Cost(const UpstreamView& upstream,
-                           const WaitingRequest& request,
-                           double mean_event_interval,
-                           MonotonicTime now) {
+bool PlacementCost::HasPlace(const UpstreamView& upstream,
+                             MonotonicTime now) const {
+  const int free = upstream.Limit(now) - upstream.running();
+  if (free <= 0 || !options_.shares_places ||
+      upstream.entry().data_centre == options_.data_centre) {
+    return free > 0;
+  }
+  return upstream.RecentSends(now) * kOthersShare < free;
+}
+
+PlacementCostParts PlacementCost::Cost(const UpstreamView& upstream,
+                                       const WaitingRequest& request,
+                                       double mean_event_interval,
+                                       MonotonicTime now) const {
   const double slowness =
       mean_event_interval > 0 && upstream.event_interval_seconds() > 0
           ? upstream.event_interval_seconds() / mean_event_interval
@@ -76,12 +88,12 @@
       std::max(0.0, request.prompt_tokens - cached) / kPrefillTokensPerSecond;
   const double load =
       static_cast<double>(upstream.running()) / upstream.entry().slots;
-  double cost = slowness * (prefill + load * kLoadCost + mean_event_interval);
-  cost += OutputSeconds(upstream, request, mean_event_interval) * kOutputCost;
-  cost += DistanceCost(upstream.entry());
-  cost += upstream.FailureShare(now) * kFailureCost;
-  cost += random_.NextDouble() * kJitter;
-  return cost;
+  return {.start = slowness * (prefill + mean_event_interval),
+          .load = slowness * load * kLoadCost,
+          .output = OutputSeconds(upstream, request, mean_event_interval) *
+                    kOutputCost,
+          .distance = DistanceCost(upstream.entry()),
+          .failures = upstream.FailureShare(now) * kFailureCost};
 }
 
 double PlacementCost::OutputSeconds(const UpstreamView& upstream,
--- a/src/libs/dispatching/placement_cost.h
+++ b/src/libs/dispatching/placement_cost.h
@@ -21,6 +21,27 @@
   // Average number of output tokens per stream event.
   double tokens_per_event = 6;
   std::uint64_t seed = 1;
+  // Leaves a part of the free places of other data centres to the coordinators
+  // there and elsewhere, who see the same places.
+  bool shares_places = true;
+};
+
+// The mean event interval of the upstreams that have a measurement, in seconds;
+// 0 if there is none.
+double MeanEventInterval(const std::vector<UpstreamView*>& upstreams);
+
+// What a placement is expected to cost, in seconds.
+struct PlacementCostParts {
+  // Until the first event: the prompt, and one event.
+  double start = 0;
+  // Delay by the requests that run there, and of them.
+  double load = 0;
+  double output = 0;
+  // Traffic to another data centre or region.
+  double distance = 0;
+  double failures = 0;
+
+  double Total() const { return start + load + output + distance + failures; }
 };
 
 // Compares the upstreams that a request may go to by where it is expected to
@@ -38,14 +59,15 @@
   UpstreamView* ChooseAmong(const std::vector<UpstreamView*>& upstreams,
                             const WaitingRequest& request,
                             MonotonicTime now);
+  // `mean_event_interval` is the mean over the candidate upstreams, in seconds.
+  PlacementCostParts Cost(const UpstreamView& upstream,
+                          const WaitingRequest& request,
+                          double mean_event_interval,
+                          MonotonicTime now) const;
 
  private:
-  // The expected cost of a placement, in seconds. `mean_event_interval` is the
-  // mean over the candidate upstreams.
-  double Cost(const UpstreamView& upstream,
-              const WaitingRequest& request,
-              double mean_event_interval,
-              MonotonicTime now);
+  // True if the upstream has a place for one more request of this host.
+  bool HasPlace(const UpstreamView& upstream, MonotonicTime now) const;
   double DistanceCost(const UpstreamEntry& upstream) const;
   // Expected duration of the output on `upstream`, in seconds, from the
   // caller's estimate of its length.
--- a/src/libs/dispatching/upstream_view.cc
+++ b/src/libs/dispatching/upstream_view.cc
@@ -13,9 +13,13 @@
 // Weight of the newest sample in the moving averages.
 constexpr double kFailureWeight = 0.2;
 constexpr double kEventIntervalWeight = 0.2;
+constexpr double kStartRatioWeight = 0.2;
+constexpr double kMostRequests = 0.5;
 // Time constant of the exponential decay of the failure share without requests,
 // so that an upstream that has recovered is tried again.
 constexpr double kFailureDecaySeconds = 3.0;
+// The time until the reports of other data centres show a request.
+constexpr double kReportSeconds = 0.06;
 constexpr milliseconds kInitialSuspicion{500};
 constexpr milliseconds kMaxSuspicion{4000};
 // Prompt parts older than this may have been evicted from the upstream's cache.
@@ -24,14 +28,52 @@
 
 }  // namespace
 
-int UpstreamView::Limit() const {
-  if (replaced_ || leaving_) {
-    return 0;
+void UpstreamView::SetEntry(UpstreamEntry entry) {
+  entry_ = std::move(entry);
+  pace_.SetSlots(entry_.slots);
+}
+
+int UpstreamView::Limit(MonotonicTime now) const {
+  return replaced_ || leaving_ ? 0 : pace_.Limit(now);
+}
+
+std::optional<PaceChange> UpstreamView::TakePaceChange() {
+  const int pace = static_cast<int>(pace_.requests());
+  if (pace == noted_pace_) {
+    return std::nullopt;
+  }
+  return PaceChange{.upstream = entry_.id,
+                    .from = std::exchange(noted_pace_, pace),
+                    .to = pace,
+                    .slots = entry_.slots,
+                    .cause = pace_.cause()};
+}
+
+void UpstreamView::OnAnswer(bool is_on_time,
+                            Duration took,
+                            double ratio,
+                            MonotonicTime now) {
+  start_ratio_ = has_start_ratio_ ? start_ratio_ * (1 - kStartRatioWeight) +
+                                        ratio * kStartRatioWeight
+                                  : ratio;
+  has_start_ratio_ = true;
+  // An answer that began before its connection was lost proves nothing.
+  if (!IsSuspect(now)) {
+    pace_.OnAnswer(is_on_time, took, running(), now);
+  }
+}
+
+void UpstreamView::OnPaceReport(double requests,
+                                MonotonicTime learned_at,
+                                MonotonicTime now) {
+  if (!IsSuspect(now)) {
+    pace_.OnReport(requests, learned_at, now);
   }
-  return consecutive_transport_errors_ > 0 ? 1 : entry_.slots;
 }
 
 void UpstreamView::OnSent(const WaitingRequest& request, MonotonicTime now) {
+  recent_sends_ = RecentSends(now) + 1;
+  last_sent_at_ = now;
   ++own_running_;
   for (const PromptPart& it : request.prompt_parts) {
     parts_seen_[it.id] = now;
@@ -41,6 +83,14 @@
   }
 }
 
+double UpstreamView::RecentSends(MonotonicTime now) const {
+  if (recent_sends_ == 0) {
+    return 0;
+  }
+  const std::chrono::duration<double> age = now - last_sent_at_;
+  return recent_sends_ * std::exp(-age.count() / kReportSeconds);
+}
+
 HealthChange UpstreamView::OnEnded(DispatchResult result, MonotonicTime now) {
   Release();
   return RecordResult(result, now);
@@ -48,12 +98,17 @@
 
 void UpstreamView::Release() {
   own_running_ = std::max(0, own_running_ - 1);
+  // Its place is free for another request of this host.
+  recent_sends_ = std::max(0.0, recent_sends_ - 1);
 }
 
 HealthChange UpstreamView::RecordResult(DispatchResult result,
                                         MonotonicTime now) {
-  if (result == DispatchResult::kAbandoned ||
-      result == DispatchResult::kRefused) {
+  if (result == DispatchResult::kRefused) {
+    pace_.OnRefused(now);
+    return HealthChange::kNone;
+  }
+  if (result == DispatchResult::kAbandoned) {
     return HealthChange::kNone;
   }
   if (result == DispatchResult::kLeaving) {
@@ -70,9 +125,14 @@
   failure_updated_ = now;
   if (result != DispatchResult::kTransportError) {
     suspect_until_ = {};
-    return std::exchange(consecutive_transport_errors_, 0) > 0
-               ? HealthChange::kRecovered
-               : HealthChange::kNone;
+    const bool has_recovered =
+        std::exchange(consecutive_transport_errors_, 0) > 0;
+    if (has_recovered) {
+      pace_.OnRecovered(running(), now);
+    } else if (failed && failure_share_ > kMostRequests) {
+      pace_.OnFailing(now);
+    }
+    return has_recovered ? HealthChange::kRecovered : HealthChange::kNone;
   }
   if (IsSuspect(now)) {
     // The requests that a crash or a cut ended together count as one failure.
@@ -83,6 +143,7 @@
   consecutive_transport_errors_ =
       std::min(consecutive_transport_errors_ + 1, 3);
   suspect_until_ = now + suspicion;
+  pace_.OnConnectionLost(now);
   // If the process crashed, its cache is lost.
   parts_seen_.clear();
   return HealthChange::kSuspected;
--- a/src/libs/dispatching/upstream_view.h
+++ b/src/libs/dispatching/upstream_view.h
@@ -4,8 +4,11 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <string>
 #include <unordered_map>
 
+#include "libs/dispatching/upstream_pace.h"
 #include "libs/dispatching/waiting_request.h"
 #include "libs/fleet/upstream_entry.h"
 #include "libs/kernel/time.h"
@@ -44,20 +47,36 @@
   kLeaving,
 };
 
+// A change of the number of requests that an upstream gets at a time.
+struct PaceChange {
+  std::string upstream;
+  int from = 0;
+  int to = 0;
+  int slots = 0;
+  PaceCause cause = PaceCause::kListed;
+};
+
 // One host's view of an upstream: its directory entry, its load and the results
 // of recent requests.
 class UpstreamView {
  public:
-  explicit UpstreamView(UpstreamEntry entry) : entry_(std::move(entry)) {}
+  explicit UpstreamView(UpstreamEntry entry, UpstreamPaceOptions options = {})
+      : entry_(std::move(entry)),
+        pace_(options, entry_.slots),
+        noted_pace_(entry_.slots) {}
 
   const UpstreamEntry& entry() const { return entry_; }
   // Updates the entry; it must belong to the same process.
-  void SetEntry(UpstreamEntry entry) { entry_ = std::move(entry); }
+  void SetEntry(UpstreamEntry entry);
 
-  // Maximum number of concurrent requests over all hosts. It is 1 for an
-  // upstream whose last requests failed with a transport error, and 0 for one
-  // that has been replaced or shuts down.
-  int Limit() const;
+  // Maximum number of concurrent requests over all hosts: its pace, or 0 for
+  // one that has been replaced or shuts down.
+  int Limit(MonotonicTime now) const;
+  const UpstreamPace& pace() const { return pace_; }
+  // Returns how the pace has changed since the last call, if it has.
+  std::optional<PaceChange> TakePaceChange();
+  // Its process has just started.
+  void OnStarted(MonotonicTime now) { pace_.OnStarted(now); }
 
   // Requests in progress there from this host and, as last reported, from other
   // hosts.
@@ -66,11 +85,29 @@
   void SetPeerRunning(int running) { peer_running_ = running; }
 
   void OnSent(const WaitingRequest& request, MonotonicTime now);
+  // The requests of this host that the reports of others may not show yet,
+  // weighted by their age.
+  double RecentSends(MonotonicTime now) const;
   HealthChange OnEnded(DispatchResult result, MonotonicTime now);
   // Ends a request of this host without a result.
   void Release();
   // Updates the health by the result of a request of this or another host.
   HealthChange RecordResult(DispatchResult result, MonotonicTime now);
+  // An answer of this or another host began `took` after its request was sent.
+  // `is_on_time` says whether that is as promised, `ratio` how much longer it
+  // took than on an upstream of normal speed.
+  void OnAnswer(bool is_on_time,
+                Duration took,
+                double ratio,
+                MonotonicTime now);
+  // How much longer its answers take to begin than on an upstream of normal
+  // speed; 1 before the first one.
+  double start_ratio() const { return start_ratio_; }
+  // Another coordinator learned the pace `requests` from an answer at
+  // `learned_at`.
+  void OnPaceReport(double requests,
+                    MonotonicTime learned_at,
+                    MonotonicTime now);
   // `event_interval` is the time between two events of a stream, or the total
   // response time of a plain service.
   void OnEventInterval(std::chrono::duration<double> event_interval);
@@ -80,8 +117,10 @@
   // False if it must not get a request of this host now, however few there are
   // that could.
   bool IsAvailable(MonotonicTime now) const {
-    return !entry_.draining && Limit() > 0 && !IsHeldBack(now);
+    return !entry_.draining && Limit(now) > 0 && !IsHeldBack(now);
   }
+  bool has_been_replaced() const { return replaced_; }
+  bool is_leaving() const { return leaving_; }
   bool IsHeldBack(MonotonicTime now) const { return now < held_back_until_; }
 
   // Estimated number of prompt tokens in the upstream's cache.
@@ -102,8 +141,13 @@
   void RemoveOldParts(MonotonicTime now);
 
   UpstreamEntry entry_;
+  UpstreamPace pace_;
+  // The pace of the last TakePaceChange().
+  int noted_pace_ = 0;
   int own_running_ = 0;
   int peer_running_ = 0;
+  double recent_sends_ = 0;
+  MonotonicTime last_sent_at_;
   int consecutive_transport_errors_ = 0;
   bool replaced_ = false;
   bool leaving_ = false;
@@ -112,6 +156,8 @@
   MonotonicTime suspect_until_;
   MonotonicTime held_back_until_;
   double event_interval_seconds_ = 0;
+  double start_ratio_ = 1;
+  bool has_start_ratio_ = false;
   std::unordered_map<std::uint64_t, MonotonicTime> parts_seen_;
 };
 
--- a/src/plugins/gateway/coordination_node.cc
+++ b/src/plugins/gateway/coordination_node.cc
@@ -49,7 +49,8 @@
 DispatcherOptions QueueOptions(const GatewaySettings& settings) {
   return {.data_centre = settings.data_centre,
           .regions = settings.regions,
-          .seed = ComputeContentHash(settings.host).low};
+          .seed = ComputeContentHash(settings.host).low,
+          .pace = {.start_requests = settings.upstream_start_requests}};
 }
 
 }  // namespace
@@ -276,6 +277,21 @@
   });
 }
 
+void CoordinationNode::LogPaces() {
+  const MonotonicTime now = BootTimeNow();
+  const bool is_in_use = placer_.Coordinator(now) == host_;
+  for (const PaceChange& it : coordinator_.TakePaceChanges()) {
+    if (!is_in_use) {
+      continue;
+    }
+    metrics_.Add("flamingogauge_upstream_pace_changes_total",
+                 Label("cause", ToString(it.cause)));
+    if (pace_log_.Admits(it, now)) {
+      log_.Write(PaceChangeEvent(it));
+    }
+  }
+}
+
 void CoordinationNode::ApplyReply(const CoordinatorMessage& message) {
   placer_.OnCoordinatorMessage(message, BootTimeNow());
   handlers_.on_placed();
@@ -308,6 +324,7 @@
   if (coordinator_.HasHosts(now)) {
     ScheduleSummaries();
   }
+  LogPaces();
   ++summary_rounds_;
   const bool to_all = placer_.Coordinator(now) == host_ ||
                       summary_rounds_ % kStandbySummaryRounds == 0;
--- a/src/plugins/gateway/coordination_node.h
+++ b/src/plugins/gateway/coordination_node.h
@@ -22,6 +22,7 @@
 #include "plugins/gateway/coordination_codec.h"
 #include "plugins/gateway/datagram_socket.h"
 #include "plugins/gateway/gateway_settings.h"
+#include "plugins/gateway/pace_events.h"
 
 namespace flamingogauge {
 
@@ -83,6 +84,8 @@
   // wait.
   void ScheduleRun();
   void RunCoordinator();
+  // Logs what changed the paces of upstreams, while this host coordinates.
+  void LogPaces();
   void SendState(const std::string& coordinator);
   void SendSummaries();
   void SendReport();
@@ -142,6 +145,7 @@
   std::set<std::string> silent_hosts_;
   std::string logged_coordinator_;
   MonotonicTime active_at_;
+  PaceLogFilter pace_log_;
 };
 
 }  // namespace flamingogauge
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -146,6 +146,7 @@
   splitter_.DropPartialEvent();
   boundary_ = EventBoundaryTracker();
   first_body_at_ = {};
+  longest_gap_ = {};
   events_ = 0;
   is_sound_ = false;
   tried_upstreams_.push_back(upstream.id);
@@ -433,7 +434,8 @@
   }
   if (first_body_at_ != MonotonicTime()) {
     line.Milliseconds("first_body_ms", first_body_at_ - accepted_.arrived_at)
-        .Number("events", static_cast<std::int64_t>(events_));
+        .Number("events", static_cast<std::int64_t>(events_))
+        .Milliseconds("longest_gap_ms", longest_gap_);
   }
   if (!reason.empty()) {
     line.Text("reason", reason);
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -176,6 +176,7 @@
   EventBoundaryTracker boundary_;
   MonotonicTime first_body_at_;
   MonotonicTime last_body_at_;
+  Duration longest_gap_{0};
   std::size_t events_ = 0;
   // The upstream has written the response for long enough, or to its end.
   bool is_sound_ = false;
--- a/src/plugins/gateway/exchange_response.cc
+++ b/src/plugins/gateway/exchange_response.cc
@@ -1,5 +1,6 @@
 // The response side of Exchange: receives the upstream's response and relays it
 // to the caller.
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <utility>
@@ -107,7 +108,11 @@
   events_ += CountEvents(part);
   if (first_body_at_ == MonotonicTime()) {
     first_body_at_ = now;
+    last_body_at_ = now;
+    context_.placer.OnFirstEvent(upstream_.id, now - sent_at_,
+                                 accepted_.prompt_tokens, now);
   }
+  longest_gap_ = std::max(longest_gap_, now - last_body_at_);
   last_body_at_ = now;
   if (now - first_body_at_ >= kSoundWritingTime) {
     RecordSound(first_body_at_, now);
@@ -205,6 +210,8 @@
     ReportPace(now);
   } else if (!failed) {
     context_.placer.OnEventInterval(upstream_.id, now - sent_at_, now);
+    context_.placer.OnFirstEvent(upstream_.id, now - sent_at_,
+                                 accepted_.prompt_tokens, now);
   }
   if (head_.status < kFirstErrorStatus) {
     RecordSound(first_body_at_ == MonotonicTime() ? now : first_body_at_, now);
--- a/src/plugins/gateway/gateway_settings.cc
+++ b/src/plugins/gateway/gateway_settings.cc
@@ -38,6 +38,11 @@
 DEFINE_uint32(gateway_report_interval_ms,
               200,
               "interval between load reports to other hosts, in ms");
+DEFINE_uint32(gateway_upstream_start_requests,
+              2,
+              "requests at a time for an upstream that has just started; its "
+              "number grows with its answers. 0 gives each upstream all its "
+              "slots at once");
 
 namespace flamingogauge {
 namespace {
@@ -82,7 +87,9 @@
               static_cast<std::int64_t>(FLAGS_gateway_stop_limit_s * 1000)),
           .drain_time_limit = DrainTimeLimit(FLAGS_gateway_stop_limit_s),
           .drain_min_time = milliseconds(FLAGS_gateway_drain_min_time_ms),
-          .report_interval = milliseconds(FLAGS_gateway_report_interval_ms)};
+          .report_interval = milliseconds(FLAGS_gateway_report_interval_ms),
+          .upstream_start_requests =
+              static_cast<int>(FLAGS_gateway_upstream_start_requests)};
 }
 
 void GatewaySettings::Reload(const GatewaySettings& from) {
@@ -119,7 +126,9 @@
                settings.drain_time_limit, 0, 600000),
        RangeOf("gateway_drain_min_time_ms", settings.drain_min_time, 0, 600000),
        RangeOf("gateway_report_interval_ms", settings.report_interval, 20,
-               60000)});
+               60000),
+       RangeOf("gateway_upstream_start_requests",
+               settings.upstream_start_requests, 0, 1000)});
 }
 
 }  // namespace flamingogauge
--- a/src/plugins/gateway/gateway_settings.h
+++ b/src/plugins/gateway/gateway_settings.h
@@ -39,6 +39,9 @@
   std::chrono::milliseconds drain_time_limit{6800};
   std::chrono::milliseconds drain_min_time{3500};
   std::chrono::milliseconds report_interval{400};
+  // Requests at a time for an upstream that has just started; 0 turns the
+  // learning of paces off.
+  int upstream_start_requests = 2;
 
   // Applies the settings that may change at run time; addresses, names and
   // headers are kept.
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -10,6 +10,7 @@
 #include "libs/model/fingerprint.h"
 #include "plugins/gateway/fleet_events.h"
 #include "plugins/gateway/local_response.h"
+#include "plugins/gateway/pace_events.h"
 #include "plugins/gateway/request_fields.h"
 
 namespace flamingogauge {
@@ -39,9 +40,11 @@
 PlacerOptions PlacementOptions(const GatewaySettings& settings) {
   return {.host = settings.host,
           .data_centre = settings.data_centre,
-          .dispatcher = {.data_centre = settings.data_centre,
-                         .regions = settings.regions,
-                         .seed = ComputeContentHash(settings.host).low}};
+          .dispatcher = {
+              .data_centre = settings.data_centre,
+              .regions = settings.regions,
+              .seed = ComputeContentHash(settings.host).low,
+              .pace = {.start_requests = settings.upstream_start_requests}}};
 }
 
 }  // namespace
@@ -92,6 +95,14 @@
         upstreams.begin(), upstreams.end(),
         [now](const auto& it) { return it.second.IsSuspect(now); }));
   });
+  metrics.SetGauge("flamingogauge_upstreams_below_slots", [this] {
+    const MonotonicTime now = BootTimeNow();
+    const auto& upstreams = context_.placer.upstreams();
+    return static_cast<double>(std::count_if(
+        upstreams.begin(), upstreams.end(), [now](const auto& it) {
+          return it.second.Limit(now) < it.second.entry().slots;
+        }));
+  });
   metrics.SetGauge("flamingogauge_places_taken", [this] {
     double taken = 0;
     for (const auto& [id, it] : context_.placer.upstreams()) {
@@ -100,9 +111,10 @@
     return taken;
   });
   metrics.SetGauge("flamingogauge_places", [this] {
+    const MonotonicTime now = BootTimeNow();
     double places = 0;
     for (const auto& [id, it] : context_.placer.upstreams()) {
-      places += it.Limit();
+      places += it.Limit(now);
     }
     return places;
   });
@@ -489,7 +501,8 @@
     first = false;
     dump += "\"" + id + "\":" + std::to_string(state.running());
   }
-  dump += "},\"requests\":[";
+  dump += "},\"paces\":" + FormatPaces(context_.placer.upstreams(), now);
+  dump += ",\"requests\":[";
   std::size_t count = 0;
   for (const auto& [id, exchange] : exchanges_) {
     if (count == kMaxDumpedExchanges) {
--- /dev/null
+++ b/tests/auto/dispatching/tst_pace_replay.cc
@@ -0,0 +1,118 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+
+#include "tests/auto/dispatching/pace_replay.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kSlots = 7;
+constexpr double kSlow = 2.8;
+// More than the first upstreams can serve, so that requests wait.
+constexpr double kOverload = 40;
+
+// Four upstreams of normal speed under a load that keeps them full.
+PaceReplay FullFleet(std::uint64_t seed, double rate = kOverload) {
+  PaceReplay replay({.seed = seed, .rate = rate});
+  for (const char* it : {"a", "b", "c", "d"}) {
+    replay.AddUpstream(it, {.slots = kSlots});
+  }
+  return replay;
+}
+
+// Guards against flooding an upstream that has just started: with all its slots
+// filled in one moment, the prompts wait for each other and begin late.
+TEST_CASE("an upstream that has just started is neither flooded nor idle") {
+  for (const double slowness : {1.0, kSlow}) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      CAPTURE(slowness);
+      CAPTURE(seed);
+      PaceReplay replay = FullFleet(seed);
+      replay.Run(seconds(5));
+      replay.AddUpstream("new", {.slots = kSlots, .slowness = slowness});
+      const milliseconds until_full =
+          replay.RunUntilRunning("new", kSlots, seconds(5));
+      CHECK(replay.outcome("new").most_before_answer <= 2);
+      // Two requests, and one more for each answer.
+      CHECK(replay.outcome("new").answers() <= 2 * kSlots);
+      CHECK(until_full < milliseconds(1500));
+    }
+  }
+}
+
+// Guards against an upstream that stays idle after a crash until a request has
+// been served to its end, and against filling it in one moment then.
+TEST_CASE("an upstream that has recovered is used again within a few answers") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    CAPTURE(seed);
+    PaceReplay replay = FullFleet(seed);
+    replay.Run(seconds(5));
+    replay.engine("a").Crash(true);
+    replay.Run(milliseconds(200));
+    replay.engine("a").Restart();
+    replay.RunUntilRunning("a", 1, seconds(5));
+    replay.ResetOutcomes();
+    CHECK(replay.RunUntilRunning("a", kSlots, seconds(5)) < milliseconds(1000));
+    CHECK(replay.outcome("a").most_before_answer <= 1);
+    CHECK(replay.outcome("a").answers() <= kSlots);
+  }
+}
+
+// Guards against a restart that the store reports before any request has
+// noticed it.
+TEST_CASE("a new process of an upstream begins with a few requests") {
+  PaceReplay replay = FullFleet(1);
+  replay.Run(seconds(5));
+  CHECK(replay.view("a").Limit(replay.now()) == kSlots);
+  replay.engine("a").Crash(false);
+  replay.Restart("a", 2);
+  CHECK(replay.view("a").Limit(replay.now()) == 2);
+  CHECK(replay.RunUntilRunning("a", kSlots, seconds(5)) < milliseconds(1500));
+}
+
+// Guards against taking a slow upstream for a failing one.
+TEST_CASE("a slow upstream keeps its pace") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    CAPTURE(seed);
+    PaceReplay replay = FullFleet(seed);
+    replay.AddUpstream("slow", {.slots = kSlots, .slowness = kSlow});
+    replay.Run(seconds(5));
+    replay.ResetOutcomes();
+    replay.Run(seconds(15));
+    CHECK(replay.view("slow").Limit(replay.now()) >= kSlots - 1);
+    CHECK(replay.outcome("slow").sent >= 15);
+  }
+}
+
+// Guards against an upstream that turns slow and keeps all its requests
+// waiting: it gets fewer, and all again once it has recovered.
+TEST_CASE("an upstream that stalls gets fewer requests until it recovers") {
+  PaceReplay replay = FullFleet(1);
+  replay.Run(seconds(5));
+  replay.engine("a").SetSlowness(15);
+  replay.Run(seconds(10));
+  CHECK(replay.view("a").Limit(replay.now()) <= kSlots / 2);
+  replay.engine("a").SetSlowness(1);
+  CHECK(replay.RunUntilRunning("a", kSlots, seconds(20)) < seconds(10));
+}
+
+// Guards against an upstream that fails most requests and, as it is idle,
+// attracts more.
+TEST_CASE("an upstream that fails most requests gets few at a time") {
+  PaceReplay replay = FullFleet(1);
+  replay.Run(seconds(5));
+  replay.SetFailureShare("a", 1);
+  replay.Run(seconds(5));
+  CHECK(replay.view("a").Limit(replay.now()) <= 2);
+  replay.SetFailureShare("a", 0);
+  replay.Run(seconds(10));
+  CHECK(replay.view("a").Limit(replay.now()) == kSlots);
+}
+
+}  // namespace
+}  // namespace flamingogauge
