dispatching: count the prompts that an upstream has yet to read

A request went behind a prompt of 30,000 tokens (0.3 s) if that upstream ran fewer requests than another one, which could have begun at once. The time for which the prompts sent there keep a new one waiting, from the learned time of a token and the upstream's speed, is now part of the cost of a placement.

--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -175,7 +175,7 @@
       }
       continue;
     }
-    upstream->OnSent(*request, now);
+    CountSent(*upstream, *request, now);
     if (options_.version_gate != nullptr) {
       options_.version_gate->OnPlaced(request->service,
                                       upstream->entry().version, now);
@@ -335,12 +335,28 @@
       .reason = is_new ? "would be late" : "no upstream was free in time"};
 }
 
+void Dispatcher::CountSent(UpstreamView& upstream,
+                           const WaitingRequest& request,
+                           MonotonicTime now) {
+  const auto model = first_events_.find(request.service);
+  if (options_.pace.start_requests > 0 && model != first_events_.end()) {
+    const FirstEventModel::Seconds per_token =
+        model->second.TimePerToken().value_or(FirstEventModel::Seconds(0));
+    const double tokens = std::max(
+        0.0, request.prompt_tokens - upstream.CachedTokens(request, now));
+    upstream.AddPrefill(std::chrono::duration_cast<Duration>(
+                            per_token * tokens * SlownessOf(upstream)),
+                        now);
+  }
+  upstream.OnSent(request, now);
+}
+
 void Dispatcher::RecordPlacement(const std::string& upstream,
                                  const WaitingRequest& request,
                                  MonotonicTime now) {
   const auto it = upstreams_.find(upstream);
   if (it != upstreams_.end()) {
-    it->second.OnSent(request, now);
+    CountSent(it->second, request, now);
   }
 }
 
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -167,6 +167,10 @@
 
   void IndexUpstreams();
   void AddUpstream(const UpstreamEntry& entry, MonotonicTime now);
+  // Counts a request as sent.
+  void CountSent(UpstreamView& upstream,
+                 const WaitingRequest& request,
+                 MonotonicTime now);
   // How much longer than the average upstream of its service it takes.
   double SlownessOf(const UpstreamView& upstream) const;
   // Adds a host's reported load, multiplied by `sign`, to the upstreams.
--- a/src/libs/dispatching/placement_cost.cc
+++ b/src/libs/dispatching/placement_cost.cc
@@ -88,7 +88,8 @@
       std::max(0.0, request.prompt_tokens - cached) / kPrefillTokensPerSecond;
   const double load =
       static_cast<double>(upstream.running()) / upstream.entry().slots;
-  return {.start = slowness * (prefill + mean_event_interval),
+  const double backlog = ToSeconds(upstream.PrefillBacklog(now));
+  return {.start = backlog + slowness * (prefill + mean_event_interval),
           .load = slowness * load * kLoadCost,
           .output = OutputSeconds(upstream, request, mean_event_interval) *
                     kOutputCost,
--- a/src/libs/dispatching/placement_cost.h
+++ b/src/libs/dispatching/placement_cost.h
@@ -32,7 +32,7 @@
 
 // What a placement is expected to cost, in seconds.
 struct PlacementCostParts {
-  // Until the first event: the prompt, and one event.
+  // Until the first event: the prompts before it, its own, and one event.
   double start = 0;
   // Delay by the requests that run there, and of them.
   double load = 0;
--- a/src/libs/dispatching/upstream_view.h
+++ b/src/libs/dispatching/upstream_view.h
@@ -1,6 +1,7 @@
 #ifndef FLAMINGOGAUGE_LIBS_DISPATCHING_UPSTREAM_VIEW_H_
 #define FLAMINGOGAUGE_LIBS_DISPATCHING_UPSTREAM_VIEW_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -123,6 +124,15 @@
   bool is_leaving() const { return leaving_; }
   bool IsHeldBack(MonotonicTime now) const { return now < held_back_until_; }
 
+  // A prompt that takes `time` to read was sent.
+  void AddPrefill(Duration time, MonotonicTime now) {
+    prefill_until_ = std::max(prefill_until_, now) + time;
+  }
+  // How long the prompts that were sent there keep a new one waiting.
+  Duration PrefillBacklog(MonotonicTime now) const {
+    return std::max(Duration::zero(), prefill_until_ - now);
+  }
+
   // Estimated number of prompt tokens in the upstream's cache.
   double CachedTokens(const WaitingRequest& request, MonotonicTime now) const;
 
@@ -156,6 +166,7 @@
   MonotonicTime suspect_until_;
   MonotonicTime held_back_until_;
   double event_interval_seconds_ = 0;
+  MonotonicTime prefill_until_;
   double start_ratio_ = 1;
   bool has_start_ratio_ = false;
   std::unordered_map<std::uint64_t, MonotonicTime> parts_seen_;
--- a/tests/auto/dispatching/tst_pace_replay.cc
+++ b/tests/auto/dispatching/tst_pace_replay.cc
@@ -1,7 +1,9 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <cstdint>
 #include <string>
+#include <vector>
 
 #include "tests/auto/dispatching/pace_replay.h"
 
@@ -114,5 +116,40 @@
   CHECK(replay.view("a").Limit(replay.now()) == kSlots);
 }
 
+// Guards against a request that waits behind a long prompt although another
+// upstream could begin at once.
+TEST_CASE("a request goes where its prompt is read first") {
+  Dispatcher dispatcher({.data_centre = "z"});
+  std::vector<UpstreamEntry> upstreams;
+  for (const char* it : {"a", "b"}) {
+    upstreams.push_back(
+        {.id = it, .service = "s", .data_centre = "z", .slots = kSlots});
+  }
+  constexpr MonotonicTime kStart{std::chrono::hours(1)};
+  dispatcher.SetUpstreams(upstreams, kStart);
+  for (int n = 0; n < 100; ++n) {
+    const double tokens = n % 2 == 0 ? 600 : 6600;
+    dispatcher.OnFirstEvent(
+        PeerUpstreamKey(n % 4 < 2 ? "a" : "b"),
+        milliseconds(40) + milliseconds(n % 2 == 0 ? 6 : 66), tokens, kStart);
+  }
+  // Two requests run at "b", none at "a".
+  dispatcher.OnPeerLoad("h", {{PeerUpstreamKey("b"), 2}}, kStart);
+  std::vector<std::string> chosen;
+  for (std::uint64_t id = 1; id <= 2; ++id) {
+    dispatcher.Enqueue({.id = id,
+                        .service = "s",
+                        .arrived_at = kStart,
+                        .due_at = kStart + seconds(1),
+                        .start_by = kStart + seconds(4),
+                        .deadline = kStart + seconds(12),
+                        .prompt_tokens = id == 1 ? 30000.0 : 600.0});
+    for (const Placement& it : dispatcher.Place(kStart)) {
+      chosen.push_back(it.upstream.id);
+    }
+  }
+  CHECK(chosen == std::vector<std::string>{"a", "b"});
+}
+
 }  // namespace
 }  // namespace flamingogauge
