merge: placement by learned pace

Brings the pace of upstreams, its sharing and the placement by cost; roll-outs and paces meet in Dispatcher::Choose and in the gateway's settings.

--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -1,7 +1,6 @@
 #include "libs/dispatching/dispatcher.h"
 
 #include <algorithm>
-#include <limits>
 #include <set>
 #include <utility>
 
@@ -12,25 +11,13 @@
 
 using std::chrono::milliseconds;
 
-// Prefill rate of an average engine, in prompt tokens per second.
-constexpr double kPrefillTokensPerSecond = 55000;
-// Cost of the traffic to another data centre or region, expressed in seconds of
-// waiting time.
-constexpr double kOtherDataCentreCost = 0.03;
-constexpr double kOtherRegionCost = 0.08;
-// Cost of a fully loaded upstream, in seconds.
-constexpr double kLoadCost = 0.1;
-// Cost of an upstream that fails every request, in seconds.
-constexpr double kFailureCost = 1.0;
-// Random cost in seconds that keeps hosts that see the same load from all
-// choosing the same upstream.
-constexpr double kJitter = 0.01;
-// Cost of each second of expected output; steers long outputs to fast
-// upstreams.
-constexpr double kOutputCost = 0.08;
 // Expected time from placement to the first event on an upstream of normal
 // speed.
 constexpr milliseconds kFirstEventTime{150};
+// An answer is late if it begins after this many times the expected time.
+constexpr double kPatience = 4;
+// One that begins within this time is never late.
+constexpr milliseconds kMinPromise{100};
 // Sliding window over which arrivals and placements are counted.
 constexpr std::chrono::seconds kThroughputWindow{2};
 constexpr double kMinPlacementsPerSecond = 1;
@@ -40,20 +27,6 @@
 // do not retry at the same time.
 constexpr double kRetryAfterSpread = 0.5;
 
-// The mean event interval of the upstreams that have a measurement, in seconds;
-// 0 if there is none.
-double MeanEventInterval(const std::vector<UpstreamView*>& upstreams) {
-  double sum = 0;
-  int count = 0;
-  for (const UpstreamView* it : upstreams) {
-    if (it->event_interval_seconds() > 0) {
-      sum += it->event_interval_seconds();
-      ++count;
-    }
-  }
-  return count == 0 ? 0 : sum / count;
-}
-
 }  // namespace
 
 std::uint64_t PeerUpstreamKey(const std::string& upstream) {
@@ -61,7 +34,13 @@
 }
 
 Dispatcher::Dispatcher(DispatcherOptions options)
-    : options_(std::move(options)), random_(options_.seed) {}
+    : options_(std::move(options)),
+      random_(options_.seed),
+      placement_({.data_centre = options_.data_centre,
+                  .regions = options_.regions,
+                  .tokens_per_event = options_.tokens_per_event,
+                  .seed = options_.seed,
+                  .shares_places = options_.pace.start_requests > 0}) {}
 
 void Dispatcher::SetUpstreams(const std::vector<UpstreamEntry>& upstreams,
                               MonotonicTime now) {
@@ -70,10 +49,11 @@
     listed.insert(it.id);
     const auto known = upstreams_.find(it.id);
     if (known == upstreams_.end()) {
-      upstreams_.emplace(it.id, UpstreamView(it));
+      AddUpstream(it, now);
     } else if (known->second.entry().started_at_ms != it.started_at_ms ||
                known->second.entry().address != it.address) {
-      known->second = UpstreamView(it);
+      upstreams_.erase(known);
+      AddUpstream(it, now);
     } else {
       known->second.SetEntry(it);
     }
@@ -81,10 +61,20 @@
   std::erase_if(upstreams_, [&listed](const auto& it) {
     return !listed.contains(it.first);
   });
+  has_listed_ = has_listed_ || !upstreams.empty();
   IndexUpstreams();
   ExpirePeerReports(now);
 }
 
+// The first list does not tell which upstreams have just started.
+void Dispatcher::AddUpstream(const UpstreamEntry& entry, MonotonicTime now) {
+  const auto it =
+      upstreams_.emplace(entry.id, UpstreamView(entry, options_.pace)).first;
+  if (has_listed_ || entry.cold_remaining.count() > 0) {
+    it->second.OnStarted(now);
+  }
+}
+
 void Dispatcher::IndexUpstreams() {
   by_service_.clear();
   by_peer_key_.clear();
@@ -185,7 +175,7 @@
       }
       continue;
     }
-    upstream->OnSent(*request, now);
+    CountSent(*upstream, *request, now);
     if (options_.version_gate != nullptr) {
       options_.version_gate->OnPlaced(upstream->entry(), request->priority,
                                       now);
@@ -219,109 +209,80 @@
     }
     UpstreamView& upstream = it->second;
     if (upstream.IsAvailable(now) && !upstream.IsSuspect(now) &&
-        upstream.running() < upstream.Limit()) {
+        upstream.running() < upstream.Limit(now)) {
       return &upstream;
     }
   }
   return nullptr;
 }
 
+PlacementObstacle Dispatcher::FindObstacle(const UpstreamView& upstream,
+                                           const WaitingRequest& request,
+                                           MonotonicTime now) const {
+  if (upstream.entry().draining) {
+    return PlacementObstacle::kDraining;
+  }
+  if (upstream.is_leaving()) {
+    return PlacementObstacle::kLeaving;
+  }
+  if (upstream.has_been_replaced()) {
+    return PlacementObstacle::kReplaced;
+  }
+  if (upstream.IsHeldBack(now)) {
+    return PlacementObstacle::kHeldBack;
+  }
+  if (!GateAdmits(upstream.entry(), now)) {
+    return PlacementObstacle::kVersionNotAdmitted;
+  }
+  const std::vector<std::string>& excluded = request.excluded_upstreams;
+  const bool is_tried = std::find(excluded.begin(), excluded.end(),
+                                  upstream.entry().id) != excluded.end();
+  if (upstream.IsSuspect(now)) {
+    return is_tried ? PlacementObstacle::kTriedAndSuspect
+                    : PlacementObstacle::kSuspect;
+  }
+  if (is_tried) {
+    return PlacementObstacle::kTried;
+  }
+  return upstream.running() >= upstream.Limit(now) ? PlacementObstacle::kFull
+                                                   : PlacementObstacle::kNone;
+}
+
 UpstreamView* Dispatcher::Choose(const WaitingRequest& request,
                                  MonotonicTime now) {
   if (UpstreamView* trial = ChooseForTrial(request, now)) {
     return trial;
   }
-  std::vector<UpstreamView*> healthy;
-  std::vector<UpstreamView*> suspect;
-  std::vector<UpstreamView*> tried;
   const auto service = by_service_.find(request.service);
   if (service == by_service_.end()) {
     return nullptr;
   }
-  const std::vector<std::string>& excluded = request.excluded_upstreams;
-  bool has_healthy = false;
+  std::vector<UpstreamView*> healthy;
+  std::vector<UpstreamView*> suspect;
+  std::vector<UpstreamView*> tried;
   for (UpstreamView* it : service->second) {
-    if (!it->IsAvailable(now) || !GateAdmits(it->entry(), now)) {
-      continue;
-    }
-    const bool is_suspect = it->IsSuspect(now);
-    has_healthy = has_healthy || !is_suspect;
-    if (std::find(excluded.begin(), excluded.end(), it->entry().id) ==
-        excluded.end()) {
-      (is_suspect ? suspect : healthy).push_back(it);
-    } else if (!is_suspect) {
-      tried.push_back(it);
+    switch (FindObstacle(*it, request, now)) {
+      case PlacementObstacle::kNone:
+      case PlacementObstacle::kFull:
+        healthy.push_back(it);
+        break;
+      case PlacementObstacle::kSuspect:
+        suspect.push_back(it);
+        break;
+      case PlacementObstacle::kTried:
+        tried.push_back(it);
+        break;
+      default:
+        break;
     }
   }
   if (healthy.empty() && suspect.empty()) {
-    return ChooseAmong(tried, request, now);
+    return placement_.ChooseAmong(tried, request, now);
   }
   // As long as the service has a healthy upstream, requests wait for it instead
   // of going to a suspect one. If all upstreams are suspect, all are tried.
-  return ChooseAmong(has_healthy ? healthy : suspect, request, now);
-}
-
-UpstreamView* Dispatcher::ChooseAmong(
-    const std::vector<UpstreamView*>& upstreams,
-    const WaitingRequest& request,
-    MonotonicTime now) const {
-  const double mean_event_interval = MeanEventInterval(upstreams);
-  UpstreamView* best = nullptr;
-  double best_cost = std::numeric_limits<double>::infinity();
-  for (UpstreamView* it : upstreams) {
-    if (it->running() >= it->Limit()) {
-      continue;
-    }
-    const double cost = Cost(*it, request, mean_event_interval, now);
-    if (cost < best_cost) {
-      best_cost = cost;
-      best = it;
-    }
-  }
-  return best;
-}
-
-double Dispatcher::Cost(const UpstreamView& upstream,
-                        const WaitingRequest& request,
-                        double mean_event_interval,
-                        MonotonicTime now) const {
-  const double slowness =
-      mean_event_interval > 0 && upstream.event_interval_seconds() > 0
-          ? upstream.event_interval_seconds() / mean_event_interval
-          : 1.0;
-  const double cached = upstream.CachedTokens(request, now);
-  const double prefill =
-      std::max(0.0, request.prompt_tokens - cached) / kPrefillTokensPerSecond;
-  const double load =
-      static_cast<double>(upstream.running()) / upstream.entry().slots;
-  double cost = slowness * (prefill + load * kLoadCost + mean_event_interval);
-  cost += OutputSeconds(upstream, request, mean_event_interval) * kOutputCost;
-  cost += DistanceCost(upstream.entry());
-  cost += upstream.FailureShare(now) * kFailureCost;
-  cost += random_.NextDouble() * kJitter;
-  return cost;
-}
-
-double Dispatcher::OutputSeconds(const UpstreamView& upstream,
-                                 const WaitingRequest& request,
-                                 double mean_event_interval) const {
-  const double event_interval = upstream.event_interval_seconds() > 0
-                                    ? upstream.event_interval_seconds()
-                                    : mean_event_interval;
-  return request.expected_output_tokens / options_.tokens_per_event *
-         event_interval;
-}
-
-double Dispatcher::DistanceCost(const UpstreamEntry& upstream) const {
-  if (upstream.data_centre == options_.data_centre) {
-    return 0;
-  }
-  const auto own = options_.regions.find(options_.data_centre);
-  const auto other = options_.regions.find(upstream.data_centre);
-  const bool same_region = own != options_.regions.end() &&
-                           other != options_.regions.end() &&
-                           own->second == other->second;
-  return same_region ? kOtherDataCentreCost : kOtherRegionCost;
+  const bool has_healthy = !healthy.empty() || !tried.empty();
+  return placement_.ChooseAmong(has_healthy ? healthy : suspect, request, now);
 }
 
 double Dispatcher::PerSecond(std::deque<MonotonicTime>& times,
@@ -397,12 +358,28 @@
       .reason = is_new ? "would be late" : "no upstream was free in time"};
 }
 
+void Dispatcher::CountSent(UpstreamView& upstream,
+                           const WaitingRequest& request,
+                           MonotonicTime now) {
+  const auto model = first_events_.find(request.service);
+  if (options_.pace.start_requests > 0 && model != first_events_.end()) {
+    const FirstEventModel::Seconds per_token =
+        model->second.TimePerToken().value_or(FirstEventModel::Seconds(0));
+    const double tokens = std::max(
+        0.0, request.prompt_tokens - upstream.CachedTokens(request, now));
+    upstream.AddPrefill(std::chrono::duration_cast<Duration>(
+                            per_token * tokens * SlownessOf(upstream)),
+                        now);
+  }
+  upstream.OnSent(request, now);
+}
+
 void Dispatcher::RecordPlacement(const std::string& upstream,
                                  const WaitingRequest& request,
                                  MonotonicTime now) {
   const auto it = upstreams_.find(upstream);
   if (it != upstreams_.end()) {
-    it->second.OnSent(request, now);
+    CountSent(it->second, request, now);
   }
 }
 
@@ -450,6 +427,56 @@
   }
 }
 
+double Dispatcher::SlownessOf(const UpstreamView& upstream) const {
+  const auto service = by_service_.find(upstream.entry().service);
+  const double mean = MeanEventInterval(service->second);
+  const double own = upstream.event_interval_seconds();
+  return mean > 0 && own > 0 ? own / mean : upstream.start_ratio();
+}
+
+// Compares an upstream with what such a prompt takes on the others of its
+// service and with its own speed, so that a slow one does not count as failing.
+void Dispatcher::OnFirstEvent(std::uint64_t upstream_key,
+                              Duration took,
+                              double prompt_tokens,
+                              MonotonicTime now) {
+  const auto it = by_peer_key_.find(upstream_key);
+  if (it == by_peer_key_.end()) {
+    return;
+  }
+  UpstreamView& upstream = *it->second;
+  FirstEventModel& model = first_events_[upstream.entry().service];
+  const double slowness = SlownessOf(upstream);
+  const FirstEventModel::Seconds seconds(took);
+  const auto expected = model.Expect(prompt_tokens);
+  const bool is_on_time =
+      !expected || seconds <= std::max(FirstEventModel::Seconds(kMinPromise),
+                                       *expected * slowness * kPatience);
+  const double ratio = expected ? seconds / *expected : 1.0;
+  model.Add(prompt_tokens, seconds / slowness);
+  upstream.OnAnswer(is_on_time, took, ratio, now);
+}
+
+void Dispatcher::OnPaceReport(std::uint64_t upstream_key,
+                              double requests,
+                              MonotonicTime learned_at,
+                              MonotonicTime now) {
+  const auto it = by_peer_key_.find(upstream_key);
+  if (it != by_peer_key_.end()) {
+    it->second->OnPaceReport(requests, learned_at, now);
+  }
+}
+
+std::vector<PaceChange> Dispatcher::TakePaceChanges() {
+  std::vector<PaceChange> changes;
+  for (auto& [id, upstream] : upstreams_) {
+    if (std::optional<PaceChange> change = upstream.TakePaceChange()) {
+      changes.push_back(std::move(*change));
+    }
+  }
+  return changes;
+}
+
 bool Dispatcher::HasAnyUpstream() const {
   return !upstreams_.empty();
 }
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -11,6 +11,8 @@
 #include <unordered_set>
 #include <vector>
 
+#include "libs/dispatching/first_event_model.h"
+#include "libs/dispatching/placement_cost.h"
 #include "libs/dispatching/upstream_view.h"
 #include "libs/dispatching/version_gate.h"
 #include "libs/dispatching/waiting_request.h"
@@ -26,6 +28,7 @@
   // Average number of output tokens per stream event.
   double tokens_per_event = 6;
   std::uint64_t seed = 1;
+  UpstreamPaceOptions pace;
   // Null if upstreams of all versions get requests. Must outlive the
   // dispatcher.
   VersionGate* version_gate = nullptr;
@@ -44,6 +47,23 @@
   std::string reason;
 };
 
+// Why an upstream cannot get a request now.
+enum class PlacementObstacle {
+  kNone,
+  kDraining,
+  kLeaving,
+  kReplaced,
+  // It has asked this host for a pause.
+  kHeldBack,
+  kVersionNotAdmitted,
+  // The request was sent there before.
+  kTried,
+  // It is avoided while another upstream can be used.
+  kSuspect,
+  kTriedAndSuspect,
+  kFull,
+};
+
 // Queues the requests of one host, assigns them to upstreams and refuses those
 // that would wait too long. Each host decides on its own, based on its own load
 // and the load reported by other hosts; it never waits for another host.
@@ -53,7 +73,7 @@
 
   // Replaces the region of each data centre.
   void SetRegions(std::map<std::string, std::string> regions) {
-    options_.regions = std::move(regions);
+    placement_.SetRegions(std::move(regions));
   }
 
   // How long the newest report of a host stays valid.
@@ -96,11 +116,31 @@
   HealthChange RecordResult(std::uint64_t upstream_key,
                             DispatchResult result,
                             MonotonicTime now);
+  // An answer of this or another host began `took` after its request was sent.
+  void OnFirstEvent(std::uint64_t upstream_key,
+                    Duration took,
+                    double prompt_tokens,
+                    MonotonicTime now);
+  // Another coordinator learned an upstream's pace from an answer at
+  // `learned_at`.
+  void OnPaceReport(std::uint64_t upstream_key,
+                    double requests,
+                    MonotonicTime learned_at,
+                    MonotonicTime now);
   // Sends the upstream no request until then, as it has asked for.
   void HoldBackUntil(const std::string& upstream, MonotonicTime time);
   void OnEventInterval(const std::string& upstream,
                        std::chrono::duration<double> event_interval);
 
+  // Says why an upstream of the request's service cannot get it now.
+  PlacementObstacle FindObstacle(const UpstreamView& upstream,
+                                 const WaitingRequest& request,
+                                 MonotonicTime now) const;
+
+  // Returns the changes of paces since the last call, at most one for each
+  // upstream.
+  std::vector<PaceChange> TakePaceChanges();
+
   // Returns the upstream with this PeerUpstreamKey, or null.
   const UpstreamView* FindByPeerKey(std::uint64_t key) const;
   bool HasAnyUpstream() const;
@@ -126,6 +166,13 @@
   };
 
   void IndexUpstreams();
+  void AddUpstream(const UpstreamEntry& entry, MonotonicTime now);
+  // Counts a request as sent.
+  void CountSent(UpstreamView& upstream,
+                 const WaitingRequest& request,
+                 MonotonicTime now);
+  // How much longer than the average upstream of its service it takes.
+  double SlownessOf(const UpstreamView& upstream) const;
   // Adds a host's reported load, multiplied by `sign`, to the upstreams.
   void AddPeerLoad(const std::map<std::uint64_t, int>& running, int sign);
   void ExpirePeerReports(MonotonicTime now);
@@ -147,24 +194,10 @@
   // so; a request that was sent before does not.
   UpstreamView* ChooseForTrial(const WaitingRequest& request,
                                MonotonicTime now);
-  UpstreamView* ChooseAmong(const std::vector<UpstreamView*>& upstreams,
-                            const WaitingRequest& request,
-                            MonotonicTime now) const;
-  // The expected cost of a placement, in seconds. `mean_event_interval` is the
-  // mean over the candidate upstreams.
-  double Cost(const UpstreamView& upstream,
-              const WaitingRequest& request,
-              double mean_event_interval,
-              MonotonicTime now) const;
-  double DistanceCost(const UpstreamEntry& upstream) const;
-  // Expected duration of the output on `upstream`, in seconds, from the
-  // caller's estimate of its length.
-  double OutputSeconds(const UpstreamView& upstream,
-                       const WaitingRequest& request,
-                       double mean_event_interval) const;
 
   DispatcherOptions options_;
-  mutable Random random_;
+  Random random_;
+  PlacementCost placement_;
   std::map<std::string, UpstreamView> upstreams_;
   // Point into `upstreams_`.
   std::unordered_map<std::string, std::vector<UpstreamView*>> by_service_;
@@ -177,6 +210,9 @@
   // Waiting requests that Reject() has already assessed.
   std::unordered_set<std::uint64_t> assessed_;
   std::map<std::string, Throughput> throughput_;
+  // By service.
+  std::map<std::string, FirstEventModel> first_events_;
+  bool has_listed_ = false;
 };
 
 // The compact key that identifies an upstream in reports between hosts.
--- a/src/plugins/gateway/gateway_settings.cc
+++ b/src/plugins/gateway/gateway_settings.cc
@@ -39,6 +39,11 @@
 DEFINE_uint32(gateway_report_interval_ms,
               200,
               "interval between load reports to other hosts, in ms");
+DEFINE_uint32(gateway_upstream_start_requests,
+              2,
+              "requests at a time for an upstream that has just started; its "
+              "number grows with its answers. 0 gives each upstream all its "
+              "slots at once");
 
 DEFINE_double(
     gateway_held_memory_share,
@@ -106,7 +111,9 @@
           .max_connections = FLAGS_gateway_max_connections != 0
                                  ? FLAGS_gateway_max_connections
                                  : limits.MaxCallerConnections(),
-          .unread_limit = milliseconds(FLAGS_gateway_unread_limit_ms)};
+          .unread_limit = milliseconds(FLAGS_gateway_unread_limit_ms),
+          .upstream_start_requests =
+              static_cast<int>(FLAGS_gateway_upstream_start_requests)};
 }
 
 void GatewaySettings::Reload(const GatewaySettings& from) {
@@ -158,7 +165,9 @@
                settings.drain_time_limit, 0, 600000),
        RangeOf("gateway_drain_min_time_ms", settings.drain_min_time, 0, 600000),
        RangeOf("gateway_report_interval_ms", settings.report_interval, 20,
-               60000)});
+               60000),
+       RangeOf("gateway_upstream_start_requests",
+               settings.upstream_start_requests, 0, 1000)});
 }
 
 }  // namespace flamingogauge
--- a/src/plugins/gateway/gateway_settings.h
+++ b/src/plugins/gateway/gateway_settings.h
@@ -50,6 +50,10 @@
   // How long a caller may leave a response unread.
   std::chrono::milliseconds unread_limit{15000};
 
+  // Requests at a time for an upstream that has just started; 0 turns the
+  // learning of paces off.
+  int upstream_start_requests = 2;
+
   // Applies the settings that may change at run time; addresses, names and
   // headers are kept.
   void Reload(const GatewaySettings& from);
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -10,6 +10,7 @@
 #include "libs/model/fingerprint.h"
 #include "plugins/gateway/fleet_events.h"
 #include "plugins/gateway/local_response.h"
+#include "plugins/gateway/pace_events.h"
 #include "plugins/gateway/request_fields.h"
 
 namespace flamingogauge {
@@ -44,10 +45,12 @@
                                VersionGate* version_gate) {
   return {.host = settings.host,
           .data_centre = settings.data_centre,
-          .dispatcher = {.data_centre = settings.data_centre,
-                         .regions = settings.regions,
-                         .seed = ComputeContentHash(settings.host).low,
-                         .version_gate = version_gate}};
+          .dispatcher = {
+              .data_centre = settings.data_centre,
+              .regions = settings.regions,
+              .seed = ComputeContentHash(settings.host).low,
+              .pace = {.start_requests = settings.upstream_start_requests},
+              .version_gate = version_gate}};
 }
 
 }  // namespace
@@ -102,6 +105,14 @@
         upstreams.begin(), upstreams.end(),
         [now](const auto& it) { return it.second.IsSuspect(now); }));
   });
+  metrics.SetGauge("flamingogauge_upstreams_below_slots", [this] {
+    const MonotonicTime now = BootTimeNow();
+    const auto& upstreams = context_.placer.upstreams();
+    return static_cast<double>(std::count_if(
+        upstreams.begin(), upstreams.end(), [now](const auto& it) {
+          return it.second.Limit(now) < it.second.entry().slots;
+        }));
+  });
   metrics.SetGauge("flamingogauge_places_taken", [this] {
     double taken = 0;
     for (const auto& [id, it] : context_.placer.upstreams()) {
@@ -110,9 +121,10 @@
     return taken;
   });
   metrics.SetGauge("flamingogauge_places", [this] {
+    const MonotonicTime now = BootTimeNow();
     double places = 0;
     for (const auto& [id, it] : context_.placer.upstreams()) {
-      places += it.Limit();
+      places += it.Limit(now);
     }
     return places;
   });
@@ -516,7 +528,8 @@
     first = false;
     dump += "\"" + id + "\":" + std::to_string(state.running());
   }
-  dump += "},\"requests\":[";
+  dump += "},\"paces\":" + FormatPaces(context_.placer.upstreams(), now);
+  dump += ",\"requests\":[";
   std::size_t count = 0;
   for (const auto& [id, exchange] : exchanges_) {
     if (count == kMaxDumpedExchanges) {
