rollouts: find slow versions and those bad under load sooner

Change: bins of half an octave, batches as large as an upstream, three trial upstreams, a smaller margin beside a minimum excess, and a longer trial for a version that looks worse.

--- a/src/libs/rollouts/evidence_pool.cc
+++ b/src/libs/rollouts/evidence_pool.cc
@@ -15,6 +15,7 @@
 constexpr double kSecondsPerEvent = 0.03;
 // The lowest bin holds answers that took an eighth of that, or less.
 constexpr double kLowestOctave = -3;
+constexpr double kBinsPerOctave = 2;
 
 EvidencePool::Key KeyOf(const EvidenceCount& count) {
   return {
@@ -53,7 +54,8 @@
       kFixedSeconds + request.prompt_tokens * kSecondsPerPromptToken +
       static_cast<double>(request.events) * kSecondsPerEvent;
   const double ratio = std::max(ToSeconds(request.took), 1e-6) / expected;
-  const double octave = std::floor(std::log2(ratio)) - kLowestOctave;
+  const double octave =
+      std::floor((std::log2(ratio) - kLowestOctave) * kBinsPerOctave);
   return static_cast<std::size_t>(
       std::clamp(octave, 0.0, static_cast<double>(kDurationBins - 1)));
 }
--- a/src/libs/rollouts/evidence_pool.h
+++ b/src/libs/rollouts/evidence_pool.h
@@ -27,8 +27,8 @@
   bool succeeded = true;
 };
 
-// The bin of an answer: the octave of its time divided by what is expected of a
-// request of its size, so that long answers do not look slow.
+// The bin of an answer: half the octave of its time divided by what is expected
+// of a request of its size, so that long answers do not look slow.
 std::size_t DurationBin(const AnsweredRequest& request);
 
 // The counts of answers of all hosts. Each host reports its own totals and each
--- a/src/libs/rollouts/rollout_controller.cc
+++ b/src/libs/rollouts/rollout_controller.cc
@@ -17,7 +17,7 @@
 constexpr milliseconds kTrialPermission{1500};
 constexpr milliseconds kShiftPermission{3000};
 // The trial takes this part of the order's time, and more if there are too few
-// answers, up to the second part.
+// answers or the target looks worse, up to the second part.
 constexpr double kTrialPart = 0.45;
 constexpr double kLongestTrialPart = 0.7;
 // After a restart of all hosts the trial goes on for this long at least, if
@@ -294,12 +294,12 @@
     return false;
   }
   const EvidencePool::Counts counts = evidence_.Of(record.order);
-  if (HasEnoughAnswers(counts)) {
-    return true;
+  if (age < longest) {
+    return HasEnoughAnswers(counts) && !IsSuspicious(counts);
   }
   // The target has too few answers because the service has few requests.
-  return age >= longest && (OldAnswers(counts) < kBusyAnswers ||
-                            TargetAnswers(counts) >= kMinAnswers);
+  return OldAnswers(counts) < kBusyAnswers ||
+         TargetAnswers(counts) >= kMinAnswers;
 }
 
 void RolloutController::Judge(const RolloutRecord& record) {
--- a/src/libs/rollouts/rollout_gate.cc
+++ b/src/libs/rollouts/rollout_gate.cc
@@ -9,10 +9,12 @@
 namespace flamingogauge {
 namespace {
 
-// Trial requests that are placed together, so that they meet at an upstream.
-constexpr double kBatch = 4;
+// Trial requests that are placed together, so that they meet at an upstream:
+// as many as it may run, within these bounds.
+constexpr double kMinBatch = 4;
+constexpr double kMaxBatch = 8;
 // More than one, so that a version can be told from one faulty upstream.
-constexpr std::size_t kTrialUpstreams = 2;
+constexpr std::size_t kTrialUpstreams = 3;
 
 }  // namespace
 
@@ -71,6 +73,7 @@
     bool is_far = false;
     std::uint64_t rank = 0;
     std::string id;
+    int slots = 0;
   };
   std::vector<Candidate> candidates;
   for (const UpstreamEntry& it : upstreams_) {
@@ -79,7 +82,8 @@
         known != services_.end() && &known->second == &service) {
       candidates.push_back({.is_far = RegionOf(it.data_centre) != region,
                             .rank = ComputeContentHash(it.id).high,
-                            .id = it.id});
+                            .id = it.id,
+                            .slots = it.slots});
     }
   }
   std::sort(candidates.begin(), candidates.end(),
@@ -91,6 +95,10 @@
        ++n) {
     service.trial_upstreams.push_back(candidates[n].id);
   }
+  if (!candidates.empty()) {
+    service.batch = std::clamp(static_cast<double>(candidates.front().slots),
+                               kMinBatch, kMaxBatch);
+  }
 }
 
 bool RolloutGate::IsListed(const Service& service,
@@ -180,7 +188,7 @@
   const double fair =
       service.placements.trials /
       std::max<double>(1, static_cast<double>(service.by_priority.size()));
-  const bool others_lack_requests = service.left >= 2 * kBatch;
+  const bool others_lack_requests = service.left >= 2 * service.batch;
   return count <= fair + 1 || others_lack_requests ? service.trial_upstreams
                                                    : std::vector<std::string>();
 }
@@ -201,7 +209,7 @@
   }
   service.left =
       service.placements.all * options_.trial_share - service.placements.trials;
-  service.batch_open = service.left >= (service.batch_open ? 1 : kBatch);
+  service.batch_open = service.left >= (service.batch_open ? 1 : service.batch);
 }
 
 }  // namespace flamingogauge
--- a/src/libs/rollouts/rollout_gate.h
+++ b/src/libs/rollouts/rollout_gate.h
@@ -92,6 +92,7 @@
     double left = 0;
     // True while a batch of them is being placed.
     bool batch_open = false;
+    double batch = 4;
     // Of the target, for hosts of this region.
     std::vector<std::string> trial_upstreams;
   };
--- a/src/libs/rollouts/rollout_judge.cc
+++ b/src/libs/rollouts/rollout_judge.cc
@@ -15,9 +15,11 @@
 constexpr double kMinOldAnswers = 20;
 // A share of bad answers must exceed the old versions' by this much, and by
 // this many standard deviations, to be the version's fault.
-constexpr double kFailureMargin = 0.1;
-constexpr double kSlowMargin = 0.15;
+constexpr double kFailureMargin = 0.07;
+constexpr double kSlowMargin = 0.1;
 constexpr double kDeviations = 4;
+// Beyond that, as small numbers vary more than by their deviation.
+constexpr double kMinExcess = 3;
 constexpr double kMinBadAnswers = 5;
 // The first answers to come are often the failures, which take less time.
 constexpr double kMinAnswers = 12;
@@ -29,9 +31,11 @@
 constexpr double kRestMarginPart = 0.5;
 constexpr double kRestDeviations = 2;
 // The bin that holds this share of the old answers still counts as normal, and
-// the next one as well.
+// the next octave as well.
 constexpr double kNormalShare = 0.9;
-constexpr std::size_t kToleratedOctaves = 1;
+constexpr std::size_t kToleratedBins = 2;
+
+constexpr double kSuspiciousDeviations = 2;
 
 constexpr std::uint64_t kMinTargetAnswers = 60;
 constexpr std::uint64_t kMinRouteAnswers = 20;
@@ -95,7 +99,7 @@
       break;
     }
   }
-  return bin + 1 + kToleratedOctaves;
+  return bin + 1 + kToleratedBins;
 }
 
 double CountFrom(const EvidenceCount& count, std::size_t bin) {
@@ -142,8 +146,8 @@
 bool Exceeds(const Tally& tally, double margin, double min_bad) {
   return tally.answers >= kMinAnswers && tally.bad >= min_bad &&
          tally.Share(tally.bad) >= tally.Share(tally.expected) + margin &&
-         tally.bad >=
-             tally.expected + kDeviations * std::sqrt(tally.variance) + 1.5;
+         tally.bad >= tally.expected + kDeviations * std::sqrt(tally.variance) +
+                          kMinExcess;
 }
 
 Tally Sum(const Comparison& comparison) {
@@ -223,6 +227,20 @@
              : FindFaultIn(kSlowAnswers, "all routes", all_times, kSlowMargin);
 }
 
+bool IsSuspicious(const EvidencePool::Counts& counts) {
+  const auto looks_worse = [](const Comparison& comparison) {
+    const Tally sum = Sum(comparison);
+    return sum.bad >=
+           sum.expected + kSuspiciousDeviations * std::sqrt(sum.variance) + 1;
+  };
+  const auto routes = ByRoute(counts);
+  return std::any_of(routes.begin(), routes.end(),
+                     [&looks_worse](const auto& it) {
+                       return looks_worse(CompareFailures(it.second)) ||
+                              looks_worse(CompareTimes(it.second));
+                     });
+}
+
 std::uint64_t TargetAnswers(const EvidencePool::Counts& counts) {
   std::uint64_t answers = 0;
   for (const auto& [key, count] : counts) {
--- a/src/libs/rollouts/rollout_judge.h
+++ b/src/libs/rollouts/rollout_judge.h
@@ -19,6 +19,10 @@
 // target is bad, and nothing as long as there is too little evidence for one.
 std::optional<RolloutVerdict> FindFault(const EvidencePool::Counts& counts);
 
+// True if the target looks worse than the old versions, though not so clearly
+// that it is bad: more answers are needed.
+bool IsSuspicious(const EvidencePool::Counts& counts);
+
 // The number of answers of the target's upstreams, and of the old versions'.
 std::uint64_t TargetAnswers(const EvidencePool::Counts& counts);
 std::uint64_t OldAnswers(const EvidencePool::Counts& counts);
--- a/src/libs/rollouts/rollout_messages.h
+++ b/src/libs/rollouts/rollout_messages.h
@@ -47,8 +47,8 @@
   bool operator==(const RolloutState&) const = default;
 };
 
-// The number of bins for the times of answers, an octave each.
-inline constexpr std::size_t kDurationBins = 12;
+// The number of bins for the times of answers, half an octave each.
+inline constexpr std::size_t kDurationBins = 20;
 
 // Answers since the start of an order, on one route, by one upstream of the
 // target or by all upstreams of the old versions together.
--- a/tests/auto/rollouts/tst_evidence_pool.cc
+++ b/tests/auto/rollouts/tst_evidence_pool.cc
@@ -65,13 +65,13 @@
     std::size_t bin;
   };
   const std::vector<Row> rows = {
-      {{.took = milliseconds(50)}, 3},
-      {{.took = milliseconds(110)}, 4},
-      {{.took = milliseconds(410)}, 6},
+      {{.took = milliseconds(51)}, 6},
+      {{.took = milliseconds(110)}, 8},
+      {{.took = milliseconds(410)}, 12},
       {{.took = milliseconds(0)}, 0},
       {{.took = std::chrono::hours(1)}, kDurationBins - 1},
-      {{.took = milliseconds(1060), .prompt_tokens = 55000}, 3},
-      {{.took = milliseconds(3060), .events = 100}, 3}};
+      {{.took = milliseconds(1060), .prompt_tokens = 55000}, 6},
+      {{.took = milliseconds(3060), .events = 100}, 6}};
   for (const Row& it : rows) {
     CAPTURE(it.request.took.count());
     CHECK(DurationBin(it.request) == it.bin);
--- a/tests/auto/rollouts/tst_rollout_gate.cc
+++ b/tests/auto/rollouts/tst_rollout_gate.cc
@@ -173,7 +173,7 @@
     was_trial = !ids.empty();
     gate.OnPlaced(was_trial ? Upstream("v2", 0) : Upstream("v1", 0), 0, kStart);
   }
-  CHECK(used.size() == 2);
+  CHECK(used.size() == 3);
   for (const std::string& it : used) {
     CHECK(std::stoi(it.substr(3)) % 3 != 2);
   }
--- a/tests/auto/rollouts/tst_rollout_judge.cc
+++ b/tests/auto/rollouts/tst_rollout_judge.cc
@@ -11,8 +11,8 @@
 namespace {
 
 // The bins of a normal answer and of one that took eight times as long.
-constexpr std::size_t kNormalBin = 3;
-constexpr std::size_t kSlowBin = 6;
+constexpr std::size_t kNormalBin = 6;
+constexpr std::size_t kSlowBin = 12;
 
 struct Answers {
   std::uint64_t route = 1;
@@ -52,8 +52,8 @@
        false},
       {"half fails",
        {{.good = 400},
-        {.upstream = 7, .good = 5, .failures = 4},
-        {.upstream = 8, .good = 5, .failures = 4}},
+        {.upstream = 7, .good = 6, .failures = 5},
+        {.upstream = 8, .good = 6, .failures = 5}},
        true},
       {"three failures are too few",
        {{.good = 400},
@@ -105,6 +105,19 @@
   }
 }
 
+// Guards against a shift of all requests to a version that is about to be found
+// bad.
+TEST_CASE("a version that looks worse needs more answers") {
+  CHECK_FALSE(IsSuspicious({}));
+  CHECK_FALSE(
+      IsSuspicious(ToCounts({{.good = 400, .failures = 4},
+                             {.upstream = 7, .good = 60, .failures = 1}})));
+  const auto worse = ToCounts({{.good = 400, .failures = 4},
+                               {.upstream = 7, .good = 57, .failures = 4}});
+  CHECK(IsSuspicious(worse));
+  CHECK_FALSE(FindFault(worse));
+}
+
 // Guards against a verdict whose figures an operator cannot check.
 TEST_CASE("a verdict names what was compared") {
   const auto verdict =
