rollouts: writes and events in modules of their own, version in the log

Change: RolloutStatusWriter and EventsBetween; upstream.listed names the version. Result: no change in behaviour but the log field.

--- a/src/libs/rollouts/rollout_controller.cc
+++ b/src/libs/rollouts/rollout_controller.cc
@@ -31,35 +31,10 @@
 // at least kMinAnswers times to get all requests.
 constexpr std::uint64_t kBusyAnswers = 400;
 constexpr std::uint64_t kMinAnswers = 15;
-constexpr milliseconds kWriteInterval{800};
-constexpr milliseconds kWriteDelayPerRank{250};
 constexpr std::chrono::seconds kEndedTime{10};
 // Longer than the interval of a coordinator's summaries.
 constexpr milliseconds kStartupWait{1000};
 
-bool SaysTheSame(const RolloutStatus& a, const RolloutStatus& b) {
-  return a.outcome == b.outcome && a.target == b.target && a.phase == b.phase;
-}
-
-// True if the status was written for this order and not for an earlier one.
-bool IsAbout(const RolloutStatus& status, const RolloutOrder& order) {
-  return status.outcome != RolloutOutcome::kNone &&
-         status.target == order.target &&
-         (status.order == 0 || status.order == order.order);
-}
-
-const char* PhaseName(RolloutPhase phase) {
-  switch (phase) {
-    case RolloutPhase::kTrial:
-      return "trial";
-    case RolloutPhase::kShift:
-      return "shift";
-    case RolloutPhase::kComplete:
-      return "complete";
-  }
-  return "";
-}
-
 }  // namespace
 
 RolloutController::RolloutController(RolloutControllerOptions options)
@@ -101,7 +76,7 @@
                      .revision = order.revision,
                      .duration = order.duration};
   const RolloutStatus& status = order.status;
-  if (IsAbout(status, order)) {
+  if (HasOwnStatus(order)) {
     state.outcome = status.outcome;
     state.phase = status.phase;
     state.from = status.from;
@@ -129,27 +104,8 @@
 void RolloutController::OnOrders(const std::vector<RolloutOrder>& orders,
                                  milliseconds unix_time,
                                  MonotonicTime now) {
-  std::map<std::string, const RolloutOrder*> newest;
-  for (const RolloutOrder& it : orders) {
-    const RolloutOrder*& known = newest[it.service];
-    if (known == nullptr || known->revision < it.revision) {
-      known = &it;
-    }
-  }
-  for (const auto& [service, order] : newest) {
-    Stored& stored = stored_[service];
-    if (stored.order.order != order->order) {
-      stored = {};
-    }
-    stored.order = *order;
-  }
-  for (auto it = stored_.begin(); it != stored_.end();) {
-    if (newest.contains(it->first)) {
-      ++it;
-      continue;
-    }
-    changes_ += table_.Withdraw(it->first, now) ? 1 : 0;
-    it = stored_.erase(it);
+  for (const std::string& it : writer_.SetOrders(orders)) {
+    changes_ += table_.Withdraw(it, now) ? 1 : 0;
   }
   wait_for_rules_until_ = {};
   gate_.WaitForRulesUntil(wait_for_rules_until_);
@@ -157,11 +113,11 @@
 }
 
 void RolloutController::MergeOrders(milliseconds unix_time, MonotonicTime now) {
-  for (const auto& [service, stored] : stored_) {
-    const bool knows_old = !gate_.trusted().Of(service).empty() ||
-                           !stored.order.status.from.empty();
+  for (const RolloutOrder& it : writer_.Orders()) {
+    const bool knows_old =
+        !gate_.trusted().Of(it.service).empty() || !it.status.from.empty();
     if (knows_old) {
-      changes_ += table_.Merge(StateOf(stored.order, unix_time), now) ? 1 : 0;
+      changes_ += table_.Merge(StateOf(it, unix_time), now) ? 1 : 0;
     }
   }
   Enforce(now);
@@ -351,81 +307,19 @@
   RolloutActions actions{.events = std::exchange(events_, {}),
                          .gate_changed = std::exchange(gate_changed_, false)};
   if (role.reads_store) {
-    CollectWrites(role, unix_time, now, actions);
+    actions.writes = writer_.Collect(table_, role.rank, unix_time, now);
   }
   return actions;
 }
 
-RolloutStatus RolloutController::WantedStatus(const RolloutRecord& record,
-                                              milliseconds unix_time,
-                                              MonotonicTime now) const {
-  RolloutOutcome outcome = RolloutOutcome::kRunning;
-  if (record.IsCondemned()) {
-    outcome = RolloutOutcome::kRolledBack;
-  } else if (record.phase == RolloutPhase::kComplete) {
-    outcome = RolloutOutcome::kCompleted;
-  }
-  return {.outcome = outcome,
-          .target = record.target,
-          .order = record.order,
-          .phase = record.phase,
-          .from = {record.from.begin(), record.from.end()},
-          .began_at =
-              unix_time - duration_cast<milliseconds>(now - record.began_at)};
-}
-
-void RolloutController::CollectWrites(const Role& role,
-                                      milliseconds unix_time,
-                                      MonotonicTime now,
-                                      RolloutActions& actions) {
-  for (auto& [service, stored] : stored_) {
-    const RolloutRecord* record = table_.Find(service);
-    const RolloutStatus& current = stored.order.status;
-    const bool is_current = IsAbout(current, stored.order);
-    if (record == nullptr || record->order != stored.order.order ||
-        record->is_withdrawn || (is_current && IsFinal(current.outcome)) ||
-        IsFinal(record->outcome)) {
-      continue;
-    }
-    RolloutStatus wanted = WantedStatus(*record, unix_time, now);
-    if (is_current && SaysTheSame(wanted, current)) {
-      continue;
-    }
-    if (!SaysTheSame(wanted, stored.wanted)) {
-      stored.wanted_since = now;
-      stored.wanted = wanted;
-      stored.next_write_at =
-          now + kWriteDelayPerRank * static_cast<milliseconds::rep>(role.rank);
-    }
-    if (stored.write_in_flight || now < stored.next_write_at) {
-      continue;
-    }
-    stored.write_in_flight = true;
-    stored.next_write_at = now + kWriteInterval;
-    actions.writes.push_back({.name = stored.order.name,
-                              .service = service,
-                              .revision = stored.order.revision,
-                              .status = std::move(wanted)});
-  }
-}
-
 void RolloutController::OnWritten(const RolloutStatusWrite& write,
                                   bool done,
                                   MonotonicTime now) {
-  const auto it = stored_.find(write.service);
-  if (it == stored_.end()) {
-    return;
-  }
-  it->second.write_in_flight = false;
-  if (!done || it->second.order.revision != write.revision) {
-    return;
+  if (const RolloutOrder* order = writer_.OnWritten(write, done)) {
+    const RolloutState state = StateOf(*order, write.status.began_at);
+    changes_ += table_.Merge(state, now) ? 1 : 0;
+    Enforce(now);
   }
-  // The new revision is read with the next change.
-  it->second.order.status = write.status;
-  changes_ +=
-      table_.Merge(StateOf(it->second.order, write.status.began_at), now) ? 1
-                                                                          : 0;
-  Enforce(now);
 }
 
 bool RolloutController::IsActive(MonotonicTime now) const {
@@ -492,47 +386,16 @@
   gate_.SetRule(record.service, rule);
 }
 
-void RolloutController::AddEvent(RolloutEvent::Kind kind,
-                                 const RolloutRecord& record,
-                                 std::string detail,
-                                 MonotonicTime now) {
-  events_.push_back(
-      {.kind = kind,
-       .service = record.service,
-       .target = record.target,
-       .detail = std::move(detail),
-       .age = duration_cast<milliseconds>(now - record.began_at)});
-}
-
 void RolloutController::ReportChange(const RolloutRecord& record,
                                      MonotonicTime now) {
   const auto it = enforced_.find(record.service);
-  const bool is_new = it == enforced_.end() || it->second.order != record.order;
-  const RolloutRecord before = is_new ? RolloutRecord{} : it->second;
-  if (is_new) {
-    std::string from;
-    for (const std::string& version : record.from) {
-      from += (from.empty() ? "" : ",") + version;
-    }
-    AddEvent(RolloutEvent::Kind::kBegan, record, "from " + from, now);
-  }
-  if (record.phase != before.phase) {
-    AddEvent(RolloutEvent::Kind::kStep, record, PhaseName(record.phase), now);
-  }
-  if (record.is_bad && !before.is_bad) {
-    AddEvent(RolloutEvent::Kind::kVerdict, record, record.reason, now);
-  }
-  if (record.HasEnded() && !before.HasEnded()) {
-    std::string detail = "withdrawn";
-    if (IsFinal(record.outcome)) {
-      detail = record.outcome == RolloutOutcome::kCompleted ? "completed"
-                                                            : "rolled back";
-    }
-    AddEvent(RolloutEvent::Kind::kEnded, record, detail, now);
+  const bool is_known =
+      it != enforced_.end() && it->second.order == record.order;
+  for (RolloutEvent& event :
+       EventsBetween(is_known ? &it->second : nullptr, record, now)) {
+    events_.push_back(std::move(event));
+    gate_changed_ = true;
   }
-  gate_changed_ = gate_changed_ || is_new || record.phase != before.phase ||
-                  record.is_bad != before.is_bad ||
-                  record.HasEnded() != before.HasEnded();
 }
 
 }  // namespace flamingogauge
--- a/src/libs/rollouts/rollout_controller.h
+++ b/src/libs/rollouts/rollout_controller.h
@@ -13,9 +13,11 @@
 #include "libs/fleet/rollout_order.h"
 #include "libs/fleet/upstream_entry.h"
 #include "libs/rollouts/evidence_pool.h"
+#include "libs/rollouts/rollout_events.h"
 #include "libs/rollouts/rollout_gate.h"
 #include "libs/rollouts/rollout_messages.h"
 #include "libs/rollouts/rollout_progress.h"
+#include "libs/rollouts/rollout_status_writer.h"
 #include "libs/rollouts/rollout_table.h"
 
 namespace flamingogauge {
@@ -34,25 +36,6 @@
   AnsweredRequest answer;
 };
 
-// A status to write on the condition that the order still has `revision`.
-struct RolloutStatusWrite {
-  std::string name;
-  std::string service;
-  std::uint64_t revision = 0;
-  RolloutStatus status;
-};
-
-// A change that operators want to see.
-struct RolloutEvent {
-  enum class Kind { kBegan, kStep, kVerdict, kEnded };
-
-  Kind kind = Kind::kBegan;
-  std::string service;
-  std::string target;
-  std::string detail;
-  std::chrono::milliseconds age{0};
-};
-
 struct RolloutActions {
   std::vector<RolloutStatusWrite> writes;
   std::vector<RolloutEvent> events;
@@ -139,16 +122,6 @@
   std::uint64_t TargetAnswersOf(std::uint64_t order) const;
 
  private:
-  // An order as this host last read it from the store.
-  struct Stored {
-    RolloutOrder order;
-    MonotonicTime next_write_at;
-    bool write_in_flight = false;
-    // What is to be written, and since when.
-    RolloutStatus wanted;
-    MonotonicTime wanted_since;
-  };
-
   // When a kind of report was made last, and with which changes.
   struct Reported {
     MonotonicTime at;
@@ -165,22 +138,11 @@
   // The time limit has passed, and the target could be tried for a while.
   bool IsOverdue(const RolloutRecord& record, MonotonicTime now) const;
   bool TrialIsOver(const RolloutRecord& record, MonotonicTime now) const;
-  RolloutStatus WantedStatus(const RolloutRecord& record,
-                             std::chrono::milliseconds unix_time,
-                             MonotonicTime now) const;
-  void CollectWrites(const Role& role,
-                     std::chrono::milliseconds unix_time,
-                     MonotonicTime now,
-                     RolloutActions& actions);
   // Brings the gate in line with the records and collects their changes.
   void Enforce(MonotonicTime now);
   // The same, unless nothing changed and it was done lately.
   void EnforceIf(bool changed, MonotonicTime now);
   void EnforceOn(const RolloutRecord& record);
-  void AddEvent(RolloutEvent::Kind kind,
-                const RolloutRecord& record,
-                std::string detail,
-                MonotonicTime now);
   void ReportChange(const RolloutRecord& record, MonotonicTime now);
 
   const RolloutControllerOptions options_;
@@ -188,7 +150,7 @@
   RolloutTable table_;
   EvidencePool evidence_;
   RolloutProgress progress_;
-  std::map<std::string, Stored> stored_;
+  RolloutStatusWriter writer_;
   // As of the last call of Enforce, by service.
   RolloutTable::Records enforced_;
   std::vector<RolloutEvent> events_;
--- a/src/plugins/gateway/fleet_events.cc
+++ b/src/plugins/gateway/fleet_events.cc
@@ -55,6 +55,7 @@
     const auto known = old_entries.find(id);
     if (known == old_entries.end()) {
       EventLine line = MakeEventLine("upstream.listed", *entry);
+      line.Text("version", entry->version);
       lines.push_back(std::move(line.Number("slots", entry->slots)));
     } else if (known->second->started_at_ms != entry->started_at_ms) {
       lines.push_back(MakeEventLine("upstream.restarted", *entry));
--- a/tests/auto/platform_adapter/tst_rollout_orders.cc
+++ b/tests/auto/platform_adapter/tst_rollout_orders.cc
@@ -81,9 +81,8 @@
   }
   CHECK(EncodeRolloutStatus({.outcome = RolloutOutcome::kRolledBack})
             .at("state") == "rolled_back");
-  for (const char* odd :
-       {R"({"state":"other"})", R"({"state":1,"from":3})", R"("running")",
-        R"([])"}) {
+  for (const char* odd : {R"({"state":"other"})", R"({"state":1,"from":3})",
+                          R"("running")", R"([])"}) {
     CAPTURE(odd);
     const auto order = DecodeRollout("s", Object(kOrder, odd));
     REQUIRE(order);
