dispatching: one admission decision for each service's queue

Cause: what waits is refused by its position alone, with a rate averaged over two seconds; late urgent requests are refused while less urgent ones that can still be on time are let in, long outputs count like short ones, and all refused callers are told to return at the same time. Change: ServiceQueue holds the waiting requests of a service in order (WaitingQueue, turns by workspace), measures the rate left to each priority (ServiceRate), estimates how long a request holds a place (ServiceTimes), decides by a function of these (DecideAdmission) and books the returns of refused callers (ReturnSchedule). Hosts fill in workspace and returned.

--- a/src/libs/coordination/coordinator.cc
+++ b/src/libs/coordination/coordinator.cc
@@ -30,6 +30,10 @@
   queue_.SetRegions(std::move(regions));
 }
 
+void Coordinator::SetWorkspaceWeights(WorkspaceWeights weights) {
+  queue_.SetWorkspaceWeights(std::move(weights));
+}
+
 void Coordinator::SetMessageLifetime(milliseconds lifetime) {
   lifetime_ = lifetime;
   queue_.SetReportLifetime(lifetime);
--- a/src/libs/coordination/coordinator.h
+++ b/src/libs/coordination/coordinator.h
@@ -43,6 +43,7 @@
   void SetUpstreams(const std::vector<UpstreamEntry>& upstreams,
                     MonotonicTime now);
   void SetRegions(std::map<std::string, std::string> regions);
+  void SetWorkspaceWeights(WorkspaceWeights weights);
   // How long a host or another coordinator counts as reachable after its last
   // message.
   void SetMessageLifetime(std::chrono::milliseconds lifetime);
@@ -56,6 +57,11 @@
   // Places and refuses requests; returns the replies that are due.
   std::vector<AddressedMessage<CoordinatorMessage>> Run(MonotonicTime now);
 
+  // Returns what has been refused since the last call, for the log.
+  std::vector<RefusalSummary> TakeRefusals(MonotonicTime now) {
+    return queue_.TakeRefusals(now);
+  }
+
   // True if hosts have sent messages recently.
   bool HasHosts(MonotonicTime now) const;
   // Returns the summaries for the hosts that have sent messages: for all of
--- a/src/libs/coordination/placer.cc
+++ b/src/libs/coordination/placer.cc
@@ -37,6 +37,10 @@
   local_.SetReportLifetime(lifetime);
 }
 
+void Placer::SetWorkspaceWeights(WorkspaceWeights weights) {
+  local_.SetWorkspaceWeights(std::move(weights));
+}
+
 void Placer::SetHosts(const std::vector<HostEntry>& hosts) {
   candidates_.clear();
   std::set<std::string> known;
--- a/src/libs/coordination/placer.h
+++ b/src/libs/coordination/placer.h
@@ -48,6 +48,8 @@
 
   void SetRegions(std::map<std::string, std::string> regions);
   void SetReportLifetime(std::chrono::milliseconds lifetime);
+  // Applies to the requests that this host places itself.
+  void SetWorkspaceWeights(WorkspaceWeights weights);
   void SetHosts(const std::vector<HostEntry>& hosts);
   // This host shuts down and is no longer a coordinator, also not its own.
   void SetDraining() { is_draining_ = true; }
@@ -63,6 +65,11 @@
   // Returns the requests that would wait too long. Call after Place().
   std::vector<Rejection> Reject(MonotonicTime now);
 
+  // Returns what this host itself has refused since the last call, for the log.
+  std::vector<RefusalSummary> TakeRefusals(MonotonicTime now) {
+    return local_.TakeRefusals(now);
+  }
+
   HealthChange OnEnded(const std::string& upstream,
                        DispatchResult result,
                        MonotonicTime now);
--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -28,18 +28,6 @@
 // Cost of each second of expected output; steers long outputs to fast
 // upstreams.
 constexpr double kOutputCost = 0.08;
-// Expected time from placement to the first event on an upstream of normal
-// speed.
-constexpr milliseconds kFirstEventTime{150};
-// Sliding window over which arrivals and placements are counted.
-constexpr std::chrono::seconds kThroughputWindow{2};
-constexpr double kMinPlacementsPerSecond = 1;
-constexpr milliseconds kMinRetryAfter{400};
-constexpr milliseconds kMaxRetryAfter{4000};
-// Random spread of the retry delay, so that callers that were refused together
-// do not retry at the same time.
-constexpr double kRetryAfterSpread = 0.5;
-
 // The mean event interval of the upstreams that have a measurement, in seconds;
 // 0 if there is none.
 double MeanEventInterval(const std::vector<UpstreamView*>& upstreams) {
@@ -133,73 +121,69 @@
   }
 }
 
+ServiceQueue& Dispatcher::QueueOf(const std::string& service) {
+  return queues_
+      .try_emplace(service, options_.tokens_per_event, workspace_weights_)
+      .first->second;
+}
+
 void Dispatcher::Enqueue(WaitingRequest request) {
-  if (request.due_at > request.arrived_at && !request.was_sent) {
-    throughput_[request.service].arrived_at.push_back(request.arrived_at);
-  }
-  const std::uint64_t id = request.id;
-  waiting_.insert_or_assign(id, std::move(request));
+  ServiceQueue& queue = QueueOf(request.service);
+  queue.Add(std::move(request));
 }
 
 void Dispatcher::Remove(std::uint64_t request) {
-  waiting_.erase(request);
-  assessed_.erase(request);
+  for (auto& [service, queue] : queues_) {
+    if (queue.Remove(request)) {
+      return;
+    }
+  }
 }
 
-std::vector<WaitingRequest*> Dispatcher::WaitingInOrder(MonotonicTime now) {
-  std::vector<WaitingRequest*> order;
-  order.reserve(waiting_.size());
-  for (auto& [id, request] : waiting_) {
-    order.push_back(&request);
+std::size_t Dispatcher::waiting_count() const {
+  std::size_t count = 0;
+  for (const auto& [service, queue] : queues_) {
+    count += queue.size();
   }
-  // Requests that can still meet their target latency come first, then those of
-  // higher priority, then those that are due earlier.
-  std::sort(order.begin(), order.end(),
-            [now](const WaitingRequest* a, const WaitingRequest* b) {
-              const bool a_late = a->due_at < now;
-              const bool b_late = b->due_at < now;
-              if (a_late != b_late) {
-                return b_late;
-              }
-              if (a->priority != b->priority) {
-                return a->priority < b->priority;
-              }
-              return a->due_at != b->due_at ? a->due_at < b->due_at
-                                            : a->id < b->id;
-            });
-  return order;
+  return count;
 }
 
 std::vector<Placement> Dispatcher::Place(MonotonicTime now) {
   ExpirePeerReports(now);
   std::vector<Placement> placements;
-  std::set<std::string> saturated_services;
-  for (WaitingRequest* request : WaitingInOrder(now)) {
-    if (saturated_services.contains(request->service)) {
-      continue;
+  for (auto& [service, queue] : queues_) {
+    const auto upstreams = by_service_.find(service);
+    if (upstreams != by_service_.end()) {
+      queue.Update(upstreams->second, now);
     }
-    UpstreamView* upstream = Choose(*request, now);
-    if (upstream == nullptr) {
-      if (request->excluded_upstreams.empty()) {
-        saturated_services.insert(request->service);
-      }
-      continue;
-    }
-    upstream->OnSent(*request, now);
-    if (options_.version_gate != nullptr) {
-      options_.version_gate->OnPlaced(request->service,
-                                      upstream->entry().version, now);
-    }
-    throughput_[request->service].placed_at.push_back(now);
-    placements.push_back(
-        {.request = request->id, .upstream = upstream->entry()});
-  }
-  for (const Placement& it : placements) {
-    Remove(it.request);
+    queue.Place(
+        [this, &placements, now](const WaitingRequest& request) {
+          return PlaceRequest(request, placements, now);
+        },
+        now);
   }
   return placements;
 }
 
+ServiceQueue::PlaceResult Dispatcher::PlaceRequest(
+    const WaitingRequest& request,
+    std::vector<Placement>& placements,
+    MonotonicTime now) {
+  UpstreamView* upstream = Choose(request, now);
+  if (upstream == nullptr) {
+    return request.excluded_upstreams.empty()
+               ? ServiceQueue::PlaceResult::kSaturated
+               : ServiceQueue::PlaceResult::kSkipped;
+  }
+  upstream->OnSent(request, now);
+  if (options_.version_gate != nullptr) {
+    options_.version_gate->OnPlaced(request.service, upstream->entry().version,
+                                    now);
+  }
+  placements.push_back({.request = request.id, .upstream = upstream->entry()});
+  return ServiceQueue::PlaceResult::kPlaced;
+}
+
 bool Dispatcher::GateAdmits(const UpstreamEntry& upstream,
                             MonotonicTime now) const {
   return options_.version_gate == nullptr ||
@@ -301,77 +285,25 @@
   return same_region ? kOtherDataCentreCost : kOtherRegionCost;
 }
 
-double Dispatcher::PerSecond(std::deque<MonotonicTime>& times,
-                             MonotonicTime now) {
-  while (!times.empty() && now - times.front() > kThroughputWindow) {
-    times.pop_front();
-  }
-  return static_cast<double>(times.size()) / ToSeconds(kThroughputWindow);
-}
-
-Duration Dispatcher::ExpectedWait(const std::string& service,
-                                  bool is_late,
-                                  double position,
-                                  MonotonicTime now) {
-  Throughput& throughput = throughput_[service];
-  double rate = PerSecond(throughput.placed_at, now);
-  if (is_late) {
-    rate -= PerSecond(throughput.arrived_at, now);
-  }
-  const std::chrono::duration<double> wait(
-      (position + 1) / std::max(kMinPlacementsPerSecond, rate));
-  return std::chrono::duration_cast<Duration>(wait);
-}
-
 std::vector<Rejection> Dispatcher::Reject(MonotonicTime now) {
   std::vector<Rejection> rejections;
-  std::map<std::string, double> ahead;
-  for (const WaitingRequest* request : WaitingInOrder(now)) {
-    double& position = ahead[request->service];
-    const bool is_new = assessed_.insert(request->id).second;
-    std::optional<Rejection> rejection =
-        Assess(*request, is_new, position, now);
-    if (rejection) {
-      rejections.push_back(std::move(*rejection));
-    } else {
-      ++position;
+  for (auto& [service, queue] : queues_) {
+    for (Rejection& it : queue.Reject(random_, now)) {
+      rejections.push_back(std::move(it));
     }
   }
-  for (const Rejection& it : rejections) {
-    Remove(it.request);
-  }
   return rejections;
 }
 
-// A request keeps waiting while it can still meet its target latency. One that
-// would be late is refused on arrival, when a retry costs its caller no waiting
-// time; one that became late in the queue stays only if it can start before its
-// caller gives up.
-std::optional<Rejection> Dispatcher::Assess(const WaitingRequest& request,
-                                            bool is_new,
-                                            double position,
-                                            MonotonicTime now) {
-  const Duration expected_wait =
-      ExpectedWait(request.service, request.due_at < now, position, now);
-  const MonotonicTime expected_start = now + expected_wait + kFirstEventTime;
-  const bool arrived_late = request.due_at <= request.arrived_at;
-  const bool waits_for_late_start = !is_new || arrived_late || request.was_sent;
-  const MonotonicTime latest_start =
-      waits_for_late_start ? request.start_by : request.due_at;
-  if (expected_start <= latest_start &&
-      now + kFirstEventTime < request.start_by) {
-    return std::nullopt;
+std::vector<RefusalSummary> Dispatcher::TakeRefusals(MonotonicTime now) {
+  std::vector<RefusalSummary> summaries;
+  for (auto& [service, queue] : queues_) {
+    if (std::optional<RefusalSummary> it = queue.TakeRefusals(now)) {
+      it->service = service;
+      summaries.push_back(std::move(*it));
+    }
   }
-  // A retry will arrive late, so that its wait is that of a late request.
-  const Duration expected_wait_on_retry =
-      ExpectedWait(request.service, true, position, now);
-  const double spread = 1 + random_.NextDouble() * kRetryAfterSpread;
-  const auto retry_after = milliseconds(static_cast<std::int64_t>(
-      ToSeconds(expected_wait_on_retry) * 1000 * spread));
-  return Rejection{
-      .request = request.id,
-      .retry_after = std::clamp(retry_after, kMinRetryAfter, kMaxRetryAfter),
-      .reason = is_new ? "would be late" : "no upstream was free in time"};
+  return summaries;
 }
 
 void Dispatcher::RecordPlacement(const std::string& upstream,
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -3,14 +3,13 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <map>
-#include <optional>
+#include <memory>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
+#include "libs/dispatching/service_queue.h"
 #include "libs/dispatching/upstream_view.h"
 #include "libs/dispatching/version_gate.h"
 #include "libs/dispatching/waiting_request.h"
@@ -37,13 +36,6 @@
   UpstreamEntry upstream;
 };
 
-// A decision to refuse a request that has not been sent.
-struct Rejection {
-  std::uint64_t request = 0;
-  std::chrono::milliseconds retry_after{0};
-  std::string reason;
-};
-
 // Queues the requests of one host, assigns them to upstreams and refuses those
 // that would wait too long. Each host decides on its own, based on its own load
 // and the load reported by other hosts; it never waits for another host.
@@ -56,6 +48,10 @@
     options_.regions = std::move(regions);
   }
 
+  void SetWorkspaceWeights(WorkspaceWeights weights) {
+    *workspace_weights_ = std::move(weights);
+  }
+
   // How long the newest report of a host stays valid.
   void SetReportLifetime(std::chrono::milliseconds lifetime) {
     report_lifetime_ = lifetime;
@@ -82,6 +78,9 @@
   // Place(), so that a request is refused on arrival and not after a wait.
   std::vector<Rejection> Reject(MonotonicTime now);
 
+  // Returns what has been refused since the last call, for the log.
+  std::vector<RefusalSummary> TakeRefusals(MonotonicTime now);
+
   // Counts a request as sent to an upstream that another host chose.
   void RecordPlacement(const std::string& upstream,
                        const WaitingRequest& request,
@@ -104,7 +103,8 @@
   // Returns the upstream with this PeerUpstreamKey, or null.
   const UpstreamView* FindByPeerKey(std::uint64_t key) const;
   bool HasAnyUpstream() const;
-  std::size_t waiting_count() const { return waiting_.size(); }
+  std::size_t waiting_count() const;
+  const std::map<std::string, ServiceQueue>& queues() const { return queues_; }
   // Number of requests of this host in progress, by PeerUpstreamKey, for the
   // report to other hosts.
   std::map<std::uint64_t, int> OwnLoad() const;
@@ -118,29 +118,15 @@
     std::map<std::uint64_t, int> running;
   };
 
-  // Arrivals and placements of one service in the last seconds.
-  struct Throughput {
-    // Arrivals that could still meet their target latency.
-    std::deque<MonotonicTime> arrived_at;
-    std::deque<MonotonicTime> placed_at;
-  };
-
   void IndexUpstreams();
   // Adds a host's reported load, multiplied by `sign`, to the upstreams.
   void AddPeerLoad(const std::map<std::uint64_t, int>& running, int sign);
   void ExpirePeerReports(MonotonicTime now);
-  static double PerSecond(std::deque<MonotonicTime>& times, MonotonicTime now);
-  // Expected wait of the request at queue position `position` of its service. A
-  // late request is also overtaken by new arrivals that can be on time.
-  Duration ExpectedWait(const std::string& service,
-                        bool is_late,
-                        double position,
-                        MonotonicTime now);
-  std::optional<Rejection> Assess(const WaitingRequest& request,
-                                  bool is_new,
-                                  double position,
-                                  MonotonicTime now);
-  std::vector<WaitingRequest*> WaitingInOrder(MonotonicTime now);
+  ServiceQueue& QueueOf(const std::string& service);
+  // Places one request; it counts as sent.
+  ServiceQueue::PlaceResult PlaceRequest(const WaitingRequest& request,
+                                         std::vector<Placement>& placements,
+                                         MonotonicTime now);
   bool GateAdmits(const UpstreamEntry& upstream, MonotonicTime now) const;
   UpstreamView* Choose(const WaitingRequest& request, MonotonicTime now);
   UpstreamView* ChooseAmong(const std::vector<UpstreamView*>& upstreams,
@@ -169,10 +155,11 @@
   std::chrono::milliseconds report_lifetime_{1500};
   // The sum of `peers_`, by PeerUpstreamKey.
   std::unordered_map<std::uint64_t, int> peer_running_;
-  std::unordered_map<std::uint64_t, WaitingRequest> waiting_;
-  // Waiting requests that Reject() has already assessed.
-  std::unordered_set<std::uint64_t> assessed_;
-  std::map<std::string, Throughput> throughput_;
+  // Read by `queues_`.
+  std::shared_ptr<WorkspaceWeights> workspace_weights_ =
+      std::make_shared<WorkspaceWeights>();
+  // By service.
+  std::map<std::string, ServiceQueue> queues_;
 };
 
 // The compact key that identifies an upstream in reports between hosts.
--- a/src/plugins/gateway/coordination_node.cc
+++ b/src/plugins/gateway/coordination_node.cc
@@ -11,6 +11,7 @@
 #include "libs/kernel/boot_clock.h"
 #include "libs/kernel/log.h"
 #include "libs/model/fingerprint.h"
+#include "plugins/gateway/fleet_events.h"
 
 namespace flamingogauge {
 namespace {
@@ -41,6 +42,9 @@
 // A host that has been silent for this long is considered permanently gone.
 constexpr std::chrono::seconds kHostGoneTimeout{20};
 
+// Refusals within this time go into one line for each service.
+constexpr std::chrono::seconds kRefusalLogInterval{1};
+
 const Logger& Log() {
   static const Logger kLogger("coordination");
   return kLogger;
@@ -117,6 +121,10 @@
   ScheduleRun();
 }
 
+void CoordinationNode::SetWorkspaceWeights(WorkspaceWeights weights) {
+  coordinator_.SetWorkspaceWeights(std::move(weights));
+}
+
 void CoordinationNode::SetHosts(const std::vector<HostEntry>& hosts) {
   const MonotonicTime now = BootTimeNow();
   addresses_.clear();
@@ -265,6 +273,7 @@
       Send(it.message, it.address);
     }
   }
+  LogRefusals(BootTimeNow());
   if (coordinator_.waiting_count() == 0) {
     return;
   }
@@ -276,6 +285,18 @@
   });
 }
 
+void CoordinationNode::LogRefusals(MonotonicTime now) {
+  if (now - refusals_logged_at_ < kRefusalLogInterval) {
+    return;
+  }
+  refusals_logged_at_ = now;
+  for (const RefusalSummary& it : coordinator_.TakeRefusals(now)) {
+    metrics_.Add("flamingogauge_coordinated_refusals_total",
+                 Label("service", it.service), it.refused);
+    log_.Write(RefusalEvent(it));
+  }
+}
+
 void CoordinationNode::ApplyReply(const CoordinatorMessage& message) {
   placer_.OnCoordinatorMessage(message, BootTimeNow());
   handlers_.on_placed();
--- a/src/plugins/gateway/coordination_node.h
+++ b/src/plugins/gateway/coordination_node.h
@@ -63,6 +63,7 @@
   void SetRegions(const std::map<std::string, std::string>& regions);
   void SetHosts(const std::vector<HostEntry>& hosts);
   void SetUpstreams(const std::vector<UpstreamEntry>& upstreams);
+  void SetWorkspaceWeights(WorkspaceWeights weights);
 
   // Sends the placer's urgent changes soon.
   void OnPlacerChanged();
@@ -93,6 +94,7 @@
   void OnMessage(const DataCentreReport& report, const std::string& sender);
   // Applies messages that came from other hosts or from this one.
   void ApplyState(const HostMessage& message);
+  void LogRefusals(MonotonicTime now);
   void ApplyReply(const CoordinatorMessage& message);
   void ApplySummary(const FleetSummary& summary);
   // True if `sender` is the listed address of `host`; counts other datagrams.
@@ -142,6 +144,7 @@
   std::set<std::string> silent_hosts_;
   std::string logged_coordinator_;
   MonotonicTime active_at_;
+  MonotonicTime refusals_logged_at_;
 };
 
 }  // namespace flamingogauge
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -87,6 +87,10 @@
       .expected_output_tokens = accepted_.expected_output_tokens,
       .prompt_parts = accepted_.prompt_parts,
       .was_sent = !tried_upstreams_.empty(),
+      .workspace = accepted_.workspace != nullptr
+                       ? WorkspaceHash(accepted_.workspace->name)
+                       : 0,
+      .returned = accepted_.returned,
       .excluded_upstreams = tried_upstreams_};
   context_.placer.Enqueue(std::move(waiting), BootTimeNow());
   context_.on_placer_changed();
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -49,6 +49,8 @@
   double expected_output_tokens = 0;
   // The response, or the first event of a stream, is late after this time.
   MonotonicTime due_at;
+  // True if its caller was refused before and returns as it was told.
+  bool returned = false;
   std::vector<PromptPart> prompt_parts;
   // The units charged to the workspace's limit.
   double spent = 0;
--- a/src/plugins/gateway/fleet_events.cc
+++ b/src/plugins/gateway/fleet_events.cc
@@ -83,4 +83,22 @@
   return line;
 }
 
+EventLine RefusalEvent(const RefusalSummary& refusals) {
+  const auto count = [](auto n) { return static_cast<std::int64_t>(n); };
+  EventLine line("admission.refused");
+  line.Text("service", refusals.service)
+      .Number("refused", refusals.refused)
+      .Number("returned", refusals.returned)
+      .Number("priority", refusals.priority)
+      .Text("reason", refusals.reason)
+      .Milliseconds("expected_wait_ms", refusals.expected_wait)
+      .Milliseconds("wait_limit_ms", refusals.wait_limit)
+      .Milliseconds("retry_after_ms", refusals.retry_after)
+      .Number("ahead", count(refusals.ahead))
+      .Number("waiting", count(refusals.waiting))
+      .Number("late", count(refusals.late))
+      .Number("placed_per_second", count(refusals.placed_per_second));
+  return line;
+}
+
 }  // namespace flamingogauge
--- a/src/plugins/gateway/fleet_events.h
+++ b/src/plugins/gateway/fleet_events.h
@@ -25,6 +25,9 @@
                             const Dispatcher& dispatcher,
                             MonotonicTime now);
 
+// Returns the event for the refusals of a service by the host that decides.
+EventLine RefusalEvent(const RefusalSummary& refusals);
+
 }  // namespace flamingogauge
 
 #endif  // FLAMINGOGAUGE_PLUGINS_GATEWAY_FLEET_EVENTS_H_
--- a/src/plugins/gateway/gateway_plugin.cc
+++ b/src/plugins/gateway/gateway_plugin.cc
@@ -51,6 +51,7 @@
   std::unique_ptr<CoordinationNode> coordination;
   std::shared_ptr<const std::vector<HostEntry>> hosts;
   std::shared_ptr<const std::vector<UpstreamEntry>> upstreams;
+  std::shared_ptr<const RoutingTable> routing;
   std::function<void()> drained;
   std::thread thread;
 
@@ -97,6 +98,10 @@
     upstreams = snapshot.upstreams;
     coordination->SetUpstreams(*upstreams);
   }
+  if (routing != snapshot.routing && snapshot.routing) {
+    routing = snapshot.routing;
+    coordination->SetWorkspaceWeights(WeightsByRateLimit(*routing));
+  }
   relay->OnFleet(snapshot);
   relay->SetHostCount(coordination->HostCount());
 }
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -137,6 +137,7 @@
   context_.fleet = snapshot;
   if (new_routing && snapshot.routing) {
     context_.rate_limiter.SetLimits(*snapshot.routing, now);
+    context_.placer.SetWorkspaceWeights(WeightsByRateLimit(*snapshot.routing));
   }
   if (new_upstreams) {
     context_.placer.SetUpstreams(*snapshot.upstreams, now);
@@ -340,9 +341,12 @@
   accepted.service = ChooseService(*accepted.route, accepted.request_id);
   ReadTokenCounts(context_.settings.headers, accepted);
   // The latency target counts from the caller's first attempt.
-  accepted.due_at = accepted.arrived_at + accepted.route->target_latency -
-                    prior_wait_estimator_.EstimatePriorWait(
-                        accepted.route->name, caller_timeout, timeout);
+  const milliseconds prior_wait = prior_wait_estimator_.EstimatePriorWait(
+      accepted.route->name, caller_timeout, timeout);
+  accepted.due_at =
+      accepted.arrived_at + accepted.route->target_latency - prior_wait;
+  // Whoever comes back earlier does not return as it was told.
+  accepted.returned = prior_wait >= ReturnSchedule::kMinDelay;
   accepted.keys.request =
       ComputeFingerprint(
           request.target + "\n" +
