admission: late requests wait for what is left by requests on time

Change: the rate left for late requests leaves out all placements on time, on arrival they get half of the time until their callers give up, and Retry-After follows from the same rate.

--- a/src/libs/dispatching/admission_policy.cc
+++ b/src/libs/dispatching/admission_policy.cc
@@ -6,6 +6,9 @@
 namespace flamingogauge {
 namespace {
 
+// The part of the time until its caller gives up for which a late request may
+// be expected to wait on arrival, so that few are refused after a wait.
+constexpr double kLateWaitShare = 0.5;
 // The least part of its time for which a request may wait that holds its place
 // for very long; above zero, so that it is admitted when the queue is short.
 constexpr double kMinWaitShare = 0.1;
@@ -44,8 +47,10 @@
     decision.wait_limit = std::min(
         until_start_by,
         Scaled(request.due_at - now - context.first_event_time, share));
-  } else {
+  } else if (queued.is_admitted || request.was_sent) {
     decision.wait_limit = until_start_by;
+  } else {
+    decision.wait_limit = Scaled(until_start_by, kLateWaitShare);
   }
   if (decision.expected_wait <= decision.wait_limit) {
     return decision;
--- a/src/libs/dispatching/service_rate.cc
+++ b/src/libs/dispatching/service_rate.cc
@@ -17,7 +17,7 @@
 double ServiceRates::LeftFor(int priority, bool is_late) const {
   double left = total;
   for (const auto& [other, per_second] : placed_on_time) {
-    if (other < priority || (is_late && other == priority)) {
+    if (is_late || other < priority) {
       left -= per_second;
     }
   }
--- a/src/libs/dispatching/service_rate.h
+++ b/src/libs/dispatching/service_rate.h
@@ -16,8 +16,8 @@
   std::map<int, double> placed_on_time;
 
   // The part of `total` that is left for requests of `priority` once the more
-  // urgent ones are placed; for late ones, once those of the same priority that
-  // can still be on time are placed, too. At least 1.
+  // urgent ones are placed; for late ones, once all that can still be on time
+  // are placed. At least 1.
   double LeftFor(int priority, bool is_late) const;
 };
 
