--- a/tests/auto/dispatching/tst_admission_replay.cc
+++ b/tests/auto/dispatching/tst_admission_replay.cc
@@ -112,5 +112,66 @@
   }
 }
 
+// Guards against long outputs that are starved while short ones are preferred
+// in an overload, and against an overload in which they hold most places.
+TEST_CASE("the longest outputs are served at least half as often as others") {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    CAPTURE(seed);
+    AdmissionReplay replay(
+        {.kinds = MixedKinds(),
+         .surges = {{.from = seconds(3), .until = seconds(6), .factor = 1.8}},
+         .seed = seed});
+    replay.Run();
+    const double all = replay.SumBySize(kUrgent, 0, 1).served_share();
+    CHECK(replay.SumBySize(kUrgent, 0.9, 1).served_share() >= all / 2);
+    CHECK(replay.SumBySize(kUrgent, 0.7, 0.9).served_share() >= all / 2);
+  }
+}
+
+// Guards against a workspace that makes the others pay for its surge, and
+// against one that is starved because of it.
+TEST_CASE("a workspace at six times its usual pays for itself") {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    CAPTURE(seed);
+    AdmissionReplay replay({.kinds = MixedKinds(),
+                            .surges = {{.workspace = 0,
+                                        .from = seconds(3),
+                                        .until = seconds(9),
+                                        .factor = 6}},
+                            .seed = seed});
+    replay.Run();
+    const ReplayOutcome all = replay.Sum(seconds(3), seconds(9), kUrgent);
+    const ReplayOutcome hot = replay.Sum(seconds(3), seconds(9), kUrgent, 0);
+    CHECK(hot.served_share() >= all.served_share() / 4);
+    for (int workspace = 1; workspace < 8; ++workspace) {
+      CAPTURE(workspace);
+      const ReplayOutcome other =
+          replay.Sum(seconds(3), seconds(9), kUrgent, workspace);
+      CHECK(other.on_time_share() >= hot.on_time_share() - 0.05);
+      CHECK(other.served_share() >= 0.8);
+    }
+  }
+}
+
+// Guards against callers that repeat at once and thereby take the places of
+// those that return as they were told.
+TEST_CASE("callers that repeat at once push nobody out") {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    CAPTURE(seed);
+    ReplayOptions options{
+        .kinds = MixedKinds(),
+        .surges = {{.from = seconds(3), .until = seconds(5), .factor = 1.8}},
+        .seed = seed};
+    AdmissionReplay patient(options);
+    patient.Run();
+    options.abusive_share = 0.3;
+    AdmissionReplay abused(options);
+    abused.Run();
+    const double without = patient.Sum(seconds(0), seconds(8)).worth_share();
+    const double with = abused.Sum(seconds(0), seconds(8)).worth_share();
+    CHECK(with >= without - 0.1);
+  }
+}
+
 }  // namespace
 }  // namespace flamingogauge
