rate limits: less urgent requests leave credits to a workspace's urgent ones

Change: a request leaves a part of the burst that follows the recent demand of more urgent requests of its workspace on this host (UrgentReserve), a quarter at most, and nothing when there is none.

--- a/src/libs/dispatching/shared_rate_limiter.cc
+++ b/src/libs/dispatching/shared_rate_limiter.cc
@@ -112,16 +112,21 @@
 
 bool SharedRateLimiter::TrySpend(const WorkspaceEntry& workspace,
                                  double amount,
-                                 MonotonicTime now) {
+                                 MonotonicTime now,
+                                 int priority) {
   const auto it = buckets_.find(workspace.name);
   if (it == buckets_.end()) {
     return true;
   }
   Bucket& bucket = it->second;
   Refill(bucket, now);
+  bucket.reserve.OnDemand(priority, amount, now);
+  const double reserved = bucket.burst * ReachableFraction(now) *
+                          bucket.reserve.PartFor(priority, now);
   // A request larger than the remaining credits is admitted and drives the
   // balance negative.
-  if (bucket.credits - EstimateUnreportedUsage(workspace.name, now) <= 0) {
+  if (bucket.credits - EstimateUnreportedUsage(workspace.name, now) <=
+      reserved) {
     return false;
   }
   bucket.credits -= amount;
--- a/src/libs/dispatching/shared_rate_limiter.h
+++ b/src/libs/dispatching/shared_rate_limiter.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 
+#include "libs/dispatching/urgent_reserve.h"
 #include "libs/kernel/time.h"
 #include "libs/routing/routing_table.h"
 
@@ -54,9 +55,12 @@
                      MonotonicTime now);
 
   // Returns true and spends `amount` when the workspace is within its limit.
+  // Requests of a `priority` above 0 leave a reserve to the more urgent ones of
+  // the workspace.
   bool TrySpend(const WorkspaceEntry& workspace,
                 double amount,
-                MonotonicTime now);
+                MonotonicTime now,
+                int priority = 0);
   // Returns the units of a request that was not executed.
   void Refund(const WorkspaceEntry& workspace, double amount);
 
@@ -73,6 +77,7 @@
     double credits = 0;
     double own_spent = 0;
     MonotonicTime updated_at;
+    UrgentReserve reserve;
   };
   struct OthersUsage {
     double spent = 0;
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -397,8 +397,8 @@
       amount = workspace->plain_tokens;
     }
   }
-  if (!context_.rate_limiter.TrySpend(*workspace, amount,
-                                      accepted.arrived_at)) {
+  if (!context_.rate_limiter.TrySpend(*workspace, amount, accepted.arrived_at,
+                                      PriorityOf(*accepted.route, workspace))) {
     return Denial{
         kTooManyRequests, "the workspace is over its limit",
         std::max(kMinRetryAfterLimit, context_.rate_limiter.TimeUntilCredit(
--- a/tests/auto/dispatching/tst_shared_rate_limiter.cc
+++ b/tests/auto/dispatching/tst_shared_rate_limiter.cc
@@ -214,5 +214,49 @@
   CHECK_FALSE(host.TrySpend(lower.workspaces[0], 1, now));
 }
 
+// Guards against a workspace over its limit whose many small, less urgent
+// requests take the credits of its urgent ones: with a demand of three times
+// the limit, of which the urgent requests are a sixth, nearly all of those are
+// within the limit, and less urgent ones get the rest. Without urgent requests
+// nothing is kept back.
+TEST_CASE(
+    "a workspace's less urgent requests leave credits to its urgent ones") {
+  struct Case {
+    double urgent_share;
+    double min_urgent_admitted;
+  };
+  for (const Case& it : {Case{1.0 / 6, 0.95}, Case{0, 0}}) {
+    CAPTURE(it.urgent_share);
+    MonotonicTime now{std::chrono::hours(1)};
+    const RoutingTable table = TableWithLimit(kRate, kBurst);
+    SharedRateLimiter limiter(now);
+    limiter.SetLimits(table, now);
+    Random random(1);
+    constexpr double kUrgentAmount = 1400;
+    constexpr double kOtherAmount = 200;
+    constexpr double kSeconds = 10;
+    const double demand = 3 * kRate * ToSeconds(kStep);
+    double admitted = 0;
+    int urgent_asked = 0;
+    int urgent_admitted = 0;
+    for (int n = 0; n < kSeconds / ToSeconds(kStep); ++n) {
+      now += kStep;
+      for (double left = demand; left > 0; left -= kOtherAmount) {
+        const bool is_urgent =
+            random.NextBool(it.urgent_share * kOtherAmount / kUrgentAmount);
+        const double amount = is_urgent ? kUrgentAmount : kOtherAmount;
+        const bool spent = limiter.TrySpend(table.workspaces[0], amount, now,
+                                            is_urgent ? 0 : 2);
+        admitted += spent ? amount : 0;
+        urgent_asked += is_urgent ? 1 : 0;
+        urgent_admitted += is_urgent && spent ? 1 : 0;
+      }
+    }
+    CHECK(urgent_admitted >= it.min_urgent_admitted * urgent_asked);
+    CHECK(admitted >= kRate * kSeconds);
+    CHECK(admitted <= kRate * kSeconds + kBurst + kUrgentAmount);
+  }
+}
+
 }  // namespace
 }  // namespace flamingogauge
