--- a/src/libs/dispatching/admission_policy.cc
+++ b/src/libs/dispatching/admission_policy.cc
@@ -11,7 +11,7 @@
 constexpr double kLateWaitShare = 0.5;
 // The least part of its time for which a request may wait that holds its place
 // for very long; above zero, so that it is admitted when the queue is short.
-constexpr double kMinWaitShare = 0.25;
+constexpr double kMinWaitShare = 0.1;
 
 Duration ExpectedWait(std::size_t ahead, double per_second) {
   const std::chrono::duration<double> wait(static_cast<double>(ahead + 1) /
--- a/src/libs/dispatching/admission_policy.h
+++ b/src/libs/dispatching/admission_policy.h
@@ -17,7 +17,7 @@
   // Expected time from the placement to the first event.
   Duration first_event_time{0};
   // The time for which the request is expected to hold its place, divided by
-  // the mean of its kind and by its worth.
+  // the mean of its kind.
   double relative_cost = 1;
 };
 
@@ -43,8 +43,8 @@
 //   for longer than the mean of its kind: while a queue grows, those that take
 //   most are refused first.
 // - A request that can no longer be on time is admitted if its expected wait is
-//   half of the time until its caller gives up. It, and one that was sent
-//   before, then waits as long as it can start in that time.
+//   half of the time until its caller gives up. It, and one that was sent before,
+//   then waits as long as it can start in that time.
 // More urgent requests count as ahead whether they are late or not, so that in
 // an overload the less urgent ones are refused before the more urgent ones.
 //
--- a/src/libs/dispatching/service_times.cc
+++ b/src/libs/dispatching/service_times.cc
@@ -14,10 +14,6 @@
 constexpr double kDefaultFirstEventSeconds = 0.15;
 // Prefill rate of an average engine beside other requests.
 constexpr double kPrefillTokensPerSecond = 55000;
-// The part of a request's worth that does not depend on its size, and the size
-// beyond which its worth does not grow.
-constexpr double kFixedWorth = 0.3;
-constexpr double kMaxSize = 4;
 // Weight of the newest request in the mean.
 constexpr double kMeanWeight = 0.01;
 
@@ -42,14 +38,10 @@
 
 void ServiceTimes::OnArrived(const WaitingRequest& request) {
   const double seconds = PlaceSeconds(request);
-  const auto [it, is_first] = means_.try_emplace(
-      request.priority,
-      Means{.place_seconds = seconds, .prompt_tokens = request.prompt_tokens});
+  const auto [it, is_first] =
+      mean_place_seconds_.try_emplace(request.priority, seconds);
   if (!is_first) {
-    Means& means = it->second;
-    means.place_seconds += (seconds - means.place_seconds) * kMeanWeight;
-    means.prompt_tokens +=
-        (request.prompt_tokens - means.prompt_tokens) * kMeanWeight;
+    it->second += (seconds - it->second) * kMeanWeight;
   }
 }
 
@@ -76,16 +68,10 @@
 }
 
 double ServiceTimes::RelativeCost(const WaitingRequest& request) const {
-  const auto means = means_.find(request.priority);
-  if (means == means_.end() || means->second.place_seconds <= 0) {
-    return 1;
-  }
-  const double size = means->second.prompt_tokens > 0
-                          ? request.prompt_tokens / means->second.prompt_tokens
-                          : 1;
-  const double worth =
-      kFixedWorth + (1 - kFixedWorth) * std::min(size, kMaxSize);
-  return PlaceSeconds(request) / means->second.place_seconds / worth;
+  const auto mean = mean_place_seconds_.find(request.priority);
+  return mean == mean_place_seconds_.end() || mean->second <= 0
+             ? 1
+             : PlaceSeconds(request) / mean->second;
 }
 
 }  // namespace flamingogauge
--- a/src/libs/dispatching/service_times.h
+++ b/src/libs/dispatching/service_times.h
@@ -30,23 +30,18 @@
   // The same if the service's event intervals were measured; 0 otherwise.
   Duration MeasuredFirstEventTime(const WaitingRequest& request) const;
   // The expected time for which the request holds its place, divided by the
-  // mean of its priority and by the worth of its prompt against the mean.
+  // mean of its priority.
   double RelativeCost(const WaitingRequest& request) const;
 
  private:
-  // Exponentially weighted moving averages of the requests of a priority.
-  struct Means {
-    double place_seconds = 0;
-    double prompt_tokens = 0;
-  };
-
   double PlaceSeconds(const WaitingRequest& request) const;
 
   double tokens_per_event_ = 1;
   // 0 until one was measured.
   double event_interval_seconds_ = 0;
   MonotonicTime updated_at_;
-  std::map<int, Means> means_;
+  // Exponentially weighted moving average of PlaceSeconds(), by priority.
+  std::map<int, double> mean_place_seconds_;
 };
 
 }  // namespace flamingogauge
