--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -3,16 +3,15 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <map>
-#include <optional>
+#include <memory>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "libs/dispatching/first_event_model.h"
 #include "libs/dispatching/placement_cost.h"
+#include "libs/dispatching/service_queue.h"
 #include "libs/dispatching/upstream_view.h"
 #include "libs/dispatching/version_gate.h"
 #include "libs/dispatching/waiting_request.h"
@@ -40,13 +39,6 @@
   UpstreamEntry upstream;
 };
 
-// A decision to refuse a request that has not been sent.
-struct Rejection {
-  std::uint64_t request = 0;
-  std::chrono::milliseconds retry_after{0};
-  std::string reason;
-};
-
 // Why an upstream cannot get a request now.
 enum class PlacementObstacle {
   kNone,
@@ -76,6 +68,10 @@
     placement_.SetRegions(std::move(regions));
   }
 
+  void SetWorkspaceWeights(WorkspaceWeights weights) {
+    *workspace_weights_ = std::move(weights);
+  }
+
   // How long the newest report of a host stays valid.
   void SetReportLifetime(std::chrono::milliseconds lifetime) {
     report_lifetime_ = lifetime;
@@ -102,6 +98,9 @@
   // Place(), so that a request is refused on arrival and not after a wait.
   std::vector<Rejection> Reject(MonotonicTime now);
 
+  // Returns what has been refused since the last call, for the log.
+  std::vector<RefusalSummary> TakeRefusals(MonotonicTime now);
+
   // Counts a request as sent to an upstream that another host chose.
   void RecordPlacement(const std::string& upstream,
                        const WaitingRequest& request,
@@ -144,7 +143,8 @@
   // Returns the upstream with this PeerUpstreamKey, or null.
   const UpstreamView* FindByPeerKey(std::uint64_t key) const;
   bool HasAnyUpstream() const;
-  std::size_t waiting_count() const { return waiting_.size(); }
+  std::size_t waiting_count() const;
+  const std::map<std::string, ServiceQueue>& queues() const { return queues_; }
   // Number of requests of this host in progress, by PeerUpstreamKey, for the
   // report to other hosts.
   std::map<std::uint64_t, int> OwnLoad() const;
@@ -158,13 +158,6 @@
     std::map<std::uint64_t, int> running;
   };
 
-  // Arrivals and placements of one service in the last seconds.
-  struct Throughput {
-    // Arrivals that could still meet their target latency.
-    std::deque<MonotonicTime> arrived_at;
-    std::deque<MonotonicTime> placed_at;
-  };
-
   void IndexUpstreams();
   void AddUpstream(const UpstreamEntry& entry, MonotonicTime now);
   // Counts a request as sent.
@@ -176,18 +169,11 @@
   // Adds a host's reported load, multiplied by `sign`, to the upstreams.
   void AddPeerLoad(const std::map<std::uint64_t, int>& running, int sign);
   void ExpirePeerReports(MonotonicTime now);
-  static double PerSecond(std::deque<MonotonicTime>& times, MonotonicTime now);
-  // Expected wait of the request at queue position `position` of its service. A
-  // late request is also overtaken by new arrivals that can be on time.
-  Duration ExpectedWait(const std::string& service,
-                        bool is_late,
-                        double position,
-                        MonotonicTime now);
-  std::optional<Rejection> Assess(const WaitingRequest& request,
-                                  bool is_new,
-                                  double position,
-                                  MonotonicTime now);
-  std::vector<WaitingRequest*> WaitingInOrder(MonotonicTime now);
+  ServiceQueue& QueueOf(const std::string& service);
+  // Places one request; it counts as sent.
+  ServiceQueue::PlaceResult PlaceRequest(const WaitingRequest& request,
+                                         std::vector<Placement>& placements,
+                                         MonotonicTime now);
   bool GateAdmits(const UpstreamEntry& upstream, MonotonicTime now) const;
   UpstreamView* Choose(const WaitingRequest& request, MonotonicTime now);
   // Returns an upstream of a version that is tried, if the request should do
@@ -206,10 +192,11 @@
   std::chrono::milliseconds report_lifetime_{1500};
   // The sum of `peers_`, by PeerUpstreamKey.
   std::unordered_map<std::uint64_t, int> peer_running_;
-  std::unordered_map<std::uint64_t, WaitingRequest> waiting_;
-  // Waiting requests that Reject() has already assessed.
-  std::unordered_set<std::uint64_t> assessed_;
-  std::map<std::string, Throughput> throughput_;
+  // Read by `queues_`.
+  std::shared_ptr<WorkspaceWeights> workspace_weights_ =
+      std::make_shared<WorkspaceWeights>();
+  // By service.
+  std::map<std::string, ServiceQueue> queues_;
   // By service.
   std::map<std::string, FirstEventModel> first_events_;
   bool has_listed_ = false;
--- a/src/plugins/gateway/coordination_node.h
+++ b/src/plugins/gateway/coordination_node.h
@@ -82,6 +82,7 @@
   void SetRegions(const std::map<std::string, std::string>& regions);
   void SetHosts(const std::vector<HostEntry>& hosts);
   void SetUpstreams(const std::vector<UpstreamEntry>& upstreams);
+  void SetWorkspaceWeights(WorkspaceWeights weights);
 
   // Requests that wait here may now go to other upstreams.
   void OnGateChanged() { ScheduleRun(); }
@@ -118,6 +119,7 @@
   void OnMessage(const DataCentreReport& report, const std::string& sender);
   // Applies messages that came from other hosts or from this one.
   void ApplyState(const HostMessage& message);
+  void LogRefusals(MonotonicTime now);
   void ApplyReply(const CoordinatorMessage& message);
   void ApplySummary(const FleetSummary& summary);
   // True if `sender` is the listed address of `host`; counts other datagrams.
@@ -168,6 +170,7 @@
   std::string logged_coordinator_;
   MonotonicTime active_at_;
   PaceLogFilter pace_log_;
+  MonotonicTime refusals_logged_at_;
 };
 
 }  // namespace flamingogauge
