--- a/src/libs/rollouts/evidence_pool.cc
+++ b/src/libs/rollouts/evidence_pool.cc
@@ -63,10 +63,14 @@
 void EvidencePool::Record(std::uint64_t order,
                           std::uint64_t upstream,
                           const AnsweredRequest& request) {
+  // Busy upstreams are slower, so that their answers are compared with those of
+  // busy ones only.
+  const std::uint64_t route =
+      (request.route & ~kBusyBit) | (request.was_busy ? kBusyBit : 0);
   EvidenceCount& count =
-      own_[{.order = order, .route = request.route, .upstream = upstream}];
+      own_[{.order = order, .route = route, .upstream = upstream}];
   count.order = order;
-  count.route = request.route;
+  count.route = route;
   count.upstream = upstream;
   ++count.answers;
   if (request.succeeded) {
--- a/src/libs/rollouts/evidence_pool.h
+++ b/src/libs/rollouts/evidence_pool.h
@@ -23,6 +23,8 @@
   double prompt_tokens = 0;
   // Events of the stream; 0 for a response that is no stream.
   std::size_t events = 0;
+  // True if over half of the upstream's places were taken when it was sent.
+  bool was_busy = false;
   // False if the upstream responded with an error or broke off.
   bool succeeded = true;
 };
--- a/src/libs/rollouts/rollout_gate.cc
+++ b/src/libs/rollouts/rollout_gate.cc
@@ -12,7 +12,7 @@
 // Trial requests that are placed together, so that they meet at an upstream:
 // as many as it may run, within these bounds.
 constexpr double kMinBatch = 4;
-constexpr double kMaxBatch = 8;
+constexpr double kMaxBatch = 6;
 // More than one, so that a version can be told from one faulty upstream.
 constexpr std::size_t kTrialUpstreams = 3;
 
--- a/src/libs/rollouts/rollout_messages.h
+++ b/src/libs/rollouts/rollout_messages.h
@@ -50,11 +50,14 @@
 // The number of bins for the times of answers, half an octave each.
 inline constexpr std::size_t kDurationBins = 20;
 
+inline constexpr std::uint64_t kBusyBit = 1;
+
 // Answers since the start of an order, on one route, by one upstream of the
 // target or by all upstreams of the old versions together.
 struct EvidenceCount {
   std::uint64_t order = 0;
-  // Hash of the route's name.
+  // Hash of the route's name; its lowest bit, kBusyBit, tells whether the
+  // upstreams were busy.
   std::uint64_t route = 0;
   // The PeerUpstreamKey; 0 for the old versions.
   std::uint64_t upstream = 0;
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -136,6 +136,9 @@
                   !may_have_executed_ || accepted_.route->AllowsReexecution(),
                   "send " + accepted_.request_id);
   sent_at_ = now;
+  const auto view = context_.placer.upstreams().find(upstream.id);
+  sent_to_busy_ = view != context_.placer.upstreams().end() &&
+                  view->second.running() * 2 > upstream.slots;
   ++sends_;
   if (sends_ == 1) {
     first_sent_at_ = now;
@@ -405,7 +408,8 @@
        .answer = {.route = ComputeContentHash(accepted_.route->name).low,
                   .took = BootTimeNow() - sent_at_,
                   .prompt_tokens = accepted_.prompt_tokens,
-                  .events = events_}});
+                  .events = events_,
+                  .was_busy = sent_to_busy_}});
 }
 
 void Exchange::EndDispatch(DispatchResult result) {
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -155,6 +155,8 @@
   std::vector<std::string> tried_upstreams_;
   MonotonicTime first_sent_at_;
   MonotonicTime sent_at_;
+  // Over half of the upstream's places were taken then.
+  bool sent_to_busy_ = false;
 
   // State of the current response.
   HttpResponseHead head_;
