--- a/src/libs/http_server/held_memory.h
+++ b/src/libs/http_server/held_memory.h
@@ -27,7 +27,7 @@
   // them.
   std::vector<std::uint64_t> TakeToClose() {
     std::lock_guard<std::mutex> lock(mutex_);
-    const std::vector<std::uint64_t> chosen = budget_.ChooseToClose();
+    std::vector<std::uint64_t> chosen = budget_.ChooseToClose();
     for (const std::uint64_t it : chosen) {
       budget_.Remove(it);
     }
