dispatching: leave places to other coordinators only if there are any

tst_gateway, "a waiting request is answered once it is quarantined", hung: a host whose upstreams are listed under another data centre left part of their places free for coordinators that do not exist, and refused the requests that found none. Places are now left only while reports of another data centre's coordinator come. An upstream that is listed within 3 s of the first one no longer counts as just started, as a host that starts learns of upstreams one after the other.

--- a/src/libs/coordination/coordinator.cc
+++ b/src/libs/coordination/coordinator.cc
@@ -286,6 +286,7 @@
     return;
   }
   known = {.report = report, .heard_at = now};
+  queue_.OnOtherCoordinator(now);
   queue_.OnPeerLoad("data centre " + report.data_centre, report.running, now);
   remote_usage_.Record(report.coordinator, report.process, report.usage);
   for (const UpstreamPaceReport& it : report.paces) {
--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -14,6 +14,8 @@
 // Expected time from placement to the first event on an upstream of normal
 // speed.
 constexpr milliseconds kFirstEventTime{150};
+// The time until a host that starts knows all upstreams.
+constexpr std::chrono::seconds kListingTime{3};
 // An answer is late if it begins after this many times the expected time.
 constexpr double kPatience = 4;
 // One that begins within this time is never late.
@@ -39,8 +41,7 @@
       placement_({.data_centre = options_.data_centre,
                   .regions = options_.regions,
                   .tokens_per_event = options_.tokens_per_event,
-                  .seed = options_.seed,
-                  .shares_places = options_.pace.start_requests > 0}) {}
+                  .seed = options_.seed}) {}
 
 void Dispatcher::SetUpstreams(const std::vector<UpstreamEntry>& upstreams,
                               MonotonicTime now) {
@@ -52,8 +53,8 @@
       AddUpstream(it, now);
     } else if (known->second.entry().started_at_ms != it.started_at_ms ||
                known->second.entry().address != it.address) {
-      upstreams_.erase(known);
-      AddUpstream(it, now);
+      known->second = UpstreamView(it, options_.pace);
+      known->second.OnStarted(now);
     } else {
       known->second.SetEntry(it);
     }
@@ -61,16 +62,21 @@
   std::erase_if(upstreams_, [&listed](const auto& it) {
     return !listed.contains(it.first);
   });
-  has_listed_ = has_listed_ || !upstreams.empty();
+  if (!first_listed_at_ && !upstreams.empty()) {
+    first_listed_at_ = now;
+  }
   IndexUpstreams();
   ExpirePeerReports(now);
 }
 
-// The first list does not tell which upstreams have just started.
+// What is listed while this host starts, or all hosts do, may have run for
+// long.
 void Dispatcher::AddUpstream(const UpstreamEntry& entry, MonotonicTime now) {
   const auto it =
       upstreams_.emplace(entry.id, UpstreamView(entry, options_.pace)).first;
-  if (has_listed_ || entry.cold_remaining.count() > 0) {
+  const bool is_starting =
+      !first_listed_at_ || now - *first_listed_at_ < kListingTime;
+  if (!is_starting || entry.cold_remaining.count() > 0) {
     it->second.OnStarted(now);
   }
 }
@@ -162,6 +168,9 @@
 
 std::vector<Placement> Dispatcher::Place(MonotonicTime now) {
   ExpirePeerReports(now);
+  placement_.SetSharesPlaces(options_.pace.start_requests > 0 &&
+                             other_coordinator_at_ &&
+                             now - *other_coordinator_at_ <= report_lifetime_);
   std::vector<Placement> placements;
   std::set<std::string> saturated_services;
   for (WaitingRequest* request : WaitingInOrder(now)) {
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -92,6 +92,10 @@
                   const std::map<std::uint64_t, int>& running,
                   MonotonicTime now);
 
+  // A coordinator of another data centre has reported that it places requests,
+  // too.
+  void OnOtherCoordinator(MonotonicTime now) { other_coordinator_at_ = now; }
+
   void Enqueue(WaitingRequest request);
   // Removes a request whose caller disconnected or that is no longer needed.
   void Remove(std::uint64_t request);
@@ -208,7 +212,9 @@
   std::map<std::string, Throughput> throughput_;
   // By service.
   std::map<std::string, FirstEventModel> first_events_;
-  bool has_listed_ = false;
+  std::optional<MonotonicTime> other_coordinator_at_;
+  // When the first upstreams were listed.
+  std::optional<MonotonicTime> first_listed_at_;
 };
 
 // The compact key that identifies an upstream in reports between hosts.
--- a/src/libs/dispatching/placement_cost.cc
+++ b/src/libs/dispatching/placement_cost.cc
@@ -68,7 +68,7 @@
 bool PlacementCost::HasPlace(const UpstreamView& upstream,
                              MonotonicTime now) const {
   const int free = upstream.Limit(now) - upstream.running();
-  if (free <= 0 || !options_.shares_places ||
+  if (free <= 0 || !shares_places_ ||
       upstream.entry().data_centre == options_.data_centre) {
     return free > 0;
   }
--- a/src/libs/dispatching/placement_cost.h
+++ b/src/libs/dispatching/placement_cost.h
@@ -21,9 +21,6 @@
   // Average number of output tokens per stream event.
   double tokens_per_event = 6;
   std::uint64_t seed = 1;
-  // Leaves a part of the free places of other data centres to the coordinators
-  // there and elsewhere, who see the same places.
-  bool shares_places = true;
 };
 
 // The mean event interval of the upstreams that have a measurement, in seconds;
@@ -55,6 +52,10 @@
     options_.regions = std::move(regions);
   }
 
+  // Sets whether coordinators of other data centres see the same free places
+  // there. Then a part of these is left to them.
+  void SetSharesPlaces(bool shares_places) { shares_places_ = shares_places; }
+
   // Returns the cheapest of the upstreams that have a free place, or null.
   UpstreamView* ChooseAmong(const std::vector<UpstreamView*>& upstreams,
                             const WaitingRequest& request,
@@ -77,6 +78,7 @@
 
   PlacementCostOptions options_;
   Random random_;
+  bool shares_places_ = false;
 };
 
 }  // namespace flamingogauge
--- a/tests/auto/coordination/tst_pace_sharing.cc
+++ b/tests/auto/coordination/tst_pace_sharing.cc
@@ -172,6 +172,9 @@
   // All of the far upstreams are full, so that the requests of both
   // coordinators go to the near ones.
   constexpr int kWaiting = 4 * kSlots;
+  FleetSummary report{
+      .coordinator = "c-z", .data_centre = "z", .process = 42, .sequence = 1};
+  far.OnDataCentreReport(report, kStart);
   std::vector<int> sent;
   for (Coordinator* it : {&near, &far}) {
     HostMessage state{.host = "h", .address = "h", .process = 1, .sequence = 1};
@@ -203,9 +206,8 @@
   // Less than half of the slots are taken twice until the next report.
   CHECK(sent[1] < kWaiting / 2);
   // The others follow once reports would have shown that they are still free.
-  far.OnDataCentreReport(
-      {.coordinator = "c-z", .data_centre = "z", .process = 42, .sequence = 1},
-      At(300));
+  report.sequence = 2;
+  far.OnDataCentreReport(report, At(300));
   int later = 0;
   for (const auto& reply : far.Run(At(300))) {
     later += static_cast<int>(reply.message.grants.size());
@@ -213,5 +215,30 @@
   CHECK(later > 0);
 }
 
+// Guards against requests that are refused beside free places, because these
+// are left to coordinators that do not exist or have fallen silent.
+TEST_CASE("a coordinator that knows of no other one leaves no place free") {
+  Coordinator far = MakeCoordinator("y", {Upstream("a", "z")});
+  far.OnDataCentreReport(
+      {.coordinator = "c-z", .data_centre = "z", .process = 42, .sequence = 1},
+      kStart);
+  HostMessage state{.host = "h", .address = "h", .process = 1, .sequence = 1};
+  for (std::uint64_t ticket = 1; ticket <= kSlots; ++ticket) {
+    state.requests.push_back({.ticket = ticket,
+                              .service = "s",
+                              .due_in = seconds(5),
+                              .start_in = seconds(8),
+                              .deadline_in = seconds(20)});
+    state.waiting.push_back(ticket);
+  }
+  const MonotonicTime now = At(1600);
+  far.OnHostMessage(state, now);
+  std::size_t grants = 0;
+  for (const auto& reply : far.Run(now)) {
+    grants += reply.message.grants.size();
+  }
+  CHECK(grants == kSlots);
+}
+
 }  // namespace
 }  // namespace flamingogauge
