--- a/tests/auto/dispatching/tst_pace_replay.cc
+++ b/tests/auto/dispatching/tst_pace_replay.cc
@@ -116,6 +116,37 @@
   CHECK(replay.view("a").Limit(replay.now()) == kSlots);
 }
 
+// Guards against a pace that costs callers more than it brings: after a
+// recovery more answers must begin on time than with one request at a time
+// until one has been served to its end.
+TEST_CASE("callers are served better while an upstream recovers") {
+  // Within the capacity of the fleet, and far above it.
+  for (const double rate : {18.0, kOverload}) {
+    CAPTURE(rate);
+    int on_time[2] = {0, 0};
+    for (const int start_requests : {0, 2}) {
+      for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        PaceReplay replay({.pace = {.start_requests = start_requests},
+                           .seed = seed,
+                           .rate = rate});
+        for (const char* it : {"a", "b", "c", "d"}) {
+          replay.AddUpstream(it, {.slots = kSlots});
+        }
+        replay.Run(seconds(5));
+        replay.engine("a").Crash(true);
+        replay.Run(milliseconds(200));
+        replay.engine("a").Restart();
+        replay.ResetOutcomes();
+        replay.Run(seconds(3));
+        for (const char* it : {"a", "b", "c", "d"}) {
+          on_time[start_requests / 2] += replay.outcome(it).on_time;
+        }
+      }
+    }
+    CHECK(on_time[1] > on_time[0]);
+  }
+}
+
 // Guards against a request that waits behind a long prompt although another
 // upstream could begin at once.
 TEST_CASE("a request goes where its prompt is read first") {
