rate limits: Retry-After counts the reserve; plain requests are exempt

Change: requests without a token count spend like the most urgent ones, and TimeUntilCredit counts the reserve.

--- a/src/libs/dispatching/shared_rate_limiter.cc
+++ b/src/libs/dispatching/shared_rate_limiter.cc
@@ -110,6 +110,13 @@
   return it->second.rate * ToSeconds(now - reported_at_);
 }
 
+double SharedRateLimiter::ReservedFor(const Bucket& bucket,
+                                      int priority,
+                                      MonotonicTime now) const {
+  return bucket.burst * ReachableFraction(now) *
+         bucket.reserve.PartFor(priority, now);
+}
+
 bool SharedRateLimiter::TrySpend(const WorkspaceEntry& workspace,
                                  double amount,
                                  MonotonicTime now,
@@ -121,12 +128,10 @@
   Bucket& bucket = it->second;
   Refill(bucket, now);
   bucket.reserve.OnDemand(priority, amount, now);
-  const double reserved = bucket.burst * ReachableFraction(now) *
-                          bucket.reserve.PartFor(priority, now);
   // A request larger than the remaining credits is admitted and drives the
   // balance negative.
   if (bucket.credits - EstimateUnreportedUsage(workspace.name, now) <=
-      reserved) {
+      ReservedFor(bucket, priority, now)) {
     return false;
   }
   bucket.credits -= amount;
@@ -143,14 +148,16 @@
 }
 
 milliseconds SharedRateLimiter::TimeUntilCredit(const WorkspaceEntry& workspace,
-                                                MonotonicTime now) {
+                                                MonotonicTime now,
+                                                int priority) {
   const auto it = buckets_.find(workspace.name);
   if (it == buckets_.end()) {
     return milliseconds(0);
   }
   Refill(it->second, now);
-  const double missing =
-      EstimateUnreportedUsage(workspace.name, now) - it->second.credits;
+  const double missing = EstimateUnreportedUsage(workspace.name, now) -
+                         it->second.credits +
+                         ReservedFor(it->second, priority, now);
   const double rate = it->second.rate * ReachableFraction(now);
   const double wait = rate > 0 ? std::max(0.0, missing) / rate : 0;
   return std::min(kMaxWait,
--- a/src/libs/dispatching/shared_rate_limiter.h
+++ b/src/libs/dispatching/shared_rate_limiter.h
@@ -64,9 +64,10 @@
   // Returns the units of a request that was not executed.
   void Refund(const WorkspaceEntry& workspace, double amount);
 
-  // The time until TrySpend() can succeed again.
+  // The time until TrySpend() can succeed again for requests of `priority`.
   std::chrono::milliseconds TimeUntilCredit(const WorkspaceEntry& workspace,
-                                            MonotonicTime now);
+                                            MonotonicTime now,
+                                            int priority = 0);
 
   UsageByWorkspace OwnUsage(MonotonicTime now);
 
@@ -87,6 +88,10 @@
 
   bool HasReport(MonotonicTime now) const;
   double ReachableFraction(MonotonicTime now) const;
+  // Credits that requests of `priority` leave to more urgent ones.
+  double ReservedFor(const Bucket& bucket,
+                     int priority,
+                     MonotonicTime now) const;
   void Refill(Bucket& bucket, MonotonicTime now) const;
   // Estimates what other hosts have spent since their last reports.
   double EstimateUnreportedUsage(const std::string& workspace,
--- a/src/libs/dispatching/waiting_queue.cc
+++ b/src/libs/dispatching/waiting_queue.cc
@@ -114,7 +114,7 @@
     double step = 1;
   };
   const auto is_behind = [](const Head& a, const Head& b) {
-    return a.used != b.used ? a.used > b.used : a.turn > b.turn;
+    return a.used != b.used ? a.used > b.used : b.turn < a.turn;
   };
   std::priority_queue<Head, std::vector<Head>, decltype(is_behind)> heads(
       is_behind);
--- a/src/libs/dispatching/waiting_queue.h
+++ b/src/libs/dispatching/waiting_queue.h
@@ -1,13 +1,13 @@
 #ifndef FLAMINGOGAUGE_LIBS_DISPATCHING_WAITING_QUEUE_H_
 #define FLAMINGOGAUGE_LIBS_DISPATCHING_WAITING_QUEUE_H_
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -86,13 +86,19 @@
     int priority = 0;
     bool is_newcomer = true;
 
-    auto operator<=>(const Rank&) const = default;
+    bool operator==(const Rank&) const = default;
+    bool operator<(const Rank& other) const {
+      return std::tie(is_late, priority, is_newcomer) <
+             std::tie(other.is_late, other.priority, other.is_newcomer);
+    }
   };
   struct Turn {
     MonotonicTime due_at;
     std::uint64_t id = 0;
 
-    auto operator<=>(const Turn&) const = default;
+    bool operator<(const Turn& other) const {
+      return std::tie(due_at, id) < std::tie(other.due_at, other.id);
+    }
   };
   struct Flow {
     // Places that the workspace has used, divided by its weight.
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -391,18 +391,21 @@
     return std::nullopt;
   }
   double amount = 1;
+  int priority = PriorityOf(*accepted.route, workspace);
   if (workspace->counts_tokens) {
     amount = accepted.prompt_tokens + accepted.output_tokens;
     if (amount <= 0) {
       amount = workspace->plain_tokens;
+      // Too little to be missed by requests with prompts.
+      priority = 0;
     }
   }
-  if (!context_.rate_limiter.TrySpend(*workspace, amount, accepted.arrived_at,
-                                      PriorityOf(*accepted.route, workspace))) {
-    return Denial{
-        kTooManyRequests, "the workspace is over its limit",
-        std::max(kMinRetryAfterLimit, context_.rate_limiter.TimeUntilCredit(
-                                          *workspace, accepted.arrived_at))};
+  const MonotonicTime now = accepted.arrived_at;
+  if (!context_.rate_limiter.TrySpend(*workspace, amount, now, priority)) {
+    const milliseconds wait =
+        context_.rate_limiter.TimeUntilCredit(*workspace, now, priority);
+    return Denial{kTooManyRequests, "the workspace is over its limit",
+                  std::max(kMinRetryAfterLimit, wait)};
   }
   accepted.spent = amount;
   return std::nullopt;
