--- a/src/libs/dispatching/admission_policy.h
+++ b/src/libs/dispatching/admission_policy.h
@@ -43,8 +43,8 @@
 //   for longer than the mean of its kind: while a queue grows, those that take
 //   most are refused first.
 // - A request that can no longer be on time is admitted if its expected wait is
-//   half of the time until its caller gives up. It, and one that was sent before,
-//   then waits as long as it can start in that time.
+//   half of the time until its caller gives up. It, and one that was sent
+//   before, then waits as long as it can start in that time.
 // More urgent requests count as ahead whether they are late or not, so that in
 // an overload the less urgent ones are refused before the more urgent ones.
 //
