dispatching: explain a decision without effects

Cause: limits, prior waits, quarantine and placement were decided and recorded in one step, so that nothing could be asked without changing it. The random parts stay with Place and Reject.

--- a/src/libs/dispatching/crash_quarantine.cc
+++ b/src/libs/dispatching/crash_quarantine.cc
@@ -279,6 +279,12 @@
     const RequestKeys& keys,
     MonotonicTime now) {
   EvaluateIfDue(now);
+  return FindRefusal(keys, now);
+}
+
+std::optional<CrashQuarantine::Refusal> CrashQuarantine::FindRefusal(
+    const RequestKeys& keys,
+    MonotonicTime now) const {
   if (quarantined_.empty()) {
     return std::nullopt;
   }
--- a/src/libs/dispatching/crash_quarantine.h
+++ b/src/libs/dispatching/crash_quarantine.h
@@ -65,9 +65,15 @@
   // Applies what another host reports.
   void Merge(const CrashEvidence& evidence, MonotonicTime now);
 
+  // Weighs new evidence, and crashes that count by now.
+  void Update(MonotonicTime now) { EvaluateIfDue(now); }
+
   // Returns why and for how long the request is refused, if it is.
   std::optional<Refusal> FindQuarantined(const RequestKeys& keys,
                                          MonotonicTime now);
+  // The same as of the last evaluation of the evidence.
+  std::optional<Refusal> FindRefusal(const RequestKeys& keys,
+                                     MonotonicTime now) const;
 
   // True if the request with this fingerprint was lost in a recent crash.
   bool IsSuspect(std::uint64_t request) const;
--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -180,10 +180,11 @@
          options_.version_gate->Admits(upstream, now);
 }
 
-UpstreamView* Dispatcher::ChooseForTrial(const WaitingRequest& request,
-                                         MonotonicTime now) {
+std::optional<std::string> Dispatcher::TrialUpstream(
+    const WaitingRequest& request,
+    MonotonicTime now) const {
   if (options_.version_gate == nullptr || request.was_sent) {
-    return nullptr;
+    return std::nullopt;
   }
   for (const std::string& id : options_.version_gate->TrialUpstreams(
            request.service, request.priority, now)) {
@@ -191,13 +192,13 @@
     if (it == upstreams_.end()) {
       continue;
     }
-    UpstreamView& upstream = it->second;
+    const UpstreamView& upstream = it->second;
     if (upstream.IsAvailable(now) && !upstream.IsSuspect(now) &&
         upstream.running() < upstream.Limit(now)) {
-      return &upstream;
+      return id;
     }
   }
-  return nullptr;
+  return std::nullopt;
 }
 
 PlacementObstacle Dispatcher::FindObstacle(const UpstreamView& upstream,
@@ -234,12 +235,17 @@
 
 UpstreamView* Dispatcher::Choose(const WaitingRequest& request,
                                  MonotonicTime now) {
-  if (UpstreamView* trial = ChooseForTrial(request, now)) {
-    return trial;
+  if (const auto trial = TrialUpstream(request, now)) {
+    return &upstreams_.at(*trial);
   }
+  return placement_.ChooseAmong(Eligible(request, now), request, now);
+}
+
+std::vector<UpstreamView*> Dispatcher::Eligible(const WaitingRequest& request,
+                                                MonotonicTime now) const {
   const auto service = by_service_.find(request.service);
   if (service == by_service_.end()) {
-    return nullptr;
+    return {};
   }
   std::vector<UpstreamView*> healthy;
   std::vector<UpstreamView*> suspect;
@@ -261,12 +267,12 @@
     }
   }
   if (healthy.empty() && suspect.empty()) {
-    return placement_.ChooseAmong(tried, request, now);
+    return tried;
   }
   // As long as the service has a healthy upstream, requests wait for it instead
   // of going to a suspect one. If all upstreams are suspect, all are tried.
   const bool has_healthy = !healthy.empty() || !tried.empty();
-  return placement_.ChooseAmong(has_healthy ? healthy : suspect, request, now);
+  return has_healthy ? healthy : suspect;
 }
 
 std::vector<Rejection> Dispatcher::Reject(MonotonicTime now) {
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -5,12 +5,14 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "libs/dispatching/first_event_model.h"
 #include "libs/dispatching/placement_cost.h"
+#include "libs/dispatching/placement_explanation.h"
 #include "libs/dispatching/service_queue.h"
 #include "libs/dispatching/upstream_view.h"
 #include "libs/dispatching/version_gate.h"
@@ -143,6 +145,13 @@
   // Returns the upstream with this PeerUpstreamKey, or null.
   const UpstreamView* FindByPeerKey(std::uint64_t key) const;
   bool HasAnyUpstream() const;
+  // What would become of the request if it arrived now. Uses the parts that
+  // Place() and Reject() decide by, without their random shares, and changes
+  // nothing.
+  PlacementExplanation Explain(const WaitingRequest& request,
+                               MonotonicTime now) const;
+  // The oldest of the reports of the load that others cause; none without one.
+  std::optional<MonotonicTime> OldestReport() const;
   std::size_t waiting_count() const;
   const std::map<std::string, ServiceQueue>& queues() const { return queues_; }
   // Number of requests of this host in progress, by PeerUpstreamKey, for the
@@ -176,10 +185,16 @@
                                          MonotonicTime now);
   bool GateAdmits(const UpstreamEntry& upstream, MonotonicTime now) const;
   UpstreamView* Choose(const WaitingRequest& request, MonotonicTime now);
+  // The upstreams between which the cost decides.
+  std::vector<UpstreamView*> Eligible(const WaitingRequest& request,
+                                      MonotonicTime now) const;
   // Returns an upstream of a version that is tried, if the request should do
   // so; a request that was sent before does not.
-  UpstreamView* ChooseForTrial(const WaitingRequest& request,
-                               MonotonicTime now);
+  std::optional<std::string> TrialUpstream(const WaitingRequest& request,
+                                           MonotonicTime now) const;
+  std::vector<CandidateExplanation> ExplainCandidates(
+      const WaitingRequest& request,
+      MonotonicTime now) const;
 
   DispatcherOptions options_;
   Random random_;
--- a/src/libs/dispatching/placement_cost.h
+++ b/src/libs/dispatching/placement_cost.h
@@ -64,10 +64,10 @@
                           const WaitingRequest& request,
                           double mean_event_interval,
                           MonotonicTime now) const;
-
- private:
   // True if the upstream has a place for one more request of this host.
   bool HasPlace(const UpstreamView& upstream, MonotonicTime now) const;
+
+ private:
   double DistanceCost(const UpstreamEntry& upstream) const;
   // Expected duration of the output on `upstream`, in seconds, from the
   // caller's estimate of its length.
--- a/src/libs/dispatching/prior_wait_estimator.h
+++ b/src/libs/dispatching/prior_wait_estimator.h
@@ -13,14 +13,23 @@
 // that make their original attempt.
 class PriorWaitEstimator {
  public:
-  // `wait_limit` is the caller's stated wait limit; `timeout` is the timeout of
+  // How long a caller that states `wait_limit` has waited; `timeout` is that of
   // the route.
   std::chrono::milliseconds EstimatePriorWait(
       const std::string& route,
       std::chrono::milliseconds wait_limit,
-      std::chrono::milliseconds timeout);
+      std::chrono::milliseconds timeout) const;
+  // Takes the wait limit of a request into account for later ones.
+  void Record(const std::string& route,
+              std::chrono::milliseconds wait_limit,
+              std::chrono::milliseconds timeout);
 
  private:
+  // The limit stated in original attempts, with that of one more request.
+  std::chrono::milliseconds InitialWaitLimit(
+      const std::string& route,
+      std::chrono::milliseconds stated) const;
+
   // The wait limit that callers of each route state in their original attempt.
   std::unordered_map<std::string, std::chrono::milliseconds>
       initial_wait_limit_;
--- a/src/libs/dispatching/shared_rate_limiter.cc
+++ b/src/libs/dispatching/shared_rate_limiter.cc
@@ -110,6 +110,31 @@
   return it->second.rate * ToSeconds(now - reported_at_);
 }
 
+bool SharedRateLimiter::IsWithinLimit(const WorkspaceEntry& workspace,
+                                      double amount,
+                                      MonotonicTime now,
+                                      int priority) const {
+  const auto it = buckets_.find(workspace.name);
+  if (it == buckets_.end()) {
+    return true;
+  }
+  Bucket bucket = it->second;
+  Refill(bucket, now);
+  bucket.reserve.OnDemand(priority, amount, now);
+  return HasCredits(workspace.name, bucket, now, priority);
+}
+
+bool SharedRateLimiter::HasCredits(const std::string& workspace,
+                                   const Bucket& bucket,
+                                   MonotonicTime now,
+                                   int priority) const {
+  const double reserved = bucket.burst * ReachableFraction(now) *
+                          bucket.reserve.PartFor(priority, now);
+  // A request larger than the remaining credits is admitted and drives the
+  // balance negative.
+  return bucket.credits - EstimateUnreportedUsage(workspace, now) > reserved;
+}
+
 bool SharedRateLimiter::TrySpend(const WorkspaceEntry& workspace,
                                  double amount,
                                  MonotonicTime now,
@@ -121,12 +146,7 @@
   Bucket& bucket = it->second;
   Refill(bucket, now);
   bucket.reserve.OnDemand(priority, amount, now);
-  const double reserved = bucket.burst * ReachableFraction(now) *
-                          bucket.reserve.PartFor(priority, now);
-  // A request larger than the remaining credits is admitted and drives the
-  // balance negative.
-  if (bucket.credits - EstimateUnreportedUsage(workspace.name, now) <=
-      reserved) {
+  if (!HasCredits(workspace.name, bucket, now, priority)) {
     return false;
   }
   bucket.credits -= amount;
@@ -143,14 +163,15 @@
 }
 
 milliseconds SharedRateLimiter::TimeUntilCredit(const WorkspaceEntry& workspace,
-                                                MonotonicTime now) {
+                                                MonotonicTime now) const {
   const auto it = buckets_.find(workspace.name);
   if (it == buckets_.end()) {
     return milliseconds(0);
   }
-  Refill(it->second, now);
+  Bucket bucket = it->second;
+  Refill(bucket, now);
   const double missing =
-      EstimateUnreportedUsage(workspace.name, now) - it->second.credits;
+      EstimateUnreportedUsage(workspace.name, now) - bucket.credits;
   const double rate = it->second.rate * ReachableFraction(now);
   const double wait = rate > 0 ? std::max(0.0, missing) / rate : 0;
   return std::min(kMaxWait,
--- a/src/libs/dispatching/shared_rate_limiter.h
+++ b/src/libs/dispatching/shared_rate_limiter.h
@@ -54,6 +54,12 @@
                      std::size_t reachable_hosts,
                      MonotonicTime now);
 
+  // True if TrySpend() would succeed now.
+  bool IsWithinLimit(const WorkspaceEntry& workspace,
+                     double amount,
+                     MonotonicTime now,
+                     int priority = 0) const;
+
   // Returns true and spends `amount` when the workspace is within its limit.
   // Requests of a `priority` above 0 leave a reserve to the more urgent ones of
   // the workspace.
@@ -66,7 +72,7 @@
 
   // The time until TrySpend() can succeed again.
   std::chrono::milliseconds TimeUntilCredit(const WorkspaceEntry& workspace,
-                                            MonotonicTime now);
+                                            MonotonicTime now) const;
 
   UsageByWorkspace OwnUsage(MonotonicTime now);
 
@@ -88,6 +94,12 @@
   bool HasReport(MonotonicTime now) const;
   double ReachableFraction(MonotonicTime now) const;
   void Refill(Bucket& bucket, MonotonicTime now) const;
+  // True if a bucket that is refilled up to `now` has more credits than are
+  // reserved for requests of a more urgent priority.
+  bool HasCredits(const std::string& workspace,
+                  const Bucket& bucket,
+                  MonotonicTime now,
+                  int priority) const;
   // Estimates what other hosts have spent since their last reports.
   double EstimateUnreportedUsage(const std::string& workspace,
                                  MonotonicTime now) const;
