--- a/src/libs/commandline/client_command.cc
+++ b/src/libs/commandline/client_command.cc
@@ -30,7 +30,7 @@
 
 std::vector<Command> AllCommands() {
   std::vector<Command> commands = DocumentCommands();
-  for (auto* list : {&HostCommands, &UpstreamCommands}) {
+  for (auto* list : {&HostCommands, &UpstreamCommands, &PlacementCommands}) {
     for (Command& it : list()) {
       commands.push_back(std::move(it));
     }
--- a/src/libs/commandline/command_context.h
+++ b/src/libs/commandline/command_context.h
@@ -53,6 +53,7 @@
 
 std::vector<Command> DocumentCommands();
 std::vector<Command> HostCommands();
+std::vector<Command> PlacementCommands();
 std::vector<Command> UpstreamCommands();
 
 // Prints "flamingogauge: <message>" on standard error and returns `status`.
--- a/tests/auto/commandline/tst_client_command.cc
+++ b/tests/auto/commandline/tst_client_command.cc
@@ -2,7 +2,6 @@
 #include <pistache/endpoint.h>
 #include <unistd.h>
 
-#include <cstdio>
 #include <filesystem>
 #include <map>
 #include <memory>
@@ -13,6 +12,7 @@
 
 #include "libs/commandline/client_command.h"
 #include "libs/commandline/command_context.h"
+#include "tests/auto/commandline/captured_run.h"
 #include "tests/auto/document/sample_document.h"
 
 namespace flamingogauge {
@@ -59,62 +59,6 @@
   std::shared_ptr<HostScript> script_;
 };
 
-// Redirects a standard stream to a temporary file.
-class Capture {
- public:
-  explicit Capture(FILE* stream) : stream_(stream), file_(std::tmpfile()) {
-    std::fflush(stream_);
-    saved_ = ::dup(::fileno(stream_));
-    ::dup2(::fileno(file_), ::fileno(stream_));
-  }
-  Capture(const Capture&) = delete;
-  Capture& operator=(const Capture&) = delete;
-  ~Capture() {
-    Finish();
-    std::fclose(file_);
-  }
-  std::string Finish() {
-    if (saved_ >= 0) {
-      std::fflush(stream_);
-      ::dup2(saved_, ::fileno(stream_));
-      ::close(saved_);
-      saved_ = -1;
-    }
-    std::rewind(file_);
-    std::string text;
-    for (int it = std::fgetc(file_); it != EOF; it = std::fgetc(file_)) {
-      text += static_cast<char>(it);
-    }
-    return text;
-  }
-
- private:
-  FILE* stream_;
-  FILE* file_;
-  int saved_ = -1;
-};
-
-struct Outcome {
-  int status = 0;
-  std::string output;
-  std::string errors;
-};
-
-Outcome Run(std::vector<std::string> words) {
-  words.insert(words.begin(), "flamingogauge");
-  std::vector<char*> argv;
-  for (std::string& it : words) {
-    argv.push_back(it.data());
-  }
-  Capture output(stdout);
-  Capture errors(stderr);
-  const int status =
-      RunClientCommand(static_cast<int>(argv.size()), argv.data());
-  Outcome outcome{.status = status, .errors = errors.Finish()};
-  outcome.output = output.Finish();
-  return outcome;
-}
-
 class HostFixture {
  public:
   HostFixture()
@@ -126,12 +70,12 @@
   }
   ~HostFixture() { endpoint_.shutdown(); }
 
-  Outcome RunHere(std::vector<std::string> words,
-                  const std::string& token = "secret") {
+  CommandOutcome RunHere(std::vector<std::string> words,
+                         const std::string& token = "secret") {
     words.push_back("--operator_address=127.0.0.1:" +
                     endpoint_.getPort().toString());
     words.push_back("--operator_token=" + token);
-    return Run(std::move(words));
+    return RunCaptured(std::move(words));
   }
 
   std::shared_ptr<HostScript> script = std::make_shared<HostScript>();
@@ -191,7 +135,7 @@
     CAPTURE(row.answer.status);
     HostFixture host;
     host.script->answers["/document/models"] = row.answer;
-    const Outcome outcome =
+    const CommandOutcome outcome =
         host.RunHere({"document", "apply", "--section", "models",
                       "--expected-revision=7", "--author=a b", file.path()});
     CHECK(outcome.status == row.status);
@@ -205,7 +149,7 @@
   }
   HostFixture host;
   CHECK(host.RunHere({"status"}, "wrong").status == kTokenRefused);
-  CHECK(Run({"status", "--operator_address=127.0.0.1:1"}).status ==
+  CHECK(RunCaptured({"status", "--operator_address=127.0.0.1:1"}).status ==
         kUnreachable);
 }
 
@@ -228,14 +172,14 @@
            Row{{"document", "check", "/nonexistent"}, "cannot be read"},
            Row{{"document", "apply", "--section"}, "requires a value"},
        }) {
-    const Outcome outcome = Run(row.words);
+    const CommandOutcome outcome = RunCaptured(row.words);
     CAPTURE(outcome.errors);
     CHECK(outcome.status == kUsage);
     CHECK(outcome.errors.find(row.error) != std::string::npos);
     CHECK(outcome.output.empty());
   }
-  CHECK(Run({"document", "apply", "--help"}).output.find("Exit statuses") !=
-        std::string::npos);
+  CHECK(RunCaptured({"document", "apply", "--help"})
+            .output.find("Exit statuses") != std::string::npos);
   CHECK(IsClientCommand("quarantine"));
   CHECK_FALSE(IsClientCommand("serve"));
 }
@@ -243,12 +187,12 @@
 // Guards against a check that requires a host or stops at the first fault.
 TEST_CASE("document check and diff read whole documents") {
   const TemporaryFile good(kSampleDocument);
-  CHECK(Run({"document", "check", good.path()}).status == kDone);
+  CHECK(RunCaptured({"document", "check", good.path()}).status == kDone);
   std::string text = kSampleDocument;
   text.replace(text.find("127.0.0.1:1001"), 14, "nowhere");
   text.replace(text.find("goodput_weight"), 14, "goodput_weigth");
   const TemporaryFile bad(text);
-  const Outcome checked = Run({"document", "check", bad.path()});
+  const CommandOutcome checked = RunCaptured({"document", "check", bad.path()});
   CHECK(checked.status == kInvalidDocument);
   CHECK(checked.errors.find("upstreams/0/address") != std::string::npos);
   CHECK(checked.errors.find("did you mean \"goodput_weight\"") !=
@@ -260,7 +204,8 @@
   text.replace(text.find("\"m1\""), 4, "\"m2\"");
   text.replace(text.find("\"m1\""), 4, "\"m2\"");
   const TemporaryFile other(text);
-  const Outcome compared = host.RunHere({"document", "diff", other.path()});
+  const CommandOutcome compared =
+      host.RunHere({"document", "diff", other.path()});
   CHECK(compared.status == kDifferent);
   CHECK(compared.output.find("removed") != std::string::npos);
   CHECK(compared.output.find("added") != std::string::npos);
@@ -274,9 +219,9 @@
       200, R"([{"revision":5,"author":"a","section":"","time":"t"}])"};
   host.script->answers["/document"] = {200, kSampleDocument};
   host.script->answers["/document/upstreams"] = {200, R"({"revision":6})"};
-  const Outcome listed = host.RunHere({"upstream", "list"});
+  const CommandOutcome listed = host.RunHere({"upstream", "list"});
   CHECK(listed.output.find("2027-06-30T12:00:00Z") != std::string::npos);
-  const Outcome outcome =
+  const CommandOutcome outcome =
       host.RunHere({"upstream", "leave", "u1", "--author=ops"});
   CHECK(outcome.status == kDone);
   const std::string& call = host.script->calls.back();
@@ -284,7 +229,7 @@
   CHECK(call.find(R"("id":"u1")") != std::string::npos);
   CHECK(call.find(R"("id":"u2")") != std::string::npos);
   CHECK(call.find(R"("leaving":true)") != std::string::npos);
-  const Outcome unknown = host.RunHere({"upstream", "leave", "u9"});
+  const CommandOutcome unknown = host.RunHere({"upstream", "leave", "u9"});
   CHECK(unknown.status == kFailed);
   CHECK(unknown.errors.find("did you mean u") != std::string::npos);
 }
@@ -321,7 +266,7 @@
                "released 00ff from quarantine"},
            Row{{"document", "history"}, "GET /document/history", "lead"},
        }) {
-    const Outcome outcome = host.RunHere(row.words);
+    const CommandOutcome outcome = host.RunHere(row.words);
     CAPTURE(row.call);
     CHECK(outcome.status == kDone);
     CHECK(outcome.output.find(row.output) != std::string::npos);
