gateway: POST /explain answers where a request would go now

Change: RequestClassifier decides on arrival without effects, and Relay::Accept records them; RequestExplainer asks it, and the coordinator's queue if that is on this host, else the host's own. Result: tst_explain: the answer and the request after it have the same status in five cases; after 50 questions the state dump and the counters are equal, and the limit admits as many requests as without them. All of tst_gateway passes.

--- a/src/libs/coordination/coordinator.h
+++ b/src/libs/coordination/coordinator.h
@@ -82,6 +82,7 @@
   // Its queue and its view of the upstreams.
   const Dispatcher& dispatcher() const { return queue_; }
   std::size_t waiting_count() const { return queue_.waiting_count(); }
+  const Dispatcher& queue() const { return queue_; }
   // The number of hosts heard of recently, in all data centres.
   int ReachableHosts(MonotonicTime now) const;
 
--- a/src/libs/coordination/placer.cc
+++ b/src/libs/coordination/placer.cc
@@ -441,20 +441,30 @@
   for (const std::string& it : request.excluded_upstreams) {
     placement.excluded_upstreams.push_back(PeerUpstreamKey(it));
   }
-  if (now < held_back_until_) {
-    ExcludeHeldBack(placement, now);
+  for (const std::string& it : HeldBack(request.service, now)) {
+    placement.excluded_upstreams.push_back(PeerUpstreamKey(it));
   }
   return placement;
 }
 
-void Placer::ExcludeHeldBack(PlacementRequest& request,
-                             MonotonicTime now) const {
+void Placer::ExcludeHeldBack(WaitingRequest& request, MonotonicTime now) const {
+  for (std::string& it : HeldBack(request.service, now)) {
+    request.excluded_upstreams.push_back(std::move(it));
+  }
+}
+
+std::vector<std::string> Placer::HeldBack(const std::string& service,
+                                          MonotonicTime now) const {
+  std::vector<std::string> held_back;
+  if (now >= held_back_until_) {
+    return held_back;
+  }
   for (const auto& [id, upstream] : local_.upstreams()) {
-    if (upstream.IsHeldBack(now) &&
-        upstream.entry().service == request.service) {
-      request.excluded_upstreams.push_back(PeerUpstreamKey(id));
+    if (upstream.IsHeldBack(now) && upstream.entry().service == service) {
+      held_back.push_back(id);
     }
   }
+  return held_back;
 }
 
 }  // namespace flamingogauge
--- a/src/libs/coordination/placer.h
+++ b/src/libs/coordination/placer.h
@@ -111,6 +111,10 @@
   // usage and the like.
   HostMessage StateFor(const std::string& coordinator, MonotonicTime now);
 
+  // Excludes the upstreams that have asked this host for a pause, which a
+  // coordinator cannot know.
+  void ExcludeHeldBack(WaitingRequest& request, MonotonicTime now) const;
+
   bool HasAnyUpstream() const { return local_.HasAnyUpstream(); }
   std::size_t waiting_count() const {
     return pending_.size() + local_.waiting_count();
@@ -157,7 +161,8 @@
   void SubmitAgain(Pending& pending);
   void OnGrant(const PlacementGrant& grant, MonotonicTime now);
   void CheckAnswer(std::uint64_t id, MonotonicTime now);
-  void ExcludeHeldBack(PlacementRequest& request, MonotonicTime now) const;
+  std::vector<std::string> HeldBack(const std::string& service,
+                                    MonotonicTime now) const;
   PlacementRequest ToPlacementRequest(const Pending& pending,
                                       MonotonicTime now) const;
   void AddResult(UpstreamResult result, MonotonicTime now);
--- a/src/plugins/gateway/coordination_node.cc
+++ b/src/plugins/gateway/coordination_node.cc
@@ -174,6 +174,14 @@
   return placer_.Coordinator(BootTimeNow()) == host_;
 }
 
+PlacementView CoordinationNode::View() const {
+  std::string coordinator = placer_.Coordinator(BootTimeNow());
+  const bool is_here = coordinator == host_;
+  return {
+      .coordinator = std::move(coordinator),
+      .dispatcher = is_here ? &coordinator_.queue() : &placer_.dispatcher()};
+}
+
 void CoordinationNode::ScheduleStates() {
   state_timer_.expires_after(interval_);
   state_timer_.async_wait([this](const boost::system::error_code& ec) {
--- a/src/plugins/gateway/coordination_node.h
+++ b/src/plugins/gateway/coordination_node.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "libs/coordination/coordinator.h"
+#include "libs/coordination/placement_view.h"
 #include "libs/coordination/placer.h"
 #include "libs/fleet/host_entry.h"
 #include "libs/kernel/error.h"
@@ -88,6 +89,8 @@
   void OnGateChanged() { ScheduleRun(); }
   // Sends the placer's urgent changes soon.
   void OnPlacerChanged();
+  // Who places the requests of this host now.
+  PlacementView View() const;
 
   // The number of hosts that share the limits, including this one.
   std::size_t HostCount() const;
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -21,22 +21,6 @@
 constexpr char kLastEventId[] = "Last-Event-ID";
 constexpr milliseconds kRetryAfterRefusal{500};
 constexpr milliseconds kRetryAfterMemory{1000};
-constexpr milliseconds kMinStreamStallLimit{2000};
-
-// Returns the latest time at which sending the request is still useful. Callers
-// abandon a stream when no event has arrived for the longest of these times,
-// counted from the last event, or from the request's arrival before the first.
-MonotonicTime LatestStart(const Route& route,
-                          MonotonicTime last_event_at,
-                          MonotonicTime deadline) {
-  if (route.execution_semantics != ExecutionSemantics::kStream) {
-    return deadline;
-  }
-  const milliseconds stall_limit =
-      std::max({kMinStreamStallLimit, route.target_latency * 4,
-                route.max_event_gap * 8});
-  return std::min(deadline, last_event_at + stall_limit);
-}
 
 }  // namespace
 
@@ -77,30 +61,15 @@
 
 void Exchange::Enqueue() {
   state_ = State::kWaiting;
-  const Route& route = *accepted_.route;
+  WaitingRequest waiting = MakeWaitingRequest(accepted_);
+  waiting.was_sent = !tried_upstreams_.empty();
+  waiting.excluded_upstreams = tried_upstreams_;
   // A resumed stream is late once the gap after its last event is too long.
-  const bool is_continuation = head_committed_ && IsStream();
-  const MonotonicTime due_at =
-      is_continuation ? last_body_at_ + route.max_event_gap : accepted_.due_at;
-  const MonotonicTime last_event_at =
-      is_continuation ? last_body_at_ : accepted_.arrived_at;
-  WaitingRequest waiting{
-      .id = accepted_.id,
-      .service = accepted_.service,
-      .priority = PriorityOf(route, accepted_.workspace),
-      .arrived_at = accepted_.arrived_at,
-      .due_at = due_at,
-      .start_by = LatestStart(route, last_event_at, accepted_.deadline),
-      .deadline = accepted_.deadline,
-      .prompt_tokens = accepted_.prompt_tokens,
-      .expected_output_tokens = accepted_.expected_output_tokens,
-      .prompt_parts = accepted_.prompt_parts,
-      .was_sent = !tried_upstreams_.empty(),
-      .workspace = accepted_.workspace != nullptr
-                       ? WorkspaceHash(accepted_.workspace->name)
-                       : 0,
-      .returned = accepted_.returned,
-      .excluded_upstreams = tried_upstreams_};
+  if (head_committed_ && IsStream()) {
+    const Route& route = *accepted_.route;
+    waiting.due_at = last_body_at_ + route.max_event_gap;
+    waiting.start_by = LatestStart(route, last_body_at_, accepted_.deadline);
+  }
   context_.placer.Enqueue(std::move(waiting), BootTimeNow());
   context_.on_placer_changed();
   context_.schedule_placement();
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -13,9 +13,8 @@
 #include "libs/dispatching/dispatcher.h"
 #include "libs/http_framing/event_boundary_tracker.h"
 #include "libs/http_framing/event_stream_splitter.h"
-#include "libs/http_framing/http_request_reader.h"
 #include "libs/kernel/event_log.h"
-#include "libs/routing/routing_table.h"
+#include "plugins/gateway/accepted_request.h"
 #include "plugins/gateway/http_session.h"
 #include "plugins/gateway/relay_context.h"
 #include "plugins/gateway/upstream_connection.h"
@@ -29,35 +28,6 @@
 // Short because another host can serve the request at once.
 inline constexpr std::chrono::milliseconds kRetryAfterStopping{50};
 
-// An accepted request with the decisions made on its arrival.
-struct AcceptedRequest {
-  std::uint64_t id = 0;
-  ParsedRequest request;
-  MonotonicTime arrived_at;
-  // Owns the objects that `route` and `workspace` point to.
-  std::shared_ptr<const RoutingTable> routing;
-  const Route* route = nullptr;
-  // Null on anonymous routes.
-  const WorkspaceEntry* workspace = nullptr;
-  std::string service;
-  std::string request_id;
-  // The earlier end of the caller's time limit and the route's timeout.
-  MonotonicTime deadline;
-  double prompt_tokens = 0;
-  double output_tokens = 0;
-  // The caller's estimate; 0 if it gave none.
-  double expected_output_tokens = 0;
-  // The response, or the first event of a stream, is late after this time.
-  MonotonicTime due_at;
-  // True if its caller was refused before and returns as it was told.
-  bool returned = false;
-  std::vector<PromptPart> prompt_parts;
-  // The units charged to the workspace's limit.
-  double spent = 0;
-  // Equal for repeated sends of the same request by its caller.
-  RequestKeys keys;
-};
-
 // Handles one request from acceptance to completion: queues it for placement,
 // sends it to an upstream and relays the response to the caller. Resends it
 // only if it was not executed or the route allows repeated execution.
--- a/src/plugins/gateway/gateway_plugin.cc
+++ b/src/plugins/gateway/gateway_plugin.cc
@@ -80,6 +80,8 @@
   void LogDrain(std::string_view event, const UnfinishedWork& work) const;
   std::string DumpState() const;
   void CheckDrain();
+  // Returns the answer to a question in JSON.
+  Result<std::string> Explain(const std::string& question) const;
 };
 
 Result<void> GatewayPlugin::Private::MakeRollouts(ServiceRegistry& registry) {
@@ -293,6 +295,20 @@
   });
 }
 
+Result<std::string> GatewayPlugin::Private::Explain(
+    const std::string& question) const {
+  const Result<ExplainQuestion> read = ParseExplainQuestion(question);
+  if (!read) {
+    return read.error();
+  }
+  const Result<Explanation> explanation =
+      relay->Explain(read.value(), coordination->View());
+  if (!explanation) {
+    return explanation.error();
+  }
+  return FormatExplanation(explanation.value());
+}
+
 GatewayPlugin::GatewayPlugin(GatewaySettings settings)
     : private_(std::make_shared<Private>(std::move(settings))) {}
 
@@ -340,7 +356,11 @@
       .ready_path = self.settings.ready_path,
       .is_ready = [&self] { return self.relay->IsReady(); },
       .metrics = [&self] { return self.metrics->Expose(); },
-      .state = [&self] { return self.DumpState(); }});
+      .state = [&self] { return self.DumpState(); },
+      .explain =
+          [&self](const std::string& question) {
+            return self.Explain(question);
+          }});
   self.MakeAcceptors();
   self.coordination = self.MakeCoordination();
   self.ConnectRollouts();
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -11,21 +11,15 @@
 #include "plugins/gateway/fleet_events.h"
 #include "plugins/gateway/local_response.h"
 #include "plugins/gateway/pace_events.h"
-#include "plugins/gateway/request_fields.h"
 
 namespace flamingogauge {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
-constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
-constexpr milliseconds kRetryAfterStaleRouting{700};
 // How long after start-up requests wait for the first routing document.
 constexpr milliseconds kMaxStartupWait{1000};
-constexpr milliseconds kMinRetryAfterLimit{500};
 // The interval at which the requests that this host places itself are
 // reconsidered without an event.
 constexpr milliseconds kPlacementInterval{50};
@@ -81,7 +75,9 @@
           static_cast<std::uint64_t>(BootTimeNow().time_since_epoch().count())),
       started_at_(BootTimeNow()),
       denied_lines_(kDeniedLinesPerSecond),
-      malformed_lines_(kDeniedLinesPerSecond) {
+      malformed_lines_(kDeniedLinesPerSecond),
+      classifier_(context_, prior_waits_),
+      explainer_(context_, classifier_) {
   RegisterGauges();
 }
 
@@ -93,7 +89,9 @@
   metrics.SetGauge("flamingogauge_requests_in_progress",
                    [this] { return static_cast<double>(exchanges_.size()); });
   metrics.SetGauge("flamingogauge_routing_age_seconds", [this] {
-    return context_.fleet.routing ? ToSeconds(RoutingAge(BootTimeNow())) : -1;
+    return context_.fleet.routing
+               ? ToSeconds(classifier_.RoutingAge(BootTimeNow()))
+               : -1;
   });
   metrics.SetGauge("flamingogauge_upstreams", [this] {
     return static_cast<double>(context_.placer.upstreams().size());
@@ -254,7 +252,8 @@
 bool Relay::IsReady() const {
   return !context_.is_draining() && context_.fleet.routing != nullptr &&
          context_.placer.HasAnyUpstream() &&
-         RoutingAge(BootTimeNow()) <= context_.settings.changes.max_key_age();
+         classifier_.RoutingAge(BootTimeNow()) <=
+             context_.settings.changes.max_key_age();
 }
 
 void Relay::BeginDrain() {
@@ -272,11 +271,6 @@
   }
 }
 
-Duration Relay::RoutingAge(MonotonicTime now) const {
-  return context_.fleet.routing ? now - context_.fleet.routing_confirmed_at
-                                : Duration::max();
-}
-
 CallerLimits Relay::Limits() const {
   return context_.fleet.routing ? context_.fleet.routing->limits
                                 : CallerLimits{};
@@ -337,103 +331,25 @@
   exchange->Start();
 }
 
-std::optional<Relay::Denial> Relay::Accept(AcceptedRequest& accepted) {
-  if (!accepted.routing) {
-    return Denial{kServiceUnavailable, "no routing document yet",
-                  kRetryAfterStaleRouting};
-  }
-  const ParsedRequest& request = accepted.request;
-  const std::string* host = request.fields.Find("Host");
-  const std::string path = request.target.substr(0, request.target.find('?'));
-  accepted.route =
-      accepted.routing->FindRoute(host != nullptr ? *host : "", path);
-  if (accepted.route == nullptr) {
-    if (RoutingAge(accepted.arrived_at) >
-        context_.settings.changes.max_denial_age()) {
-      return Denial{kServiceUnavailable, "no route in a document that is old",
-                    kRetryAfterStaleRouting};
-    }
-    return Denial{kNotFound, "no route", std::nullopt};
-  }
-  if (std::optional<Denial> denial = CheckKey(accepted)) {
-    return denial;
-  }
-  const milliseconds timeout = accepted.route->timeout;
-  const milliseconds caller_timeout =
-      ReadCallerTimeout(context_.settings.headers, request.fields, timeout);
-  accepted.deadline = accepted.arrived_at + std::min(timeout, caller_timeout);
-  if (context_.drain &&
-      !context_.drain->AcceptsRequest(BootTimeNow(), accepted.deadline)) {
-    return Denial{kServiceUnavailable, kStoppingReason, kRetryAfterStopping};
+std::optional<Denial> Relay::Accept(AcceptedRequest& accepted) {
+  context_.crashes.Update(accepted.arrived_at);
+  std::optional<Denial> denial = classifier_.Classify(accepted, BootTimeNow());
+  if (!accepted.service.empty()) {
+    prior_waits_.Record(accepted.route->name,
+                        classifier_.CallerTimeout(accepted),
+                        accepted.route->timeout);
   }
-  accepted.service = ChooseService(*accepted.route, accepted.request_id);
-  ReadTokenCounts(context_.settings.headers, accepted);
-  // The latency target counts from the caller's first attempt.
-  const milliseconds prior_wait = prior_wait_estimator_.EstimatePriorWait(
-      accepted.route->name, caller_timeout, timeout);
-  accepted.due_at =
-      accepted.arrived_at + accepted.route->target_latency - prior_wait;
-  // Whoever comes back earlier does not return as it was told.
-  accepted.returned = prior_wait >= ReturnSchedule::kMinDelay;
-  accepted.keys.request =
-      ComputeFingerprint(
-          request.target + "\n" +
-              (accepted.workspace != nullptr ? accepted.workspace->name : ""),
-          request.body)
-          .low;
-  if (const auto refusal = context_.crashes.FindQuarantined(
-          accepted.keys, accepted.arrived_at)) {
+  if (denial && denial->is_quarantined) {
     context_.metrics.Add("flamingogauge_quarantine_refusals_total", "");
-    return Denial{kServiceUnavailable, QuarantineReason(refusal->key),
-                  refusal->time_left};
-  }
-  return CheckLimit(accepted);
-}
-
-std::optional<Relay::Denial> Relay::CheckKey(AcceptedRequest& accepted) {
-  if (accepted.route->anonymous || accepted.routing->workspaces.empty()) {
-    return std::nullopt;
-  }
-  const Duration age = RoutingAge(accepted.arrived_at);
-  if (age > context_.settings.changes.max_key_age()) {
-    return Denial{kServiceUnavailable, "keys cannot be confirmed",
-                  kRetryAfterStaleRouting};
-  }
-  const std::string* key =
-      accepted.request.fields.Find(context_.settings.headers.key);
-  accepted.workspace =
-      key == nullptr ? nullptr : accepted.routing->FindKey(*key);
-  if (accepted.workspace != nullptr) {
-    return std::nullopt;
   }
-  if (key != nullptr && age > context_.settings.changes.max_denial_age()) {
-    return Denial{kServiceUnavailable, "an unknown key, with old keys",
-                  kRetryAfterStaleRouting};
+  if (accepted.spent > 0) {
+    // Succeeds if the workspace was found to be within its limit; if it was
+    // not, the demand is counted.
+    context_.rate_limiter.TrySpend(
+        *accepted.workspace, accepted.spent, accepted.arrived_at,
+        PriorityOf(*accepted.route, accepted.workspace));
   }
-  return Denial{kUnauthorized, "unknown key", std::nullopt};
-}
-
-std::optional<Relay::Denial> Relay::CheckLimit(AcceptedRequest& accepted) {
-  const WorkspaceEntry* workspace = accepted.workspace;
-  if (workspace == nullptr || workspace->rate_per_second <= 0) {
-    return std::nullopt;
-  }
-  double amount = 1;
-  if (workspace->counts_tokens) {
-    amount = accepted.prompt_tokens + accepted.output_tokens;
-    if (amount <= 0) {
-      amount = workspace->plain_tokens;
-    }
-  }
-  if (!context_.rate_limiter.TrySpend(*workspace, amount, accepted.arrived_at,
-                                      PriorityOf(*accepted.route, workspace))) {
-    return Denial{
-        kTooManyRequests, "the workspace is over its limit",
-        std::max(kMinRetryAfterLimit, context_.rate_limiter.TimeUntilCredit(
-                                          *workspace, accepted.arrived_at))};
-  }
-  accepted.spent = amount;
-  return std::nullopt;
+  return denial;
 }
 
 void Relay::LogDenied(const AcceptedRequest& accepted, const Denial& denial) {
@@ -451,7 +367,8 @@
   if (accepted.routing) {
     line.Number("routing_version",
                 static_cast<std::int64_t>(accepted.routing->version))
-        .Milliseconds("routing_age_ms", RoutingAge(accepted.arrived_at));
+        .Milliseconds("routing_age_ms",
+                      classifier_.RoutingAge(accepted.arrived_at));
   }
   if (accepted.workspace != nullptr) {
     line.Text("workspace", accepted.workspace->name)
@@ -520,6 +437,15 @@
   }
 }
 
+Result<Explanation> Relay::Explain(const ExplainQuestion& question,
+                                   const PlacementView& view) const {
+  if (IsStarting()) {
+    return Explanation{.host = context_.settings.host,
+                       .decided_by = context_.settings.host};
+  }
+  return explainer_.Explain(question, view, BootTimeNow());
+}
+
 std::string Relay::DumpState() const {
   const MonotonicTime now = BootTimeNow();
   std::string dump = "{\"draining\":";
--- a/src/plugins/gateway/relay.h
+++ b/src/plugins/gateway/relay.h
@@ -17,6 +17,8 @@
 #include "plugins/gateway/exchange.h"
 #include "plugins/gateway/http_session.h"
 #include "plugins/gateway/relay_context.h"
+#include "plugins/gateway/request_classifier.h"
+#include "plugins/gateway/request_explainer.h"
 
 namespace flamingogauge {
 
@@ -70,6 +72,10 @@
   std::size_t unfinished_count() const {
     return exchanges_.size() + early_requests_.size();
   }
+  // Answers what would become of a request that arrived now; see
+  // RequestExplainer.
+  Result<Explanation> Explain(const ExplainQuestion& question,
+                              const PlacementView& view) const;
   // Returns a JSON object for the state dump.
   std::string DumpState() const;
 
@@ -86,11 +92,6 @@
     ParsedRequest request;
     MonotonicTime arrived_at;
   };
-  struct Denial {
-    int status = 0;
-    std::string reason;
-    std::optional<std::chrono::milliseconds> retry_after;
-  };
 
   void RegisterGauges();
   bool IsStarting() const;
@@ -99,14 +100,13 @@
   void Handle(const std::shared_ptr<HttpSession>& session,
               ParsedRequest request,
               MonotonicTime arrived_at);
+  // Classifies a request and charges it to its workspace. Returns why it is
+  // refused, if it is.
   std::optional<Denial> Accept(AcceptedRequest& accepted);
-  std::optional<Denial> CheckKey(AcceptedRequest& accepted);
-  std::optional<Denial> CheckLimit(AcceptedRequest& accepted);
   void LogDenied(const AcceptedRequest& accepted, const Denial& denial);
   void Deny(const std::shared_ptr<HttpSession>& session,
             const AcceptedRequest& accepted,
             const Denial& denial);
-  Duration RoutingAge(MonotonicTime now) const;
   void PlaceWaiting();
   // Logs the keys that are or are no longer refused, and answers the requests
   // that wait with one of them.
@@ -124,7 +124,9 @@
   LineLimiter malformed_lines_;
   std::uint64_t next_id_ = 1;
   bool placement_scheduled_ = false;
-  PriorWaitEstimator prior_wait_estimator_;
+  PriorWaitEstimator prior_waits_;
+  const RequestClassifier classifier_;
+  const RequestExplainer explainer_;
 };
 
 }  // namespace flamingogauge
--- a/src/plugins/gateway/request_fields.h
+++ b/src/plugins/gateway/request_fields.h
@@ -7,7 +7,7 @@
 #include "libs/http_framing/http_fields.h"
 #include "libs/relay/header_names.h"
 #include "libs/routing/routing_table.h"
-#include "plugins/gateway/exchange.h"
+#include "plugins/gateway/accepted_request.h"
 
 namespace flamingogauge {
 
--- a/src/plugins/gateway/status_handler.h
+++ b/src/plugins/gateway/status_handler.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "libs/kernel/error.h"
 #include "plugins/gateway/http_session.h"
 
 namespace flamingogauge {
@@ -15,9 +16,11 @@
   // Return the response bodies for metrics and the state dump.
   std::function<std::string()> metrics;
   std::function<std::string()> state;
+  // Returns the response body for a question, or what is wrong with it.
+  std::function<Result<std::string>(const std::string&)> explain;
 };
 
-// Serves the readiness check, /metrics and /state.
+// Serves the readiness check, /metrics, /state and /explain.
 class StatusHandler : public HttpRequestHandler {
  public:
   explicit StatusHandler(StatusHandlerOptions options);
@@ -25,10 +28,13 @@
   void OnRequest(const std::shared_ptr<HttpSession>& session,
                  ParsedRequest request,
                  MonotonicTime arrived_at) override;
-  CallerLimits Limits() const override { return {}; }
+  CallerLimits Limits() const override;
   void OnRefused(int status, const std::string& reason) override;
 
  private:
+  // Returns the response to a question.
+  std::string Explain(const ParsedRequest& request) const;
+
   const StatusHandlerOptions options_;
 };
 
--- a/tests/auto/gateway/gateway_host.cc
+++ b/tests/auto/gateway/gateway_host.cc
@@ -169,6 +169,12 @@
   return connection.ReadAnswer();
 }
 
+TestAnswer GatewayHost::AskExplain(const std::string& question) {
+  TestConnection connection(status_address_);
+  connection.Send(FormatTestRequest("POST", "/explain", {}, question));
+  return connection.ReadAnswer();
+}
+
 int GatewayHost::ReadyStatus() {
   return GetStatus("/ready").status;
 }
--- a/tests/auto/gateway/gateway_host.h
+++ b/tests/auto/gateway/gateway_host.h
@@ -54,6 +54,8 @@
   const std::string& address() const { return address_; }
   // Sends a GET request to the status address.
   TestAnswer GetStatus(const std::string& path);
+  // Sends a question about a request to the status address.
+  TestAnswer AskExplain(const std::string& question);
   // Returns the HTTP status of the readiness check.
   int ReadyStatus();
   // Reloads the settings from the flags of this process.
