--- a/src/libs/dispatching/shared_rate_limiter.cc
+++ b/src/libs/dispatching/shared_rate_limiter.cc
@@ -117,6 +117,30 @@
          bucket.reserve.PartFor(priority, now);
 }
 
+bool SharedRateLimiter::IsWithinLimit(const WorkspaceEntry& workspace,
+                                      double amount,
+                                      MonotonicTime now,
+                                      int priority) const {
+  const auto it = buckets_.find(workspace.name);
+  if (it == buckets_.end()) {
+    return true;
+  }
+  Bucket bucket = it->second;
+  Refill(bucket, now);
+  bucket.reserve.OnDemand(priority, amount, now);
+  return HasCredits(workspace.name, bucket, now, priority);
+}
+
+bool SharedRateLimiter::HasCredits(const std::string& workspace,
+                                   const Bucket& bucket,
+                                   MonotonicTime now,
+                                   int priority) const {
+  // A request larger than the remaining credits is admitted and drives the
+  // balance negative.
+  return bucket.credits - EstimateUnreportedUsage(workspace, now) >
+         ReservedFor(bucket, priority, now);
+}
+
 bool SharedRateLimiter::TrySpend(const WorkspaceEntry& workspace,
                                  double amount,
                                  MonotonicTime now,
@@ -128,10 +152,7 @@
   Bucket& bucket = it->second;
   Refill(bucket, now);
   bucket.reserve.OnDemand(priority, amount, now);
-  // A request larger than the remaining credits is admitted and drives the
-  // balance negative.
-  if (bucket.credits - EstimateUnreportedUsage(workspace.name, now) <=
-      ReservedFor(bucket, priority, now)) {
+  if (!HasCredits(workspace.name, bucket, now, priority)) {
     return false;
   }
   bucket.credits -= amount;
@@ -149,15 +170,15 @@
 
 milliseconds SharedRateLimiter::TimeUntilCredit(const WorkspaceEntry& workspace,
                                                 MonotonicTime now,
-                                                int priority) {
+                                                int priority) const {
   const auto it = buckets_.find(workspace.name);
   if (it == buckets_.end()) {
     return milliseconds(0);
   }
-  Refill(it->second, now);
+  Bucket bucket = it->second;
+  Refill(bucket, now);
   const double missing = EstimateUnreportedUsage(workspace.name, now) -
-                         it->second.credits +
-                         ReservedFor(it->second, priority, now);
+                         bucket.credits + ReservedFor(bucket, priority, now);
   const double rate = it->second.rate * ReachableFraction(now);
   const double wait = rate > 0 ? std::max(0.0, missing) / rate : 0;
   return std::min(kMaxWait,
