--- a/src/plugins/gateway/gateway_settings.cc
+++ b/src/plugins/gateway/gateway_settings.cc
@@ -39,7 +39,7 @@
               200,
               "interval between load reports to other hosts, in ms");
 DEFINE_uint32(gateway_upstream_start_requests,
-              2,
+              0,
               "requests at a time for an upstream that has just started; its "
               "number grows with its answers. 0 gives each upstream all its "
               "slots at once");
--- a/src/plugins/gateway/gateway_settings.h
+++ b/src/plugins/gateway/gateway_settings.h
@@ -41,7 +41,7 @@
   std::chrono::milliseconds report_interval{400};
   // Requests at a time for an upstream that has just started; 0 turns the
   // learning of paces off.
-  int upstream_start_requests = 2;
+  int upstream_start_requests = 0;
 
   // Applies the settings that may change at run time; addresses, names and
   // headers are kept.
