dispatching: a name of its own for a request in the admission queue

Cause: QueuedRequest was defined in libs/scheduling as well; the check of type names fails. Change: AdmissionCandidate. Result: no change in behaviour.

--- a/src/libs/dispatching/admission_policy.cc
+++ b/src/libs/dispatching/admission_policy.cc
@@ -26,7 +26,7 @@
 
 }  // namespace
 
-AdmissionDecision DecideAdmission(const QueuedRequest& queued,
+AdmissionDecision DecideAdmission(const AdmissionCandidate& queued,
                                   const AdmissionContext& context,
                                   MonotonicTime now) {
   const WaitingRequest& request = queued.request;
--- a/src/libs/dispatching/admission_policy.h
+++ b/src/libs/dispatching/admission_policy.h
@@ -50,7 +50,7 @@
 //
 // Load patterns: a burst of urgent requests whose late ones are refused while
 // short, less urgent ones are served; a queue so long that all of it is late.
-AdmissionDecision DecideAdmission(const QueuedRequest& queued,
+AdmissionDecision DecideAdmission(const AdmissionCandidate& queued,
                                   const AdmissionContext& context,
                                   MonotonicTime now);
 
--- a/src/libs/dispatching/service_queue.cc
+++ b/src/libs/dispatching/service_queue.cc
@@ -40,7 +40,7 @@
 void ServiceQueue::Place(const PlaceFunction& place, MonotonicTime now) {
   waiting_.Advance(now);
   std::vector<std::uint64_t> placed;
-  waiting_.ForEachInOrder([&](const QueuedRequest& it) {
+  waiting_.ForEachInOrder([&](const AdmissionCandidate& it) {
     switch (place(it.request)) {
       case PlaceResult::kPlaced:
         rate_.OnPlaced(it.request.priority, !it.is_late, now);
@@ -78,7 +78,7 @@
                              Random& random,
                              MonotonicTime now) {
   for (const std::uint64_t id : waiting_.NewRequests()) {
-    const QueuedRequest& queued = *waiting_.Find(id);
+    const AdmissionCandidate& queued = *waiting_.Find(id);
     const AdmissionDecision decision =
         DecideAt(queued, waiting_.CountAhead(queued), rates, now);
     if (decision.is_admitted) {
@@ -97,7 +97,7 @@
   WaitingQueue::Ahead ahead{.less_urgent =
                                 waiting_.size() - waiting_.late_count()};
   std::vector<std::uint64_t> refused;
-  waiting_.ForEachLate([&](const QueuedRequest& it) {
+  waiting_.ForEachLate([&](const AdmissionCandidate& it) {
     const AdmissionDecision decision = DecideAt(it, ahead, rates, now);
     if (decision.is_admitted) {
       ++ahead.more_urgent;
@@ -112,7 +112,7 @@
   }
 }
 
-AdmissionDecision ServiceQueue::DecideAt(const QueuedRequest& queued,
+AdmissionDecision ServiceQueue::DecideAt(const AdmissionCandidate& queued,
                                          WaitingQueue::Ahead ahead,
                                          const ServiceRates& rates,
                                          MonotonicTime now) const {
@@ -129,14 +129,14 @@
                                        MonotonicTime now) const {
   const MonotonicTime on_time_until =
       request.due_at - times_.MeasuredFirstEventTime(request);
-  const QueuedRequest queued{
+  const AdmissionCandidate queued{
       .request = request,
       .on_time_until = on_time_until,
       .is_late = on_time_until < now || request.due_at <= request.arrived_at};
   return DecideAt(queued, waiting_.CountAhead(queued), rate_.Measure(now), now);
 }
 
-Rejection ServiceQueue::Refuse(const QueuedRequest& queued,
+Rejection ServiceQueue::Refuse(const AdmissionCandidate& queued,
                                const AdmissionDecision& decision,
                                Random& random,
                                MonotonicTime now) {
@@ -157,7 +157,7 @@
   return rejection;
 }
 
-void ServiceQueue::Record(const QueuedRequest& queued,
+void ServiceQueue::Record(const AdmissionCandidate& queued,
                           const AdmissionDecision& decision,
                           const Rejection& rejection) {
   const int priority = queued.request.priority;
--- a/src/libs/dispatching/service_queue.h
+++ b/src/libs/dispatching/service_queue.h
@@ -74,15 +74,15 @@
   }
 
  private:
-  AdmissionDecision DecideAt(const QueuedRequest& queued,
+  AdmissionDecision DecideAt(const AdmissionCandidate& queued,
                              WaitingQueue::Ahead ahead,
                              const ServiceRates& rates,
                              MonotonicTime now) const;
-  Rejection Refuse(const QueuedRequest& queued,
+  Rejection Refuse(const AdmissionCandidate& queued,
                    const AdmissionDecision& decision,
                    Random& random,
                    MonotonicTime now);
-  void Record(const QueuedRequest& queued,
+  void Record(const AdmissionCandidate& queued,
               const AdmissionDecision& decision,
               const Rejection& rejection);
   void RejectNew(const ServiceRates& rates,
--- a/src/libs/dispatching/waiting_queue.cc
+++ b/src/libs/dispatching/waiting_queue.cc
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-WaitingQueue::Rank WaitingQueue::RankOf(const QueuedRequest& queued) {
+WaitingQueue::Rank WaitingQueue::RankOf(const AdmissionCandidate& queued) {
   return {.is_late = queued.is_late,
           .priority = queued.request.priority,
           .is_newcomer = !queued.request.returned};
@@ -28,7 +28,7 @@
   const std::uint64_t id = request.id;
   Remove(id);
   const bool is_late = request.due_at <= request.arrived_at;
-  QueuedRequest& queued = requests_[id];
+  AdmissionCandidate& queued = requests_[id];
   queued = {.request = std::move(request),
             .on_time_until = on_time_until,
             .is_late = is_late};
@@ -36,7 +36,7 @@
   new_.insert(id);
 }
 
-void WaitingQueue::Insert(const QueuedRequest& queued) {
+void WaitingQueue::Insert(const AdmissionCandidate& queued) {
   Group& group = groups_[RankOf(queued)];
   Flow& flow = group.flows[queued.request.workspace];
   if (flow.waiting.empty()) {
@@ -52,7 +52,7 @@
   }
 }
 
-void WaitingQueue::Erase(const QueuedRequest& queued) {
+void WaitingQueue::Erase(const AdmissionCandidate& queued) {
   Group& group = groups_[RankOf(queued)];
   Flow& flow = group.flows[queued.request.workspace];
   flow.waiting.erase(
@@ -97,7 +97,7 @@
 
 void WaitingQueue::Advance(MonotonicTime now) {
   while (!expiries_.empty() && expiries_.begin()->first < now) {
-    QueuedRequest& queued = requests_.at(expiries_.begin()->second);
+    AdmissionCandidate& queued = requests_.at(expiries_.begin()->second);
     Erase(queued);
     queued.is_late = true;
     Insert(queued);
@@ -158,13 +158,13 @@
   }
 }
 
-const QueuedRequest* WaitingQueue::Find(std::uint64_t id) const {
+const AdmissionCandidate* WaitingQueue::Find(std::uint64_t id) const {
   const auto it = requests_.find(id);
   return it == requests_.end() ? nullptr : &it->second;
 }
 
 WaitingQueue::Ahead WaitingQueue::CountAhead(
-    const QueuedRequest& queued) const {
+    const AdmissionCandidate& queued) const {
   const Rank own = RankOf(queued);
   Ahead ahead;
   for (const auto& [rank, group] : groups_) {
@@ -184,8 +184,9 @@
   return ahead;
 }
 
-std::size_t WaitingQueue::CountAheadInGroup(const Group& group,
-                                            const QueuedRequest& queued) const {
+std::size_t WaitingQueue::CountAheadInGroup(
+    const Group& group,
+    const AdmissionCandidate& queued) const {
   const std::uint64_t workspace = queued.request.workspace;
   const Turn turn{.due_at = queued.request.due_at, .id = queued.request.id};
   double before = 0;
--- a/src/libs/dispatching/waiting_queue.h
+++ b/src/libs/dispatching/waiting_queue.h
@@ -19,7 +19,7 @@
 namespace flamingogauge {
 
 // A request in the queue of its service.
-struct QueuedRequest {
+struct AdmissionCandidate {
   WaitingRequest request;
   // The latest placement with which the response can still be on time.
   MonotonicTime on_time_until;
@@ -51,7 +51,7 @@
     std::size_t total() const { return more_urgent + equal + less_urgent; }
   };
   // Returns false to end the pass over the queue.
-  using Visitor = std::function<bool(const QueuedRequest&)>;
+  using Visitor = std::function<bool(const AdmissionCandidate&)>;
 
   explicit WaitingQueue(std::shared_ptr<const WorkspaceWeights> weights)
       : weights_(std::move(weights)) {}
@@ -70,8 +70,8 @@
   // Visits late requests in order.
   void ForEachLate(const Visitor& visitor) const;
 
-  const QueuedRequest* Find(std::uint64_t id) const;
-  Ahead CountAhead(const QueuedRequest& queued) const;
+  const AdmissionCandidate* Find(std::uint64_t id) const;
+  Ahead CountAhead(const AdmissionCandidate& queued) const;
   void SetAdmitted(std::uint64_t id);
   // Requests that have been neither admitted nor refused, in order of arrival.
   std::vector<std::uint64_t> NewRequests() const;
@@ -115,15 +115,15 @@
     std::size_t sweep_above = 256;
   };
 
-  static Rank RankOf(const QueuedRequest& queued);
+  static Rank RankOf(const AdmissionCandidate& queued);
   double WeightOf(std::uint64_t workspace) const;
-  void Insert(const QueuedRequest& queued);
-  void Erase(const QueuedRequest& queued);
+  void Insert(const AdmissionCandidate& queued);
+  void Erase(const AdmissionCandidate& queued);
   bool VisitGroup(const Group& group, const Visitor& visitor) const;
   std::size_t CountAheadInGroup(const Group& group,
-                                const QueuedRequest& queued) const;
+                                const AdmissionCandidate& queued) const;
 
-  std::unordered_map<std::uint64_t, QueuedRequest> requests_;
+  std::unordered_map<std::uint64_t, AdmissionCandidate> requests_;
   std::map<Rank, Group> groups_;
   // Requests that can still be on time, by the end of that.
   std::set<std::pair<MonotonicTime, std::uint64_t>> expiries_;
--- a/tests/auto/dispatching/tst_admission_policy.cc
+++ b/tests/auto/dispatching/tst_admission_policy.cc
@@ -14,7 +14,7 @@
 
 constexpr MonotonicTime kNow{std::chrono::hours(1)};
 
-QueuedRequest Queued(int priority = 0) {
+AdmissionCandidate Queued(int priority = 0) {
   return {.request = {.id = 1,
                       .priority = priority,
                       .arrived_at = kNow,
@@ -29,16 +29,16 @@
 TEST_CASE("a request is admitted if its expected wait leaves it time") {
   struct Case {
     std::string name;
-    QueuedRequest queued;
+    AdmissionCandidate queued;
     WaitingQueue::Ahead ahead;
     double relative_cost;
     bool admitted;
   };
-  QueuedRequest late = Queued();
+  AdmissionCandidate late = Queued();
   late.is_late = true;
-  QueuedRequest resent = Queued();
+  AdmissionCandidate resent = Queued();
   resent.request.was_sent = true;
-  QueuedRequest waiting = Queued();
+  AdmissionCandidate waiting = Queued();
   waiting.is_admitted = true;
   const std::vector<Case> cases{
       {"short queue", Queued(), {.equal = 40}, 1, true},
--- a/tests/auto/dispatching/tst_waiting_queue.cc
+++ b/tests/auto/dispatching/tst_waiting_queue.cc
@@ -41,7 +41,7 @@
 
 std::vector<std::uint64_t> Order(const WaitingQueue& queue) {
   std::vector<std::uint64_t> order;
-  queue.ForEachInOrder([&order](const QueuedRequest& it) {
+  queue.ForEachInOrder([&order](const AdmissionCandidate& it) {
     order.push_back(it.request.id);
     return true;
   });
