soak: roll-outs are on

Cause: the flag's name was not known when the soak was written. Change: the hosts get an exposure share.

--- a/tools/soak/hosts.py
+++ b/tools/soak/hosts.py
@@ -12,7 +12,7 @@
 APPLY_LIMIT_MS = 2500
 REVOCATION_LIMIT_MS = 5000
 STOP_LIMIT_S = 8
-ROLLBACK_LIMIT_MS = 5000
+EXPOSURE_SHARE = 0.1
 
 
 def free_port(kind):
@@ -55,8 +55,8 @@
             "change_apply_limit_ms": APPLY_LIMIT_MS,
             "key_revocation_limit_ms": REVOCATION_LIMIT_MS,
             "gateway_stop_limit_s": STOP_LIMIT_S,
+            "rollout_exposure_share": EXPOSURE_SHARE,
         }
-        settings.update(ROLLOUT_SETTINGS)
         with open(self.settings_path, "w", encoding="utf-8") as file:
             file.writelines(f"--{key}={value}\n" for key, value in settings.items())
 
@@ -106,7 +106,3 @@
                 return True
             await asyncio.sleep(0.05)
         return False
-
-
-# Switch roll-outs on; see docs/OPERATIONS.md.
-ROLLOUT_SETTINGS = {}
