rollouts: a coordinator that has heard few others completes nothing

A member silent for 5 s counts as gone, and the silence was counted from the last report, also while this host received none. A candidate that took over in the shift, a coordinator after a pause and one that was cut off thus advanced to the last phase alone, which then spread. Standbys got few reports of other data centres, as one gate of 150 ms served all receivers.

A coordinator now drops what it has heard when it takes over or has not run for 600 ms, and ends no trial within 3 s of that. Nothing is completed while over half of the listed hosts are silent; a data centre counts with its hosts. Reports of a data centre are gated for each receiver. The controller's tests tick all the time, as a coordinator does.

--- a/src/libs/rollouts/rollout_controller.cc
+++ b/src/libs/rollouts/rollout_controller.cc
@@ -23,6 +23,8 @@
 // After a restart of all hosts the trial goes on for this long at least, if
 // there is time.
 constexpr milliseconds kMinObservation{3000};
+// A coordinator that has not run for this long may have missed reports.
+constexpr milliseconds kMaxTickGap{600};
 // Between two reports of the same kind without a change, and between two times
 // that permissions are passed on to the gate.
 constexpr milliseconds kReportInterval{150};
@@ -209,8 +211,9 @@
   return report;
 }
 
-RolloutReport RolloutController::DataCentreReport(MonotonicTime now) {
-  if (!IsReportDue(data_centre_report_, now)) {
+RolloutReport RolloutController::DataCentreReport(const std::string& receiver,
+                                                  MonotonicTime now) {
+  if (!IsReportDue(data_centre_reports_[receiver], now)) {
     return {};
   }
   RolloutReport report{.rollouts = table_.Report(now)};
@@ -246,7 +249,8 @@
     // The target serves already.
     return true;
   }
-  if (age < trial || now - record.learned_at < kMinObservation) {
+  if (age < trial || now - record.learned_at < kMinObservation ||
+      now - observing_since_ < kMinObservation) {
     return false;
   }
   const EvidencePool::Counts counts = evidence_.Of(record.order);
@@ -273,6 +277,18 @@
          gate_.HasUpstreams(record.service, record.target);
 }
 
+void RolloutController::UpdateObservation(const Role& role, MonotonicTime now) {
+  if (!role.is_coordinator) {
+    coordinated_at_.reset();
+    return;
+  }
+  if (!coordinated_at_ || now - *coordinated_at_ > kMaxTickGap) {
+    progress_.BeginObserving(now);
+    observing_since_ = now;
+  }
+  coordinated_at_ = now;
+}
+
 void RolloutController::TakeStep(const RolloutRecord& record,
                                  MonotonicTime now) {
   if (record.phase == RolloutPhase::kTrial && TrialIsOver(record, now)) {
@@ -294,6 +310,7 @@
   if (role.reads_store || role.is_coordinator) {
     table_.Permit(now);
   }
+  UpdateObservation(role, now);
   for (const auto& [service, record] : table_.records()) {
     if (record.HasEnded() || record.IsCondemned()) {
       continue;
--- a/src/libs/rollouts/rollout_controller.h
+++ b/src/libs/rollouts/rollout_controller.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -96,7 +97,8 @@
   RolloutReport HostReport(const std::string& receiver,
                            const Running& running,
                            MonotonicTime now);
-  RolloutReport DataCentreReport(MonotonicTime now);
+  RolloutReport DataCentreReport(const std::string& receiver,
+                                 MonotonicTime now);
   RolloutReport Summary(MonotonicTime now);
 
   struct Role {
@@ -134,6 +136,9 @@
   RolloutState StateOf(const RolloutOrder& order,
                        std::chrono::milliseconds unix_time) const;
   void Judge(const RolloutRecord& record);
+  // Begins to observe the others anew if this host has not coordinated all the
+  // time.
+  void UpdateObservation(const Role& role, MonotonicTime now);
   void TakeStep(const RolloutRecord& record, MonotonicTime now);
   // The time limit has passed, and the target could be tried for a while.
   bool IsOverdue(const RolloutRecord& record, MonotonicTime now) const;
@@ -157,10 +162,13 @@
   bool gate_changed_ = false;
   MonotonicTime enforced_at_;
   MonotonicTime wait_for_rules_until_;
+  // Of the last tick as a coordinator, if the last one was one.
+  std::optional<MonotonicTime> coordinated_at_;
+  MonotonicTime observing_since_;
   // Increases with each change of a record.
   std::uint64_t changes_ = 0;
   std::map<std::string, Reported> host_reports_;
-  Reported data_centre_report_;
+  std::map<std::string, Reported> data_centre_reports_;
   Reported summary_;
 };
 
--- a/src/libs/rollouts/rollout_progress.cc
+++ b/src/libs/rollouts/rollout_progress.cc
@@ -8,7 +8,7 @@
 
 // An older report says nothing of what its sender does now.
 constexpr std::chrono::milliseconds kReportLifetime{1500};
-// After this time a silent host has ended, or is cut off from the others.
+// After this time a silent host counts as gone.
 constexpr std::chrono::seconds kGoneTime{5};
 
 template <typename Members>
@@ -23,14 +23,19 @@
                                MonotonicTime now) {
   std::set<std::string> nearby;
   std::set<std::string> data_centres;
+  for (auto& [name, member] : others_) {
+    member.hosts = 0;
+  }
   for (const HostEntry& it : hosts) {
     const bool is_near = it.data_centre == data_centre_;
     (is_near ? nearby : data_centres)
         .insert(is_near ? it.name : it.data_centre);
     // The first report of a new host may take some time.
     auto& members = is_near ? hosts_ : others_;
-    members.try_emplace(is_near ? it.name : it.data_centre,
-                        Member{.heard_at = now});
+    const auto [member, is_new] = members.try_emplace(
+        is_near ? it.name : it.data_centre,
+        Member{.heard_at = now, .hosts = is_near ? 1U : 0U});
+    member->second.hosts += is_near ? 0 : 1;
   }
   KeepOnly(nearby, hosts_);
   KeepOnly(data_centres, others_);
@@ -58,12 +63,23 @@
   Apply(rollouts, others_[data_centre], now);
 }
 
+void RolloutProgress::BeginObserving(MonotonicTime now) {
+  for (auto* members : {&hosts_, &others_}) {
+    for (auto& [name, member] : *members) {
+      member.heard_at = now;
+      member.rollouts.clear();
+    }
+  }
+}
+
 void RolloutProgress::Count(const Member& member,
                             std::uint64_t order,
                             MonotonicTime now,
                             Remaining& remaining) {
   const Duration silence = now - member.heard_at;
+  remaining.members += member.hosts;
   if (silence > kGoneTime) {
+    remaining.silent += member.hosts;
     return;
   }
   const auto it = member.rollouts.find(order);
--- a/src/libs/rollouts/rollout_progress.h
+++ b/src/libs/rollouts/rollout_progress.h
@@ -13,8 +13,9 @@
 namespace flamingogauge {
 
 // Follows which hosts still send requests to the old versions of an order, or
-// have some there. A host counts until it has reported that it has moved; one
-// that stays silent counts as gone after a while.
+// have some there. A host counts until it has reported that it has moved. A few
+// silent ones count as gone after a while; if most are silent, it is rather
+// this host that is cut off.
 class RolloutProgress {
  public:
   explicit RolloutProgress(std::string data_centre)
@@ -27,14 +28,22 @@
   void OnDataCentre(const std::string& data_centre,
                     const std::vector<RolloutState>& rollouts,
                     MonotonicTime now);
+  // Drops what was reported before: this host now decides by the reports, and
+  // may have missed some.
+  void BeginObserving(MonotonicTime now);
 
   struct Remaining {
     // Requests at the old versions, as last reported.
     std::uint32_t running = 0;
     // Hosts, or data centres, that may still send some there.
     std::uint32_t behind = 0;
+    // Hosts that count as gone, of all listed ones.
+    std::uint32_t silent = 0;
+    std::uint32_t members = 0;
 
-    bool IsNone() const { return running == 0 && behind == 0; }
+    bool IsNone() const {
+      return running == 0 && behind == 0 && 2 * silent <= members;
+    }
   };
   // In this data centre.
   Remaining Nearby(std::uint64_t order, MonotonicTime now) const;
@@ -44,6 +53,8 @@
  private:
   struct Member {
     MonotonicTime heard_at;
+    // Listed hosts that it stands for.
+    std::uint32_t hosts = 1;
     // Of the newest report, by order.
     std::map<std::uint64_t, RolloutState> rollouts;
   };
--- a/src/plugins/gateway/coordination_node.cc
+++ b/src/plugins/gateway/coordination_node.cc
@@ -373,10 +373,11 @@
                               coordinator_.DataCentreReport(BootTimeNow())};
   report.summary.draining = handlers_.is_draining();
   report.summary.evidence = handlers_.crash_evidence();
-  report.summary.rollouts = handlers_.rollouts.data_centre_report();
   for (const auto& [data_centre, coordinators] : remote_coordinators_) {
     for (std::size_t n = 0; n < coordinators.size(); ++n) {
       if (n == 0 || report_rounds_ % kStandbyReportRounds == 0) {
+        report.summary.rollouts =
+            handlers_.rollouts.data_centre_report(coordinators[n]);
         Send(report, addresses_[coordinators[n]]);
       }
     }
--- a/src/plugins/gateway/coordination_node.h
+++ b/src/plugins/gateway/coordination_node.h
@@ -31,9 +31,8 @@
   std::function<void(const std::string& coordinator, HostMessage&)>
       complete_state = [](const std::string&, HostMessage&) {};
   std::function<RolloutReport()> summary = [] { return RolloutReport{}; };
-  std::function<RolloutReport()> data_centre_report = [] {
-    return RolloutReport{};
-  };
+  std::function<RolloutReport(const std::string& receiver)> data_centre_report =
+      [](const std::string&) { return RolloutReport{}; };
   std::function<void(const HostMessage&)> on_host = [](const HostMessage&) {};
   std::function<void(const FleetSummary&)> on_summary =
       [](const FleetSummary&) {};
--- a/src/plugins/gateway/gateway_plugin.cc
+++ b/src/plugins/gateway/gateway_plugin.cc
@@ -114,7 +114,10 @@
                 node.CompleteState(coordinator, message);
               },
           .summary = [&node] { return node.Summary(); },
-          .data_centre_report = [&node] { return node.DataCentreReport(); },
+          .data_centre_report =
+              [&node](const std::string& receiver) {
+                return node.DataCentreReport(receiver);
+              },
           .on_host = [&node](const HostMessage& it) { node.OnHostMessage(it); },
           .on_summary = [&node](const FleetSummary& it) { node.OnSummary(it); },
           .on_data_centre =
--- a/src/plugins/gateway/rollout_node.cc
+++ b/src/plugins/gateway/rollout_node.cc
@@ -132,8 +132,8 @@
   return controller_.Summary(BootTimeNow());
 }
 
-RolloutReport RolloutNode::DataCentreReport() {
-  return controller_.DataCentreReport(BootTimeNow());
+RolloutReport RolloutNode::DataCentreReport(const std::string& receiver) {
+  return controller_.DataCentreReport(receiver, BootTimeNow());
 }
 
 void RolloutNode::OnHostMessage(const HostMessage& message) {
--- a/src/plugins/gateway/rollout_node.h
+++ b/src/plugins/gateway/rollout_node.h
@@ -53,7 +53,7 @@
 
   void CompleteState(const std::string& coordinator, HostMessage& message);
   RolloutReport Summary();
-  RolloutReport DataCentreReport();
+  RolloutReport DataCentreReport(const std::string& receiver);
   void OnHostMessage(const HostMessage& message);
   void OnSummary(const FleetSummary& summary);
   void OnDataCentreReport(const FleetSummary& report);
--- a/tests/auto/rollouts/rollout_simulation.cc
+++ b/tests/auto/rollouts/rollout_simulation.cc
@@ -292,8 +292,6 @@
       continue;
     }
     const RolloutReport summary = coordinator->controller->Summary(now_);
-    const RolloutReport report =
-        coordinator->controller->DataCentreReport(now_);
     for (Host& it : hosts_) {
       if (it.data_centre == d && !summary.rollouts.empty()) {
         ++result_.messages_with_rollouts;
@@ -306,7 +304,12 @@
       }
     }
     for (int other = 0; other < options_.data_centres; ++other) {
-      if (other != d && !report.rollouts.empty()) {
+      if (other == d) {
+        continue;
+      }
+      const RolloutReport report = coordinator->controller->DataCentreReport(
+          "d" + std::to_string(other), now_);
+      if (!report.rollouts.empty()) {
         ++result_.messages_with_rollouts;
         Send(d, other, [this, d, other, report] {
           if (Host* to = Coordinator(other)) {
--- a/tests/auto/rollouts/tst_rollout_controller.cc
+++ b/tests/auto/rollouts/tst_rollout_controller.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,13 @@
     return controller.Tick(role, kUnixTime + since, kStart + since);
   }
 
+  // Goes on as a coordinator that never pauses.
+  void TickUntil(milliseconds from, milliseconds until) {
+    for (milliseconds it = from; it < until; it += milliseconds(100)) {
+      Tick(it, {.is_coordinator = true});
+    }
+  }
+
   void Answer(int upstream, bool good, int count) {
     for (int n = 0; n < count; ++n) {
       controller.OnRequestEnded(
@@ -125,11 +133,13 @@
   host.controller.OnOrders({Order()}, kUnixTime, kStart);
   host.controller.OnWritten(host.Tick(milliseconds(100)).writes.at(0), false,
                             kStart + seconds(1));
+  host.TickUntil(milliseconds(200), seconds(6));
   host.Answer(0, true, 100);
   host.Answer(3, true, 30);
   host.Answer(4, true, 30);
   host.controller.OnWritten(host.Tick(seconds(6)).writes.at(0), false,
                             kStart + milliseconds(6200));
+  host.TickUntil(milliseconds(6200), milliseconds(6900));
   const RolloutActions complete = host.Tick(milliseconds(6900));
   REQUIRE(Outcomes(complete) ==
           std::vector<RolloutOutcome>{RolloutOutcome::kCompleted});
@@ -159,6 +169,7 @@
                            kStart + seconds(5));
   host.controller.OnOrders({Order()}, kUnixTime, kStart);
   host.Tick(milliseconds(100));
+  host.TickUntil(seconds(2), seconds(6));
   host.Answer(0, true, 100);
   host.Answer(3, true, 30);
   host.Answer(4, true, 30);
@@ -188,6 +199,65 @@
   CHECK(phase() == RolloutPhase::kComplete);
 }
 
+// Guards against `completed` by a coordinator that has heard nobody: one that
+// has just taken over, that was paused, or that is cut off.
+TEST_CASE("a coordinator completes nothing before it has heard the others") {
+  struct Row {
+    std::string name;
+    // The last tick as a coordinator, if any, before that at 10 s.
+    std::optional<seconds> coordinated_until;
+    bool hears_itself;
+    seconds ticks_until;
+  };
+  const std::vector<Row> rows = {
+      {"takes over", std::nullopt, false, seconds(11)},
+      {"takes over and hears itself", std::nullopt, true, seconds(14)},
+      {"goes on after a pause", seconds(2), true, seconds(14)},
+      {"is cut off", seconds(10), true, seconds(30)}};
+  RolloutOrder order = Order(9);
+  order.duration = seconds(60);
+  order.status = {.outcome = RolloutOutcome::kRunning,
+                  .target = "v2",
+                  .order = 77,
+                  .phase = RolloutPhase::kShift,
+                  .from = {"v1"},
+                  .began_at = kUnixTime - seconds(7)};
+  for (const Row& it : rows) {
+    CAPTURE(it.name);
+    Fixture host;
+    host.controller.SetHosts({{.name = "h1", .data_centre = "d1"},
+                              {.name = "h2", .data_centre = "d2"},
+                              {.name = "h3", .data_centre = "d2"},
+                              {.name = "h4", .data_centre = "d3"}},
+                             kStart);
+    host.controller.OnOrders({order}, kUnixTime, kStart);
+    if (it.coordinated_until) {
+      host.TickUntil(milliseconds(100), *it.coordinated_until);
+    }
+    for (milliseconds time = seconds(10); time < it.ticks_until;
+         time += milliseconds(100)) {
+      if (it.hears_itself) {
+        host.Report(kStart + time);
+      }
+      host.controller.Tick(kDecider, kUnixTime + time, kStart + time);
+    }
+    CHECK(host.controller.records().at("s").phase == RolloutPhase::kShift);
+  }
+}
+
+// Guards against a standby that never gets a report of another data centre
+// since the coordinator in use has just got one.
+TEST_CASE("each receiver gets reports of the data centre") {
+  Fixture host;
+  host.controller.OnOrders({Order()}, kUnixTime, kStart);
+  const MonotonicTime now = kStart + milliseconds(100);
+  for (const std::string receiver : {"h7", "h8"}) {
+    CAPTURE(receiver);
+    CHECK(host.controller.DataCentreReport(receiver, now).rollouts.size() == 1);
+    CHECK(host.controller.DataCentreReport(receiver, now).rollouts.empty());
+  }
+}
+
 // Guards against a host that takes the new version for the old one, or starts
 // anew, after all hosts were killed in the middle of an order.
 TEST_CASE("a host goes on from the status in the store") {
