rollouts: a host has moved once its gate admits only the target

A host reported the shift as its own move while its gate still sent requests to the old versions: with a permission that had run out, or with no upstream of the target listed. A coordinator completed an order without a look at the target's upstreams.

A host now reports itself as behind unless its gate admits nothing but the target for as long as the report counts, and a coordinator completes only while upstreams of the target are listed.

--- a/src/libs/rollouts/rollout_controller.cc
+++ b/src/libs/rollouts/rollout_controller.cc
@@ -197,6 +197,9 @@
   }
   RolloutReport report{.rollouts = table_.Report(now)};
   for (RolloutState& it : report.rollouts) {
+    it.hosts_behind =
+        gate_.AdmitsOnlyTarget(it.service, now + kRolloutReportLifetime) ? 0
+                                                                         : 1;
     const auto by_version = running.find(it.service);
     if (by_version == running.end()) {
       continue;
@@ -299,6 +302,7 @@
                     ? 1
                     : 0;
   } else if (record.phase == RolloutPhase::kShift &&
+             gate_.HasUpstreams(record.service, record.target) &&
              progress_.Everywhere(record.order, now).IsNone()) {
     changes_ += table_.Advance(record.service, RolloutPhase::kComplete) ? 1 : 0;
   }
--- a/src/libs/rollouts/rollout_gate.cc
+++ b/src/libs/rollouts/rollout_gate.cc
@@ -115,6 +115,17 @@
   return it != services_.end() && it->second.listed.contains(version);
 }
 
+bool RolloutGate::AdmitsOnlyTarget(const std::string& service,
+                                   MonotonicTime time) const {
+  const auto it = services_.find(service);
+  if (it == services_.end() || !it->second.rule) {
+    return false;
+  }
+  const GateRule& rule = *it->second.rule;
+  return rule.mode == GateRule::Mode::kTarget && !rule.is_bad &&
+         time < rule.permitted_until && it->second.listed.contains(rule.target);
+}
+
 bool RolloutGate::AdmitsByRule(const Service& service,
                                const GateRule& rule,
                                const std::string& version,
--- a/src/libs/rollouts/rollout_gate.h
+++ b/src/libs/rollouts/rollout_gate.h
@@ -73,6 +73,8 @@
                 MonotonicTime now) override;
 
   const TrustedVersions& trusted() const { return trusted_; }
+  // True if nothing but the target gets requests until after `time`.
+  bool AdmitsOnlyTarget(const std::string& service, MonotonicTime time) const;
   bool HasUpstreams(const std::string& service,
                     const std::string& version) const;
 
--- a/src/libs/rollouts/rollout_messages.h
+++ b/src/libs/rollouts/rollout_messages.h
@@ -40,8 +40,8 @@
   // Requests at upstreams of the old versions, of the sending host or data
   // centre.
   std::uint32_t old_running = 0;
-  // In the report of a data centre: hosts that may still send requests to the
-  // old versions.
+  // Hosts that may still send requests to the old versions, of the sending host
+  // or data centre.
   std::uint32_t hosts_behind = 0;
 
   bool operator==(const RolloutState&) const = default;
--- a/src/libs/rollouts/rollout_progress.cc
+++ b/src/libs/rollouts/rollout_progress.cc
@@ -6,8 +6,6 @@
 namespace flamingogauge {
 namespace {
 
-// An older report says nothing of what its sender does now.
-constexpr std::chrono::milliseconds kReportLifetime{1500};
 // After this time a silent host counts as gone.
 constexpr std::chrono::seconds kGoneTime{5};
 
@@ -83,7 +81,7 @@
     return;
   }
   const auto it = member.rollouts.find(order);
-  const bool has_moved = silence <= kReportLifetime &&
+  const bool has_moved = silence <= kRolloutReportLifetime &&
                          it != member.rollouts.end() &&
                          it->second.phase != RolloutPhase::kTrial;
   remaining.behind += has_moved ? it->second.hosts_behind : 1;
--- a/src/libs/rollouts/rollout_progress.h
+++ b/src/libs/rollouts/rollout_progress.h
@@ -1,6 +1,7 @@
 #ifndef FLAMINGOGAUGE_LIBS_ROLLOUTS_ROLLOUT_PROGRESS_H_
 #define FLAMINGOGAUGE_LIBS_ROLLOUTS_ROLLOUT_PROGRESS_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -12,6 +13,9 @@
 
 namespace flamingogauge {
 
+// An older report says nothing of what its sender does now.
+inline constexpr std::chrono::milliseconds kRolloutReportLifetime{1500};
+
 // Follows which hosts still send requests to the old versions of an order, or
 // have some there. A host counts until it has reported that it has moved. A few
 // silent ones count as gone after a while; if most are silent, it is rather
--- a/tests/auto/rollouts/tst_rollout_controller.cc
+++ b/tests/auto/rollouts/tst_rollout_controller.cc
@@ -245,6 +245,68 @@
   }
 }
 
+RolloutOrder ShiftedOrder() {
+  RolloutOrder order = Order(9);
+  order.status = {.outcome = RolloutOutcome::kRunning,
+                  .target = "v2",
+                  .order = 77,
+                  .phase = RolloutPhase::kShift,
+                  .from = {"v1"},
+                  .began_at = kUnixTime - seconds(7)};
+  return order;
+}
+
+// Guards against `completed` because of a host that knows of the shift but
+// still sends requests to the old versions.
+TEST_CASE("a host has moved once its gate admits only the target") {
+  struct Row {
+    std::string name;
+    milliseconds permission_age;
+    bool target_listed;
+    std::uint32_t behind;
+  };
+  const std::vector<Row> rows = {
+      {"permitted", milliseconds(100), true, 0},
+      {"permission about to run out", milliseconds(2000), true, 1},
+      {"no permission", milliseconds(4000), true, 1},
+      {"no target", milliseconds(100), false, 1}};
+  for (const Row& it : rows) {
+    CAPTURE(it.name);
+    Fixture host;
+    host.controller.OnOrders({ShiftedOrder()}, kUnixTime, kStart);
+    host.Tick(milliseconds(100));
+    if (!it.target_listed) {
+      std::vector<UpstreamEntry> old = Upstreams();
+      old.resize(3);
+      host.controller.SetUpstreams(old, kUnixTime, kStart);
+    }
+    const RolloutReport report = host.controller.HostReport(
+        "x", {}, kStart + milliseconds(100) + it.permission_age);
+    CHECK(report.rollouts.at(0).hosts_behind == it.behind);
+  }
+}
+
+// Guards against old upstreams that stop while there are none of the target.
+TEST_CASE("nothing is completed while the target is not listed") {
+  Fixture host;
+  host.controller.OnOrders({ShiftedOrder()}, kUnixTime, kStart);
+  std::vector<UpstreamEntry> old = Upstreams();
+  old.resize(3);
+  host.controller.SetUpstreams(old, kUnixTime, kStart);
+  RolloutState moved{.service = "s",
+                     .target = "v2",
+                     .order = 77,
+                     .phase = RolloutPhase::kShift};
+  host.controller.Tick(kDecider, kUnixTime, kStart);
+  const MonotonicTime now = kStart + milliseconds(100);
+  host.controller.OnHostReport("h1", 1, {.rollouts = {moved}}, now);
+  host.controller.Tick(kDecider, kUnixTime, now);
+  CHECK(host.controller.records().at("s").phase == RolloutPhase::kShift);
+  host.controller.SetUpstreams(Upstreams(), kUnixTime, now);
+  host.controller.Tick(kDecider, kUnixTime, now);
+  CHECK(host.controller.records().at("s").phase == RolloutPhase::kComplete);
+}
+
 // Guards against a standby that never gets a report of another data centre
 // since the coordinator in use has just got one.
 TEST_CASE("each receiver gets reports of the data centre") {
