rollouts: never condemn the only version of a service

If an order names the version that serves already, there are no old versions to go back to. A verdict, or the order's time limit, then left the service without any admitted upstream.

Such an order gets no verdict, and the gate never refuses a target that replaces nothing. Its trial ends early only after the time of observation and if no other version is listed.

--- a/src/libs/rollouts/rollout_controller.cc
+++ b/src/libs/rollouts/rollout_controller.cc
@@ -248,12 +248,15 @@
   if (!gate_.HasUpstreams(record.service, record.target)) {
     return false;
   }
-  if (record.from.empty()) {
+  if (now - record.learned_at < kMinObservation ||
+      now - observing_since_ < kMinObservation) {
+    return false;
+  }
+  if (record.from.empty() && gate_.HasOnly(record.service, record.target)) {
     // The target serves already.
     return true;
   }
-  if (age < trial || now - record.learned_at < kMinObservation ||
-      now - observing_since_ < kMinObservation) {
+  if (age < trial) {
     return false;
   }
   const EvidencePool::Counts counts = evidence_.Of(record.order);
@@ -266,6 +269,9 @@
 }
 
 void RolloutController::Judge(const RolloutRecord& record) {
+  if (record.from.empty()) {
+    return;
+  }
   const std::optional<RolloutVerdict> verdict =
       FindFault(evidence_.Of(record.order));
   if (verdict) {
--- a/src/libs/rollouts/rollout_gate.cc
+++ b/src/libs/rollouts/rollout_gate.cc
@@ -115,6 +115,12 @@
   return it != services_.end() && it->second.listed.contains(version);
 }
 
+bool RolloutGate::HasOnly(const std::string& service,
+                          const std::string& version) const {
+  return HasUpstreams(service, version) &&
+         services_.at(service).listed.size() == 1;
+}
+
 bool RolloutGate::AdmitsOnlyTarget(const std::string& service,
                                    MonotonicTime time) const {
   const auto it = services_.find(service);
@@ -132,7 +138,8 @@
                                MonotonicTime now) {
   const bool is_old = rule.from.contains(version);
   const bool is_target = version == rule.target && !is_old;
-  if (is_target && rule.is_bad) {
+  // A target that replaces nothing is all there is.
+  if (is_target && rule.is_bad && !rule.from.empty()) {
     return false;
   }
   const bool target_is_listed = service.listed.contains(rule.target);
--- a/src/libs/rollouts/rollout_gate.h
+++ b/src/libs/rollouts/rollout_gate.h
@@ -75,6 +75,8 @@
   const TrustedVersions& trusted() const { return trusted_; }
   // True if nothing but the target gets requests until after `time`.
   bool AdmitsOnlyTarget(const std::string& service, MonotonicTime time) const;
+  // True if upstreams of this version are listed and no others.
+  bool HasOnly(const std::string& service, const std::string& version) const;
   bool HasUpstreams(const std::string& service,
                     const std::string& version) const;
 
--- a/src/libs/rollouts/rollout_table.cc
+++ b/src/libs/rollouts/rollout_table.cc
@@ -109,7 +109,8 @@
 bool RolloutTable::Condemn(const std::string& service,
                            const std::string& reason) {
   RolloutRecord& record = records_.at(service);
-  if (record.is_bad || record.HasEnded()) {
+  // Without other versions there is nothing to go back to.
+  if (record.is_bad || record.HasEnded() || record.from.empty()) {
     return false;
   }
   record.is_bad = true;
--- a/tests/auto/rollouts/tst_rollout_controller.cc
+++ b/tests/auto/rollouts/tst_rollout_controller.cc
@@ -307,6 +307,32 @@
   CHECK(host.controller.records().at("s").phase == RolloutPhase::kComplete);
 }
 
+// Guards against a verdict, or an early shift, for an order to the version that
+// serves already: nothing would be left to serve.
+TEST_CASE("the only version of a service is never condemned") {
+  RolloutOrder order = Order();
+  order.target = "v1";
+  for (const bool other_listed : {false, true}) {
+    CAPTURE(other_listed);
+    Fixture host;
+    std::vector<UpstreamEntry> upstreams = Upstreams();
+    upstreams.resize(other_listed ? 6 : 3);
+    host.controller.SetUpstreams(upstreams, kUnixTime, kStart);
+    host.controller.OnOrders({order}, kUnixTime, kStart);
+    REQUIRE(host.controller.records().at("s").from.empty());
+    host.Answer(0, false, 100);
+    host.Answer(1, false, 100);
+    host.TickUntil(milliseconds(100), milliseconds(2900));
+    CHECK(host.controller.records().at("s").phase == RolloutPhase::kTrial);
+    host.TickUntil(milliseconds(2900), milliseconds(4900));
+    CHECK((host.controller.records().at("s").phase == RolloutPhase::kTrial) ==
+          other_listed);
+    host.TickUntil(milliseconds(4900), seconds(14));
+    CHECK_FALSE(host.controller.records().at("s").IsCondemned());
+    CHECK(host.controller.gate().Admits(upstreams[0], kStart + seconds(14)));
+  }
+}
+
 // Guards against a standby that never gets a report of another data centre
 // since the coordinator in use has just got one.
 TEST_CASE("each receiver gets reports of the data centre") {
--- a/tests/auto/rollouts/tst_rollout_gate.cc
+++ b/tests/auto/rollouts/tst_rollout_gate.cc
@@ -90,6 +90,16 @@
   }
 }
 
+// Guards against a service without any admitted upstream after a verdict that
+// another host passed on the only known version.
+TEST_CASE("a bad target serves if it replaces nothing") {
+  RolloutGate gate({.data_centre = "d1"});
+  gate.SetUpstreams(Upstreams(0, 2));
+  gate.SetRule("s", GateRule{.order = 1, .target = "v2", .is_bad = true});
+  CHECK(gate.Admits(Upstream("v2", 0), kStart));
+  CHECK(gate.AcceptsGrant(Upstream("v2", 0), kStart));
+}
+
 // Guards against services that are not served since nothing is known of them.
 TEST_CASE("versions of which nothing is known serve if they are alone") {
   RolloutGate gate({.data_centre = "d1"});
