rollouts: slow answers need more evidence for a verdict than failures

Trial requests come in batches, whose prompts wait for each other at one upstream.

A verdict on slow answers now needs 48 answers, or 12 as before if their share exceeds the old one by 30 points instead of 22. When the longest trial time has passed, 12 answers suffice for the lower margin too, as all requests would follow.

--- a/src/libs/rollouts/rollout_controller.cc
+++ b/src/libs/rollouts/rollout_controller.cc
@@ -268,12 +268,15 @@
          TargetAnswers(counts) >= kMinAnswers;
 }
 
-void RolloutController::Judge(const RolloutRecord& record) {
+void RolloutController::Judge(const RolloutRecord& record, MonotonicTime now) {
   if (record.from.empty()) {
     return;
   }
+  const bool trial_is_ending =
+      record.phase == RolloutPhase::kTrial &&
+      now - record.began_at >= record.duration * kLongestTrialPart;
   const std::optional<RolloutVerdict> verdict =
-      FindFault(evidence_.Of(record.order));
+      FindFault(evidence_.Of(record.order), trial_is_ending);
   if (verdict) {
     changes_ += table_.Condemn(record.service, verdict->reason) ? 1 : 0;
   }
@@ -325,7 +328,7 @@
     if (record.HasEnded() || record.IsCondemned()) {
       continue;
     }
-    Judge(record);
+    Judge(record, now);
     if (role.is_coordinator && !record.IsCondemned()) {
       TakeStep(record, now);
     }
--- a/src/libs/rollouts/rollout_controller.h
+++ b/src/libs/rollouts/rollout_controller.h
@@ -135,7 +135,7 @@
   void MergeOrders(std::chrono::milliseconds unix_time, MonotonicTime now);
   RolloutState StateOf(const RolloutOrder& order,
                        std::chrono::milliseconds unix_time) const;
-  void Judge(const RolloutRecord& record);
+  void Judge(const RolloutRecord& record, MonotonicTime now);
   // Begins to observe the others anew if this host has not coordinated all the
   // time.
   void UpdateObservation(const Role& role, MonotonicTime now);
--- a/src/libs/rollouts/rollout_judge.h
+++ b/src/libs/rollouts/rollout_judge.h
@@ -17,7 +17,9 @@
 // Compares the upstreams of the target with those of the old versions: failures
 // and slow answers, on each route and on all together. Returns a verdict if the
 // target is bad, and nothing as long as there is too little evidence for one.
-std::optional<RolloutVerdict> FindFault(const EvidencePool::Counts& counts);
+// Slow answers need less evidence if the target is about to get all requests.
+std::optional<RolloutVerdict> FindFault(const EvidencePool::Counts& counts,
+                                        bool trial_is_ending = false);
 
 // True if the target looks worse than the old versions, though not so clearly
 // that it is bad: more answers are needed.
--- a/tests/auto/rollouts/tst_rollout_judge.cc
+++ b/tests/auto/rollouts/tst_rollout_judge.cc
@@ -86,6 +86,21 @@
         {.upstream = 7, .good = 8, .slow = 8},
         {.upstream = 8, .good = 8, .slow = 7}},
        true},
+      {"a slow batch",
+       {{.good = 404},
+        {.upstream = 7, .good = 6, .slow = 3},
+        {.upstream = 8, .good = 7, .slow = 2}},
+       false},
+      {"slow batches",
+       {{.good = 404},
+        {.upstream = 7, .good = 12, .slow = 5},
+        {.upstream = 8, .good = 13, .slow = 4}},
+       false},
+      {"a quarter is slow",
+       {{.good = 404},
+        {.upstream = 7, .good = 17, .slow = 7},
+        {.upstream = 8, .good = 18, .slow = 6}},
+       true},
       {"one slow upstream",
        {{.good = 400, .slow = 4},
         {.upstream = 7, .slow = 20},
@@ -105,6 +120,15 @@
   }
 }
 
+// Guards against a slow version with few answers that gets all requests.
+TEST_CASE("slow answers need less evidence at the end of the trial") {
+  const auto counts = ToCounts({{.good = 404},
+                                {.upstream = 7, .good = 12, .slow = 5},
+                                {.upstream = 8, .good = 13, .slow = 4}});
+  CHECK_FALSE(FindFault(counts));
+  CHECK(FindFault(counts, true));
+}
+
 // Guards against a shift of all requests to a version that is about to be found
 // bad.
 TEST_CASE("a version that looks worse needs more answers") {
