--- a/src/libs/rollouts/rollout_controller.cc
+++ b/src/libs/rollouts/rollout_controller.cc
@@ -23,6 +23,8 @@
 // After a restart of all hosts the trial goes on for this long at least, if
 // there is time.
 constexpr milliseconds kMinObservation{3000};
+// A coordinator that has not run for this long may have missed reports.
+constexpr milliseconds kMaxTickGap{600};
 // Between two reports of the same kind without a change, and between two times
 // that permissions are passed on to the gate.
 constexpr milliseconds kReportInterval{150};
@@ -195,6 +197,9 @@
   }
   RolloutReport report{.rollouts = table_.Report(now)};
   for (RolloutState& it : report.rollouts) {
+    it.hosts_behind =
+        gate_.AdmitsOnlyTarget(it.service, now + kRolloutReportLifetime) ? 0
+                                                                         : 1;
     const auto by_version = running.find(it.service);
     if (by_version == running.end()) {
       continue;
@@ -209,8 +214,9 @@
   return report;
 }
 
-RolloutReport RolloutController::DataCentreReport(MonotonicTime now) {
-  if (!IsReportDue(data_centre_report_, now)) {
+RolloutReport RolloutController::DataCentreReport(const std::string& receiver,
+                                                  MonotonicTime now) {
+  if (!IsReportDue(data_centre_reports_[receiver], now)) {
     return {};
   }
   RolloutReport report{.rollouts = table_.Report(now)};
@@ -242,11 +248,15 @@
   if (!gate_.HasUpstreams(record.service, record.target)) {
     return false;
   }
-  if (record.from.empty()) {
+  if (now - record.learned_at < kMinObservation ||
+      now - observing_since_ < kMinObservation) {
+    return false;
+  }
+  if (record.from.empty() && gate_.HasOnly(record.service, record.target)) {
     // The target serves already.
     return true;
   }
-  if (age < trial || now - record.learned_at < kMinObservation) {
+  if (age < trial) {
     return false;
   }
   const EvidencePool::Counts counts = evidence_.Of(record.order);
@@ -258,9 +268,15 @@
          TargetAnswers(counts) >= kMinAnswers;
 }
 
-void RolloutController::Judge(const RolloutRecord& record) {
+void RolloutController::Judge(const RolloutRecord& record, MonotonicTime now) {
+  if (record.from.empty()) {
+    return;
+  }
+  const bool trial_is_ending =
+      record.phase == RolloutPhase::kTrial &&
+      now - record.began_at >= record.duration * kLongestTrialPart;
   const std::optional<RolloutVerdict> verdict =
-      FindFault(evidence_.Of(record.order));
+      FindFault(evidence_.Of(record.order), trial_is_ending);
   if (verdict) {
     changes_ += table_.Condemn(record.service, verdict->reason) ? 1 : 0;
   }
@@ -273,6 +289,18 @@
          gate_.HasUpstreams(record.service, record.target);
 }
 
+void RolloutController::UpdateObservation(const Role& role, MonotonicTime now) {
+  if (!role.is_coordinator) {
+    coordinated_at_.reset();
+    return;
+  }
+  if (!coordinated_at_ || now - *coordinated_at_ > kMaxTickGap) {
+    progress_.BeginObserving(now);
+    observing_since_ = now;
+  }
+  coordinated_at_ = now;
+}
+
 void RolloutController::TakeStep(const RolloutRecord& record,
                                  MonotonicTime now) {
   if (record.phase == RolloutPhase::kTrial && TrialIsOver(record, now)) {
@@ -283,6 +311,7 @@
                     ? 1
                     : 0;
   } else if (record.phase == RolloutPhase::kShift &&
+             gate_.HasUpstreams(record.service, record.target) &&
              progress_.Everywhere(record.order, now).IsNone()) {
     changes_ += table_.Advance(record.service, RolloutPhase::kComplete) ? 1 : 0;
   }
@@ -294,11 +323,12 @@
   if (role.reads_store || role.is_coordinator) {
     table_.Permit(now);
   }
+  UpdateObservation(role, now);
   for (const auto& [service, record] : table_.records()) {
     if (record.HasEnded() || record.IsCondemned()) {
       continue;
     }
-    Judge(record);
+    Judge(record, now);
     if (role.is_coordinator && !record.IsCondemned()) {
       TakeStep(record, now);
     }
--- a/src/libs/rollouts/rollout_gate.cc
+++ b/src/libs/rollouts/rollout_gate.cc
@@ -115,13 +115,31 @@
   return it != services_.end() && it->second.listed.contains(version);
 }
 
+bool RolloutGate::HasOnly(const std::string& service,
+                          const std::string& version) const {
+  return HasUpstreams(service, version) &&
+         services_.at(service).listed.size() == 1;
+}
+
+bool RolloutGate::AdmitsOnlyTarget(const std::string& service,
+                                   MonotonicTime time) const {
+  const auto it = services_.find(service);
+  if (it == services_.end() || !it->second.rule) {
+    return false;
+  }
+  const GateRule& rule = *it->second.rule;
+  return rule.mode == GateRule::Mode::kTarget && !rule.is_bad &&
+         time < rule.permitted_until && it->second.listed.contains(rule.target);
+}
+
 bool RolloutGate::AdmitsByRule(const Service& service,
                                const GateRule& rule,
                                const std::string& version,
                                MonotonicTime now) {
   const bool is_old = rule.from.contains(version);
   const bool is_target = version == rule.target && !is_old;
-  if (is_target && rule.is_bad) {
+  // A target that replaces nothing is all there is.
+  if (is_target && rule.is_bad && !rule.from.empty()) {
     return false;
   }
   const bool target_is_listed = service.listed.contains(rule.target);
