limits: count a session as unread from 64 KB unsent on

Cause: MemoryBudget put every connection with unsent bytes before all others, so a stream whose socket buffer was full for a moment was reset before the 4 MB bodies of a crowd. Change: a connection counts as unread with at least 65,536 unsent bytes; the rows of the test are in KB, so that they lie above that number as before. Result: in the test, a stream with 1 KB unsent stays beside bodies of 400 KB; it was closed first.

--- a/src/libs/limits/memory_budget.cc
+++ b/src/libs/limits/memory_budget.cc
@@ -11,6 +11,9 @@
 // connections, rare while a crowd presses.
 constexpr std::size_t kTargetNumerator = 3;
 constexpr std::size_t kTargetDenominator = 4;
+// Unsent bytes from which a connection counts as not read. A stream whose
+// socket buffer is full for a moment has less: an event is a few KB at most.
+constexpr std::size_t kUnreadBytes = 65536;
 
 template <typename Held>
 std::size_t Sum(const Held& held) {
@@ -86,7 +89,8 @@
   for (const auto& [id, held] : held_) {
     candidates.push_back(
         {.id = id,
-         .is_unread = held[static_cast<std::size_t>(HeldKind::kUnsent)] > 0,
+         .is_unread =
+             held[static_cast<std::size_t>(HeldKind::kUnsent)] >= kUnreadBytes,
          .bytes = Sum(held)});
   }
   std::sort(candidates.begin(), candidates.end(),
--- a/src/libs/limits/memory_budget.h
+++ b/src/libs/limits/memory_budget.h
@@ -28,8 +28,8 @@
 
 // Accounts the memory that a host holds for the connections of its callers and
 // chooses which of them to close when the sum exceeds a bound: first those of
-// callers that do not read, then the others, of each the one that holds most.
-// Ordinary requests hold little, and so are chosen last.
+// callers that leave much unread, then the others, of each the one that holds
+// most. Ordinary requests hold little, and so are chosen last.
 class MemoryBudget {
  public:
   using ConnectionId = std::uint64_t;
--- a/tests/auto/limits/tst_crowd_decisions.cc
+++ b/tests/auto/limits/tst_crowd_decisions.cc
@@ -16,7 +16,7 @@
 struct Held {
   std::uint64_t id;
   HeldKind kind;
-  std::size_t bytes;
+  std::size_t kilobytes;
 };
 
 struct BudgetRow {
@@ -26,7 +26,8 @@
 };
 
 // Guards against closing connections without need, and against closing ordinary
-// callers before those that do not read or hold much.
+// callers, also those whose socket buffer is full for a moment, before those
+// that do not read or hold much.
 TEST_CASE("the connections to close for memory") {
   for (const BudgetRow& row : {
            BudgetRow{"within the bound", {{1, HeldKind::kUnsent, 1000}}, {}},
@@ -50,11 +51,22 @@
            BudgetRow{"a later value replaces an earlier one",
                      {{1, HeldKind::kInput, 3000}, {1, HeldKind::kInput, 10}},
                      {}},
+           BudgetRow{"a stream with little unsent stays beside bodies",
+                     {{1, HeldKind::kUnsent, 1},
+                      {2, HeldKind::kInput, 400},
+                      {3, HeldKind::kInput, 400},
+                      {4, HeldKind::kInput, 400}},
+                     {4, 3}},
+           BudgetRow{"a response counts as unread from 64 KB on",
+                     {{1, HeldKind::kUnsent, 64},
+                      {2, HeldKind::kUnsent, 63},
+                      {3, HeldKind::kRequest, 900}},
+                     {1, 3}},
        }) {
     CAPTURE(row.name);
-    MemoryBudget budget(1000);
+    MemoryBudget budget(std::size_t{1000} << 10U);
     for (const Held& it : row.held) {
-      budget.Set(it.id, it.kind, it.bytes);
+      budget.Set(it.id, it.kind, it.kilobytes << 10U);
     }
     CHECK(budget.ChooseToClose() == row.closed);
     CHECK(budget.is_exceeded() == !row.closed.empty());
