gateway: notice that a caller left while its input waits

Cause: a session without room for input armed no wait, so that the end of the connection was not seen and its queued request was sent to an upstream. Change: such a session waits for an error of its socket, and the periodic check reads the connection's state from the kernel; closed ones end as disconnected.

--- a/src/plugins/gateway/http_session.cc
+++ b/src/plugins/gateway/http_session.cc
@@ -76,7 +76,14 @@
 }
 
 void HttpSession::WaitForInput() {
-  if (reading_ || !socket_.is_open() || InputRoom() == 0) {
+  if (!socket_.is_open()) {
+    return;
+  }
+  if (InputRoom() == 0) {
+    WaitForReset();
+    return;
+  }
+  if (reading_) {
     return;
   }
   reading_ = true;
@@ -89,6 +96,26 @@
                      });
 }
 
+void HttpSession::WaitForReset() {
+  if (waiting_for_reset_) {
+    return;
+  }
+  waiting_for_reset_ = true;
+  socket_.async_wait(tcp::socket::wait_error,
+                     [self = shared_from_this()](const error_code& ec) {
+                       self->waiting_for_reset_ = false;
+                       if (!ec) {
+                         self->CheckPeer();
+                       }
+                     });
+}
+
+void HttpSession::CheckPeer() {
+  if (socket_.is_open() && InputRoom() == 0 && HasPeerClosed(socket_)) {
+    OnDisconnected();
+  }
+}
+
 void HttpSession::OnReadable() {
   RelieveMemory();
   const std::size_t room = InputRoom();
--- a/src/plugins/gateway/http_session.h
+++ b/src/plugins/gateway/http_session.h
@@ -82,12 +82,17 @@
   void SetHeld(HeldKind kind, std::size_t bytes);
   // Accounts what is received and not processed, and what is not written.
   void AccountHeld();
+  // Ends the request of a caller that has closed the connection, where its
+  // input is left to the kernel, so that reading can't tell.
+  void CheckPeer();
   // Closes connections if the host holds more than it may, perhaps this one;
   // see SessionPool.
   void RelieveMemory();
   // Ends the connection because of a bound.
   void CloseFor(CloseReason reason);
 
+  // The id in the pool.
+  std::uint64_t id() const { return id_; }
   bool has_write_backlog() const;
   bool has_unsent() const { return !unsent_.empty(); }
   // When bytes were last written while others were waiting.
@@ -104,6 +109,8 @@
 
  private:
   void WaitForInput();
+  // Waits for a reset by the caller while its input is left to the kernel.
+  void WaitForReset();
   void OnReadable();
   void ProcessInput();
   void DispatchRequest();
@@ -145,6 +152,7 @@
   // Incremented when the timer is set, so that an outdated expiry is ignored.
   unsigned timer_generation_ = 0;
   bool reading_ = false;
+  bool waiting_for_reset_ = false;
   bool writing_ = false;
   bool receiving_ = false;
   bool continue_sent_ = false;
--- a/src/plugins/gateway/session_pool.cc
+++ b/src/plugins/gateway/session_pool.cc
@@ -60,15 +60,13 @@
     return;
   }
   std::vector<std::uint64_t> unread;
-  for (const auto& [id, it] : sessions_) {
-    const auto session = it.lock();
-    if (!session) {
-      continue;
-    }
+  // A copy, since a session that ends removes itself.
+  for (const auto& session : sessions()) {
+    session->CheckPeer();
     session->AccountHeld();
     if (session->has_unsent() &&
         now - session->last_written_at() >= options_.unread_limit) {
-      unread.push_back(id);
+      unread.push_back(session->id());
     }
   }
   CloseAll(unread, CloseReason::kUnread);
--- a/src/plugins/gateway/session_pool.h
+++ b/src/plugins/gateway/session_pool.h
@@ -61,8 +61,9 @@
   // where any connection may be closed, before more is received.
   void RelieveMemory();
   // Closes the connections of callers that have read nothing for too long, and
-  // accounts what the kernel has received for connections that are not read; to
-  // be called periodically.
+  // of those that have left while their input is not read; accounts what the
+  // kernel has received for connections that are not read. To be called
+  // periodically.
   void CheckUnread(MonotonicTime now);
 
   void SetLimits(std::size_t max_held_bytes,
--- a/src/plugins/gateway/socket_options.cc
+++ b/src/plugins/gateway/socket_options.cc
@@ -38,6 +38,14 @@
                static_cast<int>(limit.count()));
 }
 
+bool HasPeerClosed(boost::asio::ip::tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  return ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info,
+                      &size) == 0 &&
+         (info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE);
+}
+
 std::optional<SendQueue> ReadSendQueue(boost::asio::ip::tcp::socket& socket) {
   const int fd = socket.native_handle();
   int unsent = 0;
--- a/src/plugins/gateway/socket_options.h
+++ b/src/plugins/gateway/socket_options.h
@@ -28,6 +28,10 @@
 void SetUnacknowledgedLimit(boost::asio::ip::tcp::socket& socket,
                             std::chrono::milliseconds limit);
 
+// Whether the peer has closed or reset the connection, as far as the kernel has
+// been told. Works without reading what the peer has sent before.
+bool HasPeerClosed(boost::asio::ip::tcp::socket& socket);
+
 // Returns the send queue of a connected socket, or nothing if the system does
 // not tell. The members are zero if all bytes have been sent once.
 std::optional<SendQueue> ReadSendQueue(boost::asio::ip::tcp::socket& socket);
--- a/tests/auto/gateway/tst_held.cc
+++ b/tests/auto/gateway/tst_held.cc
@@ -2,8 +2,11 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <functional>
+#include <future>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "tests/auto/gateway/gateway_host.h"
@@ -36,6 +39,18 @@
       "GET", path, {"Req-Id: " + id, "Key: key-1", "Limit-Ms: 4000"}, "");
 }
 
+// Whether a condition holds within 3 s, less than the requests' time limit.
+bool Eventually(const std::function<bool()>& holds) {
+  const auto give_up = std::chrono::steady_clock::now() + milliseconds(3000);
+  while (!holds()) {
+    if (std::chrono::steady_clock::now() >= give_up) {
+      return false;
+    }
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  return true;
+}
+
 std::string Body(std::size_t size) {
   std::string body;
   for (std::size_t n = 0; body.size() < size; ++n) {
@@ -119,6 +134,52 @@
   }
 }
 
+// Guards against a request that runs although its caller has closed the
+// connection, where the caller has sent ahead more than is received.
+TEST_CASE("a queued request ends with a caller that sent much ahead") {
+  constexpr int kSlots = 4;
+  std::promise<void> release;
+  const std::shared_future<void> released = release.get_future().share();
+  const ScriptedServer::Script script =
+      [released](ScriptedConnection& connection) {
+        while (!connection.ReadRequest().empty()) {
+          released.wait_for(milliseconds(10000));
+          connection.Write(
+              UpstreamAnswer("ok", RequestIdOf(connection.last_request())));
+        }
+      };
+  ScriptedServer upstream(std::vector<ScriptedServer::Script>(16, script));
+  GatewayHost host({upstream.address()});
+  std::vector<std::unique_ptr<TestConnection>> running;
+  for (int n = 0; n < kSlots; ++n) {
+    running.push_back(std::make_unique<TestConnection>(host.address()));
+    REQUIRE(running.back()->Send(
+        Request("/once/", "running-" + std::to_string(n))));
+  }
+  CHECK(Eventually([&] { return upstream.Requests().size() == kSlots; }));
+  TestConnection leaving(host.address());
+  std::string requests;
+  for (int n = 0; requests.size() < 80000; ++n) {
+    requests += Request("/once/", "leaving-" + std::to_string(n));
+  }
+  REQUIRE(leaving.Send(requests));
+  // The requests are received before the connection is closed.
+  std::this_thread::sleep_for(milliseconds(200));
+  leaving.Close();
+  CHECK(Eventually([&] {
+    return host.GetStatus("/metrics")
+               .body.find(
+                   "flamingogauge_requests_total{outcome=\"abandoned\"} 1") !=
+           std::string::npos;
+  }));
+  release.set_value();
+  for (const auto& it : running) {
+    CHECK(it->ReadAnswer().status == 200);
+  }
+  std::this_thread::sleep_for(milliseconds(200));
+  CHECK(upstream.Requests().size() == kSlots);
+}
+
 // Guards against bodies that are received beyond the bound on memory, and
 // against a bound that keeps small requests from being served.
 TEST_CASE("a body beyond the bound on memory is refused as not run") {
