gateway: end a drain beside callers that do not read

Cause: a session that sent ahead and does not read counted as receiving until the drain's limit. At the end the sending side was shut down with bytes unsent, so that a response without a length looked complete. Change: a session with unsent bytes does not count as receiving, and not as flushing once nothing was written for 2 s. CloseIfIdle leaves it alone; at the drain's abort and end it is reset.

--- a/src/plugins/gateway/gateway_plugin.cc
+++ b/src/plugins/gateway/gateway_plugin.cc
@@ -196,6 +196,7 @@
       LogDrain("gateway.drain_aborted", work);
       callers->Stop();
       relay->AbortAllRequests();
+      callers->AbortUnsent();
       callers->CloseIdle();
       break;
     case DrainAction::kCloseIdle:
@@ -203,6 +204,7 @@
       callers->CloseIdle();
       break;
     case DrainAction::kFinish:
+      callers->AbortUnsent();
       LogDrain("gateway.drained", work);
       drained();
       return;
--- a/src/plugins/gateway/http_acceptor.cc
+++ b/src/plugins/gateway/http_acceptor.cc
@@ -96,6 +96,14 @@
   }
 }
 
+void HttpAcceptor::AbortUnsent() {
+  for (const auto& it : pool_->sessions()) {
+    if (it->has_unsent()) {
+      it->AbortWithReset();
+    }
+  }
+}
+
 SessionCounts HttpAcceptor::Count() const {
   SessionCounts counts;
   for (const auto& it : pool_->sessions()) {
--- a/src/plugins/gateway/http_acceptor.h
+++ b/src/plugins/gateway/http_acceptor.h
@@ -35,6 +35,9 @@
   void Stop();
   // Closes the connections that have no request in progress.
   void CloseIdle();
+  // Resets the connections with an unsent part of a response, which must not
+  // look complete.
+  void AbortUnsent();
   SessionCounts Count() const;
   SessionPool& pool() { return *pool_; }
 
--- a/src/plugins/gateway/http_session.cc
+++ b/src/plugins/gateway/http_session.cc
@@ -36,6 +36,9 @@
 // Longer than for upstreams because callers may be on a poor link.
 constexpr milliseconds kCallerUnacknowledgedLimit{6000};
 constexpr std::chrono::seconds kCallerProbeInterval{5};
+// Without a byte written for this long, a host that shuts down no longer waits
+// for the caller to read a response. Longer than most lost packets delay one.
+constexpr milliseconds kFlushStallLimit{2000};
 constexpr int kRequestTimeout = 408;
 constexpr int kServiceUnavailable = 503;
 constexpr char kRetryAfterMemory[] = "Retry-After: 1\r\n";
@@ -393,17 +396,22 @@
   if (receiving_ || answering_ || closing_) {
     return receiving_ && socket_.is_open();
   }
+  if (!unsent_.empty()) {
+    // The next request is taken once the response before has been written.
+    return false;
+  }
   // Bytes that the kernel has received may be the beginning of a request.
   error_code ec;
   return !input_.empty() || socket_.available(ec) > 0;
 }
 
 bool HttpSession::is_flushing() const {
-  return !answering_ && socket_.is_open() && !unsent_.empty();
+  return !answering_ && socket_.is_open() && !unsent_.empty() &&
+         BootTimeNow() - last_written_at_ < kFlushStallLimit;
 }
 
 void HttpSession::CloseIfIdle() {
-  if (!answering_ && !is_receiving() && !closing_) {
+  if (!answering_ && !is_receiving() && !closing_ && unsent_.empty()) {
     closing_ = true;
     CloseAfterWrite();
   }
--- a/src/plugins/gateway/http_session.h
+++ b/src/plugins/gateway/http_session.h
@@ -100,11 +100,12 @@
   ConnectionActivity Activity() const;
   // Whether a part of the next request has been received.
   bool is_receiving() const;
-  // Whether a part of a finished response has not been written yet.
+  // Whether a part of a finished response has not been written yet, to a caller
+  // that still reads it.
   bool is_flushing() const;
   bool is_open() const { return socket_.is_open(); }
-  // Closes the connection if it is idle; a request that is arriving is not
-  // interrupted.
+  // Closes the connection if it is idle; a request that is arriving and a
+  // response that is being written are not interrupted.
   void CloseIfIdle();
 
  private:
--- a/tests/auto/gateway/tst_gateway_drain.cc
+++ b/tests/auto/gateway/tst_gateway_drain.cc
@@ -112,6 +112,49 @@
   CHECK(stop.Wait());
 }
 
+struct UnreadCase {
+  std::string name;
+  std::string version;
+  // How long nothing is read before the shutdown begins.
+  milliseconds unread_for;
+  // The drain's limit is 1500 ms.
+  milliseconds ends_within;
+};
+
+// Guards against a caller that sent a request ahead and does not read, which
+// keeps a host from exiting, and against a response that looks complete though
+// the host has ended before it was written.
+TEST_CASE("a host does not wait for a caller that reads nothing") {
+  const std::string body(240000, 'b');
+  for (const UnreadCase& it :
+       {UnreadCase{"for long", "HTTP/1.1", milliseconds(2300),
+                   milliseconds(1400)},
+        UnreadCase{"for long, with a last response", "HTTP/1.0",
+                   milliseconds(2300), milliseconds(1400)},
+        UnreadCase{"until the limit, with a last response", "HTTP/1.0",
+                   milliseconds(100), milliseconds(5000)}}) {
+    CAPTURE(it.name);
+    ScriptedServer upstream({[&body](ScriptedConnection& connection) {
+      connection.ReadRequest();
+      connection.Write(UpstreamAnswer(body));
+      connection.HoldOpen();
+    }});
+    auto host = std::make_unique<GatewayHost>(
+        std::vector<std::string>{upstream.address()});
+    TestConnection connection(host->address(), {.has_small_buffers = true});
+    std::string request =
+        FormatTestRequest("POST", "/once/", TestHeaders(), "a");
+    request.replace(request.find("HTTP/1.1"), 8, it.version);
+    REQUIRE(connection.Send(request + request));
+    std::this_thread::sleep_for(it.unread_for);
+    const auto start = std::chrono::steady_clock::now();
+    PlannedStop stop(std::move(host));
+    CHECK(stop.Wait());
+    CHECK(std::chrono::steady_clock::now() - start < it.ends_within);
+    CHECK_FALSE(connection.ReadToEnd().has_value());
+  }
+}
+
 // Guards against an idle connection, or one whose request never comes, that
 // keeps a host from exiting.
 TEST_CASE("a host exits although connections are open") {
