http_framing: account the memory that strings occupy

Cause: what is held for a caller was counted by size(), while a string that grew may occupy twice that. Change: OutputBuffer::held_bytes and ParsedRequest::HeldBytes use capacity().

--- a/src/libs/http_framing/http_request_reader.cc
+++ b/src/libs/http_framing/http_request_reader.cc
@@ -39,7 +39,7 @@
 }  // namespace
 
 std::size_t ParsedRequest::HeldBytes() const {
-  return target.size() + body.size() + fields.HeldBytes();
+  return target.capacity() + body.capacity() + fields.HeldBytes();
 }
 
 class HttpRequestReader::Parser final : public http::basic_parser<true> {
--- a/src/libs/http_framing/output_buffer.h
+++ b/src/libs/http_framing/output_buffer.h
@@ -19,7 +19,7 @@
   bool empty() const { return bytes_.size() == written_; }
   std::size_t size() const { return bytes_.size() - written_; }
   // The memory in use, in bytes; at least size().
-  std::size_t held_bytes() const { return empty() ? 0 : bytes_.size(); }
+  std::size_t held_bytes() const { return empty() ? 0 : bytes_.capacity(); }
   // Valid until the next change.
   std::string_view bytes() const {
     return std::string_view(bytes_).substr(written_);
--- a/tests/auto/http_framing/tst_http_request_reader.cc
+++ b/tests/auto/http_framing/tst_http_request_reader.cc
@@ -137,6 +137,15 @@
   CHECK(reader.complete());
 }
 
+// Guards against memory that is occupied beyond the bytes and not accounted.
+TEST_CASE("a request accounts the memory it occupies") {
+  constexpr std::size_t kReserved = 100000;
+  ParsedRequest request;
+  request.body.reserve(kReserved);
+  request.target.reserve(kReserved);
+  CHECK(request.HeldBytes() >= 2 * kReserved);
+}
+
 // Guards against forwarding hop-by-hop fields or dropping end-to-end fields.
 TEST_CASE("hop-by-hop fields are removed, also those that Connection names") {
   HttpFields fields;
--- a/tests/auto/http_framing/tst_output_buffer.cc
+++ b/tests/auto/http_framing/tst_output_buffer.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 #include "libs/http_framing/output_buffer.h"
 
@@ -34,5 +35,17 @@
   }
 }
 
+// Guards against memory that is occupied beyond the bytes and not accounted.
+TEST_CASE("an output buffer accounts the memory it occupies") {
+  constexpr std::size_t kReserved = 100000;
+  std::string bytes;
+  bytes.reserve(kReserved);
+  bytes = "a";
+  OutputBuffer buffer;
+  buffer.Append(std::move(bytes));
+  CHECK(buffer.size() == 1);
+  CHECK(buffer.held_bytes() >= kReserved);
+}
+
 }  // namespace
 }  // namespace flamingogauge
