--- a/src/plugins/gateway/http_session.h
+++ b/src/plugins/gateway/http_session.h
@@ -116,7 +116,6 @@
   void ProcessInput();
   void DispatchRequest();
   void RefuseRequest(int status, const std::string& reason);
-  void RefuseForMemory();
   // Writes what the socket takes.
   void Flush();
   void WaitForWritable();
--- a/src/plugins/gateway/read_buffer.h
+++ b/src/plugins/gateway/read_buffer.h
@@ -20,10 +20,9 @@
          ec == boost::asio::error::try_again;
 }
 
-// Reads the available bytes of a non-blocking socket, `max_bytes` at most. The
-// buffer is shared by
-// all connections of a thread, so that idle connections need no memory for
-// input; the returned bytes are valid until the next call.
+// Reads the available bytes of a non-blocking socket, `max_bytes` at most. All
+// connections of a thread share the buffer, so that idle connections need no
+// memory for input; the returned bytes are valid until the next call.
 inline std::string_view ReadAvailable(
     boost::asio::ip::tcp::socket& socket,
     boost::system::error_code& ec,
