--- a/src/libs/rollouts/rollout_controller.cc
+++ b/src/libs/rollouts/rollout_controller.cc
@@ -20,6 +20,9 @@
 // answers or the target looks worse, up to the second part.
 constexpr double kTrialPart = 0.45;
 constexpr double kLongestTrialPart = 0.7;
+// A service with few requests shows the faults of its target in the shift only,
+// which then lasts until this part of the order's time.
+constexpr double kLatestCompletionPart = 0.85;
 // After a restart of all hosts the trial goes on for this long at least, if
 // there is time.
 constexpr milliseconds kMinObservation{3000};
@@ -268,6 +271,13 @@
          TargetAnswers(counts) >= kMinAnswers;
 }
 
+bool RolloutController::ShiftIsProven(const RolloutRecord& record,
+                                      MonotonicTime now) const {
+  return record.from.empty() ||
+         now - record.began_at >= record.duration * kLatestCompletionPart ||
+         HasEnoughAnswers(evidence_.Of(record.order));
+}
+
 void RolloutController::Judge(const RolloutRecord& record, MonotonicTime now) {
   if (record.from.empty()) {
     return;
@@ -312,6 +322,7 @@
                     : 0;
   } else if (record.phase == RolloutPhase::kShift &&
              gate_.HasUpstreams(record.service, record.target) &&
+             ShiftIsProven(record, now) &&
              progress_.Everywhere(record.order, now).IsNone()) {
     changes_ += table_.Advance(record.service, RolloutPhase::kComplete) ? 1 : 0;
   }
--- a/src/libs/rollouts/rollout_controller.h
+++ b/src/libs/rollouts/rollout_controller.h
@@ -143,6 +143,9 @@
   // The time limit has passed, and the target could be tried for a while.
   bool IsOverdue(const RolloutRecord& record, MonotonicTime now) const;
   bool TrialIsOver(const RolloutRecord& record, MonotonicTime now) const;
+  // True if the target has served enough of all requests, or as long as the
+  // order's time allows.
+  bool ShiftIsProven(const RolloutRecord& record, MonotonicTime now) const;
   // Brings the gate in line with the records and collects their changes.
   void Enforce(MonotonicTime now);
   // The same, unless nothing changed and it was done lately.
--- a/tests/auto/commandline/tst_placement_command.cc
+++ b/tests/auto/commandline/tst_placement_command.cc
@@ -91,8 +91,9 @@
            "sent to u1 now\n",
            "decided by h2 on the view of h1, which is 120 ms old\n",
            "route chat of document version 3, confirmed 200 ms ago\n",
-           "service s, workspace acme, priority 1, late in 900 ms, given up in "
-           "4000 ms, 1 units of the limit, 0 requests before it\n",
+           ("service s, workspace acme, priority 1, late in 900 ms, "
+            "given up in 4000 ms, 1 units of the limit, 0 requests before "
+            "it\n"),
            "UPSTREAM  DATA CENTRE  VERSION  STATE      RUNNING  COST S  PARTS",
            "u1        d1           v7       chosen     1 of 4   0.0300  load",
            "u2        d2           v7       held back  0 of 4   -",
--- a/tests/auto/rollouts/tst_rollout_runs.cc
+++ b/tests/auto/rollouts/tst_rollout_runs.cc
@@ -187,5 +187,24 @@
   }
 }
 
+// Guards against a bad version of a service with few requests that is completed
+// in the moment between the shift and the verdict.
+TEST_CASE("a bad version of a small service is not completed") {
+  for (const double rate : {20.0, 40.0}) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      CAPTURE(rate);
+      CAPTURE(seed);
+      RolloutSimulation run({.seed = seed,
+                             .version = VersionKind::kErrors,
+                             .old_upstreams = 2,
+                             .new_upstreams = 2,
+                             .requests_per_second = rate});
+      run.Run(kRunTime);
+      CAPTURE(run.Events());
+      CHECK(run.result().outcome == RolloutOutcome::kRolledBack);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace flamingogauge
