gateway: log a document whose bodies may not fit the memory

Cause: a body counts twice, as received and as sent, and nothing compared the document's largest body with the memory that may be held for callers. GatewayHost of the tests can write its log to a file.

--- a/src/plugins/gateway/gateway_plugin.cc
+++ b/src/plugins/gateway/gateway_plugin.cc
@@ -6,7 +6,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <cstdint>
 #include <future>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -33,6 +35,9 @@
 // collector of metrics and a person.
 constexpr std::size_t kStatusHeldFraction = 8;
 constexpr std::size_t kMaxStatusConnections = 64;
+// A body counts twice, as it is received and as it is sent, and the buffer of
+// each may have twice its size.
+constexpr std::size_t kHeldForBodySize = 4;
 
 }  // namespace
 
@@ -58,6 +63,8 @@
   std::unique_ptr<CoordinationNode> coordination;
   std::shared_ptr<const std::vector<HostEntry>> hosts;
   std::shared_ptr<const std::vector<UpstreamEntry>> upstreams;
+  // The version of the document that CheckBodyLimit has logged last.
+  std::optional<std::uint64_t> logged_body_limit_of;
   std::function<void()> drained;
   std::thread thread;
 
@@ -66,6 +73,9 @@
   void ApplySessionLimits();
   void RegisterHeldGauges();
   void OnFleet(const FleetSnapshot& snapshot);
+  // Logs once for each version of the document whose largest body may not fit
+  // the memory for callers.
+  void CheckBodyLimit(const RoutingTable& routing);
   void Tick();
   UnfinishedWork CountUnfinished() const;
   void LogDrain(std::string_view event, const UnfinishedWork& work) const;
@@ -143,6 +153,9 @@
     hosts = snapshot.hosts;
     coordination->SetHosts(*hosts);
   }
+  if (snapshot.routing) {
+    CheckBodyLimit(*snapshot.routing);
+  }
   if (upstreams != snapshot.upstreams) {
     upstreams = snapshot.upstreams;
     coordination->SetUpstreams(*upstreams);
@@ -151,6 +164,21 @@
   relay->SetHostCount(coordination->HostCount());
 }
 
+void GatewayPlugin::Private::CheckBodyLimit(const RoutingTable& routing) {
+  const std::size_t max_body_bytes = routing.limits.max_body_bytes;
+  if (max_body_bytes <= settings.max_held_bytes / kHeldForBodySize ||
+      logged_body_limit_of == routing.version) {
+    return;
+  }
+  logged_body_limit_of = routing.version;
+  log->Write(
+      EventLine("gateway.memory_below_bodies")
+          .Number("version", static_cast<std::int64_t>(routing.version))
+          .Number("max_body_bytes", static_cast<std::int64_t>(max_body_bytes))
+          .Number("max_held_bytes",
+                  static_cast<std::int64_t>(settings.max_held_bytes)));
+}
+
 void GatewayPlugin::Private::Tick() {
   tick_timer.expires_after(relay->has_early_requests() ? kTickInterval
                                                        : kIdleTickInterval);
--- a/tests/auto/gateway/gateway_host.cc
+++ b/tests/auto/gateway/gateway_host.cc
@@ -118,8 +118,8 @@
   status_address_ = settings.status_address;
   auto source = std::make_unique<FakeFleetSource>();
   source_ = source.get();
-  manager_.Add(std::make_unique<TelemetryPlugin>(
-      EventLogOptions{.output = ::open("/dev/null", O_WRONLY)}));
+  manager_.Add(std::make_unique<TelemetryPlugin>(EventLogOptions{
+      .output = ::open(limits.log_path.c_str(), O_WRONLY | O_APPEND)}));
   manager_.Add(std::move(source));
   manager_.Add(std::make_unique<GatewayPlugin>(settings));
   const Result<void> started = manager_.Start();
--- a/tests/auto/gateway/gateway_host.h
+++ b/tests/auto/gateway/gateway_host.h
@@ -28,6 +28,8 @@
   std::size_t max_held_bytes = std::size_t{64} << 20U;
   std::size_t max_connections = 4096;
   std::chrono::milliseconds unread_limit{15000};
+  // The file that log lines are appended to.
+  std::string log_path = "/dev/null";
 };
 
 // Runs a gateway in the test process with fleet data published by the test.
--- a/tests/auto/gateway/tst_held.cc
+++ b/tests/auto/gateway/tst_held.cc
@@ -1,11 +1,16 @@
 // What the gateway holds for callers that read slowly, send ahead or are many.
 #include <doctest/doctest.h>
+#include <unistd.h>
 
 #include <chrono>
+#include <cstdlib>
+#include <fstream>
 #include <functional>
 #include <future>
 #include <memory>
+#include <sstream>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -214,6 +219,39 @@
   CHECK(upstream.Requests().size() <= 5U - refused);
 }
 
+// Guards against a document whose largest body does not fit the memory without
+// a trace in the log, and against a line for each change of the fleet.
+TEST_CASE("a document with too large bodies is logged once per version") {
+  for (const bool is_too_large : {false, true}) {
+    CAPTURE(is_too_large);
+    std::string log_path = "/tmp/flamingogauge-held-XXXXXX";
+    const int fd = ::mkstemp(log_path.data());
+    REQUIRE(fd >= 0);
+    const std::size_t max_body_bytes = TestRouting()->limits.max_body_bytes;
+    {
+      ScriptedServer upstream(Always("ok"));
+      GatewayHost host(
+          {upstream.address()}, true,
+          {.max_held_bytes = 4 * max_body_bytes - (is_too_large ? 1 : 0),
+           .log_path = log_path});
+      host.Publish(TestRouting());
+      // Handled after the document, on the same thread.
+      REQUIRE(host.SendRequest("GET", "/again/").status == 200);
+    }
+    std::ifstream file(log_path);
+    std::stringstream log;
+    log << file.rdbuf();
+    constexpr std::string_view kEvent = "gateway.memory_below_bodies";
+    const std::size_t first = log.str().find(kEvent);
+    CHECK((first != std::string::npos) == is_too_large);
+    if (is_too_large) {
+      CHECK(log.str().find(kEvent, first + 1) == std::string::npos);
+    }
+    ::close(fd);
+    ::unlink(log_path.c_str());
+  }
+}
+
 // Guards against idle connections that keep a further caller out.
 TEST_CASE("a further connection replaces the one that is idle for longest") {
   constexpr std::size_t kConnections = 8;
