limits: word the reason of the unread bound

Cause: the comment named a size of events that nothing bounds or measured. Change: it names what the number is, one read from an upstream. Result: no change of behaviour; limits passes.

--- a/src/libs/limits/memory_budget.cc
+++ b/src/libs/limits/memory_budget.cc
@@ -11,8 +11,8 @@
 // connections, rare while a crowd presses.
 constexpr std::size_t kTargetNumerator = 3;
 constexpr std::size_t kTargetDenominator = 4;
-// Unsent bytes from which a connection counts as not read. A stream whose
-// socket buffer is full for a moment has less: an event is a few KB at most.
+// Unsent bytes from which a connection counts as not read: one read from an
+// upstream. A socket buffer that is full for a moment usually leaves less.
 constexpr std::size_t kUnreadBytes = 65536;
 
 template <typename Held>
