rollouts: take the age of an order from the wall clock only once

Each status that was read set the begin of the order to the earliest time that it gave by the reader's wall clock. One host whose clock is ahead ended the trial of all hosts.

The age in a status matters only to a host that did not know the order.

--- a/src/libs/rollouts/rollout_controller.cc
+++ b/src/libs/rollouts/rollout_controller.cc
@@ -83,9 +83,13 @@
     state.phase = status.phase;
     state.from = status.from;
     state.is_bad = status.outcome == RolloutOutcome::kRolledBack;
-    // Clocks of hosts differ, and may be wrong; another writer may have left
+    // Clocks of hosts differ, and may be wrong, so that they matter only to a
+    // host that has just learned of the order; another writer may have left
     // any number.
-    if (status.began_at.count() > 0 && status.began_at < unix_time) {
+    const RolloutRecord* known = table_.Find(order.service);
+    const bool knows_age = known != nullptr && known->order == order.order;
+    if (!knows_age && status.began_at.count() > 0 &&
+        status.began_at < unix_time) {
       state.age = std::min(unix_time - status.began_at, order.duration);
     }
   }
--- a/tests/auto/rollouts/tst_rollout_controller.cc
+++ b/tests/auto/rollouts/tst_rollout_controller.cc
@@ -333,6 +333,21 @@
   }
 }
 
+// Guards against one host with a wrong clock that ends the trial for all.
+TEST_CASE("the age of a known order does not follow the wall clock") {
+  Fixture host;
+  host.controller.OnOrders({Order()}, kUnixTime, kStart);
+  RolloutOrder written = Order(6);
+  written.status = {.outcome = RolloutOutcome::kRunning,
+                    .target = "v2",
+                    .order = 77,
+                    .from = {"v1"},
+                    .began_at = kUnixTime};
+  host.controller.OnOrders({written}, kUnixTime + std::chrono::hours(3),
+                           kStart + seconds(1));
+  CHECK(host.controller.records().at("s").began_at == kStart);
+}
+
 // Guards against a standby that never gets a report of another data centre
 // since the coordinator in use has just got one.
 TEST_CASE("each receiver gets reports of the data centre") {
