rollouts: the removal of an old order leaves a newer one

A host that had heard of a new order of the service and then read the removal of the earlier one withdrew the new one, as orders were withdrawn by service.

They are withdrawn by service and order id.

--- a/src/libs/rollouts/rollout_controller.cc
+++ b/src/libs/rollouts/rollout_controller.cc
@@ -110,8 +110,8 @@
 void RolloutController::OnOrders(const std::vector<RolloutOrder>& orders,
                                  milliseconds unix_time,
                                  MonotonicTime now) {
-  for (const std::string& it : writer_.SetOrders(orders)) {
-    changes_ += table_.Withdraw(it, now) ? 1 : 0;
+  for (const auto& [service, order] : writer_.SetOrders(orders)) {
+    changes_ += table_.Withdraw(service, order, now) ? 1 : 0;
   }
   wait_for_rules_until_ = {};
   gate_.WaitForRulesUntil(wait_for_rules_until_);
--- a/src/libs/rollouts/rollout_status_writer.cc
+++ b/src/libs/rollouts/rollout_status_writer.cc
@@ -42,7 +42,7 @@
          (status.order == 0 || status.order == order.order);
 }
 
-std::vector<std::string> RolloutStatusWriter::SetOrders(
+std::vector<RolloutStatusWriter::GoneOrder> RolloutStatusWriter::SetOrders(
     const std::vector<RolloutOrder>& orders) {
   std::map<std::string, const RolloutOrder*> newest;
   for (const RolloutOrder& it : orders) {
@@ -58,12 +58,12 @@
     }
     stored.order = *order;
   }
-  std::vector<std::string> gone;
+  std::vector<GoneOrder> gone;
   std::erase_if(stored_, [&newest, &gone](const auto& it) {
     if (newest.contains(it.first)) {
       return false;
     }
-    gone.push_back(it.first);
+    gone.push_back({.service = it.first, .order = it.second.order.order});
     return true;
   });
   return gone;
--- a/src/libs/rollouts/rollout_status_writer.h
+++ b/src/libs/rollouts/rollout_status_writer.h
@@ -30,9 +30,14 @@
 // replaced.
 class RolloutStatusWriter {
  public:
-  // Replaces the orders by those that were read from the store. Returns the
-  // services whose orders are gone.
-  std::vector<std::string> SetOrders(const std::vector<RolloutOrder>& orders);
+  // An order that no longer is in the store.
+  struct GoneOrder {
+    std::string service;
+    std::uint64_t order = 0;
+  };
+  // Replaces the orders by those that were read from the store. Returns those
+  // of services that have none any more.
+  std::vector<GoneOrder> SetOrders(const std::vector<RolloutOrder>& orders);
 
   // The newest order of each service.
   std::vector<RolloutOrder> Orders() const;
--- a/src/libs/rollouts/rollout_table.cc
+++ b/src/libs/rollouts/rollout_table.cc
@@ -94,9 +94,12 @@
   return facts() != before;
 }
 
-bool RolloutTable::Withdraw(const std::string& service, MonotonicTime now) {
+bool RolloutTable::Withdraw(const std::string& service,
+                            std::uint64_t order,
+                            MonotonicTime now) {
   const auto it = records_.find(service);
-  if (it == records_.end() || it->second.is_withdrawn) {
+  if (it == records_.end() || it->second.order != order ||
+      it->second.is_withdrawn) {
     return false;
   }
   it->second.is_withdrawn = true;
--- a/src/libs/rollouts/rollout_table.h
+++ b/src/libs/rollouts/rollout_table.h
@@ -56,8 +56,10 @@
   // Merges what a host or the store says. Returns true if anything but the
   // permission changed.
   bool Merge(const RolloutState& state, MonotonicTime now);
-  // The order of the service no longer is in the store.
-  bool Withdraw(const std::string& service, MonotonicTime now);
+  // The order no longer is in the store. A newer one of the service stays.
+  bool Withdraw(const std::string& service,
+                std::uint64_t order,
+                MonotonicTime now);
   bool Condemn(const std::string& service, const std::string& reason);
   bool Advance(const std::string& service, RolloutPhase phase);
   // Permits trial requests from now.
--- a/tests/auto/rollouts/tst_rollout_controller.cc
+++ b/tests/auto/rollouts/tst_rollout_controller.cc
@@ -348,6 +348,23 @@
   CHECK(host.controller.records().at("s").began_at == kStart);
 }
 
+// Guards against the removal of an order that withdraws its successor, of which
+// another host has told already.
+TEST_CASE("the removal of an old order leaves a newer one") {
+  Fixture host;
+  host.controller.OnOrders({Order()}, kUnixTime, kStart);
+  host.controller.OnSummary({.rollouts = {{.service = "s",
+                                           .target = "v2",
+                                           .order = 78,
+                                           .revision = 8,
+                                           .duration = seconds(12),
+                                           .from = {"v1"}}}},
+                            kStart + milliseconds(100));
+  host.controller.OnOrders({}, kUnixTime, kStart + milliseconds(200));
+  REQUIRE(host.controller.records().at("s").order == 78);
+  CHECK_FALSE(host.controller.records().at("s").is_withdrawn);
+}
+
 // Guards against a standby that never gets a report of another data centre
 // since the coordinator in use has just got one.
 TEST_CASE("each receiver gets reports of the data centre") {
--- a/tests/auto/rollouts/tst_rollout_table.cc
+++ b/tests/auto/rollouts/tst_rollout_table.cc
@@ -86,7 +86,7 @@
 TEST_CASE("newer orders replace older ones, and orders can be taken back") {
   RolloutTable table;
   table.Merge(State(1, 5), kStart);
-  CHECK(table.Withdraw("s", kStart));
+  CHECK(table.Withdraw("s", 1, kStart));
   CHECK(table.Find("s")->HasEnded());
   table.Merge(State(1, 5), kStart);
   CHECK(table.Find("s")->is_withdrawn);
