--- a/src/libs/fleet/rollout_limits.h
+++ b/src/libs/fleet/rollout_limits.h
@@ -1,8 +1,6 @@
 #ifndef FLAMINGOGAUGE_LIBS_FLEET_ROLLOUT_LIMITS_H_
 #define FLAMINGOGAUGE_LIBS_FLEET_ROLLOUT_LIMITS_H_
 
-#include <chrono>
-
 #include "libs/kernel/error.h"
 
 namespace flamingogauge {
@@ -12,10 +10,6 @@
   // The share of a service's requests that it may get between the order and its
   // time limit, 0 to 1. At 0 orders are not followed.
   double exposure_share = 0;
-  // Requests that it may get beyond the share.
-  double exposure_requests = 50;
-  // The time from its 50th bad answer until it gets no more requests.
-  std::chrono::milliseconds rollback{5000};
 
   bool is_enabled() const { return exposure_share > 0; }
   // The share of a process's own placements that may be trial requests. Below
--- a/tests/auto/fleet/tst_rollout_limits.cc
+++ b/tests/auto/fleet/tst_rollout_limits.cc
@@ -22,11 +22,7 @@
       {{.exposure_share = 1.5},
        "--rollout_exposure_share is 1.5, allowed is 0 to 1"},
       {{.exposure_share = -0.1},
-       "--rollout_exposure_share is -0.1, allowed is 0 to 1"},
-      {{.exposure_requests = -1},
-       "--rollout_exposure_requests is -1, allowed is 0 to 1000000"},
-      {{.rollback = std::chrono::milliseconds(100)},
-       "--rollout_rollback_limit_ms is 100, allowed is 2000 to 600000"}};
+       "--rollout_exposure_share is -0.1, allowed is 0 to 1"}};
   for (const Row& it : rows) {
     const Result<void> checked = CheckRolloutLimits(it.limits);
     REQUIRE_FALSE(checked);
