rollouts: count the target's answers by groups of upstreams

Reports had one entry for each upstream of the target and route, so that they grew with the fleet.

The upstreams are counted in 16 groups by a hash; a group takes the place of the upstream in the judge.

--- a/src/libs/rollouts/rollout_controller.cc
+++ b/src/libs/rollouts/rollout_controller.cc
@@ -34,6 +34,9 @@
 constexpr std::uint64_t kBusyAnswers = 400;
 constexpr std::uint64_t kMinAnswers = 15;
 constexpr std::chrono::seconds kEndedTime{10};
+// Groups of the target's upstreams that are counted together, so that reports
+// stay small.
+constexpr std::uint64_t kEvidenceGroups = 16;
 // Longer than the interval of a coordinator's summaries.
 constexpr milliseconds kStartupWait{1000};
 
@@ -177,7 +180,8 @@
   answer.succeeded = request.result != DispatchResult::kFailed &&
                      request.result != DispatchResult::kTransportError;
   if (request.upstream.version == record->target) {
-    evidence_.Record(record->order, PeerUpstreamKey(request.upstream.id),
+    evidence_.Record(record->order,
+                     1 + PeerUpstreamKey(request.upstream.id) % kEvidenceGroups,
                      answer);
   } else if (record->from.contains(request.upstream.version)) {
     evidence_.Record(record->order, 0, answer);
--- a/src/libs/rollouts/rollout_messages.h
+++ b/src/libs/rollouts/rollout_messages.h
@@ -52,14 +52,14 @@
 
 inline constexpr std::uint64_t kBusyBit = 1;
 
-// Answers since the start of an order, on one route, by one upstream of the
-// target or by all upstreams of the old versions together.
+// Answers since the start of an order, on one route, by one group of
+// the target's upstreams or by all upstreams of the old versions together.
 struct EvidenceCount {
   std::uint64_t order = 0;
   // Hash of the route's name; its lowest bit, kBusyBit, tells whether the
   // upstreams were busy.
   std::uint64_t route = 0;
-  // The PeerUpstreamKey; 0 for the old versions.
+  // The group of the target's upstreams; 0 for the old versions.
   std::uint64_t upstream = 0;
   std::uint32_t answers = 0;
   std::uint32_t failures = 0;
--- a/tests/auto/rollouts/tst_rollout_controller.cc
+++ b/tests/auto/rollouts/tst_rollout_controller.cc
@@ -365,6 +365,23 @@
   CHECK_FALSE(host.controller.records().at("s").is_withdrawn);
 }
 
+// Guards against reports that grow with the number of upstreams.
+TEST_CASE("the evidence in a report is bounded") {
+  Fixture host;
+  host.controller.OnOrders({Order()}, kUnixTime, kStart);
+  for (int n = 0; n < 200; ++n) {
+    UpstreamEntry upstream = Upstreams()[4];
+    upstream.id = "new" + std::to_string(n);
+    host.controller.OnRequestEnded(
+        {.upstream = upstream,
+         .answer = {.route = 2, .took = milliseconds(50)}},
+        kStart);
+  }
+  const RolloutReport report = host.controller.HostReport("x", {}, kStart);
+  CHECK(report.evidence.size() == 16);
+  CHECK(host.controller.TargetAnswersOf(77) == 200);
+}
+
 // Guards against a standby that never gets a report of another data centre
 // since the coordinator in use has just got one.
 TEST_CASE("each receiver gets reports of the data centre") {
