--- a/src/libs/rollouts/rollout_controller.cc
+++ b/src/libs/rollouts/rollout_controller.cc
@@ -37,6 +37,9 @@
 constexpr std::uint64_t kBusyAnswers = 400;
 constexpr std::uint64_t kMinAnswers = 15;
 constexpr std::chrono::seconds kEndedTime{10};
+// Groups of the target's upstreams that are counted together, so that reports
+// stay small.
+constexpr std::uint64_t kEvidenceGroups = 16;
 // Longer than the interval of a coordinator's summaries.
 constexpr milliseconds kStartupWait{1000};
 
@@ -86,9 +89,13 @@
     state.phase = status.phase;
     state.from = status.from;
     state.is_bad = status.outcome == RolloutOutcome::kRolledBack;
-    // Clocks of hosts differ, and may be wrong; another writer may have left
+    // Clocks of hosts differ, and may be wrong, so that they matter only to a
+    // host that has just learned of the order; another writer may have left
     // any number.
-    if (status.began_at.count() > 0 && status.began_at < unix_time) {
+    const RolloutRecord* known = table_.Find(order.service);
+    const bool knows_age = known != nullptr && known->order == order.order;
+    if (!knows_age && status.began_at.count() > 0 &&
+        status.began_at < unix_time) {
       state.age = std::min(unix_time - status.began_at, order.duration);
     }
   }
@@ -109,8 +116,8 @@
 void RolloutController::OnOrders(const std::vector<RolloutOrder>& orders,
                                  milliseconds unix_time,
                                  MonotonicTime now) {
-  for (const std::string& it : writer_.SetOrders(orders)) {
-    changes_ += table_.Withdraw(it, now) ? 1 : 0;
+  for (const auto& [service, order] : writer_.SetOrders(orders)) {
+    changes_ += table_.Withdraw(service, order, now) ? 1 : 0;
   }
   wait_for_rules_until_ = {};
   gate_.WaitForRulesUntil(wait_for_rules_until_);
@@ -176,7 +183,8 @@
   answer.succeeded = request.result != DispatchResult::kFailed &&
                      request.result != DispatchResult::kTransportError;
   if (request.upstream.version == record->target) {
-    evidence_.Record(record->order, PeerUpstreamKey(request.upstream.id),
+    evidence_.Record(record->order,
+                     1 + PeerUpstreamKey(request.upstream.id) % kEvidenceGroups,
                      answer);
   } else if (record->from.contains(request.upstream.version)) {
     evidence_.Record(record->order, 0, answer);
--- a/tests/auto/rollouts/tst_rollout_controller.cc
+++ b/tests/auto/rollouts/tst_rollout_controller.cc
@@ -333,6 +333,55 @@
   }
 }
 
+// Guards against one host with a wrong clock that ends the trial for all.
+TEST_CASE("the age of a known order does not follow the wall clock") {
+  Fixture host;
+  host.controller.OnOrders({Order()}, kUnixTime, kStart);
+  RolloutOrder written = Order(6);
+  written.status = {.outcome = RolloutOutcome::kRunning,
+                    .target = "v2",
+                    .order = 77,
+                    .from = {"v1"},
+                    .began_at = kUnixTime};
+  host.controller.OnOrders({written}, kUnixTime + std::chrono::hours(3),
+                           kStart + seconds(1));
+  CHECK(host.controller.records().at("s").began_at == kStart);
+}
+
+// Guards against the removal of an order that withdraws its successor, of which
+// another host has told already.
+TEST_CASE("the removal of an old order leaves a newer one") {
+  Fixture host;
+  host.controller.OnOrders({Order()}, kUnixTime, kStart);
+  host.controller.OnSummary({.rollouts = {{.service = "s",
+                                           .target = "v2",
+                                           .order = 78,
+                                           .revision = 8,
+                                           .duration = seconds(12),
+                                           .from = {"v1"}}}},
+                            kStart + milliseconds(100));
+  host.controller.OnOrders({}, kUnixTime, kStart + milliseconds(200));
+  REQUIRE(host.controller.records().at("s").order == 78);
+  CHECK_FALSE(host.controller.records().at("s").is_withdrawn);
+}
+
+// Guards against reports that grow with the number of upstreams.
+TEST_CASE("the evidence in a report is bounded") {
+  Fixture host;
+  host.controller.OnOrders({Order()}, kUnixTime, kStart);
+  for (int n = 0; n < 200; ++n) {
+    UpstreamEntry upstream = Upstreams()[4];
+    upstream.id = "new" + std::to_string(n);
+    host.controller.OnRequestEnded(
+        {.upstream = upstream,
+         .answer = {.route = 2, .took = milliseconds(50)}},
+        kStart);
+  }
+  const RolloutReport report = host.controller.HostReport("x", {}, kStart);
+  CHECK(report.evidence.size() == 16);
+  CHECK(host.controller.TargetAnswersOf(77) == 200);
+}
+
 // Guards against a standby that never gets a report of another data centre
 // since the coordinator in use has just got one.
 TEST_CASE("each receiver gets reports of the data centre") {
