rollouts: doubt at the end of the order's time sends a small service back

Change: at the end of its time a shift whose answers exceed the old versions' bad ones by four deviations, on a route or on all together, goes back; the doubt in a trial looks at all routes together as well.

--- a/src/libs/rollouts/rollout_controller.cc
+++ b/src/libs/rollouts/rollout_controller.cc
@@ -23,6 +23,10 @@
 // A service with few requests shows the faults of its target in the shift only,
 // which then lasts until this part of the order's time.
 constexpr double kLatestCompletionPart = 0.85;
+// Standard deviations beyond which a target that looks worse than the old
+// versions is tried for longer, or not completed at the end of the time.
+constexpr double kDoubtInTrial = 2;
+constexpr double kDoubtAtCompletion = 4;
 // After a restart of all hosts the trial goes on for this long at least, if
 // there is time.
 constexpr milliseconds kMinObservation{3000};
@@ -272,7 +276,7 @@
   }
   const EvidencePool::Counts counts = evidence_.Of(record.order);
   if (age < longest) {
-    return HasEnoughAnswers(counts) && !IsSuspicious(counts);
+    return HasEnoughAnswers(counts) && !IsSuspicious(counts, kDoubtInTrial);
   }
   // The target has too few answers because the service has few requests.
   return OldAnswers(counts) < kBusyAnswers ||
@@ -297,6 +301,15 @@
       FindFault(evidence_.Of(record.order), trial_is_ending);
   if (verdict) {
     changes_ += table_.Condemn(record.service, verdict->reason) ? 1 : 0;
+  } else if (record.phase == RolloutPhase::kShift &&
+             now - record.began_at >= record.duration * kLatestCompletionPart &&
+             IsSuspicious(evidence_.Of(record.order), kDoubtAtCompletion)) {
+    // There is no time for more answers, and completion cannot be taken back.
+    changes_ += table_.Condemn(record.service,
+                               "looks worse than the old versions at the end "
+                               "of the order's time")
+                    ? 1
+                    : 0;
   }
 }
 
--- a/src/libs/rollouts/rollout_judge.cc
+++ b/src/libs/rollouts/rollout_judge.cc
@@ -41,8 +41,6 @@
 constexpr double kNormalShare = 0.9;
 constexpr std::size_t kToleratedBins = 3;
 
-constexpr double kSuspiciousDeviations = 2;
-
 constexpr std::uint64_t kMinTargetAnswers = 60;
 constexpr std::uint64_t kMinRouteAnswers = 20;
 
@@ -263,18 +261,22 @@
                  : FindSlowness("all routes", all_times, trial_is_ending);
 }
 
-bool IsSuspicious(const EvidencePool::Counts& counts) {
-  const auto looks_worse = [](const Comparison& comparison) {
-    const Tally sum = Sum(comparison);
-    return sum.bad >=
-           sum.expected + kSuspiciousDeviations * std::sqrt(sum.variance) + 1;
+bool IsSuspicious(const EvidencePool::Counts& counts, double deviations) {
+  const auto looks_worse = [deviations](const Tally& sum) {
+    return sum.bad >= sum.expected + deviations * std::sqrt(sum.variance) + 1;
   };
-  const auto routes = ByRoute(counts);
-  return std::any_of(routes.begin(), routes.end(),
-                     [&looks_worse](const auto& it) {
-                       return looks_worse(CompareFailures(it.second)) ||
-                              looks_worse(CompareTimes(it.second));
-                     });
+  Tally all_failures;
+  Tally all_times;
+  for (const auto& [id, route] : ByRoute(counts)) {
+    const Tally failures = Sum(CompareFailures(route));
+    const Tally times = Sum(CompareTimes(route));
+    if (looks_worse(failures) || looks_worse(times)) {
+      return true;
+    }
+    all_failures.Add(failures);
+    all_times.Add(times);
+  }
+  return looks_worse(all_failures) || looks_worse(all_times);
 }
 
 std::uint64_t TargetAnswers(const EvidencePool::Counts& counts) {
--- a/src/libs/rollouts/rollout_judge.h
+++ b/src/libs/rollouts/rollout_judge.h
@@ -22,8 +22,9 @@
                                         bool trial_is_ending = false);
 
 // True if the target looks worse than the old versions, though not so clearly
-// that it is bad: more answers are needed.
-bool IsSuspicious(const EvidencePool::Counts& counts);
+// that it is bad: on one route, or on all together, its bad answers exceed the
+// expected number by this many standard deviations, and by one.
+bool IsSuspicious(const EvidencePool::Counts& counts, double deviations);
 
 // The number of answers of the target's upstreams, and of the old versions'.
 std::uint64_t TargetAnswers(const EvidencePool::Counts& counts);
--- a/tests/auto/rollouts/tst_rollout_controller.cc
+++ b/tests/auto/rollouts/tst_rollout_controller.cc
@@ -289,7 +289,10 @@
 // Guards against old upstreams that stop while there are none of the target.
 TEST_CASE("nothing is completed while the target is not listed") {
   Fixture host;
-  host.controller.OnOrders({ShiftedOrder()}, kUnixTime, kStart);
+  // Its time is nearly over, so that few answers are enough.
+  RolloutOrder order = ShiftedOrder();
+  order.status.began_at = kUnixTime - order.duration * 9 / 10;
+  host.controller.OnOrders({order}, kUnixTime, kStart);
   std::vector<UpstreamEntry> old = Upstreams();
   old.resize(3);
   host.controller.SetUpstreams(old, kUnixTime, kStart);
--- a/tests/auto/rollouts/tst_rollout_judge.cc
+++ b/tests/auto/rollouts/tst_rollout_judge.cc
@@ -132,13 +132,15 @@
 // Guards against a shift of all requests to a version that is about to be found
 // bad.
 TEST_CASE("a version that looks worse needs more answers") {
-  CHECK_FALSE(IsSuspicious({}));
+  constexpr double kDeviations = 2;
+  CHECK_FALSE(IsSuspicious({}, kDeviations));
   CHECK_FALSE(
       IsSuspicious(ToCounts({{.good = 400, .failures = 4},
-                             {.upstream = 7, .good = 60, .failures = 1}})));
+                             {.upstream = 7, .good = 60, .failures = 1}}),
+                   kDeviations));
   const auto worse = ToCounts({{.good = 400, .failures = 4},
                                {.upstream = 7, .good = 57, .failures = 4}});
-  CHECK(IsSuspicious(worse));
+  CHECK(IsSuspicious(worse, kDeviations));
   CHECK_FALSE(FindFault(worse));
 }
 
