rollouts: count running requests at unlisted upstreams

A host counted its requests at the old versions over the listed upstreams. A delisted or restarted upstream left with its count, so that an order could be completed while requests still ran there.

The requests that have been sent are counted instead, by the service and version of their upstream. The state dump shows the counts.

--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -91,6 +91,11 @@
   void OnCallFailed(UpstreamFailure failure,
                     const std::string& reason) override;
 
+  // The upstream at which the request is in progress, or null.
+  const UpstreamEntry* sent_to() const {
+    return state_ == State::kSent ? &upstream_ : nullptr;
+  }
+
  private:
   enum class State { kWaiting, kSent, kDone };
 
--- a/src/plugins/gateway/gateway_plugin.cc
+++ b/src/plugins/gateway/gateway_plugin.cc
@@ -90,9 +90,7 @@
     return;
   }
   rollouts->SetHandlers(
-      {.upstreams = [this]() -> const std::map<std::string, UpstreamView>& {
-         return relay->placer().upstreams();
-       },
+      {.running = [this] { return relay->Running(); },
        .is_coordinator = [this] { return coordination->IsCoordinator(); },
        .on_gate_changed =
            [this] {
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -481,6 +481,17 @@
   }
 }
 
+std::map<std::string, std::map<std::string, std::uint32_t>> Relay::Running()
+    const {
+  std::map<std::string, std::map<std::string, std::uint32_t>> running;
+  for (const auto& [id, exchange] : exchanges_) {
+    if (const UpstreamEntry* upstream = exchange->sent_to()) {
+      ++running[upstream->service][upstream->version];
+    }
+  }
+  return running;
+}
+
 std::string Relay::DumpState() const {
   const MonotonicTime now = BootTimeNow();
   std::string dump = "{\"draining\":";
@@ -493,6 +504,19 @@
     first = false;
     dump += "\"" + id + "\":" + std::to_string(state.running());
   }
+  dump += "},\"running\":{";
+  first = true;
+  for (const auto& [service, versions] : Running()) {
+    dump += (first ? "\"" : ",\"") + service + "\":{";
+    first = false;
+    bool first_version = true;
+    for (const auto& [version, count] : versions) {
+      dump += (first_version ? "\"" : ",\"") + version +
+              "\":" + std::to_string(count);
+      first_version = false;
+    }
+    dump += "}";
+  }
   dump += "},\"requests\":[";
   std::size_t count = 0;
   for (const auto& [id, exchange] : exchanges_) {
--- a/src/plugins/gateway/relay.h
+++ b/src/plugins/gateway/relay.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -68,6 +69,9 @@
   std::size_t unfinished_count() const {
     return exchanges_.size() + early_requests_.size();
   }
+  // Requests in progress at upstreams, by service and version; also at
+  // upstreams that are no longer listed.
+  std::map<std::string, std::map<std::string, std::uint32_t>> Running() const;
   // Returns a JSON object for the state dump.
   std::string DumpState() const;
 
--- a/src/plugins/gateway/rollout_node.cc
+++ b/src/plugins/gateway/rollout_node.cc
@@ -109,22 +109,12 @@
   controller_.OnRequestEnded(request, BootTimeNow());
 }
 
-RolloutController::Running RolloutNode::OwnRunning() const {
-  RolloutController::Running running;
-  for (const auto& [id, upstream] : handlers_.upstreams()) {
-    if (upstream.own_running() > 0) {
-      running[upstream.entry().service][upstream.entry().version] +=
-          static_cast<std::uint32_t>(upstream.own_running());
-    }
-  }
-  return running;
-}
-
 void RolloutNode::CompleteState(const std::string& coordinator,
                                 HostMessage& message) {
   const MonotonicTime now = BootTimeNow();
   if (controller_.IsActive(now)) {
-    message.rollouts = controller_.HostReport(coordinator, OwnRunning(), now);
+    message.rollouts =
+        controller_.HostReport(coordinator, handlers_.running(), now);
   }
 }
 
--- a/src/plugins/gateway/rollout_node.h
+++ b/src/plugins/gateway/rollout_node.h
@@ -21,8 +21,8 @@
 
 // Callbacks that a RolloutNode needs from its owner.
 struct RolloutHandlers {
-  // The host's upstreams with their load.
-  std::function<const std::map<std::string, UpstreamView>&()> upstreams;
+  // Requests of this host in progress at upstreams.
+  std::function<RolloutController::Running()> running;
   // True if other hosts of the data centre turn to this one.
   std::function<bool()> is_coordinator;
   // Called when requests that wait may go elsewhere.
@@ -66,7 +66,6 @@
   void Tick();
   void Write(const RolloutStatusWrite& write);
   void Log(const RolloutEvent& event);
-  RolloutController::Running OwnRunning() const;
   std::size_t Rank() const;
 
   boost::asio::io_context& io_;
--- a/tests/auto/gateway/gateway_host.cc
+++ b/tests/auto/gateway/gateway_host.cc
@@ -143,6 +143,11 @@
 
 GatewayHost::~GatewayHost() = default;
 
+void GatewayHost::RemoveUpstreams() {
+  upstreams_ = std::make_shared<std::vector<UpstreamEntry>>();
+  Publish(TestRouting());
+}
+
 void GatewayHost::Publish(std::shared_ptr<const RoutingTable> routing,
                           milliseconds age) {
   source_->Publish({.routing = std::move(routing),
--- a/tests/auto/gateway/gateway_host.h
+++ b/tests/auto/gateway/gateway_host.h
@@ -37,6 +37,9 @@
   void Publish(std::shared_ptr<const RoutingTable> routing,
                std::chrono::milliseconds age = std::chrono::milliseconds(0));
 
+  // Publishes a list without upstreams.
+  void RemoveUpstreams();
+
   // Sends a request with TestHeaders() and returns the response.
   TestAnswer SendRequest(const std::string& method,
                          const std::string& path,
