--- a/src/plugins/gateway/gateway_plugin.cc
+++ b/src/plugins/gateway/gateway_plugin.cc
@@ -84,7 +84,7 @@
   void OnFleet(const FleetSnapshot& snapshot);
   // Logs once for each version of the document whose largest body may not fit
   // the memory for callers.
-  void CheckBodyLimit(const RoutingTable& routing);
+  void CheckBodyLimit(const RoutingTable& document);
   void Tick();
   UnfinishedWork CountUnfinished() const;
   void LogDrain(std::string_view event, const UnfinishedWork& work) const;
@@ -113,9 +113,7 @@
     return;
   }
   rollouts->SetHandlers(
-      {.upstreams = [this]() -> const std::map<std::string, UpstreamView>& {
-         return relay->placer().upstreams();
-       },
+      {.running = [this] { return relay->Running(); },
        .is_coordinator = [this] { return coordination->IsCoordinator(); },
        .on_gate_changed =
            [this] {
@@ -238,16 +236,16 @@
   relay->SetHostCount(coordination->HostCount());
 }
 
-void GatewayPlugin::Private::CheckBodyLimit(const RoutingTable& routing) {
-  const std::size_t max_body_bytes = routing.limits.max_body_bytes;
+void GatewayPlugin::Private::CheckBodyLimit(const RoutingTable& document) {
+  const std::size_t max_body_bytes = document.limits.max_body_bytes;
   if (max_body_bytes <= settings.max_held_bytes / kHeldForBodySize ||
-      logged_body_limit_of == routing.version) {
+      logged_body_limit_of == document.version) {
     return;
   }
-  logged_body_limit_of = routing.version;
+  logged_body_limit_of = document.version;
   log->Write(
       EventLine("gateway.memory_below_bodies")
-          .Number("version", static_cast<std::int64_t>(routing.version))
+          .Number("version", static_cast<std::int64_t>(document.version))
           .Number("max_body_bytes", static_cast<std::int64_t>(max_body_bytes))
           .Number("max_held_bytes",
                   static_cast<std::int64_t>(settings.max_held_bytes)));
--- a/src/plugins/gateway/relay.h
+++ b/src/plugins/gateway/relay.h
@@ -76,6 +76,9 @@
   // RequestExplainer.
   Result<Explanation> Explain(const ExplainQuestion& question,
                               const PlacementView& view) const;
+  // Requests in progress at upstreams, by service and version; also at
+  // upstreams that are no longer listed.
+  std::map<std::string, std::map<std::string, std::uint32_t>> Running() const;
   // Returns a JSON object for the state dump.
   std::string DumpState() const;
 
