soak: failures are those of a version, and are kept beside other faults

Change: a crossing changes only its own faults, a replacement fails like its version, and a version with fewer than 30 runs is not judged.

--- a/tools/soak/crossings.py
+++ b/tools/soak/crossings.py
@@ -9,7 +9,10 @@
 import time
 
 from hosts import REVOCATION_LIMIT_MS, STOP_LIMIT_S
-from upstreams import Faults
+
+# A version that ran fewer requests than this cannot be judged: its callers may
+# have ended before all requests were moved to it.
+JUDGED_RUNS = 30
 
 ODD_SPECS = (None, 5, [], "text", {"service": 7}, {"service": "app", "address": None},
              {"service": "app", "address": "127.0.0.1:0", "slots": 3, "state": "ready"},
@@ -99,17 +102,18 @@
     site = random.choice(world.sites)
     with disturbance(world):
         what = random.choice(("lost", "one_way", "silent", "resets", "repeats"))
+        faults = site.upstream.faults
         if what == "lost":
-            site.upstream.faults = Faults(lost_answers=0.4)
+            faults.lost_answers = 0.4
         elif what == "repeats":
-            site.upstream.faults = Faults(repeats=0.5)
+            faults.repeats = 0.5
         elif what in ("one_way", "silent"):
             site.proxy.mode = what
         for _ in range(random.randrange(4, 20)):
             await asyncio.sleep(0.1)
             if what == "resets":
                 site.proxy.reset_connections()
-        site.upstream.faults = Faults()
+        faults.lost_answers = faults.repeats = 0.0
         if site.proxy.mode != "pass":
             site.proxy.mode = "pass"
             site.proxy.reset_connections()
@@ -146,15 +150,16 @@
     old = [site for site in world.sites if site.upstream.service == "app" and site not in new]
     if is_bad:
         for site in new:
-            site.upstream.faults = Faults(failures=0.7)
+            site.upstream.faults.failures = 0.7
     world.store.put("rollouts", "app", {"service": "app", "target": target, "durationS": 12})
     await asyncio.sleep(random.uniform(0.5, 3))
     world.store.lost_share = 0.3
     await killed_host(world, random)
     world.store.lost_share = 0.0
     state = await world.wait_rollout("app", 14)
-    if is_bad and state == "completed":
-        world.violations.append(f"the bad version {target} was completed")
+    runs = sum(run.version == target for run in world.runs)
+    if is_bad and state == "completed" and runs >= JUDGED_RUNS:
+        world.violations.append(f"the bad version {target} was completed after {runs} runs")
     for site in old if state == "completed" else new:
         await world.remove_upstream(site)
     world.store.remove("rollouts", "app")
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -128,7 +128,9 @@
 
     async def replace_upstream(self, site):
         if site in self.sites:
-            await self.add_upstream(site.upstream.service, site.upstream.version)
+            successor = await self.add_upstream(site.upstream.service, site.upstream.version)
+            # The failures are those of the version.
+            successor.upstream.faults.failures = site.upstream.faults.failures
             await self.remove_upstream(site)
 
     def change_document(self, random):
