--- a/src/libs/rollouts/rollout_controller.cc
+++ b/src/libs/rollouts/rollout_controller.cc
@@ -20,9 +20,18 @@
 // answers or the target looks worse, up to the second part.
 constexpr double kTrialPart = 0.45;
 constexpr double kLongestTrialPart = 0.7;
+// A service with few requests shows the faults of its target in the shift only,
+// which then lasts until this part of the order's time.
+constexpr double kLatestCompletionPart = 0.85;
+// Standard deviations beyond which a target that looks worse than the old
+// versions is tried for longer, or not completed at the end of the time.
+constexpr double kDoubtInTrial = 2;
+constexpr double kDoubtAtCompletion = 4;
 // After a restart of all hosts the trial goes on for this long at least, if
 // there is time.
 constexpr milliseconds kMinObservation{3000};
+// A coordinator that has not run for this long may have missed reports.
+constexpr milliseconds kMaxTickGap{600};
 // Between two reports of the same kind without a change, and between two times
 // that permissions are passed on to the gate.
 constexpr milliseconds kReportInterval{150};
@@ -32,6 +41,9 @@
 constexpr std::uint64_t kBusyAnswers = 400;
 constexpr std::uint64_t kMinAnswers = 15;
 constexpr std::chrono::seconds kEndedTime{10};
+// Groups of the target's upstreams that are counted together, so that reports
+// stay small.
+constexpr std::uint64_t kEvidenceGroups = 16;
 // Longer than the interval of a coordinator's summaries.
 constexpr milliseconds kStartupWait{1000};
 
@@ -81,9 +93,13 @@
     state.phase = status.phase;
     state.from = status.from;
     state.is_bad = status.outcome == RolloutOutcome::kRolledBack;
-    // Clocks of hosts differ, and may be wrong; another writer may have left
+    // Clocks of hosts differ, and may be wrong, so that they matter only to a
+    // host that has just learned of the order; another writer may have left
     // any number.
-    if (status.began_at.count() > 0 && status.began_at < unix_time) {
+    const RolloutRecord* known = table_.Find(order.service);
+    const bool knows_age = known != nullptr && known->order == order.order;
+    if (!knows_age && status.began_at.count() > 0 &&
+        status.began_at < unix_time) {
       state.age = std::min(unix_time - status.began_at, order.duration);
     }
   }
@@ -104,8 +120,8 @@
 void RolloutController::OnOrders(const std::vector<RolloutOrder>& orders,
                                  milliseconds unix_time,
                                  MonotonicTime now) {
-  for (const std::string& it : writer_.SetOrders(orders)) {
-    changes_ += table_.Withdraw(it, now) ? 1 : 0;
+  for (const auto& [service, order] : writer_.SetOrders(orders)) {
+    changes_ += table_.Withdraw(service, order, now) ? 1 : 0;
   }
   wait_for_rules_until_ = {};
   gate_.WaitForRulesUntil(wait_for_rules_until_);
@@ -171,7 +187,8 @@
   answer.succeeded = request.result != DispatchResult::kFailed &&
                      request.result != DispatchResult::kTransportError;
   if (request.upstream.version == record->target) {
-    evidence_.Record(record->order, PeerUpstreamKey(request.upstream.id),
+    evidence_.Record(record->order,
+                     1 + PeerUpstreamKey(request.upstream.id) % kEvidenceGroups,
                      answer);
   } else if (record->from.contains(request.upstream.version)) {
     evidence_.Record(record->order, 0, answer);
@@ -195,6 +212,9 @@
   }
   RolloutReport report{.rollouts = table_.Report(now)};
   for (RolloutState& it : report.rollouts) {
+    it.hosts_behind =
+        gate_.AdmitsOnlyTarget(it.service, now + kRolloutReportLifetime) ? 0
+                                                                         : 1;
     const auto by_version = running.find(it.service);
     if (by_version == running.end()) {
       continue;
@@ -209,8 +229,9 @@
   return report;
 }
 
-RolloutReport RolloutController::DataCentreReport(MonotonicTime now) {
-  if (!IsReportDue(data_centre_report_, now)) {
+RolloutReport RolloutController::DataCentreReport(const std::string& receiver,
+                                                  MonotonicTime now) {
+  if (!IsReportDue(data_centre_reports_[receiver], now)) {
     return {};
   }
   RolloutReport report{.rollouts = table_.Report(now)};
@@ -242,27 +263,53 @@
   if (!gate_.HasUpstreams(record.service, record.target)) {
     return false;
   }
-  if (record.from.empty()) {
+  if (now - record.learned_at < kMinObservation ||
+      now - observing_since_ < kMinObservation) {
+    return false;
+  }
+  if (record.from.empty() && gate_.HasOnly(record.service, record.target)) {
     // The target serves already.
     return true;
   }
-  if (age < trial || now - record.learned_at < kMinObservation) {
+  if (age < trial) {
     return false;
   }
   const EvidencePool::Counts counts = evidence_.Of(record.order);
   if (age < longest) {
-    return HasEnoughAnswers(counts) && !IsSuspicious(counts);
+    return HasEnoughAnswers(counts) && !IsSuspicious(counts, kDoubtInTrial);
   }
   // The target has too few answers because the service has few requests.
   return OldAnswers(counts) < kBusyAnswers ||
          TargetAnswers(counts) >= kMinAnswers;
 }
 
-void RolloutController::Judge(const RolloutRecord& record) {
+bool RolloutController::ShiftIsProven(const RolloutRecord& record,
+                                      MonotonicTime now) const {
+  return record.from.empty() ||
+         now - record.began_at >= record.duration * kLatestCompletionPart ||
+         HasEnoughAnswers(evidence_.Of(record.order));
+}
+
+void RolloutController::Judge(const RolloutRecord& record, MonotonicTime now) {
+  if (record.from.empty()) {
+    return;
+  }
+  const bool trial_is_ending =
+      record.phase == RolloutPhase::kTrial &&
+      now - record.began_at >= record.duration * kLongestTrialPart;
   const std::optional<RolloutVerdict> verdict =
-      FindFault(evidence_.Of(record.order));
+      FindFault(evidence_.Of(record.order), trial_is_ending);
   if (verdict) {
     changes_ += table_.Condemn(record.service, verdict->reason) ? 1 : 0;
+  } else if (record.phase == RolloutPhase::kShift &&
+             now - record.began_at >= record.duration * kLatestCompletionPart &&
+             IsSuspicious(evidence_.Of(record.order), kDoubtAtCompletion)) {
+    // There is no time for more answers, and completion cannot be taken back.
+    changes_ += table_.Condemn(record.service,
+                               "looks worse than the old versions at the end "
+                               "of the order's time")
+                    ? 1
+                    : 0;
   }
 }
 
@@ -273,6 +320,18 @@
          gate_.HasUpstreams(record.service, record.target);
 }
 
+void RolloutController::UpdateObservation(const Role& role, MonotonicTime now) {
+  if (!role.is_coordinator) {
+    coordinated_at_.reset();
+    return;
+  }
+  if (!coordinated_at_ || now - *coordinated_at_ > kMaxTickGap) {
+    progress_.BeginObserving(now);
+    observing_since_ = now;
+  }
+  coordinated_at_ = now;
+}
+
 void RolloutController::TakeStep(const RolloutRecord& record,
                                  MonotonicTime now) {
   if (record.phase == RolloutPhase::kTrial && TrialIsOver(record, now)) {
@@ -283,6 +342,8 @@
                     ? 1
                     : 0;
   } else if (record.phase == RolloutPhase::kShift &&
+             gate_.HasUpstreams(record.service, record.target) &&
+             ShiftIsProven(record, now) &&
              progress_.Everywhere(record.order, now).IsNone()) {
     changes_ += table_.Advance(record.service, RolloutPhase::kComplete) ? 1 : 0;
   }
@@ -294,11 +355,12 @@
   if (role.reads_store || role.is_coordinator) {
     table_.Permit(now);
   }
+  UpdateObservation(role, now);
   for (const auto& [service, record] : table_.records()) {
     if (record.HasEnded() || record.IsCondemned()) {
       continue;
     }
-    Judge(record);
+    Judge(record, now);
     if (role.is_coordinator && !record.IsCondemned()) {
       TakeStep(record, now);
     }
--- a/src/libs/rollouts/rollout_controller.h
+++ b/src/libs/rollouts/rollout_controller.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -96,7 +97,8 @@
   RolloutReport HostReport(const std::string& receiver,
                            const Running& running,
                            MonotonicTime now);
-  RolloutReport DataCentreReport(MonotonicTime now);
+  RolloutReport DataCentreReport(const std::string& receiver,
+                                 MonotonicTime now);
   RolloutReport Summary(MonotonicTime now);
 
   struct Role {
@@ -133,11 +135,17 @@
   void MergeOrders(std::chrono::milliseconds unix_time, MonotonicTime now);
   RolloutState StateOf(const RolloutOrder& order,
                        std::chrono::milliseconds unix_time) const;
-  void Judge(const RolloutRecord& record);
+  void Judge(const RolloutRecord& record, MonotonicTime now);
+  // Begins to observe the others anew if this host has not coordinated all the
+  // time.
+  void UpdateObservation(const Role& role, MonotonicTime now);
   void TakeStep(const RolloutRecord& record, MonotonicTime now);
   // The time limit has passed, and the target could be tried for a while.
   bool IsOverdue(const RolloutRecord& record, MonotonicTime now) const;
   bool TrialIsOver(const RolloutRecord& record, MonotonicTime now) const;
+  // True if the target has served enough of all requests, or as long as the
+  // order's time allows.
+  bool ShiftIsProven(const RolloutRecord& record, MonotonicTime now) const;
   // Brings the gate in line with the records and collects their changes.
   void Enforce(MonotonicTime now);
   // The same, unless nothing changed and it was done lately.
@@ -157,10 +165,13 @@
   bool gate_changed_ = false;
   MonotonicTime enforced_at_;
   MonotonicTime wait_for_rules_until_;
+  // Of the last tick as a coordinator, if the last one was one.
+  std::optional<MonotonicTime> coordinated_at_;
+  MonotonicTime observing_since_;
   // Increases with each change of a record.
   std::uint64_t changes_ = 0;
   std::map<std::string, Reported> host_reports_;
-  Reported data_centre_report_;
+  std::map<std::string, Reported> data_centre_reports_;
   Reported summary_;
 };
 
--- a/src/libs/rollouts/rollout_messages.h
+++ b/src/libs/rollouts/rollout_messages.h
@@ -40,8 +40,8 @@
   // Requests at upstreams of the old versions, of the sending host or data
   // centre.
   std::uint32_t old_running = 0;
-  // In the report of a data centre: hosts that may still send requests to the
-  // old versions.
+  // Hosts that may still send requests to the old versions, of the sending host
+  // or data centre.
   std::uint32_t hosts_behind = 0;
 
   bool operator==(const RolloutState&) const = default;
@@ -52,14 +52,14 @@
 
 inline constexpr std::uint64_t kBusyBit = 1;
 
-// Answers since the start of an order, on one route, by one upstream of the
-// target or by all upstreams of the old versions together.
+// Answers since the start of an order, on one route, by one group of
+// the target's upstreams or by all upstreams of the old versions together.
 struct EvidenceCount {
   std::uint64_t order = 0;
   // Hash of the route's name; its lowest bit, kBusyBit, tells whether the
   // upstreams were busy.
   std::uint64_t route = 0;
-  // The PeerUpstreamKey; 0 for the old versions.
+  // The group of the target's upstreams; 0 for the old versions.
   std::uint64_t upstream = 0;
   std::uint32_t answers = 0;
   std::uint32_t failures = 0;
--- a/src/libs/rollouts/rollout_table.cc
+++ b/src/libs/rollouts/rollout_table.cc
@@ -94,9 +94,12 @@
   return facts() != before;
 }
 
-bool RolloutTable::Withdraw(const std::string& service, MonotonicTime now) {
+bool RolloutTable::Withdraw(const std::string& service,
+                            std::uint64_t order,
+                            MonotonicTime now) {
   const auto it = records_.find(service);
-  if (it == records_.end() || it->second.is_withdrawn) {
+  if (it == records_.end() || it->second.order != order ||
+      it->second.is_withdrawn) {
     return false;
   }
   it->second.is_withdrawn = true;
@@ -109,7 +112,8 @@
 bool RolloutTable::Condemn(const std::string& service,
                            const std::string& reason) {
   RolloutRecord& record = records_.at(service);
-  if (record.is_bad || record.HasEnded()) {
+  // Without other versions there is nothing to go back to.
+  if (record.is_bad || record.HasEnded() || record.from.empty()) {
     return false;
   }
   record.is_bad = true;
--- a/src/plugins/gateway/gateway_plugin.cc
+++ b/src/plugins/gateway/gateway_plugin.cc
@@ -6,7 +6,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <cstdint>
 #include <future>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -35,6 +37,9 @@
 // collector of metrics and a person.
 constexpr std::size_t kStatusHeldFraction = 8;
 constexpr std::size_t kMaxStatusConnections = 64;
+// A body counts twice, as it is received and as it is sent, and the buffer of
+// each may have twice its size.
+constexpr std::size_t kHeldForBodySize = 4;
 
 }  // namespace
 
@@ -63,6 +68,8 @@
   std::shared_ptr<const std::vector<HostEntry>> hosts;
   std::shared_ptr<const std::vector<UpstreamEntry>> upstreams;
   std::shared_ptr<const RoutingTable> routing;
+  // The version of the document that CheckBodyLimit has logged last.
+  std::optional<std::uint64_t> logged_body_limit_of;
   std::function<void()> drained;
   std::thread thread;
 
@@ -75,6 +82,9 @@
   void ApplySessionLimits();
   void RegisterHeldGauges();
   void OnFleet(const FleetSnapshot& snapshot);
+  // Logs once for each version of the document whose largest body may not fit
+  // the memory for callers.
+  void CheckBodyLimit(const RoutingTable& document);
   void Tick();
   UnfinishedWork CountUnfinished() const;
   void LogDrain(std::string_view event, const UnfinishedWork& work) const;
@@ -103,9 +113,7 @@
     return;
   }
   rollouts->SetHandlers(
-      {.upstreams = [this]() -> const std::map<std::string, UpstreamView>& {
-         return relay->placer().upstreams();
-       },
+      {.running = [this] { return relay->Running(); },
        .is_coordinator = [this] { return coordination->IsCoordinator(); },
        .on_gate_changed =
            [this] {
@@ -127,7 +135,10 @@
                 node.CompleteState(coordinator, message);
               },
           .summary = [&node] { return node.Summary(); },
-          .data_centre_report = [&node] { return node.DataCentreReport(); },
+          .data_centre_report =
+              [&node](const std::string& receiver) {
+                return node.DataCentreReport(receiver);
+              },
           .on_host = [&node](const HostMessage& it) { node.OnHostMessage(it); },
           .on_summary = [&node](const FleetSummary& it) { node.OnSummary(it); },
           .on_data_centre =
@@ -210,6 +221,9 @@
     hosts = snapshot.hosts;
     coordination->SetHosts(*hosts);
   }
+  if (snapshot.routing) {
+    CheckBodyLimit(*snapshot.routing);
+  }
   if (upstreams != snapshot.upstreams) {
     upstreams = snapshot.upstreams;
     coordination->SetUpstreams(*upstreams);
@@ -222,6 +236,21 @@
   relay->SetHostCount(coordination->HostCount());
 }
 
+void GatewayPlugin::Private::CheckBodyLimit(const RoutingTable& document) {
+  const std::size_t max_body_bytes = document.limits.max_body_bytes;
+  if (max_body_bytes <= settings.max_held_bytes / kHeldForBodySize ||
+      logged_body_limit_of == document.version) {
+    return;
+  }
+  logged_body_limit_of = document.version;
+  log->Write(
+      EventLine("gateway.memory_below_bodies")
+          .Number("version", static_cast<std::int64_t>(document.version))
+          .Number("max_body_bytes", static_cast<std::int64_t>(max_body_bytes))
+          .Number("max_held_bytes",
+                  static_cast<std::int64_t>(settings.max_held_bytes)));
+}
+
 void GatewayPlugin::Private::Tick() {
   tick_timer.expires_after(relay->has_early_requests() ? kTickInterval
                                                        : kIdleTickInterval);
@@ -276,6 +305,7 @@
       LogDrain("gateway.drain_aborted", work);
       callers->Stop();
       relay->AbortAllRequests();
+      callers->AbortUnsent();
       callers->CloseIdle();
       break;
     case DrainAction::kCloseIdle:
@@ -283,6 +313,7 @@
       callers->CloseIdle();
       break;
     case DrainAction::kFinish:
+      callers->AbortUnsent();
       LogDrain("gateway.drained", work);
       drained();
       return;
--- a/src/plugins/gateway/http_session.cc
+++ b/src/plugins/gateway/http_session.cc
@@ -36,6 +36,9 @@
 // Longer than for upstreams because callers may be on a poor link.
 constexpr milliseconds kCallerUnacknowledgedLimit{6000};
 constexpr std::chrono::seconds kCallerProbeInterval{5};
+// Without a byte written for this long, a host that shuts down no longer waits
+// for the caller to read a response. Longer than most lost packets delay one.
+constexpr milliseconds kFlushStallLimit{2000};
 constexpr int kRequestTimeout = 408;
 constexpr int kServiceUnavailable = 503;
 constexpr char kRetryAfterMemory[] = "Retry-After: 1\r\n";
@@ -76,7 +79,14 @@
 }
 
 void HttpSession::WaitForInput() {
-  if (reading_ || !socket_.is_open() || InputRoom() == 0) {
+  if (!socket_.is_open()) {
+    return;
+  }
+  if (InputRoom() == 0) {
+    WaitForReset();
+    return;
+  }
+  if (reading_) {
     return;
   }
   reading_ = true;
@@ -89,6 +99,26 @@
                      });
 }
 
+void HttpSession::WaitForReset() {
+  if (waiting_for_reset_) {
+    return;
+  }
+  waiting_for_reset_ = true;
+  socket_.async_wait(tcp::socket::wait_error,
+                     [self = shared_from_this()](const error_code& ec) {
+                       self->waiting_for_reset_ = false;
+                       if (!ec) {
+                         self->CheckPeer();
+                       }
+                     });
+}
+
+void HttpSession::CheckPeer() {
+  if (socket_.is_open() && InputRoom() == 0 && HasPeerClosed(socket_)) {
+    OnDisconnected();
+  }
+}
+
 void HttpSession::OnReadable() {
   RelieveMemory();
   const std::size_t room = InputRoom();
@@ -366,17 +396,22 @@
   if (receiving_ || answering_ || closing_) {
     return receiving_ && socket_.is_open();
   }
+  if (!unsent_.empty()) {
+    // The next request is taken once the response before has been written.
+    return false;
+  }
   // Bytes that the kernel has received may be the beginning of a request.
   error_code ec;
   return !input_.empty() || socket_.available(ec) > 0;
 }
 
 bool HttpSession::is_flushing() const {
-  return !answering_ && socket_.is_open() && !unsent_.empty();
+  return !answering_ && socket_.is_open() && !unsent_.empty() &&
+         BootTimeNow() - last_written_at_ < kFlushStallLimit;
 }
 
 void HttpSession::CloseIfIdle() {
-  if (!answering_ && !is_receiving() && !closing_) {
+  if (!answering_ && !is_receiving() && !closing_ && unsent_.empty()) {
     closing_ = true;
     CloseAfterWrite();
   }
--- a/tests/auto/gateway/gateway_host.cc
+++ b/tests/auto/gateway/gateway_host.cc
@@ -118,8 +118,8 @@
   status_address_ = settings.status_address;
   auto source = std::make_unique<FakeFleetSource>();
   source_ = source.get();
-  manager_.Add(std::make_unique<TelemetryPlugin>(
-      EventLogOptions{.output = ::open("/dev/null", O_WRONLY)}));
+  manager_.Add(std::make_unique<TelemetryPlugin>(EventLogOptions{
+      .output = ::open(limits.log_path.c_str(), O_WRONLY | O_APPEND)}));
   manager_.Add(std::move(source));
   manager_.Add(std::make_unique<GatewayPlugin>(settings));
   const Result<void> started = manager_.Start();
@@ -147,6 +147,11 @@
 
 GatewayHost::~GatewayHost() = default;
 
+void GatewayHost::RemoveUpstreams() {
+  upstreams_ = std::make_shared<std::vector<UpstreamEntry>>();
+  Publish(TestRouting());
+}
+
 void GatewayHost::Publish(std::shared_ptr<const RoutingTable> routing,
                           milliseconds age) {
   source_->Publish({.routing = std::move(routing),
--- a/tests/auto/gateway/tst_held.cc
+++ b/tests/auto/gateway/tst_held.cc
@@ -1,9 +1,17 @@
 // What the gateway holds for callers that read slowly, send ahead or are many.
 #include <doctest/doctest.h>
+#include <unistd.h>
 
 #include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <future>
 #include <memory>
+#include <sstream>
 #include <string>
+#include <string_view>
+#include <thread>
 #include <vector>
 
 #include "tests/auto/gateway/gateway_host.h"
@@ -36,6 +44,18 @@
       "GET", path, {"Req-Id: " + id, "Key: key-1", "Limit-Ms: 4000"}, "");
 }
 
+// Whether a condition holds within 3 s, less than the requests' time limit.
+bool Eventually(const std::function<bool()>& holds) {
+  const auto give_up = std::chrono::steady_clock::now() + milliseconds(3000);
+  while (!holds()) {
+    if (std::chrono::steady_clock::now() >= give_up) {
+      return false;
+    }
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  return true;
+}
+
 std::string Body(std::size_t size) {
   std::string body;
   for (std::size_t n = 0; body.size() < size; ++n) {
@@ -119,6 +139,52 @@
   }
 }
 
+// Guards against a request that runs although its caller has closed the
+// connection, where the caller has sent ahead more than is received.
+TEST_CASE("a queued request ends with a caller that sent much ahead") {
+  constexpr int kSlots = 4;
+  std::promise<void> release;
+  const std::shared_future<void> released = release.get_future().share();
+  const ScriptedServer::Script script =
+      [released](ScriptedConnection& connection) {
+        while (!connection.ReadRequest().empty()) {
+          released.wait_for(milliseconds(10000));
+          connection.Write(
+              UpstreamAnswer("ok", RequestIdOf(connection.last_request())));
+        }
+      };
+  ScriptedServer upstream(std::vector<ScriptedServer::Script>(16, script));
+  GatewayHost host({upstream.address()});
+  std::vector<std::unique_ptr<TestConnection>> running;
+  for (int n = 0; n < kSlots; ++n) {
+    running.push_back(std::make_unique<TestConnection>(host.address()));
+    REQUIRE(running.back()->Send(
+        Request("/once/", "running-" + std::to_string(n))));
+  }
+  CHECK(Eventually([&] { return upstream.Requests().size() == kSlots; }));
+  TestConnection leaving(host.address());
+  std::string requests;
+  for (int n = 0; requests.size() < 80000; ++n) {
+    requests += Request("/once/", "leaving-" + std::to_string(n));
+  }
+  REQUIRE(leaving.Send(requests));
+  // The requests are received before the connection is closed.
+  std::this_thread::sleep_for(milliseconds(200));
+  leaving.Close();
+  CHECK(Eventually([&] {
+    return host.GetStatus("/metrics")
+               .body.find(
+                   "flamingogauge_requests_total{outcome=\"abandoned\"} 1") !=
+           std::string::npos;
+  }));
+  release.set_value();
+  for (const auto& it : running) {
+    CHECK(it->ReadAnswer().status == 200);
+  }
+  std::this_thread::sleep_for(milliseconds(200));
+  CHECK(upstream.Requests().size() == kSlots);
+}
+
 // Guards against bodies that are received beyond the bound on memory, and
 // against a bound that keeps small requests from being served.
 TEST_CASE("a body beyond the bound on memory is refused as not run") {
@@ -153,6 +219,39 @@
   CHECK(upstream.Requests().size() <= 5U - refused);
 }
 
+// Guards against a document whose largest body does not fit the memory without
+// a trace in the log, and against a line for each change of the fleet.
+TEST_CASE("a document with too large bodies is logged once per version") {
+  for (const bool is_too_large : {false, true}) {
+    CAPTURE(is_too_large);
+    std::string log_path = "/tmp/flamingogauge-held-XXXXXX";
+    const int fd = ::mkstemp(log_path.data());
+    REQUIRE(fd >= 0);
+    const std::size_t max_body_bytes = TestRouting()->limits.max_body_bytes;
+    {
+      ScriptedServer upstream(Always("ok"));
+      GatewayHost host(
+          {upstream.address()}, true,
+          {.max_held_bytes = 4 * max_body_bytes - (is_too_large ? 1 : 0),
+           .log_path = log_path});
+      host.Publish(TestRouting());
+      // Handled after the document, on the same thread.
+      REQUIRE(host.SendRequest("GET", "/again/").status == 200);
+    }
+    std::ifstream file(log_path);
+    std::stringstream log;
+    log << file.rdbuf();
+    constexpr std::string_view kEvent = "gateway.memory_below_bodies";
+    const std::size_t first = log.str().find(kEvent);
+    CHECK((first != std::string::npos) == is_too_large);
+    if (is_too_large) {
+      CHECK(log.str().find(kEvent, first + 1) == std::string::npos);
+    }
+    ::close(fd);
+    ::unlink(log_path.c_str());
+  }
+}
+
 // Guards against idle connections that keep a further caller out.
 TEST_CASE("a further connection replaces the one that is idle for longest") {
   constexpr std::size_t kConnections = 8;
