--- a/tests/auto/gateway/tst_held.cc
+++ b/tests/auto/gateway/tst_held.cc
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <future>
@@ -224,7 +225,9 @@
 TEST_CASE("a document with too large bodies is logged once per version") {
   for (const bool is_too_large : {false, true}) {
     CAPTURE(is_too_large);
-    std::string log_path = "/tmp/flamingogauge-held-XXXXXX";
+    std::string log_path =
+        (std::filesystem::temp_directory_path() / "flamingogauge-held-XXXXXX")
+            .string();
     const int fd = ::mkstemp(log_path.data());
     REQUIRE(fd >= 0);
     const std::size_t max_body_bytes = TestRouting()->limits.max_body_bytes;
