dispatching: a replay of a heavy overload that the old queue fails

Cause: the replays of the admission part passed on in their last form (5 of 5 cases): their load had been lowered. Change: a case with six times the short and three times the urgent requests, and one with three times all requests while a third of the upstreams is silent.

--- a/tests/auto/dispatching/tst_admission_replay.cc
+++ b/tests/auto/dispatching/tst_admission_replay.cc
@@ -112,6 +112,50 @@
   }
 }
 
+// Guards against answers that come late because of what was let in before: in
+// an overload of many times the capacity, at most one urgent request in fifty
+// is late, and four times as many of all are on time as late.
+TEST_CASE("what is let in during a heavy overload is on time") {
+  ReplayOutcome urgent;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    CAPTURE(seed);
+    AdmissionReplay herd({.kinds = MixedKinds(),
+                          .surges = {{.kind = kShort,
+                                      .from = seconds(3),
+                                      .until = seconds(8),
+                                      .factor = 6},
+                                     {.kind = kUrgent,
+                                      .from = seconds(6),
+                                      .until = seconds(9),
+                                      .factor = 3}},
+                          .seed = seed});
+    herd.Run();
+    const ReplayOutcome of_herd = herd.Sum(seconds(3), seconds(9), kUrgent);
+    urgent.owed += of_herd.owed;
+    urgent.late += of_herd.late;
+
+    AdmissionReplay dark({.kinds = MixedKinds(),
+                          .surges = {{.from = seconds(4),
+                                      .until = milliseconds(6500),
+                                      .factor = 3},
+                                     {.workspace = 0,
+                                      .from = seconds(2),
+                                      .until = seconds(8),
+                                      .factor = 6}},
+                          .dark_share = 0.34,
+                          .dark_from = seconds(4),
+                          .dark_until = seconds(7),
+                          .seed = seed});
+    dark.Run();
+    const ReplayOutcome burst = dark.Sum(seconds(4), milliseconds(6500));
+    CAPTURE(burst.on_time);
+    CAPTURE(burst.late);
+    CHECK(burst.on_time > 4 * burst.late);
+  }
+  CAPTURE(urgent.owed);
+  CHECK(urgent.late * 50 <= urgent.owed);
+}
+
 // Guards against long outputs that are starved while short ones are preferred
 // in an overload, and against an overload in which they hold most places.
 TEST_CASE("the longest outputs are served at least half as often as others") {
