dispatching: one copy of the load patterns that two replays share

Cause: two load patterns stood twice in the admission replays. Change: a function for each of them. Factors, seeds, bounds and checks are the same.

--- a/tests/auto/dispatching/tst_admission_replay.cc
+++ b/tests/auto/dispatching/tst_admission_replay.cc
@@ -45,22 +45,47 @@
            .late_worth = 0.02}};
 }
 
+// A surge of the short requests, and one of the urgent ones before it has
+// ended.
+ReplayOptions BurstOfShortThenUrgent(double short_factor,
+                                     double urgent_factor,
+                                     std::uint64_t seed) {
+  return {.kinds = MixedKinds(),
+          .surges = {{.kind = kShort,
+                      .from = seconds(3),
+                      .until = seconds(8),
+                      .factor = short_factor},
+                     {.kind = kUrgent,
+                      .from = seconds(6),
+                      .until = seconds(9),
+                      .factor = urgent_factor}},
+          .seed = seed};
+}
+
+// A surge of all requests while a third of the upstreams is silent and one
+// workspace sends six times its usual.
+ReplayOptions BurstWhileUpstreamsAreSilent(double factor, std::uint64_t seed) {
+  return {.kinds = MixedKinds(),
+          .surges = {{.from = seconds(4),
+                      .until = milliseconds(6500),
+                      .factor = factor},
+                     {.workspace = 0,
+                      .from = seconds(2),
+                      .until = seconds(8),
+                      .factor = 6}},
+          .dark_share = 0.34,
+          .dark_from = seconds(4),
+          .dark_until = seconds(7),
+          .seed = seed};
+}
+
 // Guards against urgent requests that are late or refused while short, less
 // urgent ones are served: the places that a burst of the short ones holds must
 // be given back when a burst of the urgent ones follows.
 TEST_CASE("urgent requests do not pay for a burst of less urgent ones") {
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
     CAPTURE(seed);
-    AdmissionReplay replay({.kinds = MixedKinds(),
-                            .surges = {{.kind = kShort,
-                                        .from = seconds(3),
-                                        .until = seconds(8),
-                                        .factor = 2.5},
-                                       {.kind = kUrgent,
-                                        .from = seconds(6),
-                                        .until = seconds(9),
-                                        .factor = 1.9}},
-                            .seed = seed});
+    AdmissionReplay replay(BurstOfShortThenUrgent(2.5, 1.9, seed));
     replay.Run();
     const ReplayOutcome urgent = replay.Sum(seconds(3), seconds(9), kUrgent);
     const ReplayOutcome others = replay.Sum(seconds(3), seconds(9), kShort);
@@ -83,18 +108,7 @@
 TEST_CASE("no queue outlasts a burst during which upstreams are silent") {
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
     CAPTURE(seed);
-    AdmissionReplay replay({.kinds = MixedKinds(),
-                            .surges = {{.from = seconds(4),
-                                        .until = milliseconds(6500),
-                                        .factor = 1.8},
-                                       {.workspace = 0,
-                                        .from = seconds(2),
-                                        .until = seconds(8),
-                                        .factor = 6}},
-                            .dark_share = 0.34,
-                            .dark_from = seconds(4),
-                            .dark_until = seconds(7),
-                            .seed = seed});
+    AdmissionReplay replay(BurstWhileUpstreamsAreSilent(1.8, seed));
     replay.Run();
     const ReplayOutcome burst = replay.Sum(seconds(4), milliseconds(6500));
     const ReplayOutcome after = replay.Sum(seconds(8), seconds(10));
@@ -119,33 +133,13 @@
   ReplayOutcome urgent;
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
     CAPTURE(seed);
-    AdmissionReplay herd({.kinds = MixedKinds(),
-                          .surges = {{.kind = kShort,
-                                      .from = seconds(3),
-                                      .until = seconds(8),
-                                      .factor = 6},
-                                     {.kind = kUrgent,
-                                      .from = seconds(6),
-                                      .until = seconds(9),
-                                      .factor = 3}},
-                          .seed = seed});
+    AdmissionReplay herd(BurstOfShortThenUrgent(6, 3, seed));
     herd.Run();
     const ReplayOutcome of_herd = herd.Sum(seconds(3), seconds(9), kUrgent);
     urgent.owed += of_herd.owed;
     urgent.late += of_herd.late;
 
-    AdmissionReplay dark({.kinds = MixedKinds(),
-                          .surges = {{.from = seconds(4),
-                                      .until = milliseconds(6500),
-                                      .factor = 3},
-                                     {.workspace = 0,
-                                      .from = seconds(2),
-                                      .until = seconds(8),
-                                      .factor = 6}},
-                          .dark_share = 0.34,
-                          .dark_from = seconds(4),
-                          .dark_until = seconds(7),
-                          .seed = seed});
+    AdmissionReplay dark(BurstWhileUpstreamsAreSilent(3, seed));
     dark.Run();
     const ReplayOutcome burst = dark.Sum(seconds(4), milliseconds(6500));
     CAPTURE(burst.on_time);
