--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -358,7 +358,8 @@
         self.process.wait()
 
     def log_text(self):
-        with open(os.path.join(self.folder, self.name + ".log")) as file:
+        with open(os.path.join(self.folder, self.name + ".log"),
+                  errors="replace") as file:
             return file.read()
 
     async def until_ready(self, limit=10):
