coordination: replies name the process that they are for

Cause: a reply of a coordinator named a request by its ticket only, and each process counts tickets from 1. A coordinator that was paused while a host restarted granted the tickets of the host's former process, and the new process took them for its own requests. It also took over the grant numbers of such a reply, so that the coordinator took its next grants for accounted for.

CoordinatorMessage now states the process of the receiving host. A placer ignores a reply for another process, which is counted in flamingogauge_outdated_replies_total.

FleetSimulation hid the fault: it dropped messages to processes that had ended, and handed over all waiting messages before a coordinator ran. `a reply to the process before changes nothing` covers each kind of reply.

--- a/src/libs/coordination/coordination_messages.h
+++ b/src/libs/coordination/coordination_messages.h
@@ -111,6 +111,9 @@
 struct CoordinatorMessage {
   std::string coordinator;
   std::uint64_t process = 0;
+  // The process of the receiving host that the reply is for. Another process
+  // of that host has given the same tickets to other requests.
+  std::uint64_t host_process = 0;
   std::vector<PlacementGrant> grants;
   std::vector<PlacementRefusal> refusals;
   // Tickets that wait for a free upstream.
--- a/src/libs/coordination/coordinator.cc
+++ b/src/libs/coordination/coordinator.cc
@@ -240,6 +240,7 @@
     }
     reply.coordinator = options_.host;
     reply.process = options_.process;
+    reply.host_process = host.process;
     messages.push_back({.address = host.address, .message = std::move(reply)});
   }
   return messages;
--- a/src/libs/coordination/placer.cc
+++ b/src/libs/coordination/placer.cc
@@ -209,8 +209,11 @@
   }
 }
 
-void Placer::OnCoordinatorMessage(const CoordinatorMessage& message,
+bool Placer::OnCoordinatorMessage(const CoordinatorMessage& message,
                                   MonotonicTime now) {
+  if (message.host_process != options_.process) {
+    return false;
+  }
   OnHeard(message.coordinator, message.process, now);
   CoordinatorState& state = states_[message.coordinator];
   for (const PlacementGrant& it : message.grants) {
@@ -239,6 +242,7 @@
       SubmitAgain(pending_.at(id->second));
     }
   }
+  return true;
 }
 
 void Placer::SubmitAgain(Pending& pending) {
--- a/src/libs/coordination/placer.h
+++ b/src/libs/coordination/placer.h
@@ -21,6 +21,8 @@
 
 struct PlacerOptions {
   std::string host;
+  // Identifies this process among those of the same host.
+  std::uint64_t process = 0;
   std::string data_centre;
   DispatcherOptions dispatcher;
   // How long a coordinator may take to acknowledge a request.
@@ -90,7 +92,9 @@
   // The upstream stated in a response that it shuts down.
   HealthChange OnLeaving(const std::string& upstream, MonotonicTime now);
 
-  void OnCoordinatorMessage(const CoordinatorMessage& message,
+  // Returns false, and changes nothing, if the reply is for another process of
+  // this host, which has ended.
+  bool OnCoordinatorMessage(const CoordinatorMessage& message,
                             MonotonicTime now);
   void OnSummary(const FleetSummary& summary, MonotonicTime now);
 
--- a/src/libs/protocol/coordination.capnp
+++ b/src/libs/protocol/coordination.capnp
@@ -136,6 +136,8 @@
   refusals @3 :List(PlacementRefusal);
   queued @4 :List(UInt64);
   unknown @5 :List(UInt64);
+  # The process of the receiving host that the reply is for.
+  hostProcess @6 :UInt64;
 }
 
 struct FleetSummary {
--- a/src/plugins/gateway/coordination_codec.cc
+++ b/src/plugins/gateway/coordination_codec.cc
@@ -278,6 +278,7 @@
            wire::CoordinatorMessage::Builder to) {
   to.setCoordinator(message.coordinator);
   to.setProcess(message.process);
+  to.setHostProcess(message.host_process);
   unsigned n = 0;
   auto grants = to.initGrants(SizeOf(message.grants));
   for (const PlacementGrant& it : message.grants) {
@@ -300,6 +301,7 @@
 CoordinatorMessage Read(wire::CoordinatorMessage::Reader from) {
   CoordinatorMessage message{.coordinator = from.getCoordinator().cStr(),
                              .process = from.getProcess(),
+                             .host_process = from.getHostProcess(),
                              .queued = ReadNumbers(from.getQueued()),
                              .unknown = ReadNumbers(from.getUnknown())};
   for (const auto& it : from.getGrants()) {
--- a/src/plugins/gateway/coordination_node.cc
+++ b/src/plugins/gateway/coordination_node.cc
@@ -331,7 +331,10 @@
 }
 
 void CoordinationNode::ApplyReply(const CoordinatorMessage& message) {
-  placer_.OnCoordinatorMessage(message, BootTimeNow());
+  if (!placer_.OnCoordinatorMessage(message, BootTimeNow())) {
+    metrics_.Add("flamingogauge_outdated_replies_total", "");
+    return;
+  }
   handlers_.on_placed();
   OnPlacerChanged();
 }
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -36,8 +36,10 @@
 }
 
 PlacerOptions PlacementOptions(const GatewaySettings& settings,
+                               std::uint64_t process,
                                VersionGate* version_gate) {
   return {.host = settings.host,
+          .process = process,
           .data_centre = settings.data_centre,
           .dispatcher = {
               .data_centre = settings.data_centre,
@@ -55,13 +57,15 @@
              MetricsRegistry& metrics,
              std::function<void()> on_placer_changed,
              VersionGate* version_gate)
-    : context_{
+    : process_(
+          static_cast<std::uint64_t>(BootTimeNow().time_since_epoch().count())),
+      context_{
           .io = io,
           .settings = settings,
           .log = log,
           .metrics = metrics,
           .fleet = {},
-          .placer = Placer(PlacementOptions(settings, version_gate)),
+          .placer = Placer(PlacementOptions(settings, process_, version_gate)),
           .rate_limiter = SharedRateLimiter(BootTimeNow()),
           .resends = ResendBudget(ResendOptions(settings)),
           .crashes = {},
@@ -71,8 +75,6 @@
           .on_quarantine_changed = [this] { OnQuarantineChanged(); },
           .on_request_ended = {}},
       placement_timer_(io),
-      process_(
-          static_cast<std::uint64_t>(BootTimeNow().time_since_epoch().count())),
       started_at_(BootTimeNow()),
       denied_lines_(kDeniedLinesPerSecond),
       malformed_lines_(kDeniedLinesPerSecond),
--- a/src/plugins/gateway/relay.h
+++ b/src/plugins/gateway/relay.h
@@ -115,10 +115,10 @@
   // that wait with one of them.
   void OnQuarantineChanged();
 
-  RelayContext context_;
-  boost::asio::steady_timer placement_timer_;
   // Distinguishes this process from earlier ones of the same host.
   const std::uint64_t process_;
+  RelayContext context_;
+  boost::asio::steady_timer placement_timer_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
   const MonotonicTime started_at_;
   // In the order of their arrival; without those whose caller has left.
--- a/tests/auto/coordination/fleet_simulation.cc
+++ b/tests/auto/coordination/fleet_simulation.cc
@@ -40,7 +40,7 @@
     for (int n = 0; n < options_.upstreams_per_data_centre; ++n) {
       upstreams_.push_back(
           {.id = data_centre + "-u" + std::to_string(n),
-           .service = "s",
+           .service = ServiceOf(static_cast<std::uint64_t>(n)),
            .address = data_centre + "-u" + std::to_string(n) + ":80",
            .data_centre = data_centre,
            .slots = options_.slots});
@@ -62,6 +62,11 @@
   return it == hosts_.end() ? -1 : static_cast<int>(it - hosts_.begin());
 }
 
+std::string FleetSimulation::ServiceOf(std::uint64_t number) const {
+  return "s" +
+         std::to_string(number % static_cast<std::uint64_t>(options_.services));
+}
+
 std::string FleetSimulation::CoordinatorOf(int host) const {
   return hosts_[static_cast<std::size_t>(host)].placer->Coordinator(now_);
 }
@@ -78,6 +83,7 @@
                                      .seed = options_.seed + host.process};
   host.placer =
       std::make_unique<Placer>(PlacerOptions{.host = host.name,
+                                             .process = host.process,
                                              .data_centre = host.data_centre,
                                              .dispatcher = dispatcher});
   host.coordinator = std::make_unique<Coordinator>(CoordinatorOptions{
@@ -122,9 +128,10 @@
   if (!host.is_up) {
     return id;
   }
-  requests_[id] = {.host = index, .arrived_at = now_};
+  const std::string service = ServiceOf(id);
+  requests_[id] = {.host = index, .service = service, .arrived_at = now_};
   host.placer->Enqueue({.id = id,
-                        .service = "s",
+                        .service = service,
                         .arrived_at = now_,
                         .due_at = now_ + options_.target,
                         .start_by = now_ + options_.target * 4,
@@ -169,8 +176,10 @@
   if (now_ - std::exchange(host.active_at, now_) >= kPauseTime) {
     host.placer->OnPaused(now_);
   }
+  // As in the gateway, the coordinator may run between two messages.
   for (const auto& it : std::exchange(host.held_messages, {})) {
     it();
+    RunCoordinator(index);
   }
   if (IsDue(now_, index, kCheckInterval)) {
     host.placer->Tick(now_);
@@ -250,6 +259,9 @@
         static_cast<std::int64_t>(random_.NextBelow(
             static_cast<std::uint64_t>(options_.max_execution.count() / 2))));
     Close(it.request, Outcome::kPlaced);
+    if (it.upstream.service != requests_.at(it.request).service) {
+      ++misplaced_;
+    }
     int& running = running_[it.upstream.id];
     ++running;
     largest_excess_ = std::max(largest_excess_, running - options_.slots);
@@ -310,9 +322,8 @@
           ? 0
           : static_cast<std::int64_t>(random_.NextBelow(
                 static_cast<std::uint64_t>(options_.max_delay.count()) + 1)));
-  const std::uint64_t process = receiver.process;
-  const auto apply = [&receiver, process, message = std::move(message)] {
-    if (receiver.is_up && receiver.process == process) {
+  const auto apply = [&receiver, message = std::move(message)] {
+    if (receiver.is_up) {
       message(receiver);
     }
   };
--- a/tests/auto/coordination/fleet_simulation.h
+++ b/tests/auto/coordination/fleet_simulation.h
@@ -20,6 +20,8 @@
   int hosts_per_data_centre = 4;
   int upstreams_per_data_centre = 4;
   int slots = 4;
+  // Upstreams and requests belong to these in turn.
+  int services = 1;
   std::uint64_t seed = 1;
   // Probability that a message between two hosts is lost.
   double loss = 0;
@@ -69,6 +71,8 @@
   int refused() const { return refused_; }
   // Requests that a host gave two placements.
   int placed_twice() const { return placed_twice_; }
+  // Requests that a host sent to an upstream of another service.
+  int misplaced() const { return misplaced_; }
   // Requests whose host is up and that have neither been placed nor refused.
   int open() const;
   // The longest time between the arrival of a request and its placement or
@@ -99,6 +103,7 @@
   enum class Outcome { kOpen, kPlaced, kRefused, kLost };
   struct Request {
     int host = 0;
+    std::string service;
     MonotonicTime arrived_at;
     Outcome outcome = Outcome::kOpen;
   };
@@ -115,7 +120,9 @@
   void SendSummaries(int index);
   void SendReport(int index);
   void TakePlacements(int index);
-  // Delivers a message after a random delay, unless it is lost.
+  std::string ServiceOf(std::uint64_t number) const;
+  // Delivers a message after a random delay, unless it is lost, to the process
+  // that runs at the host by then.
   void Deliver(int from, int to, std::function<void(Host&)> message);
   void EndExecutions();
   void Close(std::uint64_t request, Outcome outcome);
@@ -136,6 +143,7 @@
   int placed_ = 0;
   int refused_ = 0;
   int placed_twice_ = 0;
+  int misplaced_ = 0;
   int largest_excess_ = 0;
   std::uint64_t messages_ = 0;
   std::chrono::milliseconds longest_wait_{0};
--- a/tests/auto/coordination/tst_coordinator.cc
+++ b/tests/auto/coordination/tst_coordinator.cc
@@ -83,6 +83,24 @@
   return it == report.running.end() ? 0 : it->second;
 }
 
+// Guards against replies that a restarted host cannot tell from those to the
+// process before.
+TEST_CASE("a reply names the process that it is for") {
+  Coordinator coordinator = MakeCoordinator({Upstream("a")});
+  Host host(coordinator, "h1");
+  for (const std::uint64_t process : {1, 2}) {
+    host.state().process = process;
+    host.state().sequence = 0;
+    host.state().requests.clear();
+    host.state().waiting.clear();
+    host.Ask(Request(1));
+    REQUIRE(host.Send(kStart));
+    const CoordinatorMessage reply = host.ReplyOf(coordinator.Run(kStart));
+    CHECK(reply.grants.size() == 1);
+    CHECK(reply.host_process == process);
+  }
+}
+
 // Guards against a slot that is given away again before its host's report shows
 // the request, and against one that stays taken after the host has accounted
 // for it.
--- a/tests/auto/coordination/tst_fleet_runs.cc
+++ b/tests/auto/coordination/tst_fleet_runs.cc
@@ -139,6 +139,20 @@
          }
        },
        0.02},
+      {"hosts return while their coordinator is paused",
+       [](FleetSimulation& fleet, Random&, int ms) {
+         if (ms % 1000 != 300) {
+           return;
+         }
+         const int coordinator = fleet.IndexOf(fleet.CoordinatorOf(0));
+         fleet.Freeze(coordinator, milliseconds(700));
+         for (int n = 0; n < fleet.host_count(); n += 2) {
+           if (n != coordinator) {
+             fleet.Kill(n);
+             fleet.Start(n);
+           }
+         }
+       }},
       {"data centres are cut off from each other",
        [](FleetSimulation& fleet, Random&, int ms) {
          fleet.SetPartitioned(ms >= 1000 && ms < 3000);
@@ -163,6 +177,7 @@
       const FleetSimulationOptions options{.data_centres = 3,
                                            .hosts_per_data_centre = 10,
                                            .upstreams_per_data_centre = 10,
+                                           .services = 2,
                                            .seed = seed,
                                            .loss = fault.loss};
       FleetSimulation fleet(options);
@@ -174,6 +189,7 @@
       fleet.Run(seconds(6));
       CHECK(fleet.open() == 0);
       CHECK(fleet.placed_twice() == 0);
+      CHECK(fleet.misplaced() == 0);
       CHECK(fleet.longest_wait() <= options.target * 4 + seconds(2));
       // Upstreams queue a few more requests than they execute.
       CHECK(fleet.largest_excess() <= 3 * options.slots);
--- a/tests/auto/coordination/tst_placer.cc
+++ b/tests/auto/coordination/tst_placer.cc
@@ -29,11 +29,13 @@
           .capacity = capacity};
 }
 
+constexpr std::uint64_t kProcess = 42;
+
 // A placer of the host "me", whose data centre has the coordinators "c1", "c2"
 // and "c3", in this order.
 class Driver {
  public:
-  Driver() : placer_({.host = "me", .data_centre = "z"}) {
+  Driver() : placer_({.host = "me", .process = kProcess, .data_centre = "z"}) {
     placer_.SetHosts({Host("me", 0.1), Host("c1", 0.9), Host("c2", 0.8),
                       Host("c3", 0.7), Host("x", 0.6)});
     placer_.SetUpstreams({Upstream("a"), Upstream("b")}, now_);
@@ -66,6 +68,7 @@
     CoordinatorMessage reply = message;
     reply.coordinator = coordinator;
     reply.process = process;
+    reply.host_process = kProcess;
     placer_.OnCoordinatorMessage(reply, now_);
   }
   void Wait(milliseconds time) {
@@ -239,6 +242,42 @@
   CHECK(state.last_grant == 3);
 }
 
+// Guards against a request that an upstream of another service executes: the
+// process before this one has given the same ticket to another request, and a
+// coordinator that was paused still answers that one.
+TEST_CASE("a reply to the process before changes nothing") {
+  struct Case {
+    std::string title;
+    CoordinatorMessage reply;
+  };
+  for (const Case& it :
+       std::vector<Case>{{"a grant", {.grants = {Grant(1, "a", 7)}}},
+                         {"a refusal", {.refusals = {{.ticket = 1}}}},
+                         {"an acknowledgement", {.queued = {1}}},
+                         {"an unknown ticket", {.unknown = {1}}}}) {
+    CAPTURE(it.title);
+    Driver driver;
+    driver.Enqueue(1);
+    REQUIRE(driver.Send("c1").requests.at(0).ticket == 1);
+    CoordinatorMessage late = it.reply;
+    late.coordinator = "c1";
+    late.process = 1;
+    late.host_process = kProcess - 1;
+    CHECK_FALSE(driver.placer().OnCoordinatorMessage(late, driver.now()));
+    CHECK(driver.Place().empty());
+    CHECK(driver.placer().Reject(driver.now()).empty());
+    CHECK(driver.placer().unacknowledged_count() == 1);
+    CHECK(driver.placer().TakeUrgentReceivers(driver.now()).empty());
+    // The coordinator counts its grants to this process from 1 again.
+    const HostMessage state = driver.placer().StateFor("c1", driver.now());
+    CHECK(state.last_grant == 0);
+    driver.Reply("c1", {.grants = {Grant(1, "b", 1)}});
+    const std::vector<Placement> placements = driver.Place();
+    REQUIRE(placements.size() == 1);
+    CHECK(placements[0].upstream.id == "b");
+  }
+}
+
 // Guards against requests that are sent to an upstream of which this host knows
 // that it leaves, has been replaced or fails.
 TEST_CASE("a grant for an upstream known to be unusable is not used") {
--- a/tests/auto/gateway/tst_coordination_codec.cc
+++ b/tests/auto/gateway/tst_coordination_codec.cc
@@ -115,6 +115,7 @@
   const CoordinatorMessage read = RoundTrip(
       CoordinatorMessage{.coordinator = "c",
                          .process = 3,
+                         .host_process = 1ULL << 63U,
                          .grants = {{.ticket = 1, .upstream = 2, .number = 4}},
                          .refusals = {{.ticket = 5,
                                        .retry_after = milliseconds(700),
@@ -123,6 +124,7 @@
                          .unknown = {7}});
   CHECK(read.coordinator == "c");
   CHECK(read.process == 3);
+  CHECK(read.host_process == 1ULL << 63U);
   REQUIRE(read.grants.size() == 1);
   CHECK(read.grants[0].ticket == 1);
   CHECK(read.grants[0].upstream == 2);
--- a/tests/auto/gateway/tst_coordination_node.cc
+++ b/tests/auto/gateway/tst_coordination_node.cc
@@ -23,6 +23,7 @@
 
 constexpr milliseconds kInterval{20};
 constexpr milliseconds kTimeLimit{5000};
+constexpr std::uint64_t kProcess = 1;
 
 UpstreamEntry TheUpstream(int slots) {
   return {.id = "u",
@@ -44,6 +45,7 @@
                .data_centre = data_centre,
                .capacity = capacity},
         placer_({.host = name,
+                 .process = kProcess,
                  .data_centre = data_centre,
                  .dispatcher = {.data_centre = data_centre}}),
         node_(
@@ -52,7 +54,7 @@
              .data_centre = data_centre,
              .report_address = entry_.report_address,
              .report_interval = kInterval},
-            1,
+            kProcess,
             placer_,
             log_,
             metrics_,
