coordination: summaries name the process that they are for

After a restart, a host could miss all summaries of its coordinator for about as long as the process before had run: it did not learn that the coordinator drains, nor the load and consumption of others.

Cause: a coordinator counts its summaries for each process of a host, but a summary did not say for which one it is. The last one for the former process reached the new one, which then took the summaries from 1 on for outdated.

FleetSummary now states the process of the receiving host; a placer ignores one for another process, and so do the handlers of summaries. `a summary for the process before does not outdate later ones` failed before and passes now. The host of `a host that places alone uses the pace that it last heard of` now has the process that its state names; what it checks is unchanged.

--- a/src/libs/coordination/coordination_messages.h
+++ b/src/libs/coordination/coordination_messages.h
@@ -130,6 +130,9 @@
   std::string coordinator;
   std::string data_centre;
   std::uint64_t process = 0;
+  // The process of the receiving host that the summary is for; 0 if the
+  // receiver is another coordinator.
+  std::uint64_t host_process = 0;
   // Increases with each summary of the process to the same receiver.
   std::uint64_t sequence = 0;
   // True while the coordinator shuts down; hosts turn to the next one.
--- a/src/libs/coordination/coordinator.cc
+++ b/src/libs/coordination/coordinator.cc
@@ -383,6 +383,7 @@
     FleetSummary summary{.coordinator = options_.host,
                          .data_centre = options_.dispatcher.data_centre,
                          .process = options_.process,
+                         .host_process = host.process,
                          .sequence = ++host.summary_count,
                          .running = total,
                          .reachable_hosts = reachable,
--- a/src/libs/coordination/placer.cc
+++ b/src/libs/coordination/placer.cc
@@ -283,11 +283,14 @@
   id_by_ticket_.erase(id);
 }
 
-void Placer::OnSummary(const FleetSummary& summary, MonotonicTime now) {
+bool Placer::OnSummary(const FleetSummary& summary, MonotonicTime now) {
+  if (summary.host_process != options_.process) {
+    return false;
+  }
   OnHeard(summary.coordinator, summary.process, now);
   CoordinatorState& state = states_[summary.coordinator];
   if (summary.sequence <= state.last_summary) {
-    return;
+    return true;
   }
   state.last_summary = summary.sequence;
   if (summary.draining) {
@@ -299,6 +302,7 @@
       local_.OnPaceReport(it.upstream, it.requests, now - it.age, now);
     }
   }
+  return true;
 }
 
 void Placer::Avoid(const std::string& coordinator, MonotonicTime now) {
--- a/src/libs/coordination/placer.h
+++ b/src/libs/coordination/placer.h
@@ -96,7 +96,8 @@
   // this host, which has ended.
   bool OnCoordinatorMessage(const CoordinatorMessage& message,
                             MonotonicTime now);
-  void OnSummary(const FleetSummary& summary, MonotonicTime now);
+  // Returns false like OnCoordinatorMessage().
+  bool OnSummary(const FleetSummary& summary, MonotonicTime now);
 
   // Moves the requests of a coordinator that does not answer; to be called
   // every few milliseconds while requests wait for an acknowledgement.
--- a/src/libs/protocol/coordination.capnp
+++ b/src/libs/protocol/coordination.capnp
@@ -156,4 +156,7 @@
   rollouts @12 :Rollouts.RolloutReport;
   # Only those that have changed lately.
   paces @13 :List(UpstreamPace);
+  # The process of the receiving host that the summary is for; 0 if the receiver
+  # is another coordinator.
+  hostProcess @14 :UInt64;
 }
--- a/src/plugins/gateway/coordination_codec.cc
+++ b/src/plugins/gateway/coordination_codec.cc
@@ -322,6 +322,7 @@
   to.setCoordinator(summary.coordinator);
   to.setDataCentre(summary.data_centre);
   to.setProcess(summary.process);
+  to.setHostProcess(summary.host_process);
   to.setSequence(summary.sequence);
   to.setDraining(summary.draining);
   WriteLoad(summary.running, to.initRunning(SizeOf(summary.running)));
@@ -350,6 +351,7 @@
       .coordinator = from.getCoordinator().cStr(),
       .data_centre = from.getDataCentre().cStr(),
       .process = from.getProcess(),
+      .host_process = from.getHostProcess(),
       .sequence = from.getSequence(),
       .draining = from.getDraining(),
       .running = ReadLoad(from.getRunning()),
--- a/src/plugins/gateway/coordination_node.cc
+++ b/src/plugins/gateway/coordination_node.cc
@@ -332,13 +332,17 @@
 
 void CoordinationNode::ApplyReply(const CoordinatorMessage& message) {
   if (!placer_.OnCoordinatorMessage(message, BootTimeNow())) {
-    metrics_.Add("flamingogauge_outdated_replies_total", "");
+    CountOutdated();
     return;
   }
   handlers_.on_placed();
   OnPlacerChanged();
 }
 
+void CoordinationNode::CountOutdated() {
+  metrics_.Add("flamingogauge_outdated_replies_total", "");
+}
+
 void CoordinationNode::ScheduleSummaries() {
   if (summaries_scheduled_) {
     return;
@@ -387,7 +391,10 @@
 
 void CoordinationNode::ApplySummary(const FleetSummary& summary) {
   const MonotonicTime now = BootTimeNow();
-  placer_.OnSummary(summary, now);
+  if (!placer_.OnSummary(summary, now)) {
+    CountOutdated();
+    return;
+  }
   handlers_.on_crash_evidence(summary.evidence);
   handlers_.rollouts.on_summary(summary);
   if (summary.coordinator == placer_.Coordinator(now)) {
--- a/src/plugins/gateway/coordination_node.h
+++ b/src/plugins/gateway/coordination_node.h
@@ -130,6 +130,7 @@
   void CheckPause();
   void CheckForGoneHosts(MonotonicTime now);
   void LogCoordinator(MonotonicTime now);
+  void CountOutdated();
   void Send(const CoordinationMessage& message, const std::string& address);
 
   boost::asio::io_context& io_;
--- a/tests/auto/coordination/tst_placer.cc
+++ b/tests/auto/coordination/tst_placer.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "libs/coordination/coordinator.h"
 #include "libs/coordination/placer.h"
 
 namespace flamingogauge {
@@ -80,6 +81,7 @@
                bool draining = false) {
     placer_.OnSummary({.coordinator = coordinator,
                        .process = 1,
+                       .host_process = kProcess,
                        .sequence = sequence,
                        .draining = draining},
                       now_);
@@ -278,6 +280,29 @@
   }
 }
 
+// Guards against a restarted host that hears nothing of its coordinator for as
+// long as the process before it ran: summaries are counted for each process.
+TEST_CASE("a summary for the process before does not outdate later ones") {
+  Driver driver;
+  Coordinator coordinator(
+      {.host = "c1", .process = 1, .dispatcher = {.data_centre = "z"}});
+  const auto summary_for = [&](std::uint64_t process) {
+    coordinator.OnHostMessage(
+        {.host = "me", .address = "me", .process = process, .sequence = 1},
+        driver.now());
+    return coordinator.SummariesForHosts(true, driver.now()).at(0).message;
+  };
+  summary_for(kProcess - 1);
+  const FleetSummary late =
+      coordinator.SummariesForHosts(true, driver.now()).at(0).message;
+  FleetSummary first = summary_for(kProcess);
+  first.draining = true;
+  driver.placer().OnSummary(late, driver.now());
+  REQUIRE(driver.Coordinator() == "c1");
+  driver.placer().OnSummary(first, driver.now());
+  CHECK(driver.Coordinator() == "c2");
+}
+
 // Guards against requests that are sent to an upstream of which this host knows
 // that it leaves, has been replaced or fails.
 TEST_CASE("a grant for an upstream known to be unusable is not used") {
--- a/tests/auto/gateway/tst_coordination_codec.cc
+++ b/tests/auto/gateway/tst_coordination_codec.cc
@@ -144,6 +144,7 @@
       .coordinator = "c",
       .data_centre = "z1",
       .process = 3,
+      .host_process = 1ULL << 63U,
       .sequence = 4,
       .draining = true,
       .running = {{11, 3}},
@@ -157,6 +158,7 @@
     CHECK(read.coordinator == "c");
     CHECK(read.data_centre == "z1");
     CHECK(read.process == 3);
+    CHECK(read.host_process == 1ULL << 63U);
     CHECK(read.sequence == 4);
     CHECK(read.draining);
     CHECK(read.running == sent.running);
