coordination: a grant for an upstream of another service is not used

An upstream that starts again under its id for another service is still granted by a coordinator that has not read that yet, and Expect-Instance names the same id.

The placer now takes such an upstream for one that it knows more about than the coordinator: it excludes it and submits the request again. The row `it serves another service since it has started again` failed before and passes now.

--- a/src/libs/coordination/placer.cc
+++ b/src/libs/coordination/placer.cc
@@ -267,8 +267,11 @@
     Reassign(id->second, now);
     return;
   }
-  if (upstream == nullptr || !upstream->IsAvailable(now) ||
-      upstream->IsSuspect(now)) {
+  const bool is_usable =
+      upstream != nullptr &&
+      upstream->entry().service == it->second.request.service &&
+      upstream->IsAvailable(now) && !upstream->IsSuspect(now);
+  if (!is_usable) {
     // This host knows more about the upstream than the coordinator.
     if (upstream != nullptr) {
       it->second.request.excluded_upstreams.push_back(upstream->entry().id);
--- a/tests/auto/coordination/tst_placer.cc
+++ b/tests/auto/coordination/tst_placer.cc
@@ -322,6 +322,14 @@
             [](Driver& driver) {
               driver.placer().SetUpstreams({Upstream("b")}, driver.now());
             }},
+           {"it serves another service since it has started again",
+            [](Driver& driver) {
+              UpstreamEntry other = Upstream("a");
+              other.service = "t";
+              other.started_at_ms = 1;
+              driver.placer().SetUpstreams({other, Upstream("b")},
+                                           driver.now());
+            }},
            {"another process answers there",
             [](Driver& driver) {
               driver.placer().OnEnded("a", DispatchResult::kReplaced,
