coordination: drop parameters that Placer does not use

Coordinator(), InformedHosts(), TakeUrgentReceivers(), Enqueue() and OnPaused() took a time that had no effect, which also kept Remove() from asking for the coordinator in use. No change in behaviour; the coordination tests pass.

--- a/src/libs/coordination/placer.cc
+++ b/src/libs/coordination/placer.cc
@@ -65,7 +65,7 @@
   return it != states_.end() && it->second.avoided_since;
 }
 
-std::string Placer::Coordinator(MonotonicTime /*now*/) const {
+std::string Placer::Coordinator() const {
   for (const std::string& it : candidates_) {
     if (it == options_.host ? !is_draining_ : !IsAvoided(it)) {
       return it;
@@ -74,12 +74,12 @@
   return "";
 }
 
-void Placer::Enqueue(WaitingRequest request, MonotonicTime now) {
-  Submit({.request = std::move(request)}, now);
+void Placer::Enqueue(WaitingRequest request) {
+  Submit({.request = std::move(request)});
 }
 
-void Placer::Submit(Pending pending, MonotonicTime now) {
-  pending.coordinator = Coordinator(now);
+void Placer::Submit(Pending pending) {
+  pending.coordinator = Coordinator();
   if (pending.coordinator.empty() || pending.attempts > kMaxAttempts) {
     local_.Enqueue(std::move(pending.request));
     return;
@@ -124,7 +124,7 @@
                              DispatchResult result,
                              MonotonicTime now) {
   AddResult({.upstream = PeerUpstreamKey(upstream), .result = result}, now);
-  const std::string coordinator = Coordinator(now);
+  const std::string coordinator = Coordinator();
   if (!coordinator.empty()) {
     // The place is free again.
     urgent_.insert(coordinator);
@@ -169,7 +169,7 @@
       local_.RecordResult(key, DispatchResult::kLeaving, now);
   if (change != HealthChange::kNone) {
     AddResult({.upstream = key, .result = DispatchResult::kLeaving}, now);
-    const std::string coordinator = Coordinator(now);
+    const std::string coordinator = Coordinator();
     if (!coordinator.empty()) {
       urgent_.insert(coordinator);
     }
@@ -264,7 +264,7 @@
   if (upstream != nullptr && gate != nullptr &&
       !gate->AcceptsGrant(upstream->entry(), now)) {
     // This host knows more about the version than the coordinator.
-    Reassign(id->second, now);
+    Reassign(id->second);
     return;
   }
   const bool is_usable =
@@ -276,7 +276,7 @@
     if (upstream != nullptr) {
       it->second.request.excluded_upstreams.push_back(upstream->entry().id);
     }
-    Reassign(id->second, now);
+    Reassign(id->second);
     return;
   }
   const UpstreamEntry entry = upstream->entry();
@@ -299,7 +299,7 @@
   if (summary.draining) {
     Avoid(summary.coordinator, now);
   }
-  if (summary.coordinator == Coordinator(now)) {
+  if (summary.coordinator == Coordinator()) {
     local_.OnPeerLoad(kOtherHosts, summary.running, now);
     for (const UpstreamPaceReport& it : summary.paces) {
       local_.OnPaceReport(it.upstream, it.requests, now - it.age, now);
@@ -320,18 +320,18 @@
     }
   }
   for (const std::uint64_t id : ids) {
-    Reassign(id, now);
+    Reassign(id);
   }
 }
 
-void Placer::Reassign(std::uint64_t id, MonotonicTime now) {
+void Placer::Reassign(std::uint64_t id) {
   const auto it = pending_.find(id);
   Pending pending = std::move(it->second);
   pending_.erase(it);
   id_by_ticket_.erase(pending.ticket);
   urgent_.insert(pending.coordinator);
   ++pending.attempts;
-  Submit(std::move(pending), now);
+  Submit(std::move(pending));
 }
 
 void Placer::Tick(MonotonicTime now) {
@@ -365,11 +365,11 @@
     Avoid(pending.coordinator, now);
   } else {
     // The coordinator answers others: the message was lost, or it is slow.
-    Reassign(id, now);
+    Reassign(id);
   }
 }
 
-void Placer::OnPaused(MonotonicTime now) {
+void Placer::OnPaused() {
   std::vector<std::uint64_t> ids;
   for (const auto& [id, pending] : pending_) {
     ids.push_back(id);
@@ -377,17 +377,17 @@
   for (const std::uint64_t id : ids) {
     Pending& pending = pending_.at(id);
     pending.attempts = 0;
-    Reassign(id, now);
+    Reassign(id);
   }
 }
 
-std::vector<std::string> Placer::InformedHosts(MonotonicTime now) const {
+std::vector<std::string> Placer::InformedHosts() const {
   std::set<std::string> hosts;
   for (std::size_t n = 0; n < candidates_.size() && n < kInformedCandidates;
        ++n) {
     hosts.insert(candidates_[n]);
   }
-  const std::string coordinator = Coordinator(now);
+  const std::string coordinator = Coordinator();
   if (!coordinator.empty()) {
     hosts.insert(coordinator);
   }
@@ -397,7 +397,7 @@
   return {hosts.begin(), hosts.end()};
 }
 
-std::vector<std::string> Placer::TakeUrgentReceivers(MonotonicTime /*now*/) {
+std::vector<std::string> Placer::TakeUrgentReceivers() {
   const std::set<std::string> receivers = std::exchange(urgent_, {});
   return {receivers.begin(), receivers.end()};
 }
--- a/src/libs/coordination/placer.h
+++ b/src/libs/coordination/placer.h
@@ -58,7 +58,7 @@
   void SetUpstreams(const std::vector<UpstreamEntry>& upstreams,
                     MonotonicTime now);
 
-  void Enqueue(WaitingRequest request, MonotonicTime now);
+  void Enqueue(WaitingRequest request);
   // Removes a request whose caller disconnected or that is no longer needed.
   void Remove(std::uint64_t request);
 
@@ -104,14 +104,14 @@
   void Tick(MonotonicTime now);
   // Gives up on all grants and acknowledgements that are under way, after a
   // pause of this process: they were given for a moment that has passed.
-  void OnPaused(MonotonicTime now);
+  void OnPaused();
 
   // The coordinator in use; empty if this host places its requests itself.
-  std::string Coordinator(MonotonicTime now) const;
+  std::string Coordinator() const;
   // The hosts to send this host's state to periodically.
-  std::vector<std::string> InformedHosts(MonotonicTime now) const;
+  std::vector<std::string> InformedHosts() const;
   // The coordinators that must learn of a change at once.
-  std::vector<std::string> TakeUrgentReceivers(MonotonicTime now);
+  std::vector<std::string> TakeUrgentReceivers();
   // Returns this host's state for a coordinator, without process, sequence,
   // usage and the like.
   HostMessage StateFor(const std::string& coordinator, MonotonicTime now);
@@ -160,8 +160,8 @@
   void Avoid(const std::string& coordinator, MonotonicTime now);
   // Sends the request to the coordinator in use under a new ticket, or places
   // it locally.
-  void Reassign(std::uint64_t id, MonotonicTime now);
-  void Submit(Pending pending, MonotonicTime now);
+  void Reassign(std::uint64_t id);
+  void Submit(Pending pending);
   // Includes the request in the next message to its coordinator.
   void SubmitAgain(Pending& pending);
   void OnGrant(const PlacementGrant& grant, MonotonicTime now);
--- a/src/plugins/gateway/coordination_node.cc
+++ b/src/plugins/gateway/coordination_node.cc
@@ -171,11 +171,11 @@
 }
 
 bool CoordinationNode::IsCoordinator() const {
-  return placer_.Coordinator(BootTimeNow()) == host_;
+  return placer_.Coordinator() == host_;
 }
 
 PlacementView CoordinationNode::View() const {
-  std::string coordinator = placer_.Coordinator(BootTimeNow());
+  std::string coordinator = placer_.Coordinator();
   const bool is_here = coordinator == host_;
   return {
       .coordinator = std::move(coordinator),
@@ -191,7 +191,7 @@
     CheckPause();
     const MonotonicTime now = BootTimeNow();
     placer_.Tick(now);
-    for (const std::string& it : placer_.InformedHosts(now)) {
+    for (const std::string& it : placer_.InformedHosts()) {
       SendState(it);
     }
     LogCoordinator(now);
@@ -210,7 +210,7 @@
     if (ec) {
       return;
     }
-    for (const std::string& it : placer_.TakeUrgentReceivers(BootTimeNow())) {
+    for (const std::string& it : placer_.TakeUrgentReceivers()) {
       SendState(it);
     }
     ScheduleCheck();
@@ -305,7 +305,7 @@
 
 void CoordinationNode::LogPaces() {
   const MonotonicTime now = BootTimeNow();
-  const bool is_in_use = placer_.Coordinator(now) == host_;
+  const bool is_in_use = placer_.Coordinator() == host_;
   for (const PaceChange& it : coordinator_.TakePaceChanges()) {
     if (!is_in_use) {
       continue;
@@ -371,7 +371,7 @@
   }
   LogPaces();
   ++summary_rounds_;
-  const bool to_all = placer_.Coordinator(now) == host_ ||
+  const bool to_all = placer_.Coordinator() == host_ ||
                       summary_rounds_ % kStandbySummaryRounds == 0;
   const CrashEvidence evidence = handlers_.crash_evidence();
   const bool draining = handlers_.is_draining();
@@ -397,7 +397,7 @@
   }
   handlers_.on_crash_evidence(summary.evidence);
   handlers_.rollouts.on_summary(summary);
-  if (summary.coordinator == placer_.Coordinator(now)) {
+  if (summary.coordinator == placer_.Coordinator()) {
     draining_hosts_ = {summary.draining_hosts.begin(),
                        summary.draining_hosts.end()};
     handlers_.on_summary(summary);
@@ -406,7 +406,7 @@
 }
 
 void CoordinationNode::ScheduleReports() {
-  if (reports_scheduled_ || placer_.Coordinator(BootTimeNow()) != host_) {
+  if (reports_scheduled_ || placer_.Coordinator() != host_) {
     return;
   }
   reports_scheduled_ = true;
@@ -513,12 +513,12 @@
     return;
   }
   log_.Write(EventLine("host.paused").Milliseconds("paused_ms", gap));
-  placer_.OnPaused(now);
+  placer_.OnPaused();
   OnPlacerChanged();
 }
 
 void CoordinationNode::CheckForGoneHosts(MonotonicTime now) {
-  if (placer_.Coordinator(now) != host_) {
+  if (placer_.Coordinator() != host_) {
     return;
   }
   for (const std::string& it : nearby_hosts_) {
@@ -533,7 +533,7 @@
 }
 
 void CoordinationNode::LogCoordinator(MonotonicTime now) {
-  const std::string coordinator = placer_.Coordinator(now);
+  const std::string coordinator = placer_.Coordinator();
   if (coordinator == logged_coordinator_) {
     return;
   }
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -70,7 +70,7 @@
     waiting.due_at = last_body_at_ + route.max_event_gap;
     waiting.start_by = LatestStart(route, last_body_at_, accepted_.deadline);
   }
-  context_.placer.Enqueue(std::move(waiting), BootTimeNow());
+  context_.placer.Enqueue(std::move(waiting));
   context_.on_placer_changed();
   context_.schedule_placement();
 }
--- a/tests/auto/coordination/fleet_simulation.cc
+++ b/tests/auto/coordination/fleet_simulation.cc
@@ -68,7 +68,7 @@
 }
 
 std::string FleetSimulation::CoordinatorOf(int host) const {
-  return hosts_[static_cast<std::size_t>(host)].placer->Coordinator(now_);
+  return hosts_[static_cast<std::size_t>(host)].placer->Coordinator();
 }
 
 void FleetSimulation::Start(int index) {
@@ -135,8 +135,7 @@
                         .arrived_at = now_,
                         .due_at = now_ + options_.target,
                         .start_by = now_ + options_.target * 4,
-                        .deadline = now_ + options_.target * 8},
-                       now_);
+                        .deadline = now_ + options_.target * 8});
   return id;
 }
 
@@ -174,7 +173,7 @@
 void FleetSimulation::StepHost(int index) {
   Host& host = hosts_[static_cast<std::size_t>(index)];
   if (now_ - std::exchange(host.active_at, now_) >= kPauseTime) {
-    host.placer->OnPaused(now_);
+    host.placer->OnPaused();
   }
   // As in the gateway, the coordinator may run between two messages.
   for (const auto& it : std::exchange(host.held_messages, {})) {
@@ -184,11 +183,11 @@
   if (IsDue(now_, index, kCheckInterval)) {
     host.placer->Tick(now_);
   }
-  for (const std::string& it : host.placer->TakeUrgentReceivers(now_)) {
+  for (const std::string& it : host.placer->TakeUrgentReceivers()) {
     SendState(index, it);
   }
   if (IsDue(now_, index, kStateInterval)) {
-    for (const std::string& it : host.placer->InformedHosts(now_)) {
+    for (const std::string& it : host.placer->InformedHosts()) {
       SendState(index, it);
     }
   }
@@ -197,7 +196,7 @@
     SendSummaries(index);
   }
   if (IsDue(now_, index, kReportInterval) &&
-      host.placer->Coordinator(now_) == host.name) {
+      host.placer->Coordinator() == host.name) {
     SendReport(index);
   }
   RunCoordinator(index);
--- a/tests/auto/coordination/tst_placer.cc
+++ b/tests/auto/coordination/tst_placer.cc
@@ -48,14 +48,13 @@
                      .arrived_at = now_,
                      .due_at = now_ + milliseconds(500),
                      .start_by = now_ + milliseconds(2000),
-                     .deadline = now_ + milliseconds(4000)},
-                    now_);
+                     .deadline = now_ + milliseconds(4000)});
   }
   // Sends the state to those that need it at once; returns the message to
   // `coordinator`.
   HostMessage Send(const std::string& coordinator) {
     HostMessage sent;
-    for (const std::string& it : placer_.TakeUrgentReceivers(now_)) {
+    for (const std::string& it : placer_.TakeUrgentReceivers()) {
       const HostMessage message = placer_.StateFor(it, now_);
       if (it == coordinator) {
         sent = message;
@@ -87,7 +86,7 @@
                       now_);
   }
   std::vector<Placement> Place() { return placer_.Place(now_); }
-  std::string Coordinator() { return placer_.Coordinator(now_); }
+  std::string Coordinator() { return placer_.Coordinator(); }
   Placer& placer() { return placer_; }
   MonotonicTime now() const { return now_; }
 
@@ -269,7 +268,7 @@
     CHECK(driver.Place().empty());
     CHECK(driver.placer().Reject(driver.now()).empty());
     CHECK(driver.placer().unacknowledged_count() == 1);
-    CHECK(driver.placer().TakeUrgentReceivers(driver.now()).empty());
+    CHECK(driver.placer().TakeUrgentReceivers().empty());
     // The coordinator counts its grants to this process from 1 again.
     const HostMessage state = driver.placer().StateFor("c1", driver.now());
     CHECK(state.last_grant == 0);
@@ -310,35 +309,35 @@
     std::string title;
     void (*change)(Driver&);
   };
-  for (const Case& it : std::vector<Case>{
-           {"it leaves",
-            [](Driver& driver) {
-              UpstreamEntry leaving = Upstream("a");
-              leaving.draining = true;
-              driver.placer().SetUpstreams({leaving, Upstream("b")},
-                                           driver.now());
-            }},
-           {"it is gone",
-            [](Driver& driver) {
-              driver.placer().SetUpstreams({Upstream("b")}, driver.now());
-            }},
-           {"it serves another service since it has started again",
-            [](Driver& driver) {
-              UpstreamEntry other = Upstream("a");
-              other.service = "t";
-              other.started_at_ms = 1;
-              driver.placer().SetUpstreams({other, Upstream("b")},
-                                           driver.now());
-            }},
-           {"another process answers there",
-            [](Driver& driver) {
-              driver.placer().OnEnded("a", DispatchResult::kReplaced,
-                                      driver.now());
-            }},
-           {"its last request broke", [](Driver& driver) {
-              driver.placer().OnEnded("a", DispatchResult::kTransportError,
-                                      driver.now());
-            }}}) {
+  for (
+      const Case& it : std::vector<Case>{
+          {"it leaves",
+           [](Driver& driver) {
+             UpstreamEntry leaving = Upstream("a");
+             leaving.draining = true;
+             driver.placer().SetUpstreams({leaving, Upstream("b")},
+                                          driver.now());
+           }},
+          {"it is gone",
+           [](Driver& driver) {
+             driver.placer().SetUpstreams({Upstream("b")}, driver.now());
+           }},
+          {"it serves another service since it has started again",
+           [](Driver& driver) {
+             UpstreamEntry other = Upstream("a");
+             other.service = "t";
+             other.started_at_ms = 1;
+             driver.placer().SetUpstreams({other, Upstream("b")}, driver.now());
+           }},
+          {"another process answers there",
+           [](Driver& driver) {
+             driver.placer().OnEnded("a", DispatchResult::kReplaced,
+                                     driver.now());
+           }},
+          {"its last request broke", [](Driver& driver) {
+             driver.placer().OnEnded("a", DispatchResult::kTransportError,
+                                     driver.now());
+           }}}) {
     CAPTURE(it.title);
     Driver driver;
     driver.Enqueue(1);
@@ -362,7 +361,7 @@
   const HostMessage asked = driver.Send("c1");
   REQUIRE(asked.requests.size() == 2);
   driver.Reply("c1", {.queued = {asked.requests[0].ticket}});
-  driver.placer().OnPaused(driver.now() + std::chrono::seconds(3));
+  driver.placer().OnPaused();
   driver.Reply("c1", {.grants = {Grant(asked.requests[0].ticket, "a", 1),
                                  Grant(asked.requests[1].ticket, "a", 2)}});
   CHECK(driver.Place().empty());
@@ -401,11 +400,11 @@
 TEST_CASE("a host that is the first of its data centre coordinates itself") {
   Placer placer({.host = "c1", .data_centre = "z"});
   placer.SetHosts({Host("c1", 0.9), Host("c2", 0.8)});
-  CHECK(placer.Coordinator(kStart) == "c1");
+  CHECK(placer.Coordinator() == "c1");
   placer.Tick(kStart + std::chrono::hours(1));
-  CHECK(placer.Coordinator(kStart + std::chrono::hours(1)) == "c1");
+  CHECK(placer.Coordinator() == "c1");
   placer.SetDraining();
-  CHECK(placer.Coordinator(kStart) == "c2");
+  CHECK(placer.Coordinator() == "c2");
 }
 
 }  // namespace
--- a/tests/auto/gateway/tst_coordination_node.cc
+++ b/tests/auto/gateway/tst_coordination_node.cc
@@ -92,8 +92,7 @@
                      .arrived_at = now,
                      .due_at = now + std::chrono::seconds(20),
                      .start_by = now + std::chrono::seconds(20),
-                     .deadline = now + std::chrono::seconds(20)},
-                    now);
+                     .deadline = now + std::chrono::seconds(20)});
     node_.OnPlacerChanged();
   }
   bool HasPlacement() {
@@ -286,7 +285,7 @@
       host.entry().report_address);
   stranger.Send("no message", host.entry().report_address);
   io.run_for(milliseconds(200));
-  CHECK(host.placer().Coordinator(BootTimeNow()) == "c");
+  CHECK(host.placer().Coordinator() == "c");
   CHECK(coordinator.node().coordinator().ReachableHosts(BootTimeNow()) == 2);
   host.Submit(1);
   CHECK(RunUntil(io, [&] { return host.HasPlacement(); }));
