coordination: a place granted to a caller that leaves is free again

Cause: a placer counts a grant as running when the reply arrives; the relay sends the request in a later event. A request that ended between the two was found neither by Placer::Remove nor by Relay::PlaceWaiting, and nothing released its place. The host went on reporting it as taken.

Remove() now releases a place that was granted and not handed over, OnNotSent() one that was. All requests leave the queue through Exchange::LeaveQueue, which has the coordinator informed at once.

--- a/src/libs/coordination/placer.cc
+++ b/src/libs/coordination/placer.cc
@@ -93,8 +93,28 @@
   pending_.insert_or_assign(id, std::move(pending));
 }
 
+void Placer::InformCoordinator() {
+  const std::string coordinator = Coordinator();
+  if (!coordinator.empty()) {
+    urgent_.insert(coordinator);
+  }
+}
+
+void Placer::OnNotSent(const Placement& placement) {
+  local_.ReleasePlacement(placement.upstream.id);
+  InformCoordinator();
+}
+
 void Placer::Remove(std::uint64_t request) {
   local_.Remove(request);
+  const auto granted = std::find_if(
+      placements_.begin(), placements_.end(),
+      [request](const Placement& it) { return it.request == request; });
+  if (granted != placements_.end()) {
+    OnNotSent(*granted);
+    placements_.erase(granted);
+    return;
+  }
   const auto it = pending_.find(request);
   if (it == pending_.end()) {
     return;
@@ -124,11 +144,8 @@
                              DispatchResult result,
                              MonotonicTime now) {
   AddResult({.upstream = PeerUpstreamKey(upstream), .result = result}, now);
-  const std::string coordinator = Coordinator();
-  if (!coordinator.empty()) {
-    // The place is free again.
-    urgent_.insert(coordinator);
-  }
+  // The place is free again.
+  InformCoordinator();
   return local_.OnEnded(upstream, result, now);
 }
 
@@ -169,10 +186,7 @@
       local_.RecordResult(key, DispatchResult::kLeaving, now);
   if (change != HealthChange::kNone) {
     AddResult({.upstream = key, .result = DispatchResult::kLeaving}, now);
-    const std::string coordinator = Coordinator();
-    if (!coordinator.empty()) {
-      urgent_.insert(coordinator);
-    }
+    InformCoordinator();
   }
   return change;
 }
--- a/src/libs/coordination/placer.h
+++ b/src/libs/coordination/placer.h
@@ -62,8 +62,10 @@
   // Removes a request whose caller disconnected or that is no longer needed.
   void Remove(std::uint64_t request);
 
-  // Returns the requests to send now; each counts as sent.
+  // Returns the requests to send now. Each occupies its place until OnEnded(),
+  // or OnNotSent() if it has ended meanwhile.
   std::vector<Placement> Place(MonotonicTime now);
+  void OnNotSent(const Placement& placement);
   // Returns the requests that would wait too long. Call after Place().
   std::vector<Rejection> Reject(MonotonicTime now);
 
@@ -154,6 +156,8 @@
   };
 
   bool IsAvoided(const std::string& candidate) const;
+  // Has this host's state sent to the coordinator in use at once.
+  void InformCoordinator();
   void OnHeard(const std::string& coordinator,
                std::uint64_t process,
                MonotonicTime now);
@@ -181,6 +185,7 @@
   std::unordered_map<std::uint64_t, Pending> pending_;
   std::unordered_map<std::uint64_t, std::uint64_t> id_by_ticket_;
   std::uint64_t next_ticket_ = 1;
+  // Granted and not yet returned by Place().
   std::vector<Placement> placements_;
   std::vector<Rejection> rejections_;
   struct TimedResult {
--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -75,6 +75,12 @@
   context_.schedule_placement();
 }
 
+void Exchange::LeaveQueue() {
+  context_.placer.Remove(accepted_.id);
+  context_.on_placer_changed();
+  context_.schedule_placement();
+}
+
 bool Exchange::KeyIsValid() const {
   if (accepted_.workspace == nullptr) {
     return true;
@@ -338,7 +344,7 @@
     return;
   }
   if (state_ == State::kWaiting) {
-    context_.placer.Remove(accepted_.id);
+    LeaveQueue();
     Refuse(kServiceUnavailable, std::nullopt, "the time limit passed");
     return;
   }
@@ -356,7 +362,7 @@
 void Exchange::OnMemoryShort() {
   const std::string reason = "the host is short of memory";
   if (state_ == State::kWaiting && !head_committed_) {
-    context_.placer.Remove(accepted_.id);
+    LeaveQueue();
     Refuse(kServiceUnavailable, kRetryAfterMemory, reason);
     return;
   }
@@ -370,7 +376,7 @@
     return;
   }
   if (state_ == State::kWaiting) {
-    context_.placer.Remove(accepted_.id);
+    LeaveQueue();
     if (sends_ == 0 && accepted_.workspace != nullptr) {
       context_.rate_limiter.Refund(*accepted_.workspace, accepted_.spent);
     }
@@ -387,7 +393,7 @@
     return;
   }
   if (state_ == State::kWaiting) {
-    context_.placer.Remove(accepted_.id);
+    LeaveQueue();
     Refuse(kServiceUnavailable, kRetryAfterStopping, kStoppingReason);
     return;
   }
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -72,6 +72,8 @@
   enum class State { kWaiting, kSent, kDone };
 
   void Enqueue();
+  // Gives up the wait for an upstream, or the place that was just granted.
+  void LeaveQueue();
   bool KeyIsValid() const;
   std::string ComposeRequest(const UpstreamEntry& upstream,
                              MonotonicTime now) const;
--- a/src/plugins/gateway/exchange_crashes.cc
+++ b/src/plugins/gateway/exchange_crashes.cc
@@ -83,8 +83,7 @@
   if (!refusal) {
     return;
   }
-  context_.placer.Remove(accepted_.id);
-  context_.on_placer_changed();
+  LeaveQueue();
   RefuseQuarantined(*refusal);
 }
 
--- a/src/plugins/gateway/relay.cc
+++ b/src/plugins/gateway/relay.cc
@@ -417,10 +417,15 @@
 void Relay::PlaceWaiting() {
   for (const Placement& it : context_.placer.Place(BootTimeNow())) {
     const auto exchange = exchanges_.find(it.request);
-    if (exchange != exchanges_.end()) {
-      const auto keep = exchange->second;
-      keep->SendTo(it.upstream);
+    if (exchange == exchanges_.end()) {
+      // The sending of another one has ended it.
+      context_.placer.OnNotSent(it);
+      context_.on_placer_changed();
+      SchedulePlacement();
+      continue;
     }
+    const auto keep = exchange->second;
+    keep->SendTo(it.upstream);
   }
   for (const Rejection& it : context_.placer.Reject(BootTimeNow())) {
     const auto exchange = exchanges_.find(it.request);
--- a/tests/auto/coordination/fleet_simulation.cc
+++ b/tests/auto/coordination/fleet_simulation.cc
@@ -79,6 +79,7 @@
   host.sequence = 0;
   host.active_at = now_;
   host.held_messages.clear();
+  host.left_callers.clear();
   const DispatcherOptions dispatcher{.data_centre = host.data_centre,
                                      .seed = options_.seed + host.process};
   host.placer =
@@ -141,9 +142,19 @@
 
 void FleetSimulation::Cancel(std::uint64_t request) {
   const auto it = requests_.find(request);
-  if (it != requests_.end() && it->second.outcome == Outcome::kOpen) {
-    it->second.outcome = Outcome::kLost;
-    hosts_[static_cast<std::size_t>(it->second.host)].placer->Remove(request);
+  if (it != requests_.end()) {
+    hosts_[static_cast<std::size_t>(it->second.host)].left_callers.push_back(
+        request);
+  }
+}
+
+void FleetSimulation::RemoveLeftCallers(Host& host) {
+  for (const std::uint64_t it : std::exchange(host.left_callers, {})) {
+    Request& request = requests_.at(it);
+    if (request.outcome == Outcome::kOpen) {
+      request.outcome = Outcome::kLost;
+      host.placer->Remove(it);
+    }
   }
 }
 
@@ -180,6 +191,7 @@
     it();
     RunCoordinator(index);
   }
+  RemoveLeftCallers(host);
   if (IsDue(now_, index, kCheckInterval)) {
     host.placer->Tick(now_);
   }
@@ -253,6 +265,10 @@
 void FleetSimulation::TakePlacements(int index) {
   Host& host = hosts_[static_cast<std::size_t>(index)];
   for (const Placement& it : host.placer->Place(now_)) {
+    if (requests_.at(it.request).outcome == Outcome::kLost) {
+      host.placer->OnNotSent(it);
+      continue;
+    }
     const auto execution = milliseconds(
         options_.max_execution.count() / 2 +
         static_cast<std::int64_t>(random_.NextBelow(
@@ -341,6 +357,17 @@
       [](const auto& it) { return it.second.outcome == Outcome::kOpen; }));
 }
 
+int FleetSimulation::places_taken() const {
+  int taken = 0;
+  for (const Host& host : hosts_) {
+    for (const auto& [upstream, requests] :
+         host.placer->dispatcher().OwnLoad()) {
+      taken += host.is_up ? requests : 0;
+    }
+  }
+  return taken;
+}
+
 int FleetSimulation::executing() const {
   return static_cast<int>(executions_.size());
 }
--- a/tests/auto/coordination/fleet_simulation.h
+++ b/tests/auto/coordination/fleet_simulation.h
@@ -45,7 +45,8 @@
   // Submits a request at a host; returns its id. It is lost if the host is
   // down.
   std::uint64_t Submit(int host);
-  // The caller of a request disconnects.
+  // The caller of a request disconnects. A paused host notices it after the
+  // messages that wait for it.
   void Cancel(std::uint64_t request);
   void Kill(int host);
   void Start(int host);
@@ -85,6 +86,10 @@
   std::uint64_t messages() const { return messages_; }
   // Requests that are executed now.
   int executing() const;
+  // Places at upstreams that hosts count as taken.
+  int places_taken() const;
+  // The number of requests submitted.
+  std::uint64_t submitted() const { return next_request_ - 1; }
 
  private:
   struct Host {
@@ -99,6 +104,7 @@
     MonotonicTime frozen_until;
     MonotonicTime active_at;
     std::vector<std::function<void()>> held_messages;
+    std::vector<std::uint64_t> left_callers;
   };
   enum class Outcome { kOpen, kPlaced, kRefused, kLost };
   struct Request {
@@ -115,6 +121,7 @@
   };
 
   void StepHost(int index);
+  void RemoveLeftCallers(Host& host);
   void SendState(int index, const std::string& coordinator);
   void RunCoordinator(int index);
   void SendSummaries(int index);
--- a/tests/auto/coordination/tst_fleet_runs.cc
+++ b/tests/auto/coordination/tst_fleet_runs.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -153,6 +154,17 @@
            }
          }
        }},
+      {"callers leave while hosts are paused",
+       [](FleetSimulation& fleet, Random& random, int ms) {
+         if (ms % 50 == 0) {
+           fleet.Freeze(static_cast<int>(random.NextBelow(
+                            static_cast<std::uint64_t>(fleet.host_count()))),
+                        milliseconds(120));
+         }
+         // Mostly one that waits.
+         const std::uint64_t newest = fleet.submitted();
+         fleet.Cancel(newest - std::min(newest, random.NextBelow(200)));
+       }},
       {"data centres are cut off from each other",
        [](FleetSimulation& fleet, Random&, int ms) {
          fleet.SetPartitioned(ms >= 1000 && ms < 3000);
@@ -190,6 +202,7 @@
       CHECK(fleet.open() == 0);
       CHECK(fleet.placed_twice() == 0);
       CHECK(fleet.misplaced() == 0);
+      CHECK(fleet.places_taken() == 0);
       CHECK(fleet.longest_wait() <= options.target * 4 + seconds(2));
       // Upstreams queue a few more requests than they execute.
       CHECK(fleet.largest_excess() <= 3 * options.slots);
@@ -254,6 +267,35 @@
   CHECK(fleet.open() == 0);
 }
 
+// Guards against slots that stay taken for good: of a request whose caller
+// leaves between its grant and its sending, nothing is sent that could end.
+TEST_CASE("a slot granted to a caller that leaves is free again") {
+  const FleetSimulationOptions options{
+      .hosts_per_data_centre = 3, .upstreams_per_data_centre = 1, .seed = 5};
+  FleetSimulation fleet(options);
+  fleet.Run(seconds(1));
+  for (int n = 0; n < options.slots; ++n) {
+    fleet.Submit(1);
+  }
+  fleet.Run(milliseconds(50));
+  REQUIRE(fleet.executing() == options.slots);
+  std::vector<std::uint64_t> waiting;
+  for (int n = 0; n < options.slots; ++n) {
+    waiting.push_back(fleet.Submit(2));
+  }
+  fleet.Run(milliseconds(50));
+  fleet.Freeze(2, milliseconds(500));
+  fleet.Run(milliseconds(450));
+  for (const std::uint64_t it : waiting) {
+    fleet.Cancel(it);
+  }
+  fleet.Run(seconds(1));
+  CHECK(fleet.places_taken() == 0);
+  fleet.Submit(0);
+  fleet.Run(milliseconds(50));
+  CHECK(fleet.placed() == options.slots + 1);
+}
+
 // Guards against messages that grow with the square of the hosts, as they did
 // when each host reported to all others.
 TEST_CASE("messages grow with hosts and requests, not with their product") {
--- a/tests/auto/coordination/tst_placer.cc
+++ b/tests/auto/coordination/tst_placer.cc
@@ -380,6 +380,24 @@
   CHECK(driver.placer().waiting_count() == 0);
 }
 
+// Guards against a place that stays taken for good, because its request ended
+// between the grant and the sending.
+TEST_CASE("a request that is removed after its grant frees its place") {
+  Driver driver;
+  driver.Enqueue(1);
+  const std::uint64_t ticket = driver.Send("c1").requests.at(0).ticket;
+  driver.Reply("c1", {.grants = {Grant(ticket, "a")}});
+  driver.placer().Remove(1);
+  CHECK(driver.Place().empty());
+  CHECK(driver.placer().upstreams().at("a").running() == 0);
+  // The coordinator learns at once that nothing runs there.
+  CHECK(driver.placer().TakeUrgentReceivers() ==
+        std::vector<std::string>{"c1"});
+  const HostMessage state = driver.placer().StateFor("c1", driver.now());
+  CHECK(state.running.empty());
+  CHECK(state.last_grant == 1);
+}
+
 // Guards against refusals that do not reach the caller.
 TEST_CASE("a refusal ends the request with the coordinator's advice") {
   Driver driver;
