coordination: a grant that was lost frees its place with its request

A service then has fewer places than its upstreams; with all of them lost, the coordinator grants nothing any more, and nothing frees them.

Cause: a grant counts as load until its host accounts for a grant of that number or a later one, and is repeated while the host names its ticket as waiting. If its datagram is lost and its request leaves, or is submitted under a new ticket, neither happens until that host gets another grant.

A grant that the host neither accounts for nor waits for is now released: the host never takes a ticket up again and ignores a grant for one that it does not know.

--- a/src/libs/coordination/coordinator.cc
+++ b/src/libs/coordination/coordinator.cc
@@ -142,6 +142,15 @@
     tickets_.erase(it.second);
     return true;
   });
+  // Grants that have not arrived and are not used if they do: the host does not
+  // know their tickets any more.
+  std::erase_if(host.grants, [this, &waiting](const Grant& it) {
+    if (waiting.contains(it.grant.ticket)) {
+      return false;
+    }
+    queue_.ReleasePlacement(it.upstream);
+    return true;
+  });
 }
 
 void Coordinator::RepeatLostReplies(const HostMessage& message,
--- a/src/libs/coordination/coordinator.h
+++ b/src/libs/coordination/coordinator.h
@@ -126,6 +126,8 @@
   void ApplyResults(const HostMessage& message,
                     HostState& host,
                     MonotonicTime now);
+  // Forgets what the host no longer waits for. To be called after
+  // AcceptGrants().
   void RemoveAbsentTickets(const HostMessage& message, HostState& host);
   void AddRequest(const std::string& name,
                   const PlacementRequest& request,
--- a/tests/auto/coordination/fleet_simulation.cc
+++ b/tests/auto/coordination/fleet_simulation.cc
@@ -360,9 +360,11 @@
 int FleetSimulation::places_taken() const {
   int taken = 0;
   for (const Host& host : hosts_) {
-    for (const auto& [upstream, requests] :
-         host.placer->dispatcher().OwnLoad()) {
-      taken += host.is_up ? requests : 0;
+    for (const Dispatcher* it :
+         {&host.placer->dispatcher(), &host.coordinator->dispatcher()}) {
+      for (const auto& [upstream, requests] : it->OwnLoad()) {
+        taken += host.is_up ? requests : 0;
+      }
     }
   }
   return taken;
--- a/tests/auto/coordination/fleet_simulation.h
+++ b/tests/auto/coordination/fleet_simulation.h
@@ -86,7 +86,7 @@
   std::uint64_t messages() const { return messages_; }
   // Requests that are executed now.
   int executing() const;
-  // Places at upstreams that hosts count as taken.
+  // Places at upstreams that hosts and coordinators count as taken.
   int places_taken() const;
   // The number of requests submitted.
   std::uint64_t submitted() const { return next_request_ - 1; }
--- a/tests/auto/coordination/tst_coordinator.cc
+++ b/tests/auto/coordination/tst_coordinator.cc
@@ -219,6 +219,21 @@
               host.Send(now);
             },
             milliseconds(10)},
+           {"the grant is lost and its request has left",
+            [](Coordinator&, Host&host, MonotonicTime now) {
+              host.state().waiting.clear();
+              host.state().requests.clear();
+              host.Send(now);
+            },
+            milliseconds(10)},
+           {"the grant is lost and its request waits elsewhere meanwhile",
+            [](Coordinator&, Host&host, MonotonicTime now) {
+              host.state().waiting.clear();
+              host.state().requests.clear();
+              host.state().coordinator_process = 0;
+              host.Send(now);
+            },
+            milliseconds(10)},
            {"the host restarted",
             [](Coordinator&, Host&host, MonotonicTime now) {
               host.state() = {.host = "h1", .address = "h1", .process = 2};
