gateway: callers that pause get their whole answers

Cause: the limit that finds callers which are gone, TCP_USER_TIMEOUT of 6 s, also ends a connection whose peer keeps its receive window closed and acknowledges each probe of it. The kernel then drops what it has still to send.

DeliveryProgress follows what a caller takes, from samples of the kernel's send queue. The limit is lifted while the caller is there; the unread limit counts from the last byte that it took, and covers what the kernel holds. An idle connection, and one that closes after its response, stay until the kernel has sent all, within that limit. What the kernel holds of a response counts as memory held.

Failing before: `a response arrives whole at a caller that pauses` (the response ended early on all four kinds of connection). It passes now, as do the rows of `a caller that reads nothing for long is reset` for responses that the kernel holds as a whole.

--- a/src/plugins/gateway/http_session.cc
+++ b/src/plugins/gateway/http_session.cc
@@ -33,7 +33,8 @@
 // How long input is still read after shutting down the sending side. Closing at
 // once could reset the connection and lose the last response.
 constexpr milliseconds kLingerTime{1000};
-// Longer than for upstreams because callers may be on a poor link.
+// Finds callers that are gone. Longer than for upstreams because callers may be
+// on a poor link. Lifted while a caller is there and reads nothing.
 constexpr milliseconds kCallerUnacknowledgedLimit{6000};
 constexpr std::chrono::seconds kCallerProbeInterval{5};
 // Without a byte written for this long, a host that shuts down no longer waits
@@ -52,7 +53,8 @@
       timer_(socket_.get_executor()),
       handler_(handler),
       pool_(std::move(pool)),
-      limits_(handler.Limits()) {}
+      limits_(handler.Limits()),
+      delivery_(kCallerUnacknowledgedLimit) {}
 
 HttpSession::~HttpSession() {
   pool_->Remove(id_);
@@ -119,6 +121,23 @@
   }
 }
 
+bool HttpSession::CheckDelivery(MonotonicTime now) {
+  if (!socket_.is_open()) {
+    return false;
+  }
+  const SendQueue queue = ReadSendQueue(socket_).value_or(SendQueue());
+  SetLimitLifted(!delivery_.OnSample(queue, now));
+  AccountHeld();
+  return has_unread();
+}
+
+void HttpSession::SetLimitLifted(bool lifted) {
+  if (std::exchange(limit_is_lifted_, lifted) != lifted) {
+    SetUnacknowledgedLimit(
+        socket_, lifted ? milliseconds(0) : kCallerUnacknowledgedLimit);
+  }
+}
+
 void HttpSession::OnReadable() {
   RelieveMemory();
   const std::size_t room = InputRoom();
@@ -163,7 +182,8 @@
   }
   MemoryBudget& budget = pool_->budget();
   budget.Set(id_, HeldKind::kInput, input);
-  budget.Set(id_, HeldKind::kUnsent, unsent_.held_bytes());
+  budget.Set(id_, HeldKind::kUnsent,
+             unsent_.held_bytes() + delivery_.kernel_bytes());
 }
 
 void HttpSession::SetHeld(HeldKind kind, std::size_t bytes) {
@@ -243,9 +263,10 @@
   if (!socket_.is_open()) {
     return;
   }
-  if (unsent_.empty()) {
-    last_written_at_ = BootTimeNow();
+  if (!has_unread()) {
+    delivery_.OnWaiting(BootTimeNow());
   }
+  pool_->WatchDelivery(id_);
   unsent_.Append(std::move(bytes));
   if (!writing_) {
     // Most responses fit into the socket's send buffer in a single write.
@@ -272,7 +293,7 @@
       return;
     }
     unsent_.Consume(n);
-    last_written_at_ = BootTimeNow();
+    delivery_.OnWritten(n, BootTimeNow());
   }
 }
 
@@ -365,7 +386,7 @@
     on_memory_short();
     return;
   }
-  if (!answering_ && unsent_.empty()) {
+  if (!answering_ && !has_unread()) {
     Close();
     return;
   }
@@ -383,9 +404,9 @@
     activity.phase = ConnectionPhase::kLingering;
   } else if (answering_) {
     activity.phase = ConnectionPhase::kAnswering;
-  } else if (!unsent_.empty()) {
+  } else if (has_unread()) {
     activity.phase = ConnectionPhase::kUnread;
-    activity.since = last_written_at_;
+    activity.since = last_read_at();
   } else if (receiving_) {
     activity.since = request_began_at_;
   }
@@ -407,7 +428,7 @@
 
 bool HttpSession::is_flushing() const {
   return !answering_ && socket_.is_open() && !unsent_.empty() &&
-         BootTimeNow() - last_written_at_ < kFlushStallLimit;
+         BootTimeNow() - last_read_at() < kFlushStallLimit;
 }
 
 void HttpSession::CloseIfIdle() {
@@ -437,10 +458,15 @@
     RefuseRequest(kRequestTimeout, "the request did not arrive in time");
     return;
   }
-  // The time that a caller may take to read a response is bounded by the pool.
-  if (!answering_ && unsent_.empty()) {
-    Close();
+  if (answering_ || has_unsent()) {
+    return;
+  }
+  if (CheckDelivery(BootTimeNow())) {
+    // The time that a caller may take to read is bounded by the pool.
+    SetTimer(kLingerTime);
+    return;
   }
+  Close();
 }
 
 void HttpSession::OnDisconnected() {
@@ -468,6 +494,10 @@
   ++timer_generation_;
   timer_.cancel();
   closing_ = true;
+  if (socket_.is_open()) {
+    // What the kernel still has to send must not stay there for ever.
+    SetLimitLifted(false);
+  }
   error_code ec;
   socket_.close(ec);
   unsent_.Clear();
--- a/src/plugins/gateway/http_session.h
+++ b/src/plugins/gateway/http_session.h
@@ -15,6 +15,7 @@
 #include "libs/kernel/time.h"
 #include "libs/limits/connection_choice.h"
 #include "libs/routing/routing_table.h"
+#include "plugins/gateway/delivery_progress.h"
 #include "plugins/gateway/session_pool.h"
 
 namespace flamingogauge {
@@ -85,6 +86,10 @@
   // Ends the request of a caller that has closed the connection, where its
   // input is left to the kernel, so that reading can't tell.
   void CheckPeer();
+  // Checks whether the caller, which may read late, is still there. Returns
+  // false if the kernel has sent all that was written. To be called several
+  // times within the kernel's limit until then.
+  bool CheckDelivery(MonotonicTime now);
   // Closes connections if the host holds more than it may, perhaps this one;
   // see SessionPool.
   void RelieveMemory();
@@ -95,8 +100,13 @@
   std::uint64_t id() const { return id_; }
   bool has_write_backlog() const;
   bool has_unsent() const { return !unsent_.empty(); }
-  // When bytes were last written while others were waiting.
-  MonotonicTime last_written_at() const { return last_written_at_; }
+  // Whether the caller has still to read a part of a response, which may be
+  // with the kernel.
+  bool has_unread() const {
+    return has_unsent() || delivery_.kernel_bytes() > 0;
+  }
+  // When the caller has last read, or a response began to wait for it.
+  MonotonicTime last_read_at() const { return delivery_.last_taken_at(); }
   ConnectionActivity Activity() const;
   // Whether a part of the next request has been received.
   bool is_receiving() const;
@@ -129,6 +139,8 @@
   void CloseAfterWrite();
   void SetTimer(std::chrono::milliseconds delay);
   void OnTimer();
+  // Applies or lifts the kernel's limit on unacknowledged bytes.
+  void SetLimitLifted(bool lifted);
   void OnDisconnected();
   void Close();
 
@@ -146,7 +158,7 @@
   std::function<void()> on_writable_;
   std::function<void()> on_memory_short_;
   MonotonicTime request_began_at_;
-  MonotonicTime last_written_at_;
+  DeliveryProgress delivery_;
   // When the connection became idle or began to linger.
   MonotonicTime idle_since_;
   // Incremented when the timer is set, so that an outdated expiry is ignored.
@@ -159,6 +171,7 @@
   bool answering_ = false;
   bool closing_ = false;
   bool lingering_ = false;
+  bool limit_is_lifted_ = false;
 };
 
 }  // namespace flamingogauge
--- a/src/plugins/gateway/session_pool.cc
+++ b/src/plugins/gateway/session_pool.cc
@@ -46,6 +46,7 @@
 
 void SessionPool::Remove(std::uint64_t id) {
   sessions_.erase(id);
+  delivering_.erase(id);
   budget_.Remove(id);
 }
 
@@ -56,23 +57,33 @@
 }
 
 void SessionPool::CheckUnread(MonotonicTime now) {
+  CheckDeliveries(now);
   if (budget_.total() == 0) {
     return;
   }
-  std::vector<std::uint64_t> unread;
   // A copy, since a session that ends removes itself.
   for (const auto& session : sessions()) {
     session->CheckPeer();
     session->AccountHeld();
-    if (session->has_unsent() &&
-        now - session->last_written_at() >= options_.unread_limit) {
-      unread.push_back(session->id());
-    }
   }
-  CloseAll(unread, CloseReason::kUnread);
   RelieveMemory();
 }
 
+void SessionPool::CheckDeliveries(MonotonicTime now) {
+  std::vector<std::uint64_t> unread;
+  std::erase_if(delivering_, [this, now, &unread](std::uint64_t id) {
+    const auto session = sessions_.at(id).lock();
+    if (!session || !session->CheckDelivery(now)) {
+      return true;
+    }
+    if (now - session->last_read_at() >= options_.unread_limit) {
+      unread.push_back(id);
+    }
+    return false;
+  });
+  CloseAll(unread, CloseReason::kUnread);
+}
+
 void SessionPool::CloseAll(const std::vector<std::uint64_t>& ids,
                            CloseReason reason) {
   for (const std::uint64_t id : ids) {
--- a/src/plugins/gateway/session_pool.h
+++ b/src/plugins/gateway/session_pool.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -56,6 +57,10 @@
   std::uint64_t Add(std::weak_ptr<HttpSession> session);
   void Remove(std::uint64_t id);
 
+  // Has CheckUnread() check that the caller reads what was written, until it
+  // has read all of it.
+  void WatchDelivery(std::uint64_t id) { delivering_.insert(id); }
+
   MemoryBudget& budget() { return budget_; }
   // Closes connections until what is held is within the bound. To be called
   // where any connection may be closed, before more is received.
@@ -73,11 +78,14 @@
   std::vector<std::shared_ptr<HttpSession>> sessions() const;
 
  private:
+  void CheckDeliveries(MonotonicTime now);
   void CloseAll(const std::vector<std::uint64_t>& ids, CloseReason reason);
 
   SessionPoolOptions options_;
   MemoryBudget budget_;
   std::unordered_map<std::uint64_t, std::weak_ptr<HttpSession>> sessions_;
+  // Connections on which the kernel may have something to send.
+  std::set<std::uint64_t> delivering_;
   std::uint64_t next_id_ = 1;
 };
 
--- a/tests/auto/gateway/tst_held.cc
+++ b/tests/auto/gateway/tst_held.cc
@@ -116,17 +116,71 @@
   }
 }
 
+// Guards against a response that the kernel drops because its caller reads
+// nothing for longer than the limit that finds callers which are gone. The
+// gateway took such a response for answered.
+TEST_CASE("a response arrives whole at a caller that pauses") {
+  constexpr milliseconds kPause{8000};
+  struct Row {
+    std::string path;
+    std::string version;
+    std::string connection;
+    std::unique_ptr<TestConnection> caller;
+  };
+  std::vector<Row> rows;
+  rows.push_back({"/again/", "1.1", "keep-alive", nullptr});
+  rows.push_back({"/again/", "1.1", "close", nullptr});
+  rows.push_back({"/stream/", "1.1", "keep-alive", nullptr});
+  rows.push_back({"/stream/", "1.0", "close", nullptr});
+  const std::string body = Body(200000);
+  ScriptedServer upstream(Always(body));
+  GatewayHost host({upstream.address()});
+  for (Row& it : rows) {
+    it.caller = std::make_unique<TestConnection>(
+        host.address(), TestConnectionOptions{.has_small_buffers = true});
+    std::string request = FormatTestRequest(
+        "GET", it.path,
+        {"Req-Id: id-1", "Key: key-1", "Connection: " + it.connection}, "");
+    request.replace(request.find("1.1"), 3, it.version);
+    REQUIRE(it.caller->Send(request));
+  }
+  std::this_thread::sleep_for(kPause);
+  for (Row& it : rows) {
+    CAPTURE(it.path);
+    CAPTURE(it.version);
+    CAPTURE(it.connection);
+    if (it.version == "1.0") {
+      const std::string answer = it.caller->ReadToEnd().value_or("");
+      const std::size_t head_end = answer.find("\r\n\r\n");
+      REQUIRE(head_end != std::string::npos);
+      CHECK((answer.substr(head_end + 4) == body));
+      continue;
+    }
+    const TestAnswer answer = it.caller->ReadAnswer();
+    CHECK(answer.status == 200);
+    CHECK(answer.complete);
+    CHECK((answer.body == body));
+  }
+}
+
 // Guards against memory that a caller who never reads occupies for ever, and
 // against a response that looks complete when it is cut off.
 TEST_CASE("a caller that reads nothing for long is reset") {
-  for (const bool is_http_1_0 : {false, true}) {
-    CAPTURE(is_http_1_0);
-    ScriptedServer upstream(Always(Body(8000000)));
+  struct Row {
+    bool is_http_1_0;
+    std::size_t size;
+  };
+  // The smaller ones are written to the kernel as a whole.
+  for (const Row& row : {Row{false, 8000000}, Row{true, 8000000},
+                         Row{false, 100000}, Row{true, 100000}}) {
+    CAPTURE(row.is_http_1_0);
+    CAPTURE(row.size);
+    ScriptedServer upstream(Always(Body(row.size)));
     GatewayHost host({upstream.address()}, true,
                      {.unread_limit = milliseconds(1000)});
     TestConnection connection(host.address(), {.has_small_buffers = true});
     std::string request = Request("/stream/", "id-1");
-    if (is_http_1_0) {
+    if (row.is_http_1_0) {
       request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
     }
     REQUIRE(connection.Send(request));
