http_framing: a status that does not exist is no answer

Other operators saw an upstream in trouble answer with the status 000, which the caller got as an answer. Here, callers got 600 to 999 as an answer; after 000 to 099 or 101 they waited for the time limit (504), also where the request could have been sent again.

Cause: the parser takes any three digits. What is below 200 was taken for an interim response, what is from 300 on for the upstream's failure.

HttpResponseReader now fails for a status that is not one of 100 to 599, and for 101. `a response with a status that does not exist is no answer` failed before (13 assertions) and passes now, as do the rows of `responses are complete only with their whole body`.

The other half of the report, a reset in the middle of a success without a length while the request is written, does not reach callers here: two new rows, for a request that the kernel has taken and not sent yet, passed without a change.

--- a/src/libs/http_framing/http_response_reader.cc
+++ b/src/libs/http_framing/http_response_reader.cc
@@ -14,6 +14,9 @@
 using boost::beast::string_view;
 
 constexpr std::uint32_t kMaxHeaderBytes = 65536;
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
+constexpr int kSwitchingProtocols = 101;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
@@ -21,6 +24,12 @@
   return {text.data(), text.size()};
 }
 
+// A switch of protocols is never asked for, so that what follows is no HTTP.
+bool IsStatus(int code) {
+  return code >= kFirstStatus && code <= kLastStatus &&
+         code != kSwitchingProtocols;
+}
+
 }  // namespace
 
 class HttpResponseReader::Parser final : public http::basic_parser<false> {
@@ -40,7 +49,11 @@
   void on_response_impl(int code,
                         string_view reason,
                         int /*version*/,
-                        error_code& /*ec*/) override {
+                        error_code& ec) override {
+    if (!IsStatus(code)) {
+      ec = make_error_code(http::error::bad_status);
+      return;
+    }
     head.status = code;
     head.reason = std::string(View(reason));
   }
--- a/tests/auto/gateway/tst_answers.cc
+++ b/tests/auto/gateway/tst_answers.cc
@@ -187,6 +187,38 @@
   }
 }
 
+// Guards against an answer of an upstream in trouble that reaches the caller,
+// and against one that is waited for although it cannot follow.
+TEST_CASE("a response with a status that does not exist is no answer") {
+  struct Row {
+    std::string path;
+    std::string status;
+    int expected;
+  };
+  for (const Row& row :
+       {Row{"/once/", "000", 502}, Row{"/once/", "001", 502},
+        Row{"/once/", "101", 502}, Row{"/once/", "600", 502},
+        Row{"/once/", "999", 502}, Row{"/stream/", "000", 502},
+        Row{"/again/", "000", 200}, Row{"/resume/", "777", 200}}) {
+    CAPTURE(row.path);
+    CAPTURE(row.status);
+    ScriptedServer faulty({[&row](ScriptedConnection& connection) {
+      connection.ReadRequest();
+      connection.Write("HTTP/1.1 " + row.status +
+                       " Odd\r\nReq-Id: id-1\r\nSeal: s1\r\n"
+                       "Content-Length: 4\r\n\r\noops");
+      connection.HoldOpen();
+    }});
+    ScriptedServer second({AnswerOnce(UpstreamAnswer("id: 1\ndata: a\n\n"))});
+    GatewayHost host({faulty.address(), second.address()});
+    const auto start = std::chrono::steady_clock::now();
+    const TestAnswer answer = host.SendRequest("POST", row.path, "body");
+    CHECK(answer.status == row.expected);
+    CHECK(answer.body == (row.expected == 200 ? "id: 1\ndata: a\n\n" : ""));
+    CHECK(std::chrono::steady_clock::now() - start < seconds(2));
+  }
+}
+
 // Guards against events that are lost, repeated or spliced from two executions.
 TEST_CASE("a stream is resumed after its last complete event") {
   std::string resumed;
--- a/tests/auto/gateway/tst_response_end.cc
+++ b/tests/auto/gateway/tst_response_end.cc
@@ -57,6 +57,7 @@
   int status;
   const char* body;
   bool complete;
+  std::size_t request_bytes = kBodyBytes;
 };
 
 // Guards against half of a response that passes for the whole: the reset of its
@@ -67,6 +68,10 @@
        {EndingCase{"/once/", Ending::kReset, 502, "", true},
         EndingCase{"/again/", Ending::kReset, 200, "resent", true},
         EndingCase{"/stream/", Ending::kReset, 200, kFirstHalf.c_str(), false},
+        // The kernel has taken the whole request, and has still to send it.
+        EndingCase{"/once/", Ending::kReset, 502, "", true, 70000},
+        EndingCase{"/stream/", Ending::kReset, 200, kFirstHalf.c_str(), false,
+                   70000},
         EndingCase{"/once/", Ending::kReadThenClose, 200, whole.c_str(), true},
         EndingCase{"/stream/", Ending::kReadThenClose, 200, whole.c_str(),
                    true},
@@ -75,14 +80,16 @@
                    true}}) {
     CAPTURE(it.path);
     CAPTURE(static_cast<int>(it.ending));
-    ScriptedServer first({RespondEarly(it.ending)});
+    CAPTURE(it.request_bytes);
+    ScriptedServer first({RespondEarly(it.ending)},
+                         {.has_small_buffers = it.request_bytes < kBodyBytes});
     ScriptedServer second({[](ScriptedConnection& connection) {
       connection.ReadRequest();
       connection.Write(UpstreamAnswer("resent"));
     }});
     GatewayHost host({first.address(), second.address()});
     const TestAnswer answer =
-        host.SendRequest("POST", it.path, std::string(kBodyBytes, 'p'));
+        host.SendRequest("POST", it.path, std::string(it.request_bytes, 'p'));
     CHECK(answer.status == it.status);
     CHECK(answer.body == it.body);
     CHECK(answer.complete == it.complete);
