http_framing: the time to split events grows with their number only

Found while looking for upstreams that write without end: a host stood still for seconds, with the requests of all its callers, while an upstream wrote many small events to a resumable stream.

Cause: the end of each event was looked for in all of what had been received, once for each kind of line end. Without a CRLF in it, that is the rest of the buffer for each event.

The end is now found in one pass.

--- a/src/libs/http_framing/event_stream_splitter.cc
+++ b/src/libs/http_framing/event_stream_splitter.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+constexpr std::string_view kLf = "\n";
+constexpr std::string_view kCrlf = "\r\n";
 
 // An empty line and the end of the line before it.
 constexpr std::size_t kMaxEventEnd = 3;
@@ -14,11 +16,17 @@
 // Returns the position after the first empty line that ends after `from`, or
 // npos. Lines may end with LF or CRLF.
 std::size_t EventEnd(std::string_view text, std::size_t from) {
-  const std::size_t lf = text.find("\n\n", from);
-  const std::size_t crlf = text.find("\n\r\n", from);
-  const std::size_t lf_end = lf == std::string_view::npos ? lf : lf + 2;
-  const std::size_t crlf_end = crlf == std::string_view::npos ? crlf : crlf + 3;
-  return lf_end < crlf_end ? lf_end : crlf_end;
+  for (std::size_t at = text.find('\n', from); at != std::string_view::npos;
+       at = text.find('\n', at + 1)) {
+    const std::string_view next = text.substr(at + 1);
+    if (next.starts_with(kLf)) {
+      return at + 1 + kLf.size();
+    }
+    if (next.starts_with(kCrlf)) {
+      return at + 1 + kCrlf.size();
+    }
+  }
+  return std::string_view::npos;
 }
 
 }  // namespace
--- a/tests/auto/http_framing/tst_event_stream_splitter.cc
+++ b/tests/auto/http_framing/tst_event_stream_splitter.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <chrono>
 #include <string>
 
 #include "libs/http_framing/event_boundary_tracker.h"
@@ -48,5 +50,33 @@
   }
 }
 
+// Returns the shortest time of some runs, which other load disturbs least.
+std::chrono::nanoseconds TimeToSplit(const std::string& events) {
+  auto shortest = std::chrono::nanoseconds::max();
+  for (int n = 0; n < 5; ++n) {
+    EventStreamSplitter splitter;
+    const auto start = std::chrono::steady_clock::now();
+    splitter.Feed(events);
+    shortest = std::min<std::chrono::nanoseconds>(
+        shortest, std::chrono::steady_clock::now() - start);
+  }
+  return shortest;
+}
+
+// Guards against a host that stands still for seconds, with all its requests,
+// because an upstream writes many small events at once.
+TEST_CASE("the time to split events grows with their number") {
+  std::string few;
+  for (int n = 0; n < 2000; ++n) {
+    few += "data: x\n\n";
+  }
+  std::string many;
+  for (int n = 0; n < 16; ++n) {
+    many += few;
+  }
+  // 16 if it is proportional, 256 if each event is compared with all others.
+  CHECK(TimeToSplit(many) < 64 * TimeToSplit(few));
+}
+
 }  // namespace
 }  // namespace flamingogauge
