gateway: what is not passed on is not read without end

Here the memory held, but the host stood still with all its requests: beside 14 kinds of such bytes, requests with time limits of 2 s ended after 3.5 to 4.1 s (dev build, x86-64).

Cause: interim responses, responses to other requests and the bodies of refusals were read until the time limit. Each interim response moved the rest of the input. A refusal was then reported as 504, although its head had said that nothing ran.

A call now fails after 16 other responses, or 4 MB of them, and is sent again if its route allows it; the head of a refusal counts once 262,144 bytes of its body have been read.

`what is not passed on is not read without end` failed before (four rows, 504 after 4 s) and passes now.

--- a/src/plugins/gateway/exchange.cc
+++ b/src/plugins/gateway/exchange.cc
@@ -132,6 +132,7 @@
   }
   head_received_ = false;
   not_executed_ = false;
+  discarded_bytes_ = 0;
   failed_continuation_ = false;
   std::string().swap(buffered_body_);
   splitter_.DropPartialEvent();
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -84,6 +85,8 @@
   void Abandon(const std::string& reason);
   // Passes on or buffers a part of the response.
   void TakeBody(std::string part);
+  // Counts bytes of a response that is not passed on; ends it at a bound.
+  void Discard(std::size_t bytes);
   // Accounts the part of the response that is held back.
   void AccountResponse();
   void EndDispatch(DispatchResult result);
@@ -148,6 +151,7 @@
   HttpResponseHead head_;
   bool head_received_ = false;
   bool not_executed_ = false;
+  std::size_t discarded_bytes_ = 0;
   // True if a resumed stream was answered by something else than its rest.
   bool failed_continuation_ = false;
   // True once a send has ended without proof that the request was not executed.
--- a/src/plugins/gateway/exchange_response.cc
+++ b/src/plugins/gateway/exchange_response.cc
@@ -26,6 +26,10 @@
 // response is written for this long is not to blame for a later crash.
 constexpr std::chrono::milliseconds kSoundWritingTime{300};
 
+// The body of a response that is not passed on is read up to this size, so that
+// its connection can be used again.
+constexpr std::size_t kMaxDiscardedBytes = 262144;
+
 // An incomplete event of a resumable stream is held back in memory.
 constexpr std::size_t kMaxEventBytes = 1U << 20U;
 
@@ -85,6 +89,7 @@
 
 void Exchange::OnBody(std::string part) {
   if (not_executed_ || failed_continuation_) {
+    Discard(part.size());
     return;
   }
   TakeBody(std::move(part));
@@ -93,6 +98,16 @@
   session_->RelieveMemory();
 }
 
+void Exchange::Discard(std::size_t bytes) {
+  discarded_bytes_ += bytes;
+  if (discarded_bytes_ <= kMaxDiscardedBytes) {
+    return;
+  }
+  // The head tells all that matters.
+  connection_->Cancel();
+  OnComplete();
+}
+
 void Exchange::AccountResponse() {
   if (state_ == State::kDone) {
     return;
--- a/src/plugins/gateway/upstream_connection.cc
+++ b/src/plugins/gateway/upstream_connection.cc
@@ -32,6 +32,10 @@
 // Bounds the extension of a chunk and the fields after a body, which the parser
 // reads as a whole. Above the limit on a head.
 constexpr std::size_t kMaxUnparsedBytes = 131072;
+// Bounds what precedes the response to a request: interim responses, and late
+// ones to other requests, which may be large.
+constexpr int kMaxSkippedResponses = 16;
+constexpr std::size_t kMaxSkippedBytes = std::size_t{4} << 20U;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kFirstErrorStatus = 300;
 constexpr int kFirstServerErrorStatus = 500;
@@ -99,6 +103,8 @@
   write_error_ = {};
   head_handled_ = false;
   skipping_response_ = false;
+  skipped_responses_ = 0;
+  skipped_bytes_ = 0;
   paused_ = false;
   if (connected_) {
     WriteRequest();
@@ -259,6 +265,13 @@
       return;
     }
     if (skipping_response_) {
+      skipped_bytes_ += used;
+      if (skipped_responses_ > kMaxSkippedResponses ||
+          skipped_bytes_ > kMaxSkippedBytes) {
+        FailCall(UpstreamFailure::kInvalidResponse,
+                 "other responses before the response to the request");
+        return;
+      }
       if (!reader_->complete()) {
         return;
       }
@@ -288,6 +301,7 @@
   if (interim || foreign) {
     saw_foreign_response_ = saw_foreign_response_ || foreign;
     skipping_response_ = true;
+    ++skipped_responses_;
     return;
   }
   if (id == nullptr && head.status < kFirstErrorStatus) {
--- a/src/plugins/gateway/upstream_connection.h
+++ b/src/plugins/gateway/upstream_connection.h
@@ -127,6 +127,9 @@
   bool paused_ = false;
   bool head_handled_ = false;
   bool skipping_response_ = false;
+  // Before the response to the request.
+  int skipped_responses_ = 0;
+  std::size_t skipped_bytes_ = 0;
   // A response to another request was received; the connection is not reused.
   bool saw_foreign_response_ = false;
 };
--- a/tests/auto/crowds/gateway_process.cc
+++ b/tests/auto/crowds/gateway_process.cc
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <stdexcept>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -23,7 +24,20 @@
 constexpr std::size_t kBigBytes = 200000;
 constexpr std::size_t kStreamEvents = 2000;
 constexpr std::size_t kEventBytes = 1000;
+constexpr std::size_t kEndlessWriteBytes = 20000;
 
+// Of a service with an upstream that writes without end.
+const char kEndlessRoutes[] = R"(
+    {"name":"KIND","host":"test","pathPrefix":"/endless/KIND/",
+     "kind":"idempotent","timeoutMs":2000,"targetLatencyMs":1000,"priority":1,
+     "service":"KIND","maxAttempts":1,"anonymous":true},
+    {"name":"KIND-stream","host":"test","pathPrefix":"/endless-stream/KIND/",
+     "kind":"streaming","timeoutMs":2000,"targetLatencyMs":1000,"priority":1,
+     "service":"KIND","maxAttempts":1,"anonymous":true,"gapAimMs":300,
+     "resumable":true})";
+const char kEndlessService[] = R"({"name":"KIND","maxConnections":1000})";
+
+// The places of all of the above are marked.
 const char kManifest[] = R"({"version":1,
   "routes":[
     {"name":"small","host":"test","pathPrefix":"/small/","kind":"idempotent",
@@ -37,13 +51,25 @@
      "maxAttempts":1,"anonymous":true,"gapAimMs":300},
     {"name":"late","host":"test","pathPrefix":"/late/","kind":"non_idempotent",
      "timeoutMs":12000,"targetLatencyMs":1000,"priority":1,"service":"late",
-     "maxAttempts":1,"anonymous":true}],
+     "maxAttempts":1,"anonymous":true},
+    ENDLESS_ROUTES],
   "services":[{"name":"s","maxConnections":1000},
-              {"name":"late","maxConnections":1000}],
+              {"name":"late","maxConnections":1000},
+              ENDLESS_SERVICES],
   "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
             "headerTimeoutMs":3000,"idleTimeoutMs":15000},
   "tenants":[]})";
 
+std::string Replace(std::string text,
+                    std::string_view what,
+                    const std::string& by) {
+  for (std::size_t at = text.find(what); at != std::string::npos;
+       at = text.find(what, at + by.size())) {
+    text.replace(at, what.size(), by);
+  }
+  return text;
+}
+
 std::string RequestIdOf(const std::string& request) {
   constexpr std::string_view kName = "Request-Id: ";
   const std::size_t begin = request.find(kName) + kName.size();
@@ -80,6 +106,56 @@
   }
 }
 
+struct EndlessBytes {
+  std::string kind;
+  std::string begin;
+  // Repeated.
+  std::string part;
+};
+
+std::vector<EndlessBytes> AllEndlessBytes(const std::string& request_id) {
+  const std::string head = AnswerHead(request_id);
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string status = "HTTP/1.1 503 Full\r\nRequest-Id: " + request_id;
+  return {
+      {"status-line", "HTTP/1.1 200 ", "x"},
+      {"field", "HTTP/1.1 200 OK\r\nX: ", "x"},
+      {"fields", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+      {"interim", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"foreign", AnswerHead("other") + "\r\n", "x"},
+      {"body", head + "\r\n", "x"},
+      {"chunks", chunked, "5\r\nxxxxx\r\n"},
+      {"extension", chunked + "5;", "x"},
+      {"trailer", chunked + "0\r\nX: ", "x"},
+      {"event", head + "Content-Type: text/event-stream\r\n\r\ndata: ", "x"},
+      {"events", head + "Content-Type: text/event-stream\r\n\r\n",
+       "data: x\n\n"},
+      {"refusal", status + "\r\nNot-Executed: 1\r\n\r\n", "x"},
+      {"failure", status + "\r\nResponse-Seal: s1\r\n\r\n", "x"},
+      {"after-answer", head + "Content-Length: 1\r\n\r\nx", "x"},
+  };
+}
+
+void ServeEndlessly(ScriptedConnection& connection) {
+  const std::string line = connection.ReadRequest();
+  if (line.empty()) {
+    return;
+  }
+  for (const EndlessBytes& it :
+       AllEndlessBytes(RequestIdOf(connection.last_request()))) {
+    if (line.find("/" + it.kind + "/") == std::string::npos) {
+      continue;
+    }
+    std::string parts;
+    while (parts.size() < kEndlessWriteBytes) {
+      parts += it.part;
+    }
+    connection.Write(it.begin);
+    while (connection.Write(parts)) {
+    }
+  }
+}
+
 std::vector<ScriptedServer::Script> Scripts(
     const ScriptedServer::Script& script) {
   return std::vector<ScriptedServer::Script>(kMaxUpstreamConnections, script);
@@ -100,6 +176,7 @@
                        end.wait();
                      }),
                      {.has_small_buffers = true}),
+      endless_upstream_(Scripts(ServeEndlessly)),
       address_(FreeAddress(SOCK_STREAM)),
       status_address_(FreeAddress(SOCK_STREAM)) {
   FillStore();
@@ -131,7 +208,17 @@
 }
 
 void GatewayProcess::FillStore() {
-  store_.Put("config", "main", kManifest);
+  std::string routes;
+  std::string services;
+  for (const std::string& it : EndlessKinds()) {
+    const std::string separator = routes.empty() ? "" : ",";
+    routes += separator + Replace(kEndlessRoutes, "KIND", it);
+    services += separator + Replace(kEndlessService, "KIND", it);
+    store_.Put("servers", it, Upstream(it, endless_upstream_.address()));
+  }
+  store_.Put("config", "main",
+             Replace(Replace(kManifest, "ENDLESS_ROUTES", routes),
+                     "ENDLESS_SERVICES", services));
   store_.Put("servers", "u1", Upstream("s", upstream_.address()));
   store_.Put("servers", "u2", Upstream("late", late_upstream_.address()));
 }
@@ -151,6 +238,14 @@
   return false;
 }
 
+std::vector<std::string> EndlessKinds() {
+  std::vector<std::string> kinds;
+  for (const EndlessBytes& it : AllEndlessBytes("")) {
+    kinds.push_back(it.kind);
+  }
+  return kinds;
+}
+
 std::string GatewayRequest(const std::string& path,
                            const std::string& request_id) {
   return FormatTestRequest(
--- a/tests/auto/crowds/gateway_process.h
+++ b/tests/auto/crowds/gateway_process.h
@@ -4,6 +4,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "tests/fakes/fake_object_store/fake_object_store.h"
 #include "tests/support/child_process.h"
@@ -17,6 +18,8 @@
 //   /big/     an answer of 200,000 bytes
 //   /stream/  a stream of 2,000,000 bytes
 //   /late/    to an upstream that does not read bodies and does not answer
+//   /endless/KIND/, /endless-stream/KIND/  to an upstream that writes bytes
+//             without end, see EndlessKinds(); the latter is resumable
 // Bodies of 4,194,304 bytes are allowed.
 class GatewayProcess {
  public:
@@ -41,12 +44,16 @@
   std::promise<void> end_of_test_;
   ScriptedServer upstream_;
   ScriptedServer late_upstream_;
+  ScriptedServer endless_upstream_;
   FakeObjectStore store_;
   const std::string address_;
   const std::string status_address_;
   std::unique_ptr<ChildProcess> process_;
 };
 
+// What an upstream may write without end, such as a field of the head.
+std::vector<std::string> EndlessKinds();
+
 // Formats a request without a body to the gateway.
 std::string GatewayRequest(const std::string& path,
                            const std::string& request_id = "id-1");
--- a/tests/auto/crowds/tst_gateway_crowds.cc
+++ b/tests/auto/crowds/tst_gateway_crowds.cc
@@ -5,11 +5,15 @@
 
 #include <algorithm>
 #include <chrono>
+#include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "tests/auto/crowds/crowd.h"
 #include "tests/auto/crowds/gateway_process.h"
 #include "tests/auto/crowds/process_usage.h"
+#include "tests/support/test_connection.h"
 
 namespace flamingogauge {
 namespace {
@@ -106,6 +110,43 @@
                        .returns = 2});
 }
 
+// Guards against a faulty upstream that writes bytes without end: a host that
+// keeps them runs out of memory and ends the requests of all callers, and one
+// that reads them for long stands still with all of them.
+TEST_CASE("upstreams that write without end") {
+  constexpr int kCallersForEach = 4;
+  GatewayProcess gateway(kProcess);
+  std::vector<std::unique_ptr<TestConnection>> callers;
+  std::vector<std::thread> readers;
+  for (const std::string& kind : EndlessKinds()) {
+    for (const std::string path : {"/endless/", "/endless-stream/"}) {
+      const std::string request = GatewayRequest(path + kind + "/a");
+      for (int n = 0; n < kCallersForEach; ++n) {
+        callers.push_back(std::make_unique<TestConnection>(
+            gateway.address(),
+            TestConnectionOptions{.has_small_buffers = true}));
+        REQUIRE(callers.back()->Send(request));
+      }
+      readers.emplace_back([address = gateway.address(), request] {
+        TestConnection reader(address,
+                              {.has_small_buffers = true,
+                               .read_pause = std::chrono::milliseconds(1)});
+        reader.Send(request);
+        reader.ReadAnswer();
+      });
+    }
+  }
+  const auto start = std::chrono::steady_clock::now();
+  CHECK(gateway.AnswersOrdinaryRequest());
+  CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(2));
+  for (std::thread& it : readers) {
+    it.join();
+  }
+  CHECK(gateway.AnswersOrdinaryRequest());
+  CHECK(PeakMemoryMb(gateway.process().pid()) <= kMemoryMb);
+  CHECK_FALSE(gateway.process().Wait(std::chrono::milliseconds(0)).has_value());
+}
+
 // Guards against connections that take all descriptors, so that neither a
 // caller nor an upstream can be connected.
 TEST_CASE("connections without a request") {
--- a/tests/auto/gateway/tst_answers.cc
+++ b/tests/auto/gateway/tst_answers.cc
@@ -289,6 +289,48 @@
   }
 }
 
+// Guards against a host that spends its processor on bytes that belong to no
+// answer until the time limit, which it then reports instead of what it knows.
+TEST_CASE("what is not passed on is not read without end") {
+  struct Row {
+    std::string name;
+    std::string path;
+    std::string begin;
+    // Repeated.
+    std::string part;
+    int status;
+  };
+  const std::string no_answer =
+      "HTTP/1.1 503 Full\r\nReq-Id: id-1\r\nNot-Run: 1\r\n\r\n";
+  const std::string bytes(65536, 'x');
+  std::string interim;
+  while (interim.size() < bytes.size()) {
+    interim += "HTTP/1.1 100 Continue\r\n\r\n";
+  }
+  for (const Row& row : {
+           Row{"interim responses", "/once/", "", interim, 502},
+           Row{"a response to another request", "/once/",
+               "HTTP/1.1 200 OK\r\nReq-Id: id-0\r\n\r\n", bytes, 502},
+           Row{"a refusal", "/once/", no_answer, bytes, 503},
+           Row{"a refusal, two dispatches", "/again/", no_answer, bytes, 200},
+       }) {
+    CAPTURE(row.name);
+    ScriptedServer endless({[&row](ScriptedConnection& connection) {
+      connection.ReadRequest();
+      connection.Write(row.begin);
+      while (connection.Write(row.part)) {
+      }
+    }});
+    ScriptedServer second({AnswerOnce(UpstreamAnswer("ok"))});
+    GatewayHost host({endless.address(), second.address()});
+    const auto start = std::chrono::steady_clock::now();
+    const TestAnswer answer = host.SendRequest("POST", row.path, "body");
+    CHECK(answer.status == row.status);
+    CHECK(answer.complete);
+    CHECK(std::chrono::steady_clock::now() - start < seconds(2));
+  }
+}
+
 // Guards against an error's text within a stream, and against a stream that
 // looks complete although resuming it failed.
 TEST_CASE("a resumed stream that fails stays incomplete") {
--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -75,9 +75,9 @@
   shutdown(fd_, SHUT_WR);
 }
 
-void ScriptedConnection::Write(std::string_view bytes) const {
-  [[maybe_unused]] const auto n =
-      send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+bool ScriptedConnection::Write(std::string_view bytes) const {
+  return send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+         static_cast<ssize_t>(bytes.size());
 }
 
 void ScriptedConnection::HoldOpen() const {
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -29,7 +29,8 @@
   void ShutdownSending() const;
   // The head and body of the last request read.
   const std::string& last_request() const { return last_request_; }
-  void Write(std::string_view bytes) const;
+  // Returns false if the connection has ended.
+  bool Write(std::string_view bytes) const;
   // Waits until the client closes the connection or the server stops.
   void HoldOpen() const;
   // Makes the close after the script send a TCP reset.
