soak: hosts return while others pause, callers leave, bytes without end

A request must run at an upstream of its own service. A caller that has left is no longer counted as cut by a planned stop.

--- a/src/libs/http_framing/http_response_reader.h
+++ b/src/libs/http_framing/http_response_reader.h
@@ -40,8 +40,8 @@
 
   bool header_complete() const;
   bool complete() const;
-  // Returns whether the input was not a valid response: its framing, or a status
-  // that is not one of 100 to 599 or that switches protocols.
+  // Returns whether the input was not a valid response: its framing, or a
+  // status that is not one of 100 to 599 or that switches protocols.
   bool failed() const;
   // Returns whether the connection can be reused after this response.
   bool keep_alive() const;
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import time
+from random import Random
 from typing import Optional
 
 from wire import Disconnected, connect, format_message, read_message
@@ -16,6 +17,13 @@
 TIME_LIMIT_MS = 6000
 # How long a caller waits beyond the time limit of its request.
 PATIENCE_S = 2.0
+# The share of requests whose callers leave, and within which time.
+LEAVING_SHARE = 0.03
+LEAVING_S = 0.3
+
+
+def service_of(kind):
+    return "engine" if kind in STREAMS else "app"
 
 
 @dataclasses.dataclass
@@ -29,6 +37,7 @@
     # Null if the connection ended without a response.
     response: Optional[object] = None
     timed_out: bool = False
+    has_left: bool = False
 
     @property
     def is_answered(self):
@@ -39,7 +48,7 @@
     """Sends requests to one host, one at a time, on a connection that it keeps
     until the host closes it."""
 
-    def __init__(self, number, random, attempts, workspace, key):
+    def __init__(self, number, random, attempts, workspace, key, leaving_share=LEAVING_SHARE):
         self.number = number
         self.workspace = workspace
         self.random = random
@@ -47,6 +56,9 @@
         self.key = key
         self.count = 0
         self.stream = None
+        # Of its own, so that what is sent does not depend on who leaves.
+        self.leaving_random = Random(number)
+        self.leaving_share = leaving_share
 
     async def run(self, choose_host, until):
         while time.monotonic() < until:
@@ -81,9 +93,12 @@
                 [("Host", HOST_HEADER), ("Request-Id", attempt.request_id), ("Api-Key", self.key),
                  ("Deadline-Ms", TIME_LIMIT_MS), ("Token-Count", "200,50")], body))
             limit_s = TIME_LIMIT_MS / 1000 + PATIENCE_S
+            attempt.has_left = self.leaving_random.random() < self.leaving_share
+            if attempt.has_left:
+                limit_s = self.leaving_random.uniform(0, LEAVING_S)
             attempt.response = await asyncio.wait_for(read_message(reader, is_response=True), limit_s)
         except asyncio.TimeoutError:
-            attempt.timed_out = True
+            attempt.timed_out = not attempt.has_left
         except (Disconnected, OSError):
             pass
         attempt.ended_at = time.monotonic()
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from callers import AT_MOST_ONCE, STREAMS
+from callers import AT_MOST_ONCE, STREAMS, service_of
 from hosts import REVOCATION_LIMIT_MS
 from upstreams import expected_body, expected_stream
 
@@ -44,6 +44,15 @@
             yield f"{run.upstream} ran {run.request_id}, which no caller sent"
 
 
+def check_services(attempts, runs):
+    """A request runs at upstreams of its own service."""
+    kinds = {it.request_id: it.kind for it in attempts}
+    for run in runs:
+        kind = kinds.get(run.request_id)
+        if kind is not None and run.service != service_of(kind):
+            yield f"{run.request_id} ({kind}) ran at {run.upstream} of the service {run.service}"
+
+
 def check_answers(attempts):
     for it in attempts:
         response = it.response
@@ -73,7 +82,7 @@
     for it in attempts:
         for host, stopped_at, ended_at in stops:
             is_in_stop = it.host == host and it.sent_at <= ended_at and it.ended_at >= stopped_at
-            if (is_in_stop and it.request_id in began and not it.is_answered and
+            if (is_in_stop and it.request_id in began and not it.is_answered and not it.has_left and
                     not disturbances.overlap(it.sent_at, it.ended_at)):
                 yield f"{it.request_id} was cut by the planned stop of {host}"
 
--- a/tools/soak/crossings.py
+++ b/tools/soak/crossings.py
@@ -165,13 +165,53 @@
     world.store.remove("rollouts", "app")
 
 
+async def host_returns_while_others_pause(world, random):
+    """A process starts again while others still hold requests of the one
+    before it, and callers leave."""
+    host = world.take_host(random)
+    paused = world.take_host(random)
+    if host is None or paused is None:
+        for it in (host, paused):
+            if it is not None:
+                world.give_back(it)
+        return
+    with disturbance(world):
+        host.signal(signal.SIGKILL)
+        await host.wait_ended(2)
+        paused.signal(signal.SIGSTOP)
+        await asyncio.sleep(random.uniform(0, 0.3))
+        await host.start()
+        await asyncio.sleep(random.uniform(0.3, 1.2))
+        paused.signal(signal.SIGCONT)
+        await host.wait_ready(10)
+    world.give_back(host)
+    world.give_back(paused)
+
+
+async def bytes_without_end(world, random):
+    site = random.choice(world.sites)
+    with disturbance(world):
+        site.upstream.faults.endless = 0.5
+        await asyncio.sleep(random.uniform(0.5, 3))
+        site.upstream.faults.endless = 0.0
+
+
 # The first sheet: each of these meets the others and the plain faults.
 CROSSINGS = (signals_while_stopping, broken_half_connections, odd_entries, verdict_while_writer_dies)
 FAULTS = (killed_host, paused_host, store_in_trouble, leaving_upstream, key_taken_away)
 
 
+# Drawn after the first sheet, so that the seeds that failed with it stay the same.
+SECOND_SHEET = (host_returns_while_others_pause, bytes_without_end)
+
+
 def make_plan(random, length_s):
     """Returns (start in s, crossing) pairs; the same for the same seed."""
+    def start():
+        return random.uniform(1.0, length_s * 0.7)
+
     chosen = [random.choice(CROSSINGS) for _ in range(random.randrange(3, 6))]
     chosen += [random.choice(FAULTS) for _ in range(random.randrange(2, 5))]
-    return sorted(((random.uniform(1.0, length_s * 0.7), it) for it in chosen), key=lambda it: it[0])
+    plan = [(start(), it) for it in chosen]
+    plan += [(start(), random.choice(SECOND_SHEET)) for _ in range(random.randrange(1, 3))]
+    return sorted(plan, key=lambda it: it[0])
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -41,7 +41,7 @@
     """Each host answers an ordinary request again."""
     await asyncio.sleep(RECOVERY_S)
     for number, host in enumerate(world.hosts):
-        caller = Caller(1000 + number, random.Random(1), attempts, "acme", KEYS["acme"])
+        caller = Caller(1000 + number, random.Random(1), attempts, "acme", KEYS["acme"], leaving_share=0)
         for _ in range(RECOVERY_TRIES):
             await caller.send(host, "read")
             response = attempts[-1].response if attempts else None
@@ -75,6 +75,7 @@
 
 def find_violations(world, attempts):
     yield from checks.check_executions(attempts, world.runs)
+    yield from checks.check_services(attempts, world.runs)
     yield from checks.check_answers(attempts)
     yield from checks.check_patience(attempts, world.disturbances)
     yield from checks.check_planned_stops(attempts, world.runs, world.stops, world.disturbances)
--- a/tools/soak/upstreams.py
+++ b/tools/soak/upstreams.py
@@ -7,6 +7,10 @@
 from wire import Disconnected, Server, format_message, read_message
 
 EVENT_S = 0.03
+# A beginning, and what follows it without end.
+ENDLESS_BYTES = ((b"", b"HTTP/1.1 100 Continue\r\n\r\n"), (b"HTTP/1.1 200 ", b"x" * 20), (b"HTTP/1.1 200 OK\r\nX: ", b"x" * 20),
+                 (b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n", b"x" * 20),
+                 (b"HTTP/1.1 000 Odd\r\n\r\n", b"x" * 20))
 
 
 def expected_body(request_id):
@@ -34,6 +38,7 @@
     version: str
     workspace: str
     began_at: float
+    service: str
 
 
 @dataclasses.dataclass
@@ -43,6 +48,8 @@
     failures: float = 0.0
     # Sends each answer a second time, when it should have been read already.
     repeats: float = 0.0
+    # Writes bytes that are no answer until the connection is closed.
+    endless: float = 0.0
 
 
 class Upstream(Server):
@@ -85,7 +92,8 @@
 
     async def _run(self, request, request_id, reader, writer):
         """Executes a request; returns false if the connection must end."""
-        self.runs.append(Run(request_id, self.name, self.version, request.field("Tenant") or "", time.monotonic()))
+        self.runs.append(Run(request_id, self.name, self.version, request.field("Tenant") or "", time.monotonic(),
+                             self.service))
         work = asyncio.ensure_future(self._answer(request, request_id, writer))
         while not work.done():
             await asyncio.wait({work}, timeout=0.02)
@@ -99,6 +107,8 @@
             await asyncio.sleep(self.work_s)
             writer.transport.abort()
             return False
+        if self.random.random() < self.faults.endless:
+            return await self._write_endlessly(writer)
         head = [("Request-Id", request_id), ("Response-Seal", f"{self.name}.{request_id}")]
         if self.random.random() < self.faults.failures:
             await asyncio.sleep(self.work_s)
@@ -119,6 +129,16 @@
             return False
         return True
 
+    async def _write_endlessly(self, writer):
+        begin, part = self.random.choice(ENDLESS_BYTES)
+        try:
+            writer.write(begin)
+            while True:
+                writer.write(part * 1000)
+                await writer.drain()
+        except (Disconnected, ConnectionError, OSError):
+            return False
+
     async def _stream(self, request, request_id, head, writer):
         last = request.field("Last-Event-Id")
         first = 0 if last is None else int(last) + 1
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -5,7 +5,7 @@
 import os
 import time
 
-from callers import HOST_HEADER, PREFIXES
+from callers import HOST_HEADER, PREFIXES, service_of
 from checks import TERMINAL_STATES, Disturbances
 from hosts import Host
 from proxy import Proxy
@@ -27,7 +27,7 @@
         is_stream = KINDS[kind] == "streaming"
         routes.append({"name": "r-" + kind, "host": HOST_HEADER, "pathPrefix": prefix, "kind": KINDS[kind],
                        "timeoutMs": timeout_ms, "targetLatencyMs": 1000, "priority": 0 if kind == "talk" else 1,
-                       "service": "engine" if is_stream else "app", "maxAttempts": 2 if kind in ("read", "talk") else 1,
+                       "service": service_of(kind), "maxAttempts": 2 if kind in ("read", "talk") else 1,
                        "anonymous": False, "sticky": is_stream, "resumable": kind == "talk", "gapAimMs": 400})
     services = [{"name": it, "healthPath": "/health", "maxConnections": 96, "protocol": "h1", "tls": False}
                 for it in ("app", "engine")]
