coordination, gateway: files for a placer's state, a relay's state, a session's bounds

Their parts that compose the state for coordinators, tell the state of the process and keep the bounds on callers are now files of their own. The definitions are moved as they were.

The coordination and gateway tests pass.

--- a/src/plugins/gateway/http_session.cc
+++ b/src/plugins/gateway/http_session.cc
@@ -25,10 +25,8 @@
 // Bounds the extension of a chunk and the fields after a body, which the parser
 // reads as a whole.
 constexpr std::size_t kMaxUnparsedBytes = 65536;
-// With more unsent bytes than this, reading the upstream's response is paused.
-constexpr std::size_t kMaxUnsentBytes = 262144;
-// With fewer, it goes on: soon enough that the upstream does not give up a
-// response because nobody reads it.
+// With fewer unsent bytes, a response that was paused goes on: soon enough that
+// the upstream does not give it up because nobody reads it.
 constexpr std::size_t kResumeUnsentBytes = 196608;
 // How long input is still read after shutting down the sending side. Closing at
 // once could reset the connection and lose the last response.
@@ -115,29 +113,6 @@
                      });
 }
 
-void HttpSession::CheckPeer() {
-  if (socket_.is_open() && InputRoom() == 0 && HasPeerClosed(socket_)) {
-    OnDisconnected();
-  }
-}
-
-bool HttpSession::CheckDelivery(MonotonicTime now) {
-  if (!socket_.is_open()) {
-    return false;
-  }
-  const SendQueue queue = ReadSendQueue(socket_).value_or(SendQueue());
-  SetLimitLifted(!delivery_.OnSample(queue, now));
-  AccountHeld();
-  return has_unread();
-}
-
-void HttpSession::SetLimitLifted(bool lifted) {
-  if (std::exchange(limit_is_lifted_, lifted) != lifted) {
-    SetUnacknowledgedLimit(
-        socket_, lifted ? milliseconds(0) : kCallerUnacknowledgedLimit);
-  }
-}
-
 void HttpSession::OnReadable() {
   RelieveMemory();
   const std::size_t room = InputRoom();
@@ -169,33 +144,6 @@
   }
 }
 
-void HttpSession::AccountHeld() {
-  if (!socket_.is_open()) {
-    return;
-  }
-  std::size_t input = reader_ ? reader_->held_bytes() : 0;
-  input += input_.size();
-  if (InputRoom() == 0) {
-    // Left to the kernel, whose memory is that of the host, too.
-    error_code ec;
-    input += socket_.available(ec);
-  }
-  MemoryBudget& budget = pool_->budget();
-  budget.Set(id_, HeldKind::kInput, input);
-  budget.Set(id_, HeldKind::kUnsent,
-             unsent_.held_bytes() + delivery_.kernel_bytes());
-}
-
-void HttpSession::SetHeld(HeldKind kind, std::size_t bytes) {
-  if (socket_.is_open()) {
-    pool_->budget().Set(id_, kind, bytes);
-  }
-}
-
-void HttpSession::RelieveMemory() {
-  pool_->RelieveMemory();
-}
-
 void HttpSession::ProcessInput() {
   if (!AcceptsNextRequest() || input_.empty()) {
     return;
@@ -376,43 +324,6 @@
   WaitForInput();
 }
 
-void HttpSession::CloseFor(CloseReason reason) {
-  if (reason == CloseReason::kMemory && receiving_ && !closing_) {
-    RefuseRequest(kServiceUnavailable, "the host is short of memory");
-    return;
-  }
-  if (reason == CloseReason::kMemory && answering_ && on_memory_short_) {
-    const auto on_memory_short = on_memory_short_;
-    on_memory_short();
-    return;
-  }
-  if (!answering_ && !has_unread()) {
-    Close();
-    return;
-  }
-  // What has been written of a response must not look complete.
-  const auto on_disconnect = std::exchange(on_disconnect_, nullptr);
-  AbortWithReset();
-  if (on_disconnect) {
-    on_disconnect();
-  }
-}
-
-ConnectionActivity HttpSession::Activity() const {
-  ConnectionActivity activity{.id = id_, .since = idle_since_};
-  if (lingering_) {
-    activity.phase = ConnectionPhase::kLingering;
-  } else if (answering_) {
-    activity.phase = ConnectionPhase::kAnswering;
-  } else if (has_unread()) {
-    activity.phase = ConnectionPhase::kUnread;
-    activity.since = last_read_at();
-  } else if (receiving_) {
-    activity.since = request_began_at_;
-  }
-  return activity;
-}
-
 bool HttpSession::is_receiving() const {
   if (receiving_ || answering_ || closing_) {
     return receiving_ && socket_.is_open();
@@ -438,8 +349,11 @@
   }
 }
 
-bool HttpSession::has_write_backlog() const {
-  return unsent_.size() > kMaxUnsentBytes;
+void HttpSession::SetLimitLifted(bool lifted) {
+  if (std::exchange(limit_is_lifted_, lifted) != lifted) {
+    SetUnacknowledgedLimit(
+        socket_, lifted ? milliseconds(0) : kCallerUnacknowledgedLimit);
+  }
 }
 
 void HttpSession::SetTimer(milliseconds delay) {
