gateway: log the request rate that an upstream states

An upstream in need names in its responses the requests per second that it takes from all hosts together. Reported: such an upstream gets several times as many. The logs of the incident do not show whether, when and to which host a limit was named, so that hosts that do not read it cannot be told from hosts that each keep to it alone.

Reads the field and logs the event upstream.rate_limit when a limit begins, changes or ends; a gauge counts the limited upstreams. A limit ends with the response to a request that was sent after it was last stated; an older response that arrives late does not end it.

--- a/src/libs/coordination/placer.cc
+++ b/src/libs/coordination/placer.cc
@@ -172,6 +172,11 @@
   held_back_until_ = std::max(held_back_until_, until);
 }
 
+bool Placer::OnRateLimit(const std::string& upstream,
+                         const RateLimitStatement& statement) {
+  return local_.OnRateLimit(upstream, statement);
+}
+
 HealthChange Placer::OnLeaving(const std::string& upstream, MonotonicTime now) {
   const std::uint64_t key = PeerUpstreamKey(upstream);
   const HealthChange change =
--- a/src/libs/coordination/placer.h
+++ b/src/libs/coordination/placer.h
@@ -91,6 +91,10 @@
   void OnRetryAfter(const std::string& upstream,
                     std::chrono::milliseconds retry_after,
                     MonotonicTime now);
+  // A response said whether the upstream limits the rate of requests. Returns
+  // true if that is news.
+  bool OnRateLimit(const std::string& upstream,
+                   const RateLimitStatement& statement);
   // The upstream stated in a response that it shuts down.
   HealthChange OnLeaving(const std::string& upstream, MonotonicTime now);
 
--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -366,6 +366,12 @@
   }
 }
 
+bool Dispatcher::OnRateLimit(const std::string& upstream,
+                             const RateLimitStatement& statement) {
+  const auto it = upstreams_.find(upstream);
+  return it != upstreams_.end() && it->second.OnRateLimit(statement);
+}
+
 void Dispatcher::OnEventInterval(const std::string& upstream,
                                  std::chrono::duration<double> event_interval) {
   const auto it = upstreams_.find(upstream);
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -134,6 +134,10 @@
                     MonotonicTime now);
   // Sends the upstream no request until then, as it has asked for.
   void HoldBackUntil(const std::string& upstream, MonotonicTime time);
+  // Applies what an upstream's response said of its rate of requests. Returns
+  // true if that is news.
+  bool OnRateLimit(const std::string& upstream,
+                   const RateLimitStatement& statement);
   void OnEventInterval(const std::string& upstream,
                        std::chrono::duration<double> event_interval);
 
--- a/src/libs/dispatching/upstream_view.h
+++ b/src/libs/dispatching/upstream_view.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include "libs/dispatching/upstream_pace.h"
+#include "libs/dispatching/upstream_rate_limit.h"
 #include "libs/dispatching/waiting_request.h"
 #include "libs/fleet/upstream_entry.h"
 #include "libs/kernel/time.h"
@@ -113,6 +114,13 @@
   // response time of a plain service.
   void OnEventInterval(std::chrono::duration<double> event_interval);
 
+  // A response to this host said whether the upstream limits the rate of
+  // requests. Returns true if that is news.
+  bool OnRateLimit(const RateLimitStatement& statement) {
+    return rate_limit_.OnStatement(statement);
+  }
+  const UpstreamRateLimit& rate_limit() const { return rate_limit_; }
+
   // Sends it no request of this host until then, as it has asked for.
   void HoldBackUntil(MonotonicTime time) { held_back_until_ = time; }
   // False if it must not get a request of this host now, however few there are
@@ -152,6 +160,7 @@
 
   UpstreamEntry entry_;
   UpstreamPace pace_;
+  UpstreamRateLimit rate_limit_;
   // The pace of the last TakePaceChange().
   int noted_pace_ = 0;
   int own_running_ = 0;
--- a/src/libs/relay/header_names.h
+++ b/src/libs/relay/header_names.h
@@ -25,6 +25,9 @@
   std::string seal;
   // Present in each answer of an upstream that shuts down.
   std::string leaving;
+  // Present in each answer of an upstream that takes a limited number of
+  // requests per second from all hosts together: that number, a decimal one.
+  std::string rate_limit;
   // "PROMPT,OUTPUT": prompt tokens and the most output tokens.
   std::string token_count;
   // The caller's estimate of the output tokens.
--- a/src/plugins/gateway/exchange.h
+++ b/src/plugins/gateway/exchange.h
@@ -93,6 +93,7 @@
   void ReportEndedRequest(DispatchResult result) const;
   void OnUpstreamLeaving();
   // Holds requests back if the upstream has asked for it.
+  void OnRateLimit(const HttpFields& fields);
   void OnTurnedAway(const HttpFields& fields);
   void LogHealthChange(HealthChange change) const;
   // Records the crash of the upstream unless it accepts new connections.
--- a/src/plugins/gateway/exchange_response.cc
+++ b/src/plugins/gateway/exchange_response.cc
@@ -5,9 +5,11 @@
 #include <cstdio>
 #include <utility>
 
+#include "libs/http_framing/decimal_field.h"
 #include "libs/http_framing/retry_after.h"
 #include "libs/kernel/boot_clock.h"
 #include "plugins/gateway/exchange.h"
+#include "plugins/gateway/fleet_events.h"
 
 namespace flamingogauge {
 namespace {
@@ -57,6 +59,9 @@
   if (head.fields.Count(names.leaving) > 0) {
     OnUpstreamLeaving();
   }
+  if (head.status != kMisdirected) {
+    OnRateLimit(head.fields);
+  }
   if (head.status == kServiceUnavailable) {
     OnTurnedAway(head.fields);
   }
@@ -73,6 +78,23 @@
   }
 }
 
+void Exchange::OnRateLimit(const HttpFields& fields) {
+  const std::string* field = fields.Find(context_.settings.headers.rate_limit);
+  const std::optional<double> limit =
+      field != nullptr ? ParseDecimalField(*field) : std::nullopt;
+  if (field != nullptr && !limit) {
+    return;
+  }
+  if (!context_.placer.OnRateLimit(upstream_.id,
+                                   {.requests_per_second = limit,
+                                    .request_sent_at = sent_at_,
+                                    .stated_at = BootTimeNow()})) {
+    return;
+  }
+  context_.log.Write(
+      RateLimitEvent(limit, upstream_).Text("request", accepted_.request_id));
+}
+
 void Exchange::OnTurnedAway(const HttpFields& fields) {
   const std::string* field = fields.Find(kRetryAfter);
   const std::optional<std::chrono::milliseconds> pause =
--- a/src/plugins/gateway/fleet_events.cc
+++ b/src/plugins/gateway/fleet_events.cc
@@ -1,5 +1,7 @@
 #include "plugins/gateway/fleet_events.h"
 
+#include <array>
+#include <cstdio>
 #include <map>
 #include <string>
 #include <string_view>
@@ -43,6 +45,12 @@
   return "upstream.trusted";
 }
 
+std::string FormatRate(double per_second) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%g", per_second);
+  return text.data();
+}
+
 }  // namespace
 
 std::vector<EventLine> UpstreamListEvents(
@@ -84,6 +92,16 @@
   return line;
 }
 
+EventLine RateLimitEvent(std::optional<double> requests_per_second,
+                         const UpstreamEntry& upstream) {
+  EventLine line = MakeEventLine("upstream.rate_limit", upstream);
+  line.Text("state", requests_per_second ? "stated" : "ended");
+  if (requests_per_second) {
+    line.Text("requests_per_second", FormatRate(*requests_per_second));
+  }
+  return line;
+}
+
 EventLine RefusalEvent(const RefusalSummary& refusals) {
   const auto count = [](auto n) { return static_cast<std::int64_t>(n); };
   EventLine line("admission.refused");
--- a/src/plugins/gateway/fleet_events.h
+++ b/src/plugins/gateway/fleet_events.h
@@ -2,6 +2,7 @@
 #define FLAMINGOGAUGE_PLUGINS_GATEWAY_FLEET_EVENTS_H_
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "libs/dispatching/dispatcher.h"
@@ -25,6 +26,12 @@
                             const Dispatcher& dispatcher,
                             MonotonicTime now);
 
+// Returns the event for a response that changed what this host knows of the
+// rate of requests that an upstream takes: `requests_per_second`, or none if it
+// no longer states a limit.
+EventLine RateLimitEvent(std::optional<double> requests_per_second,
+                         const UpstreamEntry& upstream);
+
 // Returns the event for the refusals of a service by the host that decides.
 EventLine RefusalEvent(const RefusalSummary& refusals);
 
--- a/src/plugins/gateway/relay_state.cc
+++ b/src/plugins/gateway/relay_state.cc
@@ -42,6 +42,13 @@
           return it.second.Limit(now) < it.second.entry().slots;
         }));
   });
+  metrics.SetGauge("flamingogauge_upstreams_rate_limited", [this] {
+    const auto& upstreams = context_.placer.upstreams();
+    return static_cast<double>(
+        std::count_if(upstreams.begin(), upstreams.end(), [](const auto& it) {
+          return it.second.rate_limit().requests_per_second().has_value();
+        }));
+  });
   metrics.SetGauge("flamingogauge_places_taken", [this] {
     double taken = 0;
     for (const auto& [id, it] : context_.placer.upstreams()) {
--- a/tests/auto/gateway/gateway_host.cc
+++ b/tests/auto/gateway/gateway_host.cc
@@ -34,6 +34,7 @@
                       .not_executed = "Not-Run",
                       .seal = "Seal",
                       .leaving = "Leaving",
+                      .rate_limit = "Rate-Limit",
                       .token_count = "Tokens",
                       .length_hint = "Hint",
                       .prompt_prefix = "Parts",
--- a/tests/auto/gateway/tst_held.cc
+++ b/tests/auto/gateway/tst_held.cc
@@ -1,15 +1,10 @@
 // What the gateway holds for callers that read slowly, send ahead or are many.
 #include <doctest/doctest.h>
-#include <unistd.h>
 
 #include <chrono>
-#include <cstdlib>
-#include <filesystem>
-#include <fstream>
 #include <functional>
 #include <future>
 #include <memory>
-#include <sstream>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -17,6 +12,7 @@
 
 #include "tests/auto/gateway/gateway_host.h"
 #include "tests/support/scripted_server.h"
+#include "tests/support/temporary_log.h"
 
 namespace flamingogauge {
 namespace {
@@ -279,33 +275,19 @@
 TEST_CASE("a document with too large bodies is logged once per version") {
   for (const bool is_too_large : {false, true}) {
     CAPTURE(is_too_large);
-    std::string log_path =
-        (std::filesystem::temp_directory_path() / "flamingogauge-held-XXXXXX")
-            .string();
-    const int fd = ::mkstemp(log_path.data());
-    REQUIRE(fd >= 0);
+    const TemporaryLog log;
     const std::size_t max_body_bytes = TestRouting()->limits.max_body_bytes;
     {
       ScriptedServer upstream(Always("ok"));
       GatewayHost host(
           {upstream.address()}, true,
           {.max_held_bytes = 4 * max_body_bytes - (is_too_large ? 1 : 0),
-           .log_path = log_path});
+           .log_path = log.path()});
       host.Publish(TestRouting());
       // Handled after the document, on the same thread.
       REQUIRE(host.SendRequest("GET", "/again/").status == 200);
     }
-    std::ifstream file(log_path);
-    std::stringstream log;
-    log << file.rdbuf();
-    constexpr std::string_view kEvent = "gateway.memory_below_bodies";
-    const std::size_t first = log.str().find(kEvent);
-    CHECK((first != std::string::npos) == is_too_large);
-    if (is_too_large) {
-      CHECK(log.str().find(kEvent, first + 1) == std::string::npos);
-    }
-    ::close(fd);
-    ::unlink(log_path.c_str());
+    CHECK(log.Count("gateway.memory_below_bodies") == (is_too_large ? 1 : 0));
   }
 }
 
--- a/tests/auto/gateway/tst_upstream_signals.cc
+++ b/tests/auto/gateway/tst_upstream_signals.cc
@@ -1,6 +1,7 @@
 // What upstreams ask of a host in the fields of their responses.
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <chrono>
 #include <string>
 #include <thread>
@@ -8,6 +9,7 @@
 
 #include "tests/auto/gateway/gateway_host.h"
 #include "tests/support/scripted_server.h"
+#include "tests/support/temporary_log.h"
 
 namespace flamingogauge {
 namespace {
@@ -74,6 +76,39 @@
   CHECK(leaving.Requests().size() == 1);
 }
 
+// Guards against a limit that no log line explains afterwards, and against a
+// line for each response.
+TEST_CASE("a stated rate limit is logged when it begins, changes and ends") {
+  const std::string plain = UpstreamAnswer("ok");
+  const std::vector<std::string> responses = {
+      plain,
+      WithField(plain, "Rate-Limit: 2"),
+      WithField(plain, "Rate-Limit: 2"),
+      WithField(plain, "Rate-Limit: 1.5"),
+      WithField(plain, "Rate-Limit: many"),
+      plain};
+  const TemporaryLog log;
+  {
+    std::atomic<std::size_t> next = 0;
+    const ScriptedServer::Script script =
+        [&responses, &next](ScriptedConnection& connection) {
+          while (!connection.ReadRequest().empty()) {
+            connection.Write(responses.at(next++));
+          }
+        };
+    ScriptedServer upstream(
+        std::vector<ScriptedServer::Script>(responses.size(), script));
+    GatewayHost host({upstream.address()}, true, {.log_path = log.path()});
+    for (std::size_t n = 0; n < responses.size(); ++n) {
+      REQUIRE(host.SendRequest("GET", "/again/").status == 200);
+    }
+  }
+  CHECK(log.Count("upstream.rate_limit") == 3);
+  CHECK(log.Count("\"state\":\"stated\",\"requests_per_second\":\"2\"") == 1);
+  CHECK(log.Count("\"requests_per_second\":\"1.5\"") == 1);
+  CHECK(log.Count("\"state\":\"ended\"") == 1);
+}
+
 // Guards against sending requests to an upstream that has asked for a pause,
 // and against avoiding it for longer.
 TEST_CASE("an upstream that turns requests away is left alone for a while") {
