--- a/tests/auto/coordination/fleet_simulation.cc
+++ b/tests/auto/coordination/fleet_simulation.cc
@@ -15,6 +15,12 @@
 constexpr milliseconds kSummaryInterval{100};
 constexpr milliseconds kReportInterval{50};
 constexpr milliseconds kPauseTime{600};
+// Until a response begins, and until it is at its host.
+constexpr milliseconds kResponseTime{40};
+// How long after a restart, a pause or a cut a host is not held to limits.
+constexpr milliseconds kDisturbedTime{4000};
+// The time in which a host can tell others of a limit.
+constexpr milliseconds kTellingTime{500};
 // Tells at the same time for all hosts apart by their number.
 constexpr milliseconds kStagger{7};
 
@@ -73,6 +79,10 @@
 
 void FleetSimulation::Start(int index) {
   Host& host = hosts_[static_cast<std::size_t>(index)];
+  if (host.process != 0) {
+    host.disturbed_at = now_;
+  }
+  host.told_at.clear();
   host.is_up = true;
   host.is_draining = false;
   host.process = next_process_++;
@@ -114,7 +124,89 @@
 }
 
 void FleetSimulation::Freeze(int index, milliseconds time) {
-  hosts_[static_cast<std::size_t>(index)].frozen_until = now_ + time;
+  Host& host = hosts_[static_cast<std::size_t>(index)];
+  host.frozen_until = now_ + time;
+  host.disturbed_at = host.frozen_until;
+}
+
+void FleetSimulation::SetPartitioned(bool partitioned) {
+  if (partitioned_ || partitioned) {
+    for (Host& it : hosts_) {
+      it.disturbed_at = now_;
+    }
+  }
+  partitioned_ = partitioned;
+}
+
+void FleetSimulation::StateRateLimit(
+    const std::string& upstream,
+    std::optional<double> requests_per_second) {
+  if (requests_per_second) {
+    rate_limits_[upstream] = *requests_per_second;
+  } else {
+    rate_limits_.erase(upstream);
+  }
+}
+
+void FleetSimulation::Respond(Host& host, const std::string& upstream) {
+  const MonotonicTime sent_at = now_;
+  const auto told = host.told_at.find(upstream);
+  arrivals_[upstream].push_back(
+      {.at = now_,
+       .is_despite_limit = told != host.told_at.end() &&
+                           now_ - told->second >= kTellingTime &&
+                           !IsDisturbed(host)});
+  const auto respond = [this, &host, upstream, sent_at,
+                        process = host.process] {
+    if (!host.is_up || host.process != process) {
+      return;
+    }
+    const auto limit = rate_limits_.find(upstream);
+    const bool is_limited = limit != rate_limits_.end();
+    host.placer->OnRateLimit(
+        upstream, {.requests_per_second =
+                       is_limited ? std::optional(limit->second) : std::nullopt,
+                   .request_sent_at = sent_at,
+                   .stated_at = now_});
+    if (is_limited) {
+      host.told_at.try_emplace(upstream, now_);
+    }
+  };
+  messages_in_transit_.emplace(now_ + kResponseTime, [this, &host, respond] {
+    if (now_ < host.frozen_until) {
+      host.held_messages.push_back(respond);
+    } else {
+      respond();
+    }
+  });
+}
+
+bool FleetSimulation::IsDisturbed(const Host& host) const {
+  return host.disturbed_at && now_ - *host.disturbed_at < kDisturbedTime;
+}
+
+int FleetSimulation::SentDespiteLimit(const std::string& upstream,
+                                      milliseconds time) const {
+  const auto arrivals = arrivals_.find(upstream);
+  if (arrivals == arrivals_.end()) {
+    return 0;
+  }
+  return static_cast<int>(
+      std::count_if(arrivals->second.begin(), arrivals->second.end(),
+                    [this, time](const Arrival& it) {
+                      return it.is_despite_limit && now_ - it.at < time;
+                    }));
+}
+
+int FleetSimulation::Sent(const std::string& upstream,
+                          milliseconds time) const {
+  const auto arrivals = arrivals_.find(upstream);
+  if (arrivals == arrivals_.end()) {
+    return 0;
+  }
+  return static_cast<int>(std::count_if(
+      arrivals->second.begin(), arrivals->second.end(),
+      [this, time](const Arrival& it) { return now_ - it.at < time; }));
 }
 
 void FleetSimulation::Drain(int index) {
@@ -280,6 +372,7 @@
     int& running = running_[it.upstream.id];
     ++running;
     largest_excess_ = std::max(largest_excess_, running - options_.slots);
+    Respond(host, it.upstream.id);
     executions_.emplace(now_ + execution, Execution{.host = index,
                                                     .process = host.process,
                                                     .upstream = it.upstream.id,
--- a/tests/auto/coordination/fleet_simulation.h
+++ b/tests/auto/coordination/fleet_simulation.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,9 +54,14 @@
   // Pauses the process of a host; messages wait for it meanwhile.
   void Freeze(int host, std::chrono::milliseconds time);
   // Sets whether messages between two data centres are lost.
-  void SetPartitioned(bool partitioned) { partitioned_ = partitioned; }
+  void SetPartitioned(bool partitioned);
   void SetLoss(double loss) { options_.loss = loss; }
   void Drain(int host);
+  // From now on, the responses of an upstream state that it takes so many
+  // requests per second from all hosts together, or any number.
+  void StateRateLimit(const std::string& upstream,
+                      std::optional<double> requests_per_second);
+  const std::vector<UpstreamEntry>& upstreams() const { return upstreams_; }
 
   // Advances the time by one millisecond.
   void Step();
@@ -82,6 +88,14 @@
   // The largest number of requests that an upstream executed at a time, over
   // its slots.
   int largest_excess() const { return largest_excess_; }
+  // Requests that an upstream received in the last `time` from hosts that have
+  // passed on, half a second before or earlier, a response that states its
+  // limit. Those of hosts that were restarted, paused or cut off in the last
+  // four seconds are left out.
+  int SentDespiteLimit(const std::string& upstream,
+                       std::chrono::milliseconds time) const;
+  // All requests that an upstream received in the last `time`.
+  int Sent(const std::string& upstream, std::chrono::milliseconds time) const;
   // The number of messages between hosts.
   std::uint64_t messages() const { return messages_; }
   // Requests that are executed now.
@@ -105,6 +119,10 @@
     MonotonicTime active_at;
     std::vector<std::function<void()>> held_messages;
     std::vector<std::uint64_t> left_callers;
+    // When it was last restarted, paused or cut off.
+    std::optional<MonotonicTime> disturbed_at;
+    // When it first passed on a response that states a limit, by upstream.
+    std::map<std::string, MonotonicTime> told_at;
   };
   enum class Outcome { kOpen, kPlaced, kRefused, kLost };
   struct Request {
@@ -119,6 +137,10 @@
     std::string upstream;
     std::uint64_t request = 0;
   };
+  struct Arrival {
+    MonotonicTime at;
+    bool is_despite_limit = false;
+  };
 
   void StepHost(int index);
   void RemoveLeftCallers(Host& host);
@@ -127,6 +149,9 @@
   void SendSummaries(int index);
   void SendReport(int index);
   void TakePlacements(int index);
+  // Has the upstream respond to a request that `host` has just sent to it.
+  void Respond(Host& host, const std::string& upstream);
+  bool IsDisturbed(const Host& host) const;
   std::string ServiceOf(std::uint64_t number) const;
   // Delivers a message after a random delay, unless it is lost, to the process
   // that runs at the host by then.
@@ -143,6 +168,9 @@
   std::multimap<MonotonicTime, std::function<void()>> messages_in_transit_;
   std::multimap<MonotonicTime, Execution> executions_;
   std::map<std::string, int> running_;
+  // By upstream.
+  std::map<std::string, double> rate_limits_;
+  std::map<std::string, std::vector<Arrival>> arrivals_;
   std::map<std::uint64_t, Request> requests_;
   std::uint64_t next_request_ = 1;
   std::uint64_t next_process_ = 1;
--- /dev/null
+++ b/tests/auto/rate_limits/tst_rate_limits.cc
@@ -0,0 +1,153 @@
+// Upstreams that state how many requests per second they take from all hosts
+// together.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "libs/kernel/random.h"
+#include "tests/auto/coordination/fleet_simulation.h"
+#include "tests/auto/gateway/gateway_host.h"
+#include "tests/support/scripted_server.h"
+
+namespace flamingogauge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Hosts have this time to follow a limit that was stated for the first time.
+constexpr seconds kFollowTime{4};
+constexpr seconds kWindow{4};
+
+// The most requests that an upstream may get in kWindow.
+int AllowedInWindow(double limit) {
+  return static_cast<int>(limit * 1.5 * kWindow.count()) + 5;
+}
+
+struct Case {
+  std::string name;
+  FleetSimulationOptions options;
+  double limit = 2;
+  // Upstreams that state the limit.
+  std::size_t limited = 1;
+  // What happens at each millisecond of the run.
+  std::function<void(FleetSimulation&, Random&, int)> at_ms =
+      [](FleetSimulation&, Random&, int) {};
+};
+
+int RandomHost(const FleetSimulation& fleet, Random& random) {
+  return static_cast<int>(
+      random.NextBelow(static_cast<std::uint64_t>(fleet.host_count())));
+}
+
+std::vector<Case> Cases() {
+  const FleetSimulationOptions small{.data_centres = 3,
+                                     .hosts_per_data_centre = 2,
+                                     .upstreams_per_data_centre = 6,
+                                     .slots = 7,
+                                     .max_delay = milliseconds(20)};
+  FleetSimulationOptions lossy = small;
+  lossy.loss = 0.03;
+  const FleetSimulationOptions many_data_centres{.data_centres = 13,
+                                                 .hosts_per_data_centre = 5,
+                                                 .upstreams_per_data_centre = 2,
+                                                 .slots = 7,
+                                                 .max_delay = milliseconds(20)};
+  return {
+      {"one upstream", small},
+      {"a limit below one", small, 0.5},
+      {"a limit of zero", small, 0},
+      {"all upstreams", small, 1.4, 18},
+      {"many data centres", many_data_centres, 1.4, 3},
+      {"many data centres, a limit below one", many_data_centres, 0.5, 26},
+      {"lost messages", lossy, 2, 18},
+      {"the coordinator dies and returns", small, 2, 18,
+       [](FleetSimulation& fleet, Random&, int ms) {
+         if (ms % 2000 == 900) {
+           const int host = fleet.IndexOf(fleet.CoordinatorOf(0));
+           fleet.Kill(host);
+           fleet.Start(host);
+         }
+       }},
+      {"hosts are paused at random", small, 2, 18,
+       [](FleetSimulation& fleet, Random& random, int ms) {
+         if (ms % 500 == 0) {
+           fleet.Freeze(RandomHost(fleet, random),
+                        milliseconds(100 + random.NextBelow(1500)));
+         }
+       }},
+  };
+}
+
+// Guards against an upstream in need that gets more requests than the limit
+// that it names, from one host or from all together.
+TEST_CASE("an upstream gets no more requests than the limit that it states") {
+  for (const Case& it : Cases()) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      CAPTURE(it.name);
+      CAPTURE(seed);
+      FleetSimulationOptions options = it.options;
+      options.seed = seed;
+      FleetSimulation fleet(options);
+      Random random(seed);
+      fleet.Run(seconds(1));
+      for (std::size_t n = 0; n < it.limited; ++n) {
+        fleet.StateRateLimit(fleet.upstreams()[n].id, it.limit);
+      }
+      int largest = 0;
+      for (int ms = 0; ms < 16000; ++ms) {
+        if (ms % 10 == 0) {
+          fleet.Submit(RandomHost(fleet, random));
+        }
+        it.at_ms(fleet, random, ms);
+        fleet.Step();
+        if (milliseconds(ms) < kFollowTime + kWindow || ms % 10 != 0) {
+          continue;
+        }
+        for (std::size_t n = 0; n < it.limited; ++n) {
+          largest =
+              std::max(largest, fleet.SentDespiteLimit(fleet.upstreams()[n].id,
+                                                       milliseconds(kWindow)));
+        }
+      }
+      CHECK(largest <= AllowedInWindow(it.limit));
+    }
+  }
+}
+
+// Guards against a gateway that does not pass on to the placement what a
+// response states.
+TEST_CASE("a gateway keeps to the limit that a response states") {
+  const std::string answer = UpstreamAnswer("ok");
+  const std::size_t end_of_status = answer.find("\r\n") + 2;
+  const std::string limited = answer.substr(0, end_of_status) +
+                              "Rate-Limit: 2\r\n" +
+                              answer.substr(end_of_status);
+  const auto always = [](const std::string& bytes) {
+    return std::vector<ScriptedServer::Script>(
+        1024, [bytes](ScriptedConnection& connection) {
+          while (!connection.ReadRequest().empty()) {
+            connection.Write(bytes);
+          }
+        });
+  };
+  ScriptedServer in_need(always(limited));
+  ScriptedServer other(always(answer));
+  GatewayHost host({in_need.address(), other.address()});
+  constexpr milliseconds kTime{2000};
+  const auto start = std::chrono::steady_clock::now();
+  while (std::chrono::steady_clock::now() - start < kTime) {
+    CHECK(host.SendRequest("GET", "/again/").status == 200);
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  // One and a half times the limit, and five.
+  CHECK(in_need.Requests().size() <= 11);
+}
+
+}  // namespace
+}  // namespace flamingogauge
