coordination, dispatching: keep to the request rate that an upstream states

An upstream was limited by the requests that run there at a time only, so that one which answers quickly while it is asked to be spared gets as many as before.

Whoever places requests now keeps a token bucket for each upstream that states a limit. The parts of all data centres add up to the limit without any agreement; a host that places alone has a part of its data centre's. Hosts tell their coordinators what they read, coordinators tell each other and their hosts, in messages that are sent anyway. Requests wait for a limited upstream as for a full one, and admission counts what limited upstreams take, so that requests are not refused which would be in time.

--- a/src/libs/coordination/coordination_messages.h
+++ b/src/libs/coordination/coordination_messages.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,24 @@
   std::chrono::milliseconds age{0};
 };
 
+// What the sender knows of the limit that an upstream states on its rate of
+// requests.
+struct RateLimitReport {
+  std::uint64_t upstream = 0;
+  // Requests per second from all hosts together; none if it no longer states a
+  // limit.
+  std::optional<double> requests_per_second;
+  // Of the response that said so.
+  std::chrono::milliseconds age{0};
+
+  bool operator==(const RateLimitReport&) const = default;
+};
+
+// Puts a limit into a message that is sent at `now`.
+RateLimitReport ToRateLimitReport(std::uint64_t upstream,
+                                  const ReportedRateLimit& limit,
+                                  MonotonicTime now);
+
 // The state of a host, as it reports it to the coordinators of its data centre
 // several times a second and at each change that matters to them.
 struct HostMessage {
@@ -91,6 +110,8 @@
   UsageByWorkspace usage;
   CrashEvidence evidence;
   RolloutReport rollouts;
+  // What this host has read in responses.
+  std::vector<RateLimitReport> rate_limits;
 };
 
 // The permission to send a request to an upstream.
@@ -147,6 +168,9 @@
   RolloutReport rollouts;
   // Only those that have changed lately.
   std::vector<UpstreamPaceReport> paces;
+  // For other coordinators, only what hosts of the sender's data centre have
+  // read; a few times a second.
+  std::vector<RateLimitReport> rate_limits;
 };
 
 }  // namespace flamingogauge
--- a/src/libs/coordination/coordinator.cc
+++ b/src/libs/coordination/coordinator.cc
@@ -20,6 +20,8 @@
 constexpr std::size_t kMaxPaces = 16;
 constexpr milliseconds kPaceInterval{200};
 constexpr milliseconds kPaceRepetition{500};
+// How often messages hold the limits that upstreams state.
+constexpr milliseconds kRateLimitInterval{200};
 
 // Returns whether an interval has passed since `last`, and restarts it then.
 bool IsDue(MonotonicTime& last, milliseconds interval, MonotonicTime now) {
@@ -40,6 +42,15 @@
   queue_.SetUpstreams(upstreams, now);
 }
 
+void Coordinator::SetHosts(const std::vector<HostEntry>& hosts,
+                           MonotonicTime now) {
+  RateLimitSharers sharers;
+  for (const HostEntry& it : hosts) {
+    sharers.data_centres.insert(it.data_centre);
+  }
+  queue_.SetRateLimitSharers(std::move(sharers), now);
+}
+
 void Coordinator::SetRegions(std::map<std::string, std::string> regions) {
   queue_.SetRegions(std::move(regions));
 }
@@ -72,6 +83,7 @@
   AcceptGrants(message, host);
   queue_.OnPeerLoad(message.host, message.running, now);
   ApplyResults(message, host, now);
+  ApplyRateLimits(message.rate_limits, RateLimitSource::kHost, now);
   nearby_usage_.Record(message.host, message.process, message.usage);
   if (message.host == options_.host) {
     nearby_usage_.SetCredits(message.usage);
@@ -306,6 +318,30 @@
   for (const UpstreamPaceReport& it : report.paces) {
     queue_.OnPaceReport(it.upstream, it.requests, now - it.age, now);
   }
+  ApplyRateLimits(report.rate_limits, RateLimitSource::kCoordinator, now);
+}
+
+void Coordinator::ApplyRateLimits(const std::vector<RateLimitReport>& reports,
+                                  RateLimitSource source,
+                                  MonotonicTime now) {
+  for (const RateLimitReport& it : reports) {
+    queue_.OnRateLimitReport(it.upstream,
+                             {.requests_per_second = it.requests_per_second,
+                              .stated_at = now - it.age,
+                              .source = source},
+                             now);
+  }
+}
+
+std::vector<RateLimitReport> Coordinator::RateLimits(bool with_reported,
+                                                     MonotonicTime now) {
+  std::vector<RateLimitReport> reports;
+  for (const auto& [upstream, limit] : queue_.RateLimits(now)) {
+    if (with_reported || limit.source == RateLimitSource::kHost) {
+      reports.push_back(ToRateLimitReport(upstream, limit, now));
+    }
+  }
+  return reports;
 }
 
 std::vector<UpstreamPaceReport> Coordinator::ChangedPaces(
@@ -383,6 +419,10 @@
   if (to_all && IsDue(paces_summarised_at_, kPaceInterval, now)) {
     paces = ChangedPaces(true, now);
   }
+  std::vector<RateLimitReport> rate_limits;
+  if (to_all && IsDue(rate_limits_summarised_at_, kRateLimitInterval, now)) {
+    rate_limits = RateLimits(true, now);
+  }
   std::vector<AddressedMessage<FleetSummary>> messages;
   for (auto& [name, host] : hosts_) {
     const bool is_served = !host.waiting.empty() || !host.grants.empty();
@@ -397,7 +437,8 @@
                          .running = total,
                          .reachable_hosts = reachable,
                          .draining_hosts = draining,
-                         .paces = paces};
+                         .paces = paces,
+                         .rate_limits = rate_limits};
     for (const auto& [key, requests] : host.running) {
       const auto it = summary.running.find(key);
       if (it != summary.running.end() && (it->second -= requests) <= 0) {
@@ -434,6 +475,9 @@
   if (IsDue(paces_reported_at_, kPaceInterval, now)) {
     report.paces = ChangedPaces(false, now);
   }
+  if (IsDue(rate_limits_reported_at_, kRateLimitInterval, now)) {
+    report.rate_limits = RateLimits(false, now);
+  }
   return report;
 }
 
--- a/src/libs/coordination/coordinator.h
+++ b/src/libs/coordination/coordinator.h
@@ -12,6 +12,7 @@
 #include "libs/coordination/coordination_messages.h"
 #include "libs/coordination/usage_ledger.h"
 #include "libs/dispatching/dispatcher.h"
+#include "libs/fleet/host_entry.h"
 #include "libs/kernel/time.h"
 
 namespace flamingogauge {
@@ -42,6 +43,7 @@
 
   void SetUpstreams(const std::vector<UpstreamEntry>& upstreams,
                     MonotonicTime now);
+  void SetHosts(const std::vector<HostEntry>& hosts, MonotonicTime now);
   void SetRegions(std::map<std::string, std::string> regions);
   void SetWorkspaceWeights(WorkspaceWeights weights);
   // How long a host or another coordinator counts as reachable after its last
@@ -149,6 +151,13 @@
   // coordinator reported only if `with_reported`.
   std::vector<UpstreamPaceReport> ChangedPaces(bool with_reported,
                                                MonotonicTime now) const;
+  // The limits that are known; those that another coordinator reported only if
+  // `with_reported`.
+  std::vector<RateLimitReport> RateLimits(bool with_reported,
+                                          MonotonicTime now);
+  void ApplyRateLimits(const std::vector<RateLimitReport>& reports,
+                       RateLimitSource source,
+                       MonotonicTime now);
   int ReachableNearby(MonotonicTime now) const;
   std::vector<std::string> DrainingNearby() const;
 
@@ -166,6 +175,8 @@
   // When paces were last part of the messages to hosts and data centres.
   MonotonicTime paces_summarised_at_;
   MonotonicTime paces_reported_at_;
+  MonotonicTime rate_limits_summarised_at_;
+  MonotonicTime rate_limits_reported_at_;
 };
 
 }  // namespace flamingogauge
--- a/src/libs/coordination/placer.cc
+++ b/src/libs/coordination/placer.cc
@@ -33,16 +33,22 @@
   local_.SetWorkspaceWeights(std::move(weights));
 }
 
-void Placer::SetHosts(const std::vector<HostEntry>& hosts) {
+void Placer::SetHosts(const std::vector<HostEntry>& hosts, MonotonicTime now) {
   candidates_.clear();
   std::set<std::string> known;
+  RateLimitSharers sharers{.nearby = 0};
   for (const HostEntry& it : OrderHosts(hosts)) {
     known.insert(it.name);
-    if (it.data_centre == options_.data_centre &&
-        candidates_.size() < kCandidates) {
+    sharers.data_centres.insert(it.data_centre);
+    if (it.data_centre != options_.data_centre) {
+      continue;
+    }
+    ++sharers.nearby;
+    if (candidates_.size() < kCandidates) {
       candidates_.push_back(it.name);
     }
   }
+  local_.SetRateLimitSharers(std::move(sharers), now);
   std::erase_if(states_,
                 [&known](const auto& it) { return !known.contains(it.first); });
 }
@@ -174,7 +180,11 @@
 
 bool Placer::OnRateLimit(const std::string& upstream,
                          const RateLimitStatement& statement) {
-  return local_.OnRateLimit(upstream, statement);
+  const bool is_news = local_.OnRateLimit(upstream, statement);
+  if (is_news) {
+    InformCoordinator();
+  }
+  return is_news;
 }
 
 HealthChange Placer::OnLeaving(const std::string& upstream, MonotonicTime now) {
@@ -306,6 +316,13 @@
     for (const UpstreamPaceReport& it : summary.paces) {
       local_.OnPaceReport(it.upstream, it.requests, now - it.age, now);
     }
+    for (const RateLimitReport& it : summary.rate_limits) {
+      local_.OnRateLimitReport(it.upstream,
+                               {.requests_per_second = it.requests_per_second,
+                                .stated_at = now - it.age,
+                                .source = RateLimitSource::kCoordinator},
+                               now);
+    }
   }
   return true;
 }
--- a/src/libs/coordination/placer.h
+++ b/src/libs/coordination/placer.h
@@ -52,7 +52,7 @@
   void SetReportLifetime(std::chrono::milliseconds lifetime);
   // Applies to the requests that this host places itself.
   void SetWorkspaceWeights(WorkspaceWeights weights);
-  void SetHosts(const std::vector<HostEntry>& hosts);
+  void SetHosts(const std::vector<HostEntry>& hosts, MonotonicTime now);
   // This host shuts down and is no longer a coordinator, also not its own.
   void SetDraining() { is_draining_ = true; }
   void SetUpstreams(const std::vector<UpstreamEntry>& upstreams,
--- a/src/libs/coordination/placer_state.cc
+++ b/src/libs/coordination/placer_state.cc
@@ -44,6 +44,11 @@
       pending.sent_at = pending.sent_at.value_or(now);
     }
   }
+  for (const auto& [upstream, limit] : local_.RateLimits(now)) {
+    if (limit.source == RateLimitSource::kHost) {
+      message.rate_limits.push_back(ToRateLimitReport(upstream, limit, now));
+    }
+  }
   for (const TimedResult& it : results_) {
     if (now - it.at <= kResultRepetition) {
       message.results.push_back(it.result);
--- a/src/libs/dispatching/dispatcher.cc
+++ b/src/libs/dispatching/dispatcher.cc
@@ -30,7 +30,8 @@
       placement_({.data_centre = options_.data_centre,
                   .regions = options_.regions,
                   .tokens_per_event = options_.tokens_per_event,
-                  .seed = options_.seed}) {}
+                  .seed = options_.seed}),
+      rate_shares_(options_.data_centre, options_.regions) {}
 
 void Dispatcher::SetUpstreams(const std::vector<UpstreamEntry>& upstreams,
                               MonotonicTime now) {
@@ -203,7 +204,7 @@
     }
     const UpstreamView& upstream = it->second;
     if (upstream.IsAvailable(now) && !upstream.IsSuspect(now) &&
-        upstream.running() < upstream.Limit(now)) {
+        upstream.HasPlace(now)) {
       return id;
     }
   }
@@ -238,8 +239,11 @@
   if (is_tried) {
     return PlacementObstacle::kTried;
   }
-  return upstream.running() >= upstream.Limit(now) ? PlacementObstacle::kFull
-                                                   : PlacementObstacle::kNone;
+  if (!upstream.rate_limit().AdmitsRequest(now)) {
+    return PlacementObstacle::kRateLimited;
+  }
+  return upstream.HasPlace(now) ? PlacementObstacle::kNone
+                                : PlacementObstacle::kFull;
 }
 
 UpstreamView* Dispatcher::Choose(const WaitingRequest& request,
@@ -263,6 +267,7 @@
     switch (FindObstacle(*it, request, now)) {
       case PlacementObstacle::kNone:
       case PlacementObstacle::kFull:
+      case PlacementObstacle::kRateLimited:
         healthy.push_back(it);
         break;
       case PlacementObstacle::kSuspect:
@@ -366,10 +371,61 @@
   }
 }
 
+void Dispatcher::SetRateLimitSharers(RateLimitSharers sharers,
+                                     MonotonicTime now) {
+  rate_shares_.SetSharers(std::move(sharers));
+  for (auto& [id, upstream] : upstreams_) {
+    UpdateRateShare(upstream, now);
+  }
+}
+
+void Dispatcher::UpdateRateShare(UpstreamView& upstream, MonotonicTime now) {
+  const auto limit = upstream.rate_limit().requests_per_second();
+  if (limit) {
+    upstream.rate_limit().SetShare(
+        rate_shares_.ShareOf(upstream.entry(), *limit), now);
+  }
+}
+
 bool Dispatcher::OnRateLimit(const std::string& upstream,
                              const RateLimitStatement& statement) {
   const auto it = upstreams_.find(upstream);
-  return it != upstreams_.end() && it->second.OnRateLimit(statement);
+  if (it == upstreams_.end()) {
+    return false;
+  }
+  const bool is_news = it->second.rate_limit().OnStatement(statement);
+  if (is_news) {
+    rate_limited_.insert(PeerUpstreamKey(upstream));
+    UpdateRateShare(it->second, statement.stated_at);
+  }
+  return is_news;
+}
+
+void Dispatcher::OnRateLimitReport(std::uint64_t upstream_key,
+                                   const ReportedRateLimit& report,
+                                   MonotonicTime now) {
+  const auto it = by_peer_key_.find(upstream_key);
+  if (it == by_peer_key_.end()) {
+    return;
+  }
+  it->second->rate_limit().OnReport(report, now);
+  rate_limited_.insert(upstream_key);
+  UpdateRateShare(*it->second, now);
+}
+
+std::map<std::uint64_t, ReportedRateLimit> Dispatcher::RateLimits(
+    MonotonicTime now) {
+  std::map<std::uint64_t, ReportedRateLimit> limits;
+  std::erase_if(rate_limited_, [&](std::uint64_t key) {
+    const UpstreamView* upstream = FindByPeerKey(key);
+    const auto report =
+        upstream != nullptr ? upstream->rate_limit().Report(now) : std::nullopt;
+    if (report) {
+      limits.emplace(key, *report);
+    }
+    return !report;
+  });
+  return limits;
 }
 
 void Dispatcher::OnEventInterval(const std::string& upstream,
--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "libs/dispatching/first_event_model.h"
 #include "libs/dispatching/placement_cost.h"
 #include "libs/dispatching/placement_explanation.h"
+#include "libs/dispatching/rate_limit_shares.h"
 #include "libs/dispatching/service_queue.h"
 #include "libs/dispatching/upstream_view.h"
 #include "libs/dispatching/version_gate.h"
@@ -56,6 +58,8 @@
   kSuspect,
   kTriedAndSuspect,
   kFull,
+  // It limits the rate of requests, and this host has used its part.
+  kRateLimited,
 };
 
 // Queues the requests of one host, assigns them to upstreams and refuses those
@@ -67,9 +71,13 @@
 
   // Replaces the region of each data centre.
   void SetRegions(std::map<std::string, std::string> regions) {
+    rate_shares_.SetRegions(regions);
     placement_.SetRegions(std::move(regions));
   }
 
+  // Sets who else decides on requests to the same upstreams.
+  void SetRateLimitSharers(RateLimitSharers sharers, MonotonicTime now);
+
   void SetWorkspaceWeights(WorkspaceWeights weights) {
     *workspace_weights_ = std::move(weights);
   }
@@ -134,10 +142,16 @@
                     MonotonicTime now);
   // Sends the upstream no request until then, as it has asked for.
   void HoldBackUntil(const std::string& upstream, MonotonicTime time);
-  // Applies what an upstream's response said of its rate of requests. Returns
-  // true if that is news.
+  // Applies what an upstream's response to this host said of its rate of
+  // requests. Returns true if that is news.
   bool OnRateLimit(const std::string& upstream,
                    const RateLimitStatement& statement);
+  // Applies what another host has read of an upstream's rate of requests.
+  void OnRateLimitReport(std::uint64_t upstream_key,
+                         const ReportedRateLimit& report,
+                         MonotonicTime now);
+  // What is known of limits, to tell others, by PeerUpstreamKey.
+  std::map<std::uint64_t, ReportedRateLimit> RateLimits(MonotonicTime now);
   void OnEventInterval(const std::string& upstream,
                        std::chrono::duration<double> event_interval);
 
@@ -176,6 +190,7 @@
   };
 
   void IndexUpstreams();
+  void UpdateRateShare(UpstreamView& upstream, MonotonicTime now);
   void AddUpstream(const UpstreamEntry& entry, MonotonicTime now);
   // Counts a request as sent.
   void CountSent(UpstreamView& upstream,
@@ -200,6 +215,8 @@
   // so; a request that was sent before does not.
   std::optional<std::string> TrialUpstream(const WaitingRequest& request,
                                            MonotonicTime now) const;
+  CandidateState StateOfEligible(const UpstreamView& upstream,
+                                 MonotonicTime now) const;
   std::vector<CandidateExplanation> ExplainCandidates(
       const WaitingRequest& request,
       MonotonicTime now) const;
@@ -207,6 +224,7 @@
   DispatcherOptions options_;
   Random random_;
   PlacementCost placement_;
+  RateLimitShares rate_shares_;
   std::map<std::string, UpstreamView> upstreams_;
   // Point into `upstreams_`.
   std::unordered_map<std::string, std::vector<UpstreamView*>> by_service_;
@@ -218,6 +236,9 @@
   // Read by `queues_`.
   std::shared_ptr<WorkspaceWeights> workspace_weights_ =
       std::make_shared<WorkspaceWeights>();
+  // The upstreams, by PeerUpstreamKey, of whose limits there may be something
+  // to tell.
+  std::set<std::uint64_t> rate_limited_;
   // By service.
   std::map<std::string, ServiceQueue> queues_;
   // By service.
--- a/src/libs/dispatching/dispatcher_explain.cc
+++ b/src/libs/dispatching/dispatcher_explain.cc
@@ -42,6 +42,8 @@
       return CandidateState::kSuspect;
     case PlacementObstacle::kFull:
       return CandidateState::kFull;
+    case PlacementObstacle::kRateLimited:
+      return CandidateState::kRateLimited;
   }
   return CandidateState::kDearer;
 }
@@ -97,6 +99,19 @@
   return explanation;
 }
 
+// Also of one that is suspect, if all are.
+CandidateState Dispatcher::StateOfEligible(const UpstreamView& upstream,
+                                           MonotonicTime now) const {
+  if (placement_.HasPlace(upstream, now)) {
+    return CandidateState::kDearer;
+  }
+  if (!upstream.rate_limit().AdmitsRequest(now)) {
+    return CandidateState::kRateLimited;
+  }
+  return upstream.HasPlace(now) ? CandidateState::kLeftToOthers
+                                : CandidateState::kFull;
+}
+
 std::vector<CandidateExplanation> Dispatcher::ExplainCandidates(
     const WaitingRequest& request,
     MonotonicTime now) const {
@@ -119,11 +134,7 @@
     if (std::find(eligible.begin(), eligible.end(), it) != eligible.end()) {
       candidate.cost =
           ToParts(placement_.Cost(*it, request, mean_event_interval, now));
-      // Also one that is suspect, if all are.
-      candidate.state = placement_.HasPlace(*it, now) ? CandidateState::kDearer
-                        : it->running() < it->Limit(now)
-                            ? CandidateState::kLeftToOthers
-                            : CandidateState::kFull;
+      candidate.state = StateOfEligible(*it, now);
     }
     if (candidate.upstream == trial) {
       candidate.state = CandidateState::kChosenForTrial;
--- a/src/libs/dispatching/placement_cost.cc
+++ b/src/libs/dispatching/placement_cost.cc
@@ -67,11 +67,13 @@
 
 bool PlacementCost::HasPlace(const UpstreamView& upstream,
                              MonotonicTime now) const {
-  const int free = upstream.Limit(now) - upstream.running();
-  if (free <= 0 || !shares_places_ ||
-      upstream.entry().data_centre == options_.data_centre) {
-    return free > 0;
+  if (!upstream.HasPlace(now)) {
+    return false;
+  }
+  if (!shares_places_ || upstream.entry().data_centre == options_.data_centre) {
+    return true;
   }
+  const int free = upstream.Limit(now) - upstream.running();
   return upstream.RecentSends(now) * kOthersShare < free;
 }
 
--- a/src/libs/dispatching/placement_explanation.cc
+++ b/src/libs/dispatching/placement_explanation.cc
@@ -14,6 +14,8 @@
       return "full";
     case CandidateState::kLeftToOthers:
       return "left to others";
+    case CandidateState::kRateLimited:
+      return "rate limited";
     case CandidateState::kSuspect:
       return "suspect";
     case CandidateState::kTriedBefore:
--- a/src/libs/dispatching/placement_explanation.h
+++ b/src/libs/dispatching/placement_explanation.h
@@ -19,6 +19,8 @@
   kFull,
   // Its free places are left to the hosts of other data centres.
   kLeftToOthers,
+  // It limits the rate of requests, and this host's part of that is used.
+  kRateLimited,
   // It failed lately, and others are healthy.
   kSuspect,
   // The request was sent there before.
--- a/src/libs/dispatching/service_queue.cc
+++ b/src/libs/dispatching/service_queue.cc
@@ -29,12 +29,15 @@
                           MonotonicTime now) {
   times_.Update(upstreams, now);
   int places = 0;
+  double limited_rate = 0;
   for (const UpstreamView* it : upstreams) {
     if (it->IsAvailable(now) && !it->IsSuspect(now)) {
-      places += it->Limit(now);
+      places += it->Places(now);
+      limited_rate += it->rate_limit().UsableRate();
     }
   }
   rate_.SetPlaces(places);
+  rate_.SetLimitedRate(limited_rate);
 }
 
 void ServiceQueue::Place(const PlaceFunction& place, MonotonicTime now) {
--- a/src/libs/dispatching/service_rate.cc
+++ b/src/libs/dispatching/service_rate.cc
@@ -35,7 +35,7 @@
 }
 
 ServiceRates ServiceRate::Measure(MonotonicTime now) const {
-  ServiceRates rates;
+  ServiceRates rates{.total = std::max(kMinPerSecond, limited_rate_)};
   const auto first =
       std::find_if(placed_.begin(), placed_.end(),
                    [now](const Placed& it) { return now - it.at <= kWindow; });
@@ -57,7 +57,7 @@
   for (auto& [priority, per_second] : rates.placed_on_time) {
     per_second *= scale;
   }
-  rates.total = std::max(kMinPerSecond, placed / seconds * scale);
+  rates.total = std::max(rates.total, placed / seconds * scale);
   return rates;
 }
 
--- a/src/libs/dispatching/service_rate.h
+++ b/src/libs/dispatching/service_rate.h
@@ -22,7 +22,8 @@
 };
 
 // Measures how many requests of a service can be placed per second: as many as
-// lately, in proportion to the places of the upstreams that can be used now.
+// lately, in proportion to the places of the upstreams that can be used now,
+// and at least as many as those take that state a limit on the rate.
 //
 // Load pattern: a part of the upstreams falls silent during a burst. What was
 // placed before admits more than the remaining ones can serve.
@@ -30,6 +31,8 @@
  public:
   // Sets how many requests the usable upstreams run at once.
   void SetPlaces(int places) { places_ = places; }
+  // Sets how many requests per second those upstreams take that limit the rate.
+  void SetLimitedRate(double per_second) { limited_rate_ = per_second; }
   // `is_on_time` tells whether the response was still expected in time.
   void OnPlaced(int priority, bool is_on_time, MonotonicTime now);
 
@@ -45,6 +48,7 @@
   };
 
   int places_ = 0;
+  double limited_rate_ = 0;
   std::deque<Placed> placed_;
 };
 
--- a/src/libs/dispatching/upstream_view.cc
+++ b/src/libs/dispatching/upstream_view.cc
@@ -37,6 +37,14 @@
   return replaced_ || leaving_ ? 0 : pace_.Limit(now);
 }
 
+int UpstreamView::Places(MonotonicTime now) const {
+  if (!rate_limit_.requests_per_second()) {
+    return Limit(now);
+  }
+  const int next = rate_limit_.AdmitsRequest(now) ? 1 : 0;
+  return std::min(Limit(now), running() + next);
+}
+
 std::optional<PaceChange> UpstreamView::TakePaceChange() {
   const int pace = static_cast<int>(pace_.requests());
   if (pace == noted_pace_) {
@@ -75,6 +83,7 @@
   recent_sends_ = RecentSends(now) + 1;
   last_sent_at_ = now;
   ++own_running_;
+  rate_limit_.OnSent(now);
   for (const PromptPart& it : request.prompt_parts) {
     parts_seen_[it.id] = now;
   }
--- a/src/libs/dispatching/upstream_view.h
+++ b/src/libs/dispatching/upstream_view.h
@@ -114,12 +114,15 @@
   // response time of a plain service.
   void OnEventInterval(std::chrono::duration<double> event_interval);
 
-  // A response to this host said whether the upstream limits the rate of
-  // requests. Returns true if that is news.
-  bool OnRateLimit(const RateLimitStatement& statement) {
-    return rate_limit_.OnStatement(statement);
-  }
+  UpstreamRateLimit& rate_limit() { return rate_limit_; }
   const UpstreamRateLimit& rate_limit() const { return rate_limit_; }
+  // True if it can get one more request now.
+  bool HasPlace(MonotonicTime now) const {
+    return running() < Limit(now) && rate_limit_.AdmitsRequest(now);
+  }
+  // The requests that it can run at a time as long as nothing changes: its
+  // limit, or what runs there if it states a limit on their rate.
+  int Places(MonotonicTime now) const;
 
   // Sends it no request of this host until then, as it has asked for.
   void HoldBackUntil(MonotonicTime time) { held_back_until_ = time; }
--- a/src/libs/protocol/coordination.capnp
+++ b/src/libs/protocol/coordination.capnp
@@ -97,6 +97,14 @@
   ageMs @2 :UInt32;
 }
 
+struct RateLimit {
+  upstream @0 :UInt64;
+  # From all hosts together; negative if it no longer states a limit.
+  requestsPerSecond @1 :Float64;
+  # Of the response that said so.
+  ageMs @2 :UInt32;
+}
+
 struct HostMessage {
   host @0 :Text;
   dataCentre @1 :Text;
@@ -115,6 +123,7 @@
   sound @14 :List(SoundKey);
   quarantined @15 :List(QuarantinedKey);
   rollouts @16 :Rollouts.RolloutReport;
+  rateLimits @17 :List(RateLimit);
 }
 
 struct PlacementGrant {
@@ -159,4 +168,5 @@
   # The process of the receiving host that the summary is for; 0 if the receiver
   # is another coordinator.
   hostProcess @14 :UInt64;
+  rateLimits @15 :List(RateLimit);
 }
--- a/src/plugins/gateway/coordination_codec.cc
+++ b/src/plugins/gateway/coordination_codec.cc
@@ -156,6 +156,33 @@
   return evidence;
 }
 
+// Stands for an upstream that no longer states a limit.
+constexpr double kNoLimit = -1;
+
+template <typename Builder>
+void WriteRateLimits(const std::vector<RateLimitReport>& limits, Builder to) {
+  unsigned n = 0;
+  for (const RateLimitReport& it : limits) {
+    to[n].setUpstream(it.upstream);
+    to[n].setRequestsPerSecond(it.requests_per_second.value_or(kNoLimit));
+    to[n++].setAgeMs(ToAgeMs(it.age));
+  }
+}
+
+template <typename List>
+std::vector<RateLimitReport> ReadRateLimits(const List& from) {
+  std::vector<RateLimitReport> limits;
+  for (const auto& it : from) {
+    RateLimitReport limit{.upstream = it.getUpstream(),
+                          .age = milliseconds(it.getAgeMs())};
+    if (it.getRequestsPerSecond() >= 0) {
+      limit.requests_per_second = it.getRequestsPerSecond();
+    }
+    limits.push_back(limit);
+  }
+  return limits;
+}
+
 void WriteRequest(const PlacementRequest& request,
                   wire::PlacementRequest::Builder to) {
   to.setTicket(request.ticket);
@@ -242,6 +269,8 @@
   if (message.rollouts != RolloutReport{}) {
     WriteRollouts(message.rollouts, to.initRollouts());
   }
+  WriteRateLimits(message.rate_limits,
+                  to.initRateLimits(SizeOf(message.rate_limits)));
 }
 
 HostMessage Read(wire::HostMessage::Reader from) {
@@ -257,7 +286,8 @@
                       .waiting = ReadNumbers(from.getWaiting()),
                       .usage = ReadUsage(from.getUsage()),
                       .evidence = ReadEvidence(from),
-                      .rollouts = ReadRollouts(from.getRollouts())};
+                      .rollouts = ReadRollouts(from.getRollouts()),
+                      .rate_limits = ReadRateLimits(from.getRateLimits())};
   for (const auto& it : from.getRequests()) {
     message.requests.push_back(ReadRequest(it));
   }
@@ -344,6 +374,8 @@
     paces[n].setRequests(static_cast<float>(it.requests));
     paces[n++].setAgeMs(ToAgeMs(it.age));
   }
+  WriteRateLimits(summary.rate_limits,
+                  to.initRateLimits(SizeOf(summary.rate_limits)));
 }
 
 FleetSummary Read(wire::FleetSummary::Reader from) {
@@ -358,7 +390,8 @@
       .usage = ReadUsage(from.getUsage()),
       .reachable_hosts = static_cast<int>(from.getReachableHosts()),
       .evidence = ReadEvidence(from),
-      .rollouts = ReadRollouts(from.getRollouts())};
+      .rollouts = ReadRollouts(from.getRollouts()),
+      .rate_limits = ReadRateLimits(from.getRateLimits())};
   for (const auto& it : from.getDrainingHosts()) {
     summary.draining_hosts.emplace_back(it.cStr());
   }
--- a/src/plugins/gateway/coordination_node.cc
+++ b/src/plugins/gateway/coordination_node.cc
@@ -156,7 +156,8 @@
   std::erase_if(heard_at_, [&is_unlisted](const auto& it) {
     return is_unlisted(it.first);
   });
-  placer_.SetHosts(hosts);
+  placer_.SetHosts(hosts, now);
+  coordinator_.SetHosts(hosts, now);
   LogCoordinator(now);
 }
 
--- a/tests/auto/coordination/fleet_simulation.cc
+++ b/tests/auto/coordination/fleet_simulation.cc
@@ -99,7 +99,8 @@
                                              .dispatcher = dispatcher});
   host.coordinator = std::make_unique<Coordinator>(CoordinatorOptions{
       .host = host.name, .process = host.process, .dispatcher = dispatcher});
-  host.placer->SetHosts(entries_);
+  host.placer->SetHosts(entries_, now_);
+  host.coordinator->SetHosts(entries_, now_);
   host.placer->SetUpstreams(upstreams_, now_);
   host.coordinator->SetUpstreams(upstreams_, now_);
 }
--- a/tests/auto/coordination/tst_pace_sharing.cc
+++ b/tests/auto/coordination/tst_pace_sharing.cc
@@ -153,7 +153,7 @@
       coordinator.SummariesForHosts(true, At(100));
   REQUIRE(summaries.size() == 1);
   Placer placer({.host = "h", .process = 1, .data_centre = "z"});
-  placer.SetHosts({{.name = "c-z", .data_centre = "z", .capacity = 1}});
+  placer.SetHosts({{.name = "c-z", .data_centre = "z", .capacity = 1}}, At(0));
   placer.SetUpstreams({Upstream("a")}, At(0));
   placer.OnSummary(summaries[0].message, At(101));
   CHECK(placer.upstreams().at("a").Limit(At(101)) == kSlots / 2);
--- a/tests/auto/coordination/tst_placer.cc
+++ b/tests/auto/coordination/tst_placer.cc
@@ -38,7 +38,8 @@
  public:
   Driver() : placer_({.host = "me", .process = kProcess, .data_centre = "z"}) {
     placer_.SetHosts({Host("me", 0.1), Host("c1", 0.9), Host("c2", 0.8),
-                      Host("c3", 0.7), Host("x", 0.6)});
+                      Host("c3", 0.7), Host("x", 0.6)},
+                     now_);
     placer_.SetUpstreams({Upstream("a"), Upstream("b")}, now_);
   }
 
@@ -417,7 +418,7 @@
 // Guards against a host that is its own coordinator and gives it up.
 TEST_CASE("a host that is the first of its data centre coordinates itself") {
   Placer placer({.host = "c1", .data_centre = "z"});
-  placer.SetHosts({Host("c1", 0.9), Host("c2", 0.8)});
+  placer.SetHosts({Host("c1", 0.9), Host("c2", 0.8)}, kStart);
   CHECK(placer.Coordinator() == "c1");
   placer.Tick(kStart + std::chrono::hours(1));
   CHECK(placer.Coordinator() == "c1");
--- a/tests/auto/dispatching/tst_admission_policy.cc
+++ b/tests/auto/dispatching/tst_admission_policy.cc
@@ -110,5 +110,18 @@
   CHECK(rate.Measure(now).total == doctest::Approx(1));
 }
 
+// Guards against requests that are refused although upstreams that limit their
+// rate will take them in time: nothing runs there, and little was placed.
+TEST_CASE("the rate is at least what limited upstreams take") {
+  ServiceRate rate;
+  rate.SetPlaces(0);
+  rate.SetLimitedRate(12);
+  CHECK(rate.Measure(kNow).total == doctest::Approx(12));
+  rate.OnPlaced(0, true, kNow);
+  CHECK(rate.Measure(kNow).total == doctest::Approx(12));
+  rate.SetLimitedRate(0);
+  CHECK(rate.Measure(kNow + seconds(3)).total == doctest::Approx(1));
+}
+
 }  // namespace
 }  // namespace flamingogauge
--- a/tests/auto/dispatching/tst_dispatcher_explain.cc
+++ b/tests/auto/dispatching/tst_dispatcher_explain.cc
@@ -77,13 +77,16 @@
   dispatcher.SetUpstreams(
       {Upstream("near", "d"), Upstream("far", "e"), Upstream("full", "d"),
        Upstream("suspect", "d"), Upstream("pausing", "d"),
-       Upstream("leaving", "d"), Upstream("tried", "d"), draining, bad},
+       Upstream("leaving", "d"), Upstream("tried", "d"),
+       Upstream("limited", "d"), draining, bad},
       kStart);
   dispatcher.OnPeerLoad("h2", {{PeerUpstreamKey("full"), 2}}, kStart);
   dispatcher.RecordResult(PeerUpstreamKey("suspect"),
                           DispatchResult::kTransportError, kStart);
   dispatcher.RecordResult(PeerUpstreamKey("leaving"), DispatchResult::kLeaving,
                           kStart);
+  dispatcher.OnRateLimit("limited",
+                         {.requests_per_second = 2, .stated_at = kStart});
   dispatcher.HoldBackUntil("pausing", kStart + seconds(1));
   WaitingRequest request = Request(1);
   request.excluded_upstreams = {"tried"};
@@ -93,6 +96,7 @@
         std::map<std::string, std::string>{{"near", "chosen"},
                                            {"far", "dearer"},
                                            {"full", "full"},
+                                           {"limited", "rate limited"},
                                            {"suspect", "suspect"},
                                            {"pausing", "held back"},
                                            {"leaving", "leaving"},
--- a/tests/auto/gateway/tst_coordination_codec.cc
+++ b/tests/auto/gateway/tst_coordination_codec.cc
@@ -32,6 +32,13 @@
               {.key = {.id = 5}, .age = milliseconds(4000), .strikes = 3}}};
 }
 
+// A limit with a fraction, one of zero, and one that has ended.
+std::vector<RateLimitReport> TestRateLimits() {
+  return {{.upstream = 11, .requests_per_second = 1.4, .age = milliseconds(7)},
+          {.upstream = 12, .requests_per_second = 0, .age = milliseconds(0)},
+          {.upstream = 1ULL << 63U, .age = milliseconds(1900)}};
+}
+
 HostMessage SampleHostMessage() {
   return {.host = "h1",
           .data_centre = "z1",
@@ -64,7 +71,8 @@
                        .first_event = std::chrono::duration<double>(0.5),
                        .prompt_tokens = 6610}},
           .usage = {{"acme", {.spent = 1e9, .credits = -5}}},
-          .evidence = TestEvidence()};
+          .evidence = TestEvidence(),
+          .rate_limits = TestRateLimits()};
 }
 
 // Guards against hosts misinterpreting each other's messages.
@@ -109,6 +117,7 @@
   CHECK(read.usage.at("acme").spent == 1e9);
   CHECK(read.usage.at("acme").credits == -5);
   CHECK(read.evidence == sent.evidence);
+  CHECK(read.rate_limits == TestRateLimits());
 }
 
 TEST_CASE("an encoded reply decodes to the same values") {
@@ -152,7 +161,8 @@
       .reachable_hosts = 295,
       .draining_hosts = {"h1", "h2"},
       .evidence = TestEvidence(),
-      .paces = {{.upstream = 11, .requests = 2.5, .age = milliseconds(40)}}};
+      .paces = {{.upstream = 11, .requests = 2.5, .age = milliseconds(40)}},
+      .rate_limits = TestRateLimits()};
   for (const FleetSummary& read :
        {RoundTrip(sent), RoundTrip(DataCentreReport{sent}).summary}) {
     CHECK(read.coordinator == "c");
@@ -166,6 +176,7 @@
     CHECK(read.reachable_hosts == 295);
     CHECK(read.draining_hosts == sent.draining_hosts);
     CHECK(read.evidence == sent.evidence);
+    CHECK(read.rate_limits == TestRateLimits());
     REQUIRE(read.paces.size() == 1);
     CHECK(read.paces[0].upstream == 11);
     CHECK(read.paces[0].requests == 2.5);
--- a/tests/auto/rate_limits/tst_rate_limits.cc
+++ b/tests/auto/rate_limits/tst_rate_limits.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -45,6 +46,19 @@
       random.NextBelow(static_cast<std::uint64_t>(fleet.host_count())));
 }
 
+// Submits a request at a random host after each `interval`, for `time`.
+void SubmitEvery(milliseconds interval,
+                 milliseconds time,
+                 FleetSimulation& fleet,
+                 Random& random) {
+  for (int ms = 0; ms < time.count(); ++ms) {
+    if (ms % interval.count() == 0) {
+      fleet.Submit(RandomHost(fleet, random));
+    }
+    fleet.Step();
+  }
+}
+
 std::vector<Case> Cases() {
   const FleetSimulationOptions small{.data_centres = 3,
                                      .hosts_per_data_centre = 2,
@@ -120,6 +134,70 @@
   }
 }
 
+// Guards against limited upstreams that are left unused while callers wait, and
+// against some of them that get nothing.
+TEST_CASE("upstreams get what they take as long as there is demand") {
+  struct Row {
+    std::string name;
+    FleetSimulationOptions options;
+    double limit = 2;
+  };
+  for (const Row& row : {
+           Row{"three data centres",
+               {.data_centres = 3,
+               .hosts_per_data_centre = 2,
+               .upstreams_per_data_centre = 6,
+               .slots = 7},
+               2},
+           Row{"one host",
+               {.hosts_per_data_centre = 1, .upstreams_per_data_centre = 5},
+               4},
+           Row{"many data centres",
+               {.data_centres = 13,
+               .hosts_per_data_centre = 3,
+               .upstreams_per_data_centre = 1},
+               1},
+       }) {
+    CAPTURE(row.name);
+    FleetSimulation fleet(row.options);
+    Random random(1);
+    fleet.Run(seconds(1));
+    for (const UpstreamEntry& it : fleet.upstreams()) {
+      fleet.StateRateLimit(it.id, row.limit);
+    }
+    SubmitEvery(milliseconds(10), seconds(20), fleet, random);
+    for (const UpstreamEntry& it : fleet.upstreams()) {
+      CAPTURE(it.id);
+      CHECK(fleet.Sent(it.id, seconds(10)) >= row.limit * 10 * 0.8);
+    }
+    CHECK(fleet.placed_twice() == 0);
+  }
+}
+
+// Guards against an upstream that stays nearly unused after its need, also at
+// hosts that no longer send it requests themselves.
+TEST_CASE("an upstream that no longer states a limit is used as the others") {
+  for (const double limit : {0.0, 0.5, 2.0}) {
+    CAPTURE(limit);
+    FleetSimulation fleet({.data_centres = 6,
+                           .hosts_per_data_centre = 2,
+                           .upstreams_per_data_centre = 2,
+                           .slots = 7,
+                           .max_delay = milliseconds(20)});
+    Random random(1);
+    fleet.Run(seconds(1));
+    const std::string& in_need = fleet.upstreams()[0].id;
+    const std::string& other = fleet.upstreams()[1].id;
+    fleet.StateRateLimit(in_need, limit);
+    SubmitEvery(milliseconds(5), seconds(10), fleet, random);
+    CHECK(fleet.Sent(in_need, seconds(4)) * 3 < fleet.Sent(other, seconds(4)));
+    fleet.StateRateLimit(in_need, std::nullopt);
+    SubmitEvery(milliseconds(5), seconds(10), fleet, random);
+    CHECK(fleet.Sent(in_need, seconds(2)) * 3 >
+          fleet.Sent(other, seconds(2)) * 2);
+  }
+}
+
 // Guards against a gateway that does not pass on to the placement what a
 // response states.
 TEST_CASE("a gateway keeps to the limit that a response states") {
