directory: log when the store comes back from an older copy

In a drill the platform's store may come back from a copy that is some seconds old. Its revisions then go back and are given out again, and the era that all its responses state rises by one. The logs do not show it: store.regained looks as after any outage.

Pages of the store carry the era with the revision, as one type. The reader logs store.era when the era rises, with the revisions before and after, and counts it. Nothing compares eras yet; nothing else changes.

--- a/src/libs/directory/table_follower.h
+++ b/src/libs/directory/table_follower.h
@@ -182,7 +182,7 @@
     bool changed = false;
     if (!list_started_at_) {
       list_started_at_ = call_started_at_;
-      list_revision_ = page.store_revision;
+      list_revision_ = page.store_revision.number;
     }
     for (const FleetEntry<T>& it : page.entries) {
       listed_names_.insert(it.name);
@@ -212,7 +212,7 @@
     for (const FleetEntry<T>& it : page.entries) {
       changed |= Put(it, now);
     }
-    revision_ = std::max(revision_, page.store_revision);
+    revision_ = std::max(revision_, page.store_revision.number);
     return changed;
   }
 
--- a/src/libs/http_client/http_loop.cc
+++ b/src/libs/http_client/http_loop.cc
@@ -12,6 +12,16 @@
 constexpr int kPollTimeoutMs = 1000;
 constexpr std::size_t kMaxResponseBytes = 16U << 20U;
 
+// Returns the value of a field of the last response; empty without one.
+std::string FieldOf(CURL* easy, const std::string& name) {
+  constexpr int kLastResponse = -1;
+  curl_header* field = nullptr;
+  const bool is_found =
+      !name.empty() && curl_easy_header(easy, name.c_str(), 0, CURLH_HEADER,
+                                        kLastResponse, &field) == CURLHE_OK;
+  return is_found ? field->value : "";
+}
+
 }  // namespace
 
 struct HttpLoop::Transfer {
@@ -204,6 +214,7 @@
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
     outcome.status = static_cast<int>(status);
     outcome.body = std::move(transfer->response_body);
+    outcome.reported_field = FieldOf(handle, options_.reported_field);
   } else {
     ++calls_failed_;
     long request_bytes = 0;
--- a/src/libs/http_client/http_loop.h
+++ b/src/libs/http_client/http_loop.h
@@ -21,6 +21,8 @@
   // The response status, or 0 if no complete response was received.
   int status = 0;
   std::string body;
+  // The value of HttpLoopOptions::reported_field; empty without one.
+  std::string reported_field;
   // The reason why there is no complete response.
   std::string failure;
   bool timed_out = false;
@@ -45,6 +47,8 @@
   std::string address;
   std::uint32_t calls_per_second = 200;
   std::chrono::milliseconds connect_time_limit{1000};
+  // The header field of responses that outcomes report; empty for none.
+  std::string reported_field;
 };
 
 // Encodes text for use as a part of a path or as a value in a query.
--- a/src/libs/services/fleet_store.h
+++ b/src/libs/services/fleet_store.h
@@ -11,6 +11,7 @@
 
 #include "libs/fleet/host_entry.h"
 #include "libs/fleet/rollout_order.h"
+#include "libs/fleet/store_revision.h"
 #include "libs/fleet/upstream_entry.h"
 #include "libs/kernel/error.h"
 #include "libs/routing/routing_table.h"
@@ -42,7 +43,7 @@
   // True when a list continues after the last entry.
   bool has_more = false;
   // The store's revision; changes are watched from here.
-  std::uint64_t store_revision = 0;
+  StoreRevision store_revision;
 };
 
 // One kind of entries in the platform's store. Calls return at once; the
--- a/src/plugins/directory/store_reader.cc
+++ b/src/plugins/directory/store_reader.cc
@@ -222,6 +222,7 @@
   CountCall(kTableName<T>, error);
   if (answer) {
     ReportLeftOut(answer.value(), BootTimeNow());
+    LogEra(kTableName<T>, answer.value().store_revision);
   }
   const FleetChanges changes = ApplyAnswer(follower, changed);
   if constexpr (std::is_same_v<T, RoutingTable> ||
@@ -318,6 +319,25 @@
           .Number("entries", static_cast<std::int64_t>(page.left_out.size())));
 }
 
+void StoreReader::LogEra(std::string_view table,
+                         const StoreRevision& revision) {
+  if (!newest_.is_known()) {
+    newest_ = revision;
+  }
+  if (revision.era > newest_.era) {
+    metrics_.Add("flamingogauge_store_eras_total", "");
+    log_.Write(
+        EventLine("store.era")
+            .Text("table", table)
+            .Number("era", static_cast<std::int64_t>(revision.era))
+            .Number("revision", static_cast<std::int64_t>(revision.number))
+            .Number("era_before", static_cast<std::int64_t>(newest_.era))
+            .Number("revision_before",
+                    static_cast<std::int64_t>(newest_.number)));
+  }
+  newest_ = std::max(newest_, revision);
+}
+
 void StoreReader::LogAvailability(const Error* error) {
   const bool failing = routing_.is_failing() || upstreams_.is_failing();
   if (failing == failure_logged_) {
--- a/src/plugins/directory/store_reader.h
+++ b/src/plugins/directory/store_reader.h
@@ -84,6 +84,8 @@
   // rate.
   template <typename T>
   void ReportLeftOut(const FleetPage<T>& page, MonotonicTime now);
+  // Notices that the store has come back from an older copy.
+  void LogEra(std::string_view table, const StoreRevision& revision);
   void LogAvailability(const Error* error);
   void LogRegression(const RoutingTable& routing);
   // The earliest failure since which calls have not succeeded.
@@ -110,6 +112,8 @@
   // True once the document was confirmed since reading started.
   bool has_confirmed_ = false;
   bool failure_logged_ = false;
+  // The newest revision that any response stated.
+  StoreRevision newest_;
   // By table: when left-out entries were last logged.
   std::map<std::string_view, MonotonicTime> left_out_logged_at_;
 };
--- a/tests/auto/directory/tst_table_follower.cc
+++ b/tests/auto/directory/tst_table_follower.cc
@@ -67,7 +67,7 @@
 
   void ListAll(const std::vector<std::string>& names, std::uint64_t revision) {
     Call();
-    Page page{.store_revision = revision};
+    Page page{.store_revision = {.number = revision}};
     for (const std::string& it : names) {
       page.entries.push_back(Entry(it));
     }
@@ -88,10 +88,11 @@
   CHECK_FALSE(driver.Call().is_watch);
   driver.Answer(Page{.entries = {Entry("a"), Entry("b")},
                      .has_more = true,
-                     .store_revision = 10});
+                     .store_revision = {.number = 10}});
   const TableCall second = driver.Call();
   CHECK(second.after == "b");
-  driver.Answer(Page{.entries = {Entry("c")}, .store_revision = 12});
+  driver.Answer(
+      Page{.entries = {Entry("c")}, .store_revision = {.number = 12}});
   CHECK(driver.Names() == Names{"a", "b", "c"});
   const TableCall watch = driver.Call();
   CHECK(watch.is_watch);
@@ -106,7 +107,8 @@
   driver.Answer(StoreError(ErrorCode::kNotFound));
   CHECK_FALSE(driver.Call().is_watch);
   CHECK(driver.Names() == Names{"a", "b"});
-  CHECK(driver.Answer(Page{.entries = {Entry("b")}, .store_revision = 20}));
+  CHECK(driver.Answer(
+      Page{.entries = {Entry("b")}, .store_revision = {.number = 20}}));
   CHECK(driver.Names() == Names{"b"});
 }
 
@@ -120,11 +122,11 @@
   driver.Call();
   driver.Answer(StoreError(ErrorCode::kTimeout), milliseconds(2000));
   driver.Call();
-  CHECK_FALSE(driver.Answer(
-      Page{.entries = {Removal("a"), Removal("b")}, .store_revision = 30}));
+  CHECK_FALSE(driver.Answer(Page{.entries = {Removal("a"), Removal("b")},
+                                 .store_revision = {.number = 30}}));
   CHECK(driver.Names() == Names{"a", "b"});
   driver.Call();
-  driver.Answer(Page{.entries = {Entry("b")}, .store_revision = 31},
+  driver.Answer(Page{.entries = {Entry("b")}, .store_revision = {.number = 31}},
                 milliseconds(500));
   CHECK_FALSE(driver.RemoveMissing());
   driver.Wait(milliseconds(2000));
@@ -137,7 +139,8 @@
   Driver driver;
   driver.ListAll({"a", "b"}, 10);
   driver.Call();
-  CHECK(driver.Answer(Page{.entries = {Removal("a")}, .store_revision = 11}));
+  CHECK(driver.Answer(
+      Page{.entries = {Removal("a")}, .store_revision = {.number = 11}}));
   CHECK(driver.Names() == Names{"b"});
 }
 
@@ -176,7 +179,7 @@
     driver.Call();
     const MonotonicTime started = driver.now();
     CHECK(driver.follower().confirmed_at() == listed);
-    Page page{.store_revision = 11};
+    Page page{.store_revision = {.number = 11}};
     for (const std::string& name : it.events) {
       page.entries.push_back(Entry(name));
     }
@@ -196,7 +199,8 @@
   const TableCall watch = driver.Call();
   CHECK(watch.is_watch);
   CHECK(watch.revision == 40);
-  driver.Answer(Page{.entries = {Removal("a")}, .store_revision = 41});
+  driver.Answer(
+      Page{.entries = {Removal("a")}, .store_revision = {.number = 41}});
   CHECK(driver.Names() == Names{"b"});
 }
 
@@ -207,7 +211,8 @@
   driver.ListAll({"a"}, 10);
   driver.Call();
   const MonotonicTime started = driver.now();
-  driver.Answer(Page{.entries = {Entry("b")}, .store_revision = 11});
+  driver.Answer(
+      Page{.entries = {Entry("b")}, .store_revision = {.number = 11}});
   CHECK(driver.follower().WakeAt() - started == milliseconds(200));
   driver.Call();
   driver.Answer(StoreError(ErrorCode::kResourceExhausted));
--- a/tests/auto/platform_adapter/tst_platform_fleet_store.cc
+++ b/tests/auto/platform_adapter/tst_platform_fleet_store.cc
@@ -56,7 +56,7 @@
   REQUIRE(first.value().entries.size() == 2);
   CHECK(first.value().entries[0].value != nullptr);
   CHECK(first.value().entries[1].value == nullptr);
-  CHECK(first.value().store_revision == fake.revision());
+  CHECK(first.value().store_revision.number == fake.revision());
   const UpstreamPage second = List(store, "b");
   REQUIRE(second);
   CHECK_FALSE(second.value().has_more);
@@ -114,7 +114,7 @@
     CHECK(watch.value().entries[0].value == nullptr);
     CHECK(watch.value().entries[1].value != nullptr);
     CHECK(watch.value().left_out.size() == 1);
-    CHECK(watch.value().store_revision == fake.revision());
+    CHECK(watch.value().store_revision.number == fake.revision());
   }
 }
 
