--- a/tests/fakes/fake_object_store/fake_object_store.cc
+++ b/tests/fakes/fake_object_store/fake_object_store.cc
@@ -93,9 +93,13 @@
          R"(,"status":)" + object.status + "}";
 }
 
-std::string FormatAnswer(int status, const std::string& body) {
-  return "HTTP/1.1 " + std::to_string(status) +
-         " Answer\r\nContent-Type: application/json\r\nContent-Length: " +
+std::string FormatAnswer(int status,
+                         const std::string& body,
+                         std::uint64_t era) {
+  const std::string era_field =
+      era == 0 ? "" : "Store-Era: " + std::to_string(era) + "\r\n";
+  return "HTTP/1.1 " + std::to_string(status) + " Answer\r\n" + era_field +
+         "Content-Type: application/json\r\nContent-Length: " +
          std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
@@ -129,6 +133,8 @@
                     const std::string& spec);
   bool Remove(const std::string& kind, const std::string& name);
   void Compact();
+  void TakeCopy();
+  void RestoreCopy();
   const StoredSpec* Find(const std::string& kind,
                          const std::string& name) const;
 
@@ -141,6 +147,8 @@
   std::string address;
   StoreFault fault = StoreFault::kNone;
   std::uint64_t revision = 1;
+  // 0 if responses do not state it.
+  std::uint64_t era = 0;
   std::uint64_t calls = 0;
 
  private:
@@ -174,7 +182,17 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work_guard_ = boost::asio::make_work_guard(io_);
   HttpAcceptor acceptor_;
-  std::map<std::string, std::map<std::string, StoredSpec>> kinds_;
+  // By kind and name.
+  using Objects = std::map<std::string, std::map<std::string, StoredSpec>>;
+  struct Copy {
+    Objects kinds;
+    std::uint64_t revision = 1;
+  };
+
+  void AbortWaiters();
+
+  Objects kinds_;
+  Copy copy_;
   std::vector<StoreEvent> events_;
   std::uint64_t history_start_revision_ = 0;
   std::list<Waiter> waiters_;
@@ -204,7 +222,7 @@
     session->Abort();
     return;
   }
-  session->Write(FormatAnswer(status, body));
+  session->Write(FormatAnswer(status, body, era));
   session->Finish(true);
 }
 
@@ -267,7 +285,8 @@
 void FakeObjectStore::Server::Watch(const std::shared_ptr<HttpSession>& session,
                                     const StoreCall& call) {
   const std::uint64_t after = call.Number("watch");
-  if (after < history_start_revision_) {
+  // The second case: a revision of an earlier era that is not given out yet.
+  if (after < history_start_revision_ || after > revision) {
     Answer(session, 410, "{}");
     return;
   }
@@ -348,6 +367,23 @@
 void FakeObjectStore::Server::Compact() {
   events_.clear();
   history_start_revision_ = ++revision;
+  AbortWaiters();
+}
+
+void FakeObjectStore::Server::TakeCopy() {
+  copy_ = {.kinds = kinds_, .revision = revision};
+}
+
+void FakeObjectStore::Server::RestoreCopy() {
+  kinds_ = copy_.kinds;
+  revision = copy_.revision;
+  history_start_revision_ = revision;
+  events_.clear();
+  ++era;
+  AbortWaiters();
+}
+
+void FakeObjectStore::Server::AbortWaiters() {
   for (const Waiter& it : waiters_) {
     it.session->Abort();
   }
@@ -459,6 +495,18 @@
   server_->Run([this] { server_->Compact(); });
 }
 
+void FakeObjectStore::SetStatesEra(bool states_era) {
+  server_->Run([this, states_era] { server_->era = states_era ? 1 : 0; });
+}
+
+void FakeObjectStore::TakeCopy() {
+  server_->Run([this] { server_->TakeCopy(); });
+}
+
+void FakeObjectStore::RestoreCopy() {
+  server_->Run([this] { server_->RestoreCopy(); });
+}
+
 std::string FakeObjectStore::Spec(const std::string& kind,
                                   const std::string& name) const {
   return server_->Run([&] {
--- a/tests/fakes/fake_object_store/fake_object_store.h
+++ b/tests/fakes/fake_object_store/fake_object_store.h
@@ -48,6 +48,13 @@
   // Discards the event history, so that watches from an older revision receive
   // 410, and aborts pending watches.
   void Compact();
+  // Sets whether responses state an era, 1 at first; no by default.
+  void SetStatesEra(bool states_era);
+  // Keeps a copy of all objects.
+  void TakeCopy();
+  // Comes back from the copy in the next era: what was written since is gone,
+  // the history too, and revisions are given out again. Aborts pending watches.
+  void RestoreCopy();
 
   // The spec of an object, or "" if the object does not exist.
   std::string Spec(const std::string& kind, const std::string& name) const;
