directory: order the store's revisions by its era

What callers would see: after the store has come back from an older copy, requests still go to upstreams that drain (DRAIN), for as long as the store's revision is below the one of before.

Cause: tables are ordered by the store's revision alone. After the drill it is lower, so that lists and changes are dropped as older, at the reading host and between hosts.

Era and revision are one type now, in following, in tables, and in the questions and replies between hosts. A later era goes before any revision of an earlier one. Responses of an earlier era, and answers to calls that go by its revisions, are not applied; the first table that states a new era has all others listed again.

--- a/src/libs/directory/fleet_view.cc
+++ b/src/libs/directory/fleet_view.cc
@@ -11,15 +11,33 @@
 
 template <typename T>
 bool IsUsable(const TablePage<T>& page, const VersionedTable<T>& table) {
-  return page.store_revision != 0 &&
+  return page.store_revision.is_known() &&
          page.store_revision >= table.store_revision();
 }
 
+// A host of a version that does not know eras states none.
+template <typename T>
+void AssumeEra(const VersionedTable<T>& table, TablePage<T>& page) {
+  if (page.store_revision.is_known() && page.store_revision.era == 0) {
+    page.store_revision.era = table.store_revision().era;
+  }
+}
+
 }  // namespace
 
+FleetView::FleetView(std::uint64_t process)
+    : upstreams_(process,
+                 [this](const std::string& id,
+                        const UpstreamEntry* before,
+                        const UpstreamEntry* after) {
+                   departed_.OnChange(id, before, after, applied_revision_,
+                                      applied_at_);
+                 }),
+      hosts_(process) {}
+
 FleetChanges FleetView::ApplyRouting(
     const std::shared_ptr<const RoutingTable>& routing,
-    std::uint64_t store_revision,
+    const StoreRevision& store_revision,
     MonotonicTime confirmed_at) {
   FleetChanges changes;
   if (routing_ && routing->version < routing_->version) {
@@ -39,23 +57,47 @@
 }
 
 FleetChanges FleetView::ReplaceUpstreams(
-    const VersionedTable<UpstreamEntry>::Entries& entries,
-    std::uint64_t store_revision) {
+    VersionedTable<UpstreamEntry>::Entries entries,
+    const StoreRevision& store_revision,
+    MonotonicTime now) {
   ResetCursors();
+  if (store_revision < upstreams_.store_revision()) {
+    return {};
+  }
+  BeginUpdate(entries, store_revision, now);
   return {.upstreams = upstreams_.Replace(entries, store_revision)};
 }
 
+void FleetView::BeginUpdate(VersionedTable<UpstreamEntry>::Entries& entries,
+                            const StoreRevision& store_revision,
+                            MonotonicTime now) {
+  applied_revision_ = store_revision;
+  applied_at_ = now;
+  departed_.Withhold(entries, store_revision, now);
+}
+
+FleetChanges FleetView::Advance(MonotonicTime now) {
+  FleetChanges changes;
+  for (const auto& [id, entry] : departed_.TakeBelieved(now)) {
+    changes.upstreams |= upstreams_.Set(id, entry);
+  }
+  return changes;
+}
+
 FleetChanges FleetView::ReplaceHosts(
     const VersionedTable<HostEntry>::Entries& entries,
-    std::uint64_t store_revision) {
+    const StoreRevision& store_revision) {
   ResetCursors();
   return {.hosts = hosts_.Replace(entries, store_revision)};
 }
 
 FleetChanges FleetView::ApplyReply(const std::string& peer,
-                                   const RelayReply& reply,
-                                   MonotonicTime asked_at) {
+                                   RelayReply reply,
+                                   MonotonicTime asked_at,
+                                   MonotonicTime now) {
   FleetChanges changes;
+  AssumeEra(upstreams_, reply.upstreams);
+  AssumeEra(hosts_, reply.hosts);
   // Without the document, the reply confirms the version that this host has.
   const auto& routing = reply.routing ? reply.routing : routing_;
   if (reply.routing_age && routing &&
@@ -68,6 +110,7 @@
     cursors_peer_ = peer;
   }
   if (IsUsable(reply.upstreams, upstreams_)) {
+    BeginUpdate(reply.upstreams.entries, reply.upstreams.store_revision, now);
     changes.upstreams = upstreams_.Apply(reply.upstreams);
     upstreams_cursor_ = reply.upstreams.cursor;
   }
--- a/src/libs/directory/relay_messages.h
+++ b/src/libs/directory/relay_messages.h
@@ -9,6 +9,7 @@
 
 #include "libs/directory/versioned_table.h"
 #include "libs/fleet/host_entry.h"
+#include "libs/fleet/store_revision.h"
 #include "libs/fleet/upstream_entry.h"
 #include "libs/routing/routing_table.h"
 
@@ -22,8 +23,8 @@
   TableCursor hosts;
   // The store revisions of the asking host's tables; pages of older revisions
   // are of no use to it.
-  std::uint64_t upstreams_revision = 0;
-  std::uint64_t hosts_revision = 0;
+  StoreRevision upstreams_revision;
+  StoreRevision hosts_revision;
   // True if the asking host's document is older than in normal operation, so
   // that a recent confirmation should be sent at once.
   bool is_stale = false;
@@ -47,7 +48,7 @@
   std::optional<std::chrono::milliseconds> routing_age;
   // The version that `routing_age` refers to; 0 if there is none.
   std::uint64_t routing_version = 0;
-  std::uint64_t routing_revision = 0;
+  StoreRevision routing_revision;
   // Null if the asking host has this version.
   std::shared_ptr<const RoutingTable> routing;
   TablePage<UpstreamEntry> upstreams;
--- a/src/libs/directory/table_follower.h
+++ b/src/libs/directory/table_follower.h
@@ -49,14 +49,27 @@
 
   // Continues from entries that another host read at `revision`, so that no
   // list is needed.
-  void Resume(const Entries& entries, std::uint64_t revision) {
+  void Resume(const Entries& entries, const StoreRevision& revision) {
     entries_ = entries;
     missing_.clear();
     outage_since_.reset();
     RestartList();
     revision_ = revision;
     newest_revision_ = revision;
-    was_listed_ = revision != 0;
+    was_listed_ = revision.is_known();
+  }
+
+  // The store has come back from an older copy. Lists the table again; entries
+  // that the copy lacks are kept for the grace period.
+  void OnEra(std::uint64_t era, MonotonicTime now) {
+    if (era <= newest_revision_.era) {
+      return;
+    }
+    newest_revision_ = {.era = era};
+    if (was_listed_) {
+      missing_grace_until_ = now + options_.missing_entry_grace;
+    }
+    RestartList();
   }
 
   void SetRetryInterval(std::chrono::milliseconds interval) {
@@ -73,8 +86,10 @@
     in_flight_ = true;
     call_started_at_ = now;
     call_wait_ = wait;
-    if (revision_ != 0) {
-      return TableCall{.is_watch = true, .revision = revision_};
+    call_era_ = newest_revision_.era;
+    starts_list_ = !revision_.is_known() && list_after_.empty();
+    if (revision_.is_known()) {
+      return TableCall{.is_watch = true, .revision = revision_.number};
     }
     return TableCall{.after = list_after_};
   }
@@ -96,16 +111,19 @@
       OnFailure(answer.error(), now);
       return false;
     }
+    if (!IsOfThisEra(answer.value().store_revision, now)) {
+      return false;
+    }
     OnSuccess(now);
     // The store answers a watch without events only after the wait, so that the
     // entries were still the newest then.
-    const bool was_empty_watch = revision_ != 0 &&
+    const bool was_empty_watch = revision_.is_known() &&
                                  answer.value().entries.empty() &&
                                  now - call_started_at_ >= call_wait_;
-    const bool changed = revision_ == 0 ? ApplyList(answer.value(), now)
-                                        : ApplyEvents(answer.value(), now);
+    const bool changed = revision_.is_known() ? ApplyEvents(answer.value(), now)
+                                              : ApplyList(answer.value(), now);
     newest_revision_ = std::max(newest_revision_, revision_);
-    if (revision_ != 0) {
+    if (revision_.is_known()) {
       confirmed_at_ = list_started_at_.value_or(
           was_empty_watch ? call_started_at_ + call_wait_ : call_started_at_);
       list_started_at_.reset();
@@ -128,16 +146,17 @@
 
   // Makes the next call a list; for tables that are not watched.
   void RequestList() {
-    if (revision_ != 0) {
+    if (revision_.is_known()) {
       RestartList();
     }
   }
 
   const Entries& entries() const { return entries_; }
-  // The revision that entries() reflects; 0 before the first list is complete.
-  std::uint64_t revision() const { return revision_; }
+  // The revision that entries() reflects; unknown before the first list is
+  // complete.
+  const StoreRevision& revision() const { return revision_; }
   // The newest revision ever reflected; not reset by a new list.
-  std::uint64_t newest_revision() const { return newest_revision_; }
+  const StoreRevision& newest_revision() const { return newest_revision_; }
   bool in_flight() const { return in_flight_; }
   // A time at which entries() were the newest: the end of the wait of a watch
   // without events, else the start of the call. For a list of several pages,
@@ -158,11 +177,22 @@
     failing_since_ = failing_since_.value_or(now);
     outage_since_ = outage_since_.value_or(now);
     next_call_at_ = std::max(next_call_at_, now + options_.retry_interval);
-    if (revision_ == 0) {
+    if (!revision_.is_known()) {
       RestartList();
     }
   }
 
+  // Returns false for a response that does not continue what is known: one of
+  // an earlier era that arrives late, and one of the current era to a call that
+  // goes by revisions of an earlier one.
+  bool IsOfThisEra(const StoreRevision& revision, MonotonicTime now) {
+    OnEra(revision.era, now);
+    const bool is_late =
+        revision.era != 0 && revision.era < newest_revision_.era;
+    const bool is_continuation = !starts_list_;
+    return !is_late && !(is_continuation && call_era_ != newest_revision_.era);
+  }
+
   void OnSuccess(MonotonicTime now) {
     if (outage_since_ && now - *outage_since_ >= options_.min_outage) {
       missing_grace_until_ = now + options_.missing_entry_grace;
@@ -172,7 +202,7 @@
   }
 
   void RestartList() {
-    revision_ = 0;
+    revision_ = {};
     list_after_.clear();
     listed_names_.clear();
     list_started_at_.reset();
@@ -182,7 +212,7 @@
     bool changed = false;
     if (!list_started_at_) {
       list_started_at_ = call_started_at_;
-      list_revision_ = page.store_revision.number;
+      list_revision_ = PositionOf(page);
     }
     for (const FleetEntry<T>& it : page.entries) {
       listed_names_.insert(it.name);
@@ -212,10 +242,16 @@
     for (const FleetEntry<T>& it : page.entries) {
       changed |= Put(it, now);
     }
-    revision_ = std::max(revision_, page.store_revision.number);
+    revision_ = std::max(revision_, PositionOf(page));
     return changed;
   }
 
+  // A store that does not state its era has one only.
+  StoreRevision PositionOf(const FleetPage<T>& page) const {
+    return {.era = std::max(page.store_revision.era, newest_revision_.era),
+            .number = page.store_revision.number};
+  }
+
   bool Put(const FleetEntry<T>& entry, MonotonicTime now) {
     if (!entry.value) {
       return RemoveOrDefer(entry.name, now);
@@ -242,15 +278,20 @@
   Entries entries_;
   bool in_flight_ = false;
   bool was_listed_ = false;
-  // The revision to watch from; 0 while a list has to be read.
-  std::uint64_t revision_ = 0;
-  std::uint64_t newest_revision_ = 0;
-  std::uint64_t list_revision_ = 0;
+  // The revision to watch from; unknown while a list has to be read.
+  StoreRevision revision_;
+  // Its era is the newest that is known.
+  StoreRevision newest_revision_;
+  StoreRevision list_revision_;
   std::string list_after_;
   std::set<std::string> listed_names_;
   std::optional<MonotonicTime> list_started_at_;
   MonotonicTime call_started_at_;
   std::chrono::milliseconds call_wait_{0};
+  // The newest era when the call in flight was made.
+  std::uint64_t call_era_ = 0;
+  // True if the call in flight asks for the first page of a list.
+  bool starts_list_ = false;
   MonotonicTime next_call_at_;
   MonotonicTime confirmed_at_;
   std::optional<MonotonicTime> failing_since_;
--- a/src/libs/directory/versioned_table.h
+++ b/src/libs/directory/versioned_table.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -11,6 +12,8 @@
 #include <utility>
 #include <vector>
 
+#include "libs/fleet/store_revision.h"
+
 namespace flamingogauge {
 
 // A position in the changes of one process's table.
@@ -27,9 +30,9 @@
 struct TablePage {
   // The position after this page.
   TableCursor cursor;
-  // The revision of the platform's store that the page reflects; 0 if the
+  // The revision of the platform's store that the page reflects; unknown if the
   // sender has not read the table yet.
-  std::uint64_t store_revision = 0;
+  StoreRevision store_revision;
   // True if the page holds all entries.
   bool is_complete = false;
   std::map<std::string, std::shared_ptr<const T>> entries;
@@ -44,16 +47,21 @@
  public:
   using Entries = std::map<std::string, std::shared_ptr<const T>>;
 
-  explicit VersionedTable(std::uint64_t process) : process_(process) {}
+  // Called with an entry before and after a change; null if there is none.
+  using ChangeListener =
+      std::function<void(const std::string& name, const T*, const T*)>;
+
+  explicit VersionedTable(std::uint64_t process, ChangeListener listener = {})
+      : process_(process), listener_(std::move(listener)) {}
 
   // Replaces all entries. Returns true if any was added, removed or changed.
   // Entries of an older revision than the table's are ignored: they may include
   // an upstream that has left since.
-  bool Replace(const Entries& entries, std::uint64_t store_revision) {
+  bool Replace(const Entries& entries, const StoreRevision& store_revision) {
     if (store_revision < store_revision_) {
       return false;
     }
-    bool changed = store_revision_ == 0 && store_revision != 0;
+    bool changed = !store_revision_.is_known() && store_revision.is_known();
     store_revision_ = store_revision;
     for (auto it = entries_.begin(); it != entries_.end();) {
       const std::string name = (it++)->first;
@@ -85,18 +93,18 @@
   }
 
   // True if a host whose table has the revision `store_revision` and that knows
-  // the changes up to `cursor` lacks something.
+  // the changes up to `cursor` lacks something, if only a new era.
   bool HasNewsSince(const TableCursor& cursor,
-                    std::uint64_t store_revision) const {
-    return store_revision_ != 0 && store_revision_ >= store_revision &&
-           cursor != Cursor();
+                    const StoreRevision& store_revision) const {
+    return store_revision_.is_known() && store_revision_ >= store_revision &&
+           (cursor != Cursor() || store_revision_.era > store_revision.era);
   }
 
   // Returns what changed after `cursor`, or all entries if the log no longer
-  // reaches back so far. The page is empty, with a revision of 0, if it would
-  // be of no use to a host whose table has the revision `store_revision`.
+  // reaches back so far. The page is empty, without a revision, if it would be
+  // of no use to a host whose table has the revision `store_revision`.
   TablePage<T> Since(const TableCursor& cursor,
-                     std::uint64_t store_revision) const {
+                     const StoreRevision& store_revision) const {
     if (store_revision_ < store_revision) {
       return {};
     }
@@ -122,13 +130,19 @@
     return page;
   }
 
+  // Replaces one entry, in the state of the store that the table has. Returns
+  // false if that changes nothing.
+  bool Set(const std::string& name, const std::shared_ptr<const T>& value) {
+    return Put(name, value);
+  }
+
   TableCursor Cursor() const {
     return {.process = process_, .sequence = sequence_};
   }
   const Entries& entries() const { return entries_; }
-  // The newest revision of the store that the entries reflect; 0 before the
-  // first read.
-  std::uint64_t store_revision() const { return store_revision_; }
+  // The newest revision of the store that the entries reflect; unknown before
+  // the first read.
+  const StoreRevision& store_revision() const { return store_revision_; }
 
  private:
   // A host that is further behind gets a complete page.
@@ -138,17 +152,21 @@
   // nothing.
   bool Put(const std::string& name, const std::shared_ptr<const T>& value) {
     const auto known = entries_.find(name);
+    const std::shared_ptr<const T> before =
+        known == entries_.end() ? nullptr : known->second;
+    const bool is_same = value == nullptr || before == nullptr
+                             ? value == before
+                             : *value == *before;
+    if (is_same) {
+      return false;
+    }
     if (value == nullptr) {
-      if (known == entries_.end()) {
-        return false;
-      }
       entries_.erase(known);
-    } else if (known == entries_.end()) {
-      entries_.emplace(name, value);
-    } else if (*known->second == *value) {
-      return false;
     } else {
-      known->second = value;
+      entries_[name] = value;
+    }
+    if (listener_) {
+      listener_(name, before.get(), value.get());
     }
     ++sequence_;
     log_.push_back(name);
@@ -159,8 +177,9 @@
   }
 
   const std::uint64_t process_;
+  const ChangeListener listener_;
   Entries entries_;
-  std::uint64_t store_revision_ = 0;
+  StoreRevision store_revision_;
   // The number of changes so far; `log_` holds the names of the last ones.
   std::uint64_t sequence_ = 0;
   std::deque<std::string> log_;
--- a/src/libs/protocol/directory.capnp
+++ b/src/libs/protocol/directory.capnp
@@ -27,6 +27,8 @@
   # The revisions of the caller's tables.
   upstreamsRevision @6 :UInt64;
   hostsRevision @7 :UInt64;
+  upstreamsEra @8 :UInt64;
+  hostsEra @9 :UInt64;
 }
 
 struct RelayReply {
@@ -42,6 +44,7 @@
   hosts @7 :HostPage;
   # The caller's address is not that of a listed host; nothing else is set.
   isCallerUnknown @8 :Bool;
+  routingEra @9 :UInt64;
 }
 
 struct PageState {
@@ -49,6 +52,9 @@
   storeRevision @1 :UInt64;
   isComplete @2 :Bool;
   removed @3 :List(Text);
+  # The era that the revision belongs to; 0 if the store does not state it, or
+  # from a host of a version that does not know eras.
+  storeEra @4 :UInt64;
 }
 
 struct UpstreamPage {
--- a/src/plugins/directory/directory_worker.cc
+++ b/src/plugins/directory/directory_worker.cc
@@ -108,16 +108,21 @@
 void DirectoryWorker::RegisterGauges() {
   metrics_.SetGauge("flamingogauge_reads_store",
                     [this] { return reads_store_ ? 1.0 : 0.0; });
+  metrics_.SetGauge("flamingogauge_store_era",
+                    [this] { return static_cast<double>(store_era_); });
 }
 
 void DirectoryWorker::Run() {
   while (!ring_->IsClosed()) {
     const MonotonicTime now = BootTimeNow();
     reader_.RemoveMissing(now);
+    OnChanges(view_.Advance(now));
+    store_era_ = view_.era();
     if (!shutting_down_) {
-      registration_.Update(view_.hosts().store_revision() == 0
-                               ? nullptr
-                               : &view_.hosts().entries(),
+      registration_.OnEra(store_era_, now);
+      registration_.Update(view_.hosts().store_revision().is_known()
+                               ? &view_.hosts().entries()
+                               : nullptr,
                            settings_.first_start, now);
     }
     if (!IsJoining(now)) {
@@ -140,7 +145,7 @@
 }
 
 bool DirectoryWorker::IsJoining(MonotonicTime now) const {
-  if (relay_ == nullptr || view_.hosts().store_revision() != 0) {
+  if (relay_ == nullptr || view_.hosts().store_revision().is_known()) {
     return false;
   }
   const milliseconds limit = settings_.first_start
@@ -210,7 +215,7 @@
       result = "does not read the store";
     }
     policy_.OnReply(peer.name, reply.value().follows_store, now);
-    OnChanges(view_.ApplyReply(peer.name, reply.value(), asked_at));
+    OnChanges(view_.ApplyReply(peer.name, reply.value(), asked_at, now));
   }
   metrics_.Add("flamingogauge_relay_questions_total", Label("result", result));
 }
@@ -386,6 +391,7 @@
       {"routing_version", 0},
       {"routing_age_ms", nullptr},
       {"reads_store", reads_store_.load()},
+      {"store_era", store_era_.load()},
       {"asks", published_source_.peer ? published_source_.peer->name : ""},
       {"upstreams", nlohmann::json::array()},
       {"hosts", nlohmann::json::array()}};
--- a/src/plugins/directory/directory_worker.h
+++ b/src/plugins/directory/directory_worker.h
@@ -2,6 +2,7 @@
 #define FLAMINGOGAUGE_PLUGINS_DIRECTORY_DIRECTORY_WORKER_H_
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -94,6 +95,7 @@
   bool shutting_down_ = false;
   // Read by gauges on other threads.
   std::atomic<bool> reads_store_ = false;
+  std::atomic<std::uint64_t> store_era_ = 0;
   mutable std::mutex dump_mutex_;
   FleetSnapshot published_;
   SourceDecision published_source_;
--- a/src/plugins/directory/host_registration.h
+++ b/src/plugins/directory/host_registration.h
@@ -1,7 +1,9 @@
 #ifndef FLAMINGOGAUGE_PLUGINS_DIRECTORY_HOST_REGISTRATION_H_
 #define FLAMINGOGAUGE_PLUGINS_DIRECTORY_HOST_REGISTRATION_H_
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 
 #include "libs/directory/versioned_table.h"
 #include "libs/fleet/host_entry.h"
@@ -29,6 +31,9 @@
   void Update(const VersionedTable<HostEntry>::Entries* listed,
               bool is_first_start,
               MonotonicTime now);
+  // The newest era of the store that is known. A store that has come back from
+  // an older copy may lack the entry, so that it is written again.
+  void OnEra(std::uint64_t era, MonotonicTime now);
   // The time at which Update has something to do without an event.
   MonotonicTime WakeAt() const {
     return in_flight_ || next_attempt_at_ == MonotonicTime()
@@ -45,6 +50,9 @@
   // Shared with a store call that may complete after this object's destruction.
   std::shared_ptr<BoundedRing<DirectoryTask>> ring_;
   bool in_flight_ = false;
+  std::uint64_t era_ = 0;
+  // When to write the entry whatever is listed; unset if there is no need.
+  std::optional<MonotonicTime> rewrite_at_;
   // Unset before the first attempt, which follows the list of hosts.
   MonotonicTime next_attempt_at_;
 };
--- a/src/plugins/directory/relay_codec.cc
+++ b/src/plugins/directory/relay_codec.cc
@@ -68,7 +68,8 @@
 void WritePage(const TablePage<T>& page, Builder to) {
   auto state = to.initState();
   WriteCursor(page.cursor, state.initCursor());
-  state.setStoreRevision(page.store_revision);
+  state.setStoreRevision(page.store_revision.number);
+  state.setStoreEra(page.store_revision.era);
   state.setIsComplete(page.is_complete);
   unsigned n = 0;
   auto removed = state.initRemoved(static_cast<unsigned>(page.removed.size()));
@@ -86,7 +87,8 @@
 TablePage<T> ReadPage(Reader from) {
   const auto state = from.getState();
   TablePage<T> page{.cursor = ReadCursor(state.getCursor()),
-                    .store_revision = state.getStoreRevision(),
+                    .store_revision = {.era = state.getStoreEra(),
+                                       .number = state.getStoreRevision()},
                     .is_complete = state.getIsComplete()};
   for (const auto& it : state.getRemoved()) {
     page.removed.push_back(it.cStr());
@@ -247,8 +249,10 @@
   to.setRoutingVersion(question.routing_version);
   WriteCursor(question.upstreams, to.initUpstreams());
   WriteCursor(question.hosts, to.initHosts());
-  to.setUpstreamsRevision(question.upstreams_revision);
-  to.setHostsRevision(question.hosts_revision);
+  to.setUpstreamsRevision(question.upstreams_revision.number);
+  to.setUpstreamsEra(question.upstreams_revision.era);
+  to.setHostsRevision(question.hosts_revision.number);
+  to.setHostsEra(question.hosts_revision.era);
   to.setIsStale(question.is_stale);
   to.setIsProbe(question.is_probe);
   to.setWaitMs(static_cast<std::uint32_t>(question.wait.count()));
@@ -258,8 +262,10 @@
   return {.routing_version = from.getRoutingVersion(),
           .upstreams = ReadCursor(from.getUpstreams()),
           .hosts = ReadCursor(from.getHosts()),
-          .upstreams_revision = from.getUpstreamsRevision(),
-          .hosts_revision = from.getHostsRevision(),
+          .upstreams_revision = {.era = from.getUpstreamsEra(),
+                                 .number = from.getUpstreamsRevision()},
+          .hosts_revision = {.era = from.getHostsEra(),
+                             .number = from.getHostsRevision()},
           .is_stale = from.getIsStale(),
           .is_probe = from.getIsProbe(),
           .wait = milliseconds(from.getWaitMs())};
@@ -271,7 +277,8 @@
   to.setFollowsStore(reply.follows_store);
   to.setRoutingAgeMs(reply.routing_age ? reply.routing_age->count() : -1);
   to.setRoutingVersion(reply.routing_version);
-  to.setRoutingRevision(reply.routing_revision);
+  to.setRoutingRevision(reply.routing_revision.number);
+  to.setRoutingEra(reply.routing_revision.era);
   if (reply.routing) {
     WriteRouting(*reply.routing, to.initRouting());
   }
@@ -284,7 +291,8 @@
                    .held_for = milliseconds(from.getHeldForMs()),
                    .follows_store = from.getFollowsStore(),
                    .routing_version = from.getRoutingVersion(),
-                   .routing_revision = from.getRoutingRevision()};
+                   .routing_revision = {.era = from.getRoutingEra(),
+                                        .number = from.getRoutingRevision()}};
   if (from.getRoutingAgeMs() >= 0) {
     reply.routing_age = milliseconds(from.getRoutingAgeMs());
   }
--- a/src/plugins/directory/store_reader.cc
+++ b/src/plugins/directory/store_reader.cc
@@ -146,8 +146,11 @@
 void StoreReader::RemoveMissing(MonotonicTime now) {
   CatchUpWithView();
   if (upstreams_.RemoveMissing(now)) {
-    on_changes_(
-        view_.ReplaceUpstreams(upstreams_.entries(), upstreams_.revision()));
+    on_changes_(view_.ReplaceUpstreams(upstreams_.entries(),
+                                       upstreams_.revision(), now));
+  }
+  if (rollouts_.RemoveMissing(now)) {
+    on_changes_({.rollouts = true});
   }
 }
 
@@ -218,12 +221,12 @@
 void StoreReader::OnAnswer(TableFollower<T>& follower,
                            const Result<FleetPage<T>>& answer) {
   const Error* error = answer ? nullptr : &answer.error();
-  const bool changed = follower.OnAnswer(answer, BootTimeNow());
-  CountCall(kTableName<T>, error);
   if (answer) {
     ReportLeftOut(answer.value(), BootTimeNow());
-    LogEra(kTableName<T>, answer.value().store_revision);
+    CheckEra(kTableName<T>, answer.value().store_revision, BootTimeNow());
   }
+  const bool changed = follower.OnAnswer(answer, BootTimeNow());
+  CountCall(kTableName<T>, error);
   const FleetChanges changes = ApplyAnswer(follower, changed);
   if constexpr (std::is_same_v<T, RoutingTable> ||
                 std::is_same_v<T, UpstreamEntry>) {
@@ -237,7 +240,7 @@
 FleetChanges StoreReader::ApplyAnswer(
     const TableFollower<RoutingTable>& follower,
     bool /*changed*/) {
-  if (follower.is_failing() || follower.revision() == 0 ||
+  if (follower.is_failing() || !follower.revision().is_known() ||
       follower.entries().empty()) {
     return {};
   }
@@ -256,11 +259,11 @@
 FleetChanges StoreReader::ApplyAnswer(
     const TableFollower<UpstreamEntry>& follower,
     bool changed) {
-  if (follower.is_failing() || follower.revision() == 0) {
+  if (follower.is_failing() || !follower.revision().is_known()) {
     return {};
   }
-  FleetChanges changes =
-      view_.ReplaceUpstreams(follower.entries(), follower.revision());
+  FleetChanges changes = view_.ReplaceUpstreams(
+      follower.entries(), follower.revision(), BootTimeNow());
   changes.upstreams |= changed;
   return changes;
 }
@@ -268,7 +271,8 @@
 FleetChanges StoreReader::ApplyAnswer(const TableFollower<HostEntry>& follower,
                                       bool /*changed*/) {
   FleetChanges changes;
-  const bool is_complete = !follower.is_failing() && follower.revision() != 0;
+  const bool is_complete =
+      !follower.is_failing() && follower.revision().is_known();
   if (is_complete) {
     changes = view_.ReplaceHosts(follower.entries(), follower.revision());
     changes.hosts |= !std::exchange(has_listed_hosts_, true);
@@ -287,8 +291,8 @@
 FleetChanges StoreReader::ApplyAnswer(
     const TableFollower<RolloutOrder>& follower,
     bool changed) {
-  return {.rollouts =
-              changed && !follower.is_failing() && follower.revision() != 0};
+  return {.rollouts = changed && !follower.is_failing() &&
+                      follower.revision().is_known()};
 }
 
 void StoreReader::CountCall(std::string_view table, const Error* error) {
@@ -319,25 +323,31 @@
           .Number("entries", static_cast<std::int64_t>(page.left_out.size())));
 }
 
-void StoreReader::LogEra(std::string_view table,
-                         const StoreRevision& revision) {
-  if (!newest_.is_known()) {
-    newest_ = revision;
-  }
-  if (revision.era > newest_.era) {
-    metrics_.Add("flamingogauge_store_eras_total", "");
-    log_.Write(
-        EventLine("store.era")
-            .Text("table", table)
-            .Number("era", static_cast<std::int64_t>(revision.era))
-            .Number("revision", static_cast<std::int64_t>(revision.number))
-            .Number("era_before", static_cast<std::int64_t>(newest_.era))
-            .Number("revision_before",
-                    static_cast<std::int64_t>(newest_.number)));
+void StoreReader::CheckEra(std::string_view table,
+                           const StoreRevision& revision,
+                           MonotonicTime now) {
+  if (newest_.is_known() && revision.era > newest_.era) {
+    LogEra(table, revision);
+    routing_.OnEra(revision.era, now);
+    upstreams_.OnEra(revision.era, now);
+    hosts_.OnEra(revision.era, now);
+    rollouts_.OnEra(revision.era, now);
   }
   newest_ = std::max(newest_, revision);
 }
 
+void StoreReader::LogEra(std::string_view table,
+                         const StoreRevision& revision) {
+  metrics_.Add("flamingogauge_store_eras_total", "");
+  log_.Write(EventLine("store.era")
+                 .Text("table", table)
+                 .Number("era", static_cast<std::int64_t>(revision.era))
+                 .Number("revision", static_cast<std::int64_t>(revision.number))
+                 .Number("era_before", static_cast<std::int64_t>(newest_.era))
+                 .Number("revision_before",
+                         static_cast<std::int64_t>(newest_.number)));
+}
+
 void StoreReader::LogAvailability(const Error* error) {
   const bool failing = routing_.is_failing() || upstreams_.is_failing();
   if (failing == failure_logged_) {
--- a/src/plugins/directory/store_reader.h
+++ b/src/plugins/directory/store_reader.h
@@ -84,7 +84,11 @@
   // rate.
   template <typename T>
   void ReportLeftOut(const FleetPage<T>& page, MonotonicTime now);
-  // Notices that the store has come back from an older copy.
+  // Has all tables listed again once the store has come back from an older
+  // copy.
+  void CheckEra(std::string_view table,
+                const StoreRevision& revision,
+                MonotonicTime now);
   void LogEra(std::string_view table, const StoreRevision& revision);
   void LogAvailability(const Error* error);
   void LogRegression(const RoutingTable& routing);
--- a/tests/auto/directory/tst_table_follower.cc
+++ b/tests/auto/directory/tst_table_follower.cc
@@ -46,6 +46,7 @@
     return follower_.OnAnswer(answer, now_);
   }
   void Wait(milliseconds time) { now_ += time; }
+  void OnEra(std::uint64_t era) { follower_.OnEra(era, now_); }
   bool RemoveMissing() { return follower_.RemoveMissing(now_); }
   std::vector<std::string> Names() const {
     std::vector<std::string> names;
@@ -62,7 +63,7 @@
     for (const std::string& it : names) {
       entries[it] = Entry(it).value;
     }
-    follower_.Resume(entries, revision);
+    follower_.Resume(entries, {.number = revision});
   }
 
   void ListAll(const std::vector<std::string>& names, std::uint64_t revision) {
@@ -204,6 +205,87 @@
   CHECK(driver.Names() == Names{"b"});
 }
 
+// Guards against entries of two states of the store that are mixed, after it
+// has come back from an older copy: a watch from a revision that is given out
+// again, pages of two eras, and answers that arrive late.
+TEST_CASE("only what belongs to the current era is applied") {
+  struct Step {
+    // The era and revision of the answer.
+    StoreRevision revision;
+    Names names;
+    bool has_more = false;
+    // What is known after it, and the next call.
+    Names known;
+    bool next_is_watch = false;
+    std::string next_after;
+  };
+  struct Row {
+    std::string name;
+    std::vector<Step> steps;
+  };
+  for (const Row& row : std::vector<Row>{
+           {"a watch answered in a new era",
+            {{{1, 10}, {"a", "b"}, false, {"a", "b"}, true, ""},
+             {{2, 30}, {"c"}, false, {"a", "b"}, false, ""},
+             {{2, 7}, {"b", "c"}, false, {"a", "b", "c"}, true, ""}}},
+           {"a list whose pages come from two eras",
+            {{{1, 10}, {"a"}, true, {"a"}, false, "a"},
+             {{2, 4}, {"x"}, false, {"a"}, false, ""},
+             {{2, 5}, {"b"}, false, {"b"}, true, ""}}},
+           {"a late answer of the former era",
+            {{{2, 10}, {"a"}, false, {"a"}, true, ""},
+             {{1, 99}, {"x"}, false, {"a"}, true, ""},
+             {{2, 11}, {"b"}, false, {"a", "b"}, true, ""}}},
+           {"a second drill during the list after the first",
+            {{{1, 10}, {"a"}, false, {"a"}, true, ""},
+             {{2, 5}, {}, false, {"a"}, false, ""},
+             {{2, 5}, {"a", "b"}, true, {"a", "b"}, false, "b"},
+             {{3, 4}, {"x"}, false, {"a", "b"}, false, ""},
+             {{3, 4}, {"a"}, false, {"a", "b"}, true, ""}}},
+           {"a store that no longer states its era",
+            {{{1, 10}, {"a"}, false, {"a"}, true, ""},
+             {{0, 11}, {"b"}, false, {"a", "b"}, true, ""}}},
+       }) {
+    CAPTURE(row.name);
+    Driver driver;
+    driver.Call();
+    for (const Step& step : row.steps) {
+      CAPTURE(step.revision.era);
+      CAPTURE(step.revision.number);
+      Page page{.has_more = step.has_more, .store_revision = step.revision};
+      for (const std::string& it : step.names) {
+        page.entries.push_back(Entry(it));
+      }
+      driver.Answer(page);
+      CHECK(driver.Names() == step.known);
+      const TableCall next = driver.Call();
+      CHECK(next.is_watch == step.next_is_watch);
+      CHECK(next.after == step.next_after);
+    }
+  }
+}
+
+// Guards against upstreams that are dropped because the copy is older than
+// their entries, and against some that stay for ever.
+TEST_CASE("entries that the copy lacks are kept for the grace period") {
+  Driver driver;
+  driver.Call();
+  Page listed{.store_revision = {.era = 1, .number = 10}};
+  listed.entries = {Entry("a"), Entry("b")};
+  driver.Answer(listed);
+  driver.Call();
+  driver.OnEra(2);
+  driver.Answer(StoreError(ErrorCode::kNotFound));
+  driver.Call();
+  driver.Answer(
+      Page{.entries = {Entry("a")}, .store_revision = {.era = 2, .number = 3}});
+  CHECK(driver.Names() == Names{"a", "b"});
+  CHECK_FALSE(driver.RemoveMissing());
+  driver.Wait(milliseconds(2100));
+  CHECK(driver.RemoveMissing());
+  CHECK(driver.Names() == Names{"a"});
+}
+
 // Guards against frequent changes causing many calls, which the store charges
 // for.
 TEST_CASE("calls are rate-limited") {
