dispatching: an expired limit does not count as a statement

Found by reading. A limit that a host knows from others only is dropped 10 s after the last report, but the time of that report stayed, so that the next report of no limit read a time that was no longer set, and a limit that was stated just before it was ignored.

Both times are forgotten together. "reports of a limit apply if they are newer, and are not for ever" has the case; it failed without the change.

--- a/src/libs/dispatching/upstream_rate_limit.cc
+++ b/src/libs/dispatching/upstream_rate_limit.cc
@@ -43,6 +43,7 @@
   if (HasExpired(now)) {
     SetLimit(std::nullopt, now);
     stated_at_.reset();
+    reported_at_.reset();
   }
   if (requests_per_second_ == report.requests_per_second) {
     // What this host has read itself does not depend on reports.
--- a/tests/auto/dispatching/tst_upstream_rate_limit.cc
+++ b/tests/auto/dispatching/tst_upstream_rate_limit.cc
@@ -127,6 +127,9 @@
   CHECK(!limit.Report(At(16000)));
   limit.OnReport(Report(std::nullopt, 15900), At(16001));
   CHECK(!limit.requests_per_second());
+  // The expired limit does not count as a statement.
+  limit.OnReport(Report(4, 15950), At(16002));
+  CHECK(limit.requests_per_second() == 4.0);
 }
 
 // Guards against data centres whose parts add up to more than the limit, or
