directory: a change of a draining entry does not undo its departure

Found by reading. An upstream that had left, and whose entry in the older copy differs in another field, counted as one that left in the new era; the next read of the copy then took it for one that had come back, and it got requests.

Only the step from ready to draining, and the removal, are departures. "a change of a draining entry does not make the copy believed" failed without the change.

--- a/src/libs/directory/departed_upstreams.cc
+++ b/src/libs/directory/departed_upstreams.cc
@@ -25,7 +25,8 @@
     withheld_.erase(id);
   }
   const bool has_left =
-      before != nullptr && (after == nullptr || after->draining);
+      before != nullptr &&
+      (after == nullptr || (after->draining && !before->draining));
   if (!has_left) {
     return;
   }
@@ -42,18 +43,19 @@
                      .at = now};
 }
 
-void DepartedUpstreams::Withhold(Entries& entries,
-                                 const StoreRevision& revision,
-                                 MonotonicTime now) {
+DepartedUpstreams::Entries DepartedUpstreams::Withhold(
+    const Entries& entries,
+    const StoreRevision& revision,
+    MonotonicTime now) {
   if (revision.era > era_) {
     era_ = revision.era;
     era_seen_at_ = now;
   }
+  Entries withheld;
   for (auto it = departures_.begin(); it != departures_.end();) {
     const auto& [id, departure] = *it;
     const auto listed = entries.find(id);
-    if (listed == entries.end() || listed->second == nullptr ||
-        listed->second->draining) {
+    if (listed == entries.end() || listed->second->draining) {
       ++it;
       continue;
     }
@@ -68,9 +70,10 @@
     withheld_[id] = listed->second;
     UpstreamEntry draining = *listed->second;
     draining.draining = true;
-    listed->second = std::make_shared<const UpstreamEntry>(std::move(draining));
+    withheld[id] = std::make_shared<const UpstreamEntry>(std::move(draining));
     ++it;
   }
+  return withheld;
 }
 
 DepartedUpstreams::Entries DepartedUpstreams::TakeBelieved(MonotonicTime now) {
--- a/src/libs/directory/departed_upstreams.h
+++ b/src/libs/directory/departed_upstreams.h
@@ -29,12 +29,12 @@
                 const StoreRevision& revision,
                 MonotonicTime now);
 
-  // Marks those of the entries as draining that are listed in a later era than
-  // the one in which they left. `entries` is a state of the store at
-  // `revision`, or a part of it.
-  void Withhold(Entries& entries,
-                const StoreRevision& revision,
-                MonotonicTime now);
+  // Returns those of the entries that are listed as ready in a later era than
+  // the one in which they left, marked as draining. `entries` is a state of the
+  // store at `revision`, or a part of it.
+  Entries Withhold(const Entries& entries,
+                   const StoreRevision& revision,
+                   MonotonicTime now);
 
   // Returns the withheld entries that are believed by now, as they are listed:
   // those of upstreams that had been removed, after the time in which the entry
--- a/src/libs/directory/fleet_view.cc
+++ b/src/libs/directory/fleet_view.cc
@@ -12,7 +12,7 @@
 template <typename T>
 bool IsUsable(const TablePage<T>& page, const VersionedTable<T>& table) {
   return page.store_revision.is_known() &&
-         page.store_revision >= table.store_revision();
+         !(page.store_revision < table.store_revision());
 }
 
 // A host of a version that does not know eras states none.
@@ -57,23 +57,24 @@
 }
 
 FleetChanges FleetView::ReplaceUpstreams(
-    VersionedTable<UpstreamEntry>::Entries entries,
+    const VersionedTable<UpstreamEntry>::Entries& entries,
     const StoreRevision& store_revision,
     MonotonicTime now) {
   ResetCursors();
   if (store_revision < upstreams_.store_revision()) {
     return {};
   }
-  BeginUpdate(entries, store_revision, now);
-  return {.upstreams = upstreams_.Replace(entries, store_revision)};
+  const auto overrides = BeginUpdate(entries, store_revision, now);
+  return {.upstreams = upstreams_.Replace(entries, store_revision, overrides)};
 }
 
-void FleetView::BeginUpdate(VersionedTable<UpstreamEntry>::Entries& entries,
-                            const StoreRevision& store_revision,
-                            MonotonicTime now) {
+VersionedTable<UpstreamEntry>::Entries FleetView::BeginUpdate(
+    const VersionedTable<UpstreamEntry>::Entries& entries,
+    const StoreRevision& store_revision,
+    MonotonicTime now) {
   applied_revision_ = store_revision;
   applied_at_ = now;
-  departed_.Withhold(entries, store_revision, now);
+  return departed_.Withhold(entries, store_revision, now);
 }
 
 FleetChanges FleetView::Advance(MonotonicTime now) {
@@ -110,8 +111,9 @@
     cursors_peer_ = peer;
   }
   if (IsUsable(reply.upstreams, upstreams_)) {
-    BeginUpdate(reply.upstreams.entries, reply.upstreams.store_revision, now);
-    changes.upstreams = upstreams_.Apply(reply.upstreams);
+    const auto overrides = BeginUpdate(reply.upstreams.entries,
+                                       reply.upstreams.store_revision, now);
+    changes.upstreams = upstreams_.Apply(reply.upstreams, overrides);
     upstreams_cursor_ = reply.upstreams.cursor;
   }
   if (IsUsable(reply.hosts, hosts_)) {
--- a/src/libs/directory/fleet_view.h
+++ b/src/libs/directory/fleet_view.h
@@ -39,9 +39,10 @@
                             const StoreRevision& store_revision,
                             MonotonicTime confirmed_at);
   // Replaces the entries of a table with those read from the store.
-  FleetChanges ReplaceUpstreams(VersionedTable<UpstreamEntry>::Entries entries,
-                                const StoreRevision& store_revision,
-                                MonotonicTime now);
+  FleetChanges ReplaceUpstreams(
+      const VersionedTable<UpstreamEntry>::Entries& entries,
+      const StoreRevision& store_revision,
+      MonotonicTime now);
   FleetChanges ReplaceHosts(const VersionedTable<HostEntry>::Entries& entries,
                             const StoreRevision& store_revision);
 
@@ -78,10 +79,12 @@
   }
 
  private:
-  // Withholds upstreams that have left from `entries`, which are applied next.
-  void BeginUpdate(VersionedTable<UpstreamEntry>::Entries& entries,
-                   const StoreRevision& store_revision,
-                   MonotonicTime now);
+  // To be called before `entries` are applied. Returns what replaces those of
+  // upstreams that have left.
+  VersionedTable<UpstreamEntry>::Entries BeginUpdate(
+      const VersionedTable<UpstreamEntry>::Entries& entries,
+      const StoreRevision& store_revision,
+      MonotonicTime now);
   // Forgets the position in the tables of the host that was asked last, so that
   // it is asked for complete ones.
   void ResetCursors();
--- a/src/libs/directory/versioned_table.h
+++ b/src/libs/directory/versioned_table.h
@@ -54,10 +54,13 @@
   explicit VersionedTable(std::uint64_t process, ChangeListener listener = {})
       : process_(process), listener_(std::move(listener)) {}
 
-  // Replaces all entries. Returns true if any was added, removed or changed.
-  // Entries of an older revision than the table's are ignored: they may include
-  // an upstream that has left since.
-  bool Replace(const Entries& entries, const StoreRevision& store_revision) {
+  // Replaces all entries, by those of `overrides` where it has them. Returns
+  // true if any was added, removed or changed. Entries of an older revision
+  // than the table's are ignored: they may include an upstream that has left
+  // since.
+  bool Replace(const Entries& entries,
+               const StoreRevision& store_revision,
+               const Entries& overrides = {}) {
     if (store_revision < store_revision_) {
       return false;
     }
@@ -69,23 +72,17 @@
         changed |= Put(name, nullptr);
       }
     }
-    for (const auto& [name, value] : entries) {
-      changed |= Put(name, value);
-    }
-    return changed;
+    return PutAll(entries, overrides) || changed;
   }
 
-  // Applies a page of another host, of this or a newer revision. Returns true
-  // if it changed anything.
-  bool Apply(const TablePage<T>& page) {
+  // Applies a page of another host, of this or a newer revision, with
+  // `overrides` as above. Returns true if it changed anything.
+  bool Apply(const TablePage<T>& page, const Entries& overrides = {}) {
     if (page.is_complete) {
-      return Replace(page.entries, page.store_revision);
+      return Replace(page.entries, page.store_revision, overrides);
     }
     store_revision_ = page.store_revision;
-    bool changed = false;
-    for (const auto& [name, value] : page.entries) {
-      changed |= Put(name, value);
-    }
+    bool changed = PutAll(page.entries, overrides);
     for (const std::string& it : page.removed) {
       changed |= Put(it, nullptr);
     }
@@ -96,7 +93,7 @@
   // the changes up to `cursor` lacks something, if only a new era.
   bool HasNewsSince(const TableCursor& cursor,
                     const StoreRevision& store_revision) const {
-    return store_revision_.is_known() && store_revision_ >= store_revision &&
+    return store_revision_.is_known() && !(store_revision_ < store_revision) &&
            (cursor != Cursor() || store_revision_.era > store_revision.era);
   }
 
@@ -148,6 +145,15 @@
   // A host that is further behind gets a complete page.
   static constexpr std::size_t kMaxLoggedChanges = 1024;
 
+  bool PutAll(const Entries& entries, const Entries& overrides) {
+    bool changed = false;
+    for (const auto& [name, value] : entries) {
+      const auto it = overrides.find(name);
+      changed |= Put(name, it == overrides.end() ? value : it->second);
+    }
+    return changed;
+  }
+
   // Sets or, with a null value, removes an entry; returns false if that changes
   // nothing.
   bool Put(const std::string& name, const std::shared_ptr<const T>& value) {
--- a/src/libs/fleet/store_revision.h
+++ b/src/libs/fleet/store_revision.h
@@ -1,8 +1,8 @@
 #ifndef FLAMINGOGAUGE_LIBS_FLEET_STORE_REVISION_H_
 #define FLAMINGOGAUGE_LIBS_FLEET_STORE_REVISION_H_
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace flamingogauge {
 
@@ -17,7 +17,10 @@
   // Increases with each change within an era; 0 before the first read.
   std::uint64_t number = 0;
 
-  auto operator<=>(const StoreRevision&) const = default;
+  bool operator==(const StoreRevision&) const = default;
+  bool operator<(const StoreRevision& other) const {
+    return std::tie(era, number) < std::tie(other.era, other.number);
+  }
 
   bool is_known() const { return number != 0; }
 };
--- a/src/plugins/directory/store_reader.cc
+++ b/src/plugins/directory/store_reader.cc
@@ -101,7 +101,7 @@
 void StoreReader::CatchUpWithView() {
   const VersionedTable<UpstreamEntry>& known = view_.upstreams();
   if (!upstreams_.in_flight() &&
-      known.store_revision() > upstreams_.newest_revision()) {
+      upstreams_.newest_revision() < known.store_revision()) {
     upstreams_.Resume(known.entries(), known.store_revision());
   }
 }
--- a/tests/auto/directory/tst_fleet_view.cc
+++ b/tests/auto/directory/tst_fleet_view.cc
@@ -238,6 +238,24 @@
   }
 }
 
+// Guards against a draining upstream that counts as one of the new era because
+// another field of its entry has changed there.
+TEST_CASE("a change of a draining entry does not make the copy believed") {
+  FleetView view(1);
+  const auto replace = [&view](UpstreamEntry entry, StoreRevision revision) {
+    view.ReplaceUpstreams(
+        {{"u", std::make_shared<UpstreamEntry>(std::move(entry))}}, revision,
+        At(0));
+    return view.upstreams().entries().at("u")->draining;
+  };
+  CHECK_FALSE(replace({.id = "u", .slots = 4}, {.era = 1, .number = 10}));
+  CHECK(replace({.id = "u", .slots = 4, .draining = true},
+                {.era = 1, .number = 11}));
+  CHECK(replace({.id = "u", .slots = 3}, {.era = 2, .number = 5}));
+  CHECK(replace({.id = "u", .slots = 3}, {.era = 2, .number = 6}));
+  CHECK(replace({.id = "u", .slots = 2}, {.era = 3, .number = 6}));
+}
+
 // Guards against replies that come late although there is news, and against
 // a stream of replies without news.
 TEST_CASE("a question is held until there is news or its wait has passed") {
