tests, dispatching: clean up after reading the change

The relay's test includes what it uses; the comment on the state of an eligible upstream stands with its declaration. Behaviour is unchanged.

--- a/src/libs/dispatching/dispatcher.h
+++ b/src/libs/dispatching/dispatcher.h
@@ -215,6 +215,8 @@
   // so; a request that was sent before does not.
   std::optional<std::string> TrialUpstream(const WaitingRequest& request,
                                            MonotonicTime now) const;
+  // The state of an upstream between which and others the cost decides; it may
+  // be suspect if all are.
   CandidateState StateOfEligible(const UpstreamView& upstream,
                                  MonotonicTime now) const;
   std::vector<CandidateExplanation> ExplainCandidates(
--- a/src/libs/dispatching/dispatcher_explain.cc
+++ b/src/libs/dispatching/dispatcher_explain.cc
@@ -99,7 +99,6 @@
   return explanation;
 }
 
-// Also of one that is suspect, if all are.
 CandidateState Dispatcher::StateOfEligible(const UpstreamView& upstream,
                                            MonotonicTime now) const {
   if (placement_.HasPlace(upstream, now)) {
--- a/tests/auto/platform_adapter/tst_directory_relay.cc
+++ b/tests/auto/platform_adapter/tst_directory_relay.cc
@@ -1,26 +1,17 @@
 #include <doctest/doctest.h>
 
-#include <fcntl.h>
 #include <sys/socket.h>
 
 #include <atomic>
 #include <chrono>
-#include <condition_variable>
-#include <functional>
 #include <future>
-#include <memory>
-#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "libs/kernel/boot_clock.h"
-#include "platform/platform_fleet_store.h"
-#include "plugins/directory/directory_worker.h"
-#include "tests/fakes/fake_object_store/fake_object_store.h"
-#include "tests/support/free_address.h"
-
 #include "tests/auto/platform_adapter/directory_fleet.h"
+#include "tests/support/free_address.h"
 
 namespace flamingogauge {
 namespace {
