soak: a request that arrives after its key was given back has it

The trace: the host applied version 5, which gives the key back, at 457.233 s and sent the request at 457.234 s with routing_version 5; its caller had sent it less than a millisecond before the soak wrote that version.

The check goes by the moment at which the run began, not by the one at which the caller sent the request, for the end of the time without the key; its beginning and the limit are as before, and of several runs the first one counts.

--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -100,11 +100,15 @@
 
 def check_revocations(attempts, runs, revocations, workspace):
     """No request runs with a key that was taken away, whatever fails."""
-    began = {run.request_id for run in runs}
+    began_at = {}
+    for run in runs:
+        began_at.setdefault(run.request_id, run.began_at)
     for it in attempts:
         for taken_at, given_at in revocations:
-            is_after = taken_at + REVOCATION_LIMIT_S < it.sent_at < given_at
-            if it.workspace == workspace and is_after and it.request_id in began:
+            # One that is sent before the key is given back may arrive after it.
+            ran_without_key = began_at.get(it.request_id, given_at) < given_at
+            is_after = taken_at + REVOCATION_LIMIT_S < it.sent_at
+            if it.workspace == workspace and is_after and ran_without_key:
                 yield f"{it.request_id} ran {it.sent_at - taken_at:.1f} s after its key was taken away"
 
 
