coordination: one reader of reported rate limits

Coordinator and Placer turned a message's rate limit into a report with the same lines; FromRateLimitReport() does it for both.

--- a/src/libs/coordination/coordination_messages.cc
+++ b/src/libs/coordination/coordination_messages.cc
@@ -11,4 +11,12 @@
               now - limit.stated_at)};
 }
 
+ReportedRateLimit FromRateLimitReport(const RateLimitReport& report,
+                                      RateLimitSource source,
+                                      MonotonicTime now) {
+  return {.requests_per_second = report.requests_per_second,
+          .stated_at = now - report.age,
+          .source = source};
+}
+
 }  // namespace flamingogauge
--- a/src/libs/coordination/coordination_messages.h
+++ b/src/libs/coordination/coordination_messages.h
@@ -82,6 +82,11 @@
 RateLimitReport ToRateLimitReport(std::uint64_t upstream,
                                   const ReportedRateLimit& limit,
                                   MonotonicTime now);
+// Reads a limit from a message that `source` has sent and that arrived at
+// `now`.
+ReportedRateLimit FromRateLimitReport(const RateLimitReport& report,
+                                      RateLimitSource source,
+                                      MonotonicTime now);
 
 // The state of a host, as it reports it to the coordinators of its data centre
 // several times a second and at each change that matters to them.
--- a/src/libs/coordination/coordinator.cc
+++ b/src/libs/coordination/coordinator.cc
@@ -309,10 +309,7 @@
                                   RateLimitSource source,
                                   MonotonicTime now) {
   for (const RateLimitReport& it : reports) {
-    queue_.OnRateLimitReport(it.upstream,
-                             {.requests_per_second = it.requests_per_second,
-                              .stated_at = now - it.age,
-                              .source = source},
+    queue_.OnRateLimitReport(it.upstream, FromRateLimitReport(it, source, now),
                              now);
   }
 }
--- a/src/libs/coordination/placer.cc
+++ b/src/libs/coordination/placer.cc
@@ -317,11 +317,9 @@
       local_.OnPaceReport(it.upstream, it.requests, now - it.age, now);
     }
     for (const RateLimitReport& it : summary.rate_limits) {
-      local_.OnRateLimitReport(it.upstream,
-                               {.requests_per_second = it.requests_per_second,
-                                .stated_at = now - it.age,
-                                .source = RateLimitSource::kCoordinator},
-                               now);
+      local_.OnRateLimitReport(
+          it.upstream,
+          FromRateLimitReport(it, RateLimitSource::kCoordinator, now), now);
     }
   }
   return true;
